--- /dev/null
+++ b/src/config/settings.h
@@ -0,0 +1,63 @@
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <span>
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+#include "config/document.h"
+#include "kernel/clock.h"
+
+namespace apricotwheel {
+
+// The settings of one daemon. Each field is declared once, in the table in
+// settings.cc, with its type, unit, default, range and help.
+struct daemon_settings {
+  std::string name;  // Unique in the cell.
+  std::string failure_domain;
+  std::string http_address;     // ip:port for callers and operators.
+  std::string peer_address;     // ip:port for other daemons.
+  std::string kv_address;       // ip:port of the key-value service.
+  std::string vm_list_address;  // ip:port of the VM list.
+  std::string peer_key_file;    // Shared key of all daemons, 32 bytes or more.
+
+  duration lease_ttl = milliseconds(3000);
+  duration lease_renew_interval = milliseconds(1000);
+  duration gossip_interval = milliseconds(250);
+  duration vm_list_interval = milliseconds(1000);
+  duration worker_renew_interval = milliseconds(1000);
+  duration task_lease = milliseconds(10'000);
+  duration dispatch_authority = milliseconds(2500);
+  duration clock_margin = milliseconds(250);
+  duration key_retention = milliseconds(60'000);
+  duration drain_timeout = milliseconds(30'000);
+  duration readiness_grace = milliseconds(1000);
+  duration job_commit_interval = milliseconds(25);
+
+  std::int64_t max_http_connections = 512;
+  std::int64_t max_body_bytes = 1 << 20;
+  std::int64_t max_frame_bytes = 8 << 20;
+  std::int64_t max_handler_threads = 256;
+  std::int64_t recorded_answer_bytes = 64 << 10;
+  std::int64_t retry_budget_percent = 10;
+  std::int64_t breaker_failures = 5;
+  std::int64_t quarantine_failures = 5;
+  std::string log_level = "info";  // debug, info, warning or error
+};
+
+struct settings_check {
+  std::optional<daemon_settings> settings;  // Absent if there are faults.
+  std::vector<config_fault> faults;
+};
+
+// Reads and checks a settings file; reports all faults together.
+settings_check LoadSettings(std::string_view path);
+settings_check CheckSettings(std::string_view file, std::string_view text);
+
+// The table as a Markdown table, for docs/operations.md and `--help`.
+std::string DescribeSettings();
+
+}  // namespace apricotwheel
--- /dev/null
+++ b/src/kernel/clock.cc
@@ -0,0 +1,60 @@
+#include "kernel/clock.h"
+
+namespace apricotwheel {
+
+namespace {
+
+// How often a wait on a paused clock looks at the time again. Polling keeps
+// `advance` free of references to waiters that may be gone.
+constexpr auto kPausedPollInterval = milliseconds(1);
+
+}  // namespace
+
+runtime_clock::runtime_clock(bool is_paused)
+    : is_paused_(is_paused),
+      paused_at_(std::chrono::steady_clock::now().time_since_epoch().count()) {}
+
+std::shared_ptr<runtime_clock> runtime_clock::Running() {
+  return std::shared_ptr<runtime_clock>(new runtime_clock(false));
+}
+
+std::shared_ptr<runtime_clock> runtime_clock::Paused() {
+  return std::shared_ptr<runtime_clock>(new runtime_clock(true));
+}
+
+time_point runtime_clock::Now() const {
+  if (is_paused_) return time_point(duration(paused_at_.load()));
+  return std::chrono::time_point_cast<duration>(
+      std::chrono::steady_clock::now());
+}
+
+void runtime_clock::Advance(duration step) {
+  paused_at_.fetch_add(step.count());
+}
+
+void runtime_clock::SleepUntil(time_point deadline) {
+  std::mutex mutex;
+  std::condition_variable condition;
+  std::unique_lock lock(mutex);
+  WaitUntil(lock, condition, deadline, [] { return false; });
+}
+
+void runtime_clock::WaitOnce(std::unique_lock<std::mutex>& lock,
+                             std::condition_variable& condition,
+                             time_point deadline) const {
+  if (is_paused_) {
+    condition.wait_for(lock, kPausedPollInterval);
+  } else if (deadline == time_point::max()) {
+    condition.wait(lock);
+  } else {
+    condition.wait_until(lock, deadline);
+  }
+}
+
+std::int64_t WallClockMs() {
+  return std::chrono::duration_cast<milliseconds>(
+             std::chrono::system_clock::now().time_since_epoch())
+      .count();
+}
+
+}  // namespace apricotwheel
--- /dev/null
+++ b/src/kernel/metrics.h
@@ -0,0 +1,19 @@
+#pragma once
+
+#include <prometheus/counter.h>
+#include <prometheus/gauge.h>
+#include <prometheus/histogram.h>
+#include <prometheus/registry.h>
+
+#include <memory>
+
+namespace apricotwheel {
+
+// Metrics of one process. Each package registers its families here under names
+// that start with "apricotwheel_"; docs/metrics.md lists them all.
+using metrics_ptr = std::shared_ptr<prometheus::Registry>;
+
+// Bucket bounds in seconds for waiting and answer times, 100 us to 60 s.
+prometheus::Histogram::BucketBoundaries LatencyBuckets();
+
+}  // namespace apricotwheel
--- /dev/null
+++ b/src/kernel/resources.h
@@ -0,0 +1,49 @@
+#pragma once
+
+#include <cstdint>
+
+namespace apricotwheel {
+
+// Amounts of the three resources of a VM, in exact integer units.
+struct resource_vector {
+  std::int64_t cpu_milli = 0;     // Thousandths of a processor core.
+  std::int64_t memory_mib = 0;    // Mebibytes.
+  std::int64_t accelerators = 0;  // Whole devices.
+
+  friend bool operator==(const resource_vector&,
+                         const resource_vector&) = default;
+};
+
+constexpr resource_vector operator+(const resource_vector& left,
+                                    const resource_vector& right) {
+  return {left.cpu_milli + right.cpu_milli, left.memory_mib + right.memory_mib,
+          left.accelerators + right.accelerators};
+}
+
+constexpr resource_vector operator-(const resource_vector& left,
+                                    const resource_vector& right) {
+  return {left.cpu_milli - right.cpu_milli, left.memory_mib - right.memory_mib,
+          left.accelerators - right.accelerators};
+}
+
+// True if `need` is within `room` in every resource.
+constexpr bool Fits(const resource_vector& need, const resource_vector& room) {
+  return need.cpu_milli <= room.cpu_milli &&
+         need.memory_mib <= room.memory_mib &&
+         need.accelerators <= room.accelerators;
+}
+
+// The larger amount of each resource.
+constexpr resource_vector MaxOf(const resource_vector& left,
+                                const resource_vector& right) {
+  return {
+      left.cpu_milli > right.cpu_milli ? left.cpu_milli : right.cpu_milli,
+      left.memory_mib > right.memory_mib ? left.memory_mib : right.memory_mib,
+      left.accelerators > right.accelerators ? left.accelerators
+                                             : right.accelerators};
+}
+
+// Order of urgency between tasks and between requests.
+enum class priority_class : std::uint8_t { kUrgent, kService, kBatch };
+
+}  // namespace apricotwheel
--- /dev/null
+++ b/src/peer/peer_node.h
@@ -0,0 +1,90 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+
+#include "kernel/clock.h"
+#include "kernel/error.h"
+#include "kernel/log.h"
+#include "kernel/metrics.h"
+#include "peer/generated/peer_messages_generated.h"
+
+namespace apricotwheel {
+
+using wire_message = wire::envelopeT;
+
+// Answers one request of the daemon `sender` (a member id). Runs on a handler
+// thread and may block. The reply's correlation id is filled in by the link.
+using peer_handler = std::function<wire_message(const std::string& sender,
+                                                const wire_message& request)>;
+
+struct peer_node_options {
+  std::string member_id;
+  std::string listen_address;  // ip:port; port 0 takes a free one.
+  std::string key;             // Shared key, 32 bytes or more.
+  std::size_t max_frame_bytes = 8 << 20;
+  std::size_t max_handler_threads = 256;
+  duration connect_timeout = milliseconds(500);
+  clock_ptr clock;
+  log_sink log;
+  metrics_ptr metrics;
+};
+
+// Links to all other daemons: one outgoing connection for each peer that this
+// daemon calls, one reader thread for each connection. Thread-safe.
+class peer_node {
+ public:
+  static result<std::unique_ptr<peer_node>> Start(peer_node_options options);
+  ~peer_node();
+
+  // Sets the handler of a message type. All handlers are set before the first
+  // call to `SetAddress`; a message without a handler is answered with a
+  // `failure`.
+  void Handle(wire::body type, peer_handler handler);
+
+  // Names the address of a peer; an empty address forgets the peer and closes
+  // its link. Calls fail with `not_found` for unknown peers.
+  void SetAddress(std::string_view member_id, std::string_view address);
+
+  // Sends a request and waits for the reply. Fails with `unavailable` if the
+  // request provably did not reach the peer's handler, with `timeout` if it may
+  // have (no reply in time, or the link broke after the send), and with the
+  // peer's own error if it replied with a `failure`.
+  result<wire_message> Call(std::string_view member_id,
+                            const wire_message& request, duration timeout);
+
+  // Sends a one-way message; drops it if the peer cannot be reached.
+  void Post(std::string_view member_id, const wire_message& message);
+
+  // The address that the node listens on, with the actual port.
+  std::string ListenAddress() const;
+
+  std::uint64_t BytesSent() const;
+  std::uint64_t BytesReceived() const;
+  std::uint64_t MessagesSent() const;
+
+  void Stop();
+
+ private:
+  struct state;
+  explicit peer_node(std::shared_ptr<state> initial);
+  std::shared_ptr<state> state_;
+};
+
+// Builds an envelope around one body, for example
+// `MakeMessage(wire::ticket_requestT{})`.
+template <class Body>
+wire_message MakeMessage(Body body) {
+  wire_message message;
+  message.body.Set(std::move(body));
+  return message;
+}
+
+// The reply that carries an error, and its inverse.
+wire_message MakeFailure(const error& failure);
+error ToError(const wire::failureT& failure);
+
+}  // namespace apricotwheel
--- /dev/null
+++ b/tests/kernel/kernel_test.cc
@@ -0,0 +1,101 @@
+#include <boost/test/unit_test.hpp>
+#include <condition_variable>
+#include <mutex>
+#include <thread>
+
+#include "kernel/clock.h"
+#include "kernel/error.h"
+#include "kernel/log.h"
+#include "kernel/plugin_registry.h"
+#include "kernel/random.h"
+#include "kernel/thread_group.h"
+
+namespace apricotwheel {
+namespace {
+
+result<int> Half(int number) {
+  if (number % 2 != 0) {
+    return Fail(error_kind::kInvalidArgument, "odd", "pass an even number");
+  }
+  return number / 2;
+}
+
+// Guards against errors that lose their kind or remedy on the way to a caller.
+BOOST_AUTO_TEST_CASE(attempt_keeps_the_typed_error) {
+  BOOST_TEST(*Attempt([] { return Half(4); }) == 2);
+  const auto failed = Attempt([] { return Half(3); });
+  BOOST_TEST(!failed);
+  BOOST_TEST(Describe(failed.failure) ==
+             "invalid_argument: odd; pass an even number");
+}
+
+// Guards against a paused clock that lets a deadline pass by itself, or that
+// fails to wake a waiting thread when it is advanced.
+BOOST_AUTO_TEST_CASE(paused_clock_moves_only_when_advanced) {
+  const auto clock = runtime_clock::Paused();
+  const auto start = clock->Now();
+  std::this_thread::sleep_for(milliseconds(5));
+  BOOST_TEST((clock->Now() == start));
+  std::atomic<bool> woke = false;
+  std::thread sleeper([&] {
+    clock->SleepFor(std::chrono::hours(1));
+    woke = true;
+  });
+  std::this_thread::sleep_for(milliseconds(20));
+  BOOST_TEST(!woke.load());
+  clock->Advance(std::chrono::hours(1));
+  sleeper.join();
+  BOOST_TEST(woke.load());
+}
+
+// Guards against log lines that a field value can break or forge.
+BOOST_AUTO_TEST_CASE(log_values_are_escaped) {
+  const log_event event{{1, "example", severity::kInfo},
+                        {Field("key", "a\"b\n"), Field("count", 3)}};
+  BOOST_TEST(FormatEvent(event) ==
+             "event=1 name=example key=\"a\\\"b\\x0a\" count=\"3\"");
+}
+
+// Guards against back-off spans outside of the documented half-to-full range.
+BOOST_AUTO_TEST_CASE(backoff_stays_in_range) {
+  random_source random{7};
+  for (int attempt = 0; attempt < 40; ++attempt) {
+    const auto span = BackoffWithJitter(random, attempt, milliseconds(10),
+                                        std::chrono::seconds(2));
+    BOOST_TEST((span >= milliseconds(5)));
+    BOOST_TEST((span <= std::chrono::seconds(2)));
+  }
+}
+
+// Guards against a stop signal that leaves a sleeping thread asleep.
+BOOST_AUTO_TEST_CASE(stop_signal_ends_the_wait) {
+  const auto clock = runtime_clock::Running();
+  stop_signal stop(clock);
+  thread_group threads;
+  std::atomic<bool> stopped = false;
+  BOOST_TEST(bool(Attempt([&] {
+    return threads.Spawn(
+        "waiter", [&] { stopped = stop.WaitFor(std::chrono::hours(1)); });
+  })));
+  stop.RequestStop();
+  threads.JoinAll();
+  BOOST_TEST(stopped.load());
+}
+
+struct sample_plugin {
+  int (*value)();
+};
+const plugin_registry<sample_plugin>::registration kSample{"sample",
+                                                           {[] { return 42; }}};
+
+// Guards against plug-ins that do not register, and unhelpful lookup errors.
+BOOST_AUTO_TEST_CASE(plugins_register_themselves) {
+  auto& registry = plugin_registry<sample_plugin>::Instance();
+  const auto found = Attempt([&] { return registry.Find("sample"); });
+  BOOST_TEST((*found)->value() == 42);
+  const auto missing = Attempt([&] { return registry.Find("other"); });
+  BOOST_TEST(missing.failure.remedy == "use one of: sample");
+}
+
+}  // namespace
+}  // namespace apricotwheel
