--- /dev/null
+++ b/src/platform/http_listener.h
@@ -0,0 +1,56 @@
+#pragma once
+
+#include <httplib.h>
+
+#include <cstddef>
+#include <memory>
+#include <string>
+
+#include "kernel/clock.h"
+#include "kernel/error.h"
+#include "kernel/thread_group.h"
+
+namespace apricotwheel {
+
+struct http_listener_options {
+  std::string address;  // ip:port; port 0 takes a free one.
+  std::size_t max_connections = 512;
+  std::size_t max_body_bytes = 1 << 20;
+  duration keep_alive = std::chrono::seconds(60);
+};
+
+// An HTTP server with one thread for each connection. A connection past
+// `max_connections` is answered 503 with Retry-After and the header
+// `Apricotwheel-Outcome: not_run`, and closed.
+class http_listener {
+ public:
+  // Opens the socket; routes are added to `Server()` before `Start`.
+  static result<std::unique_ptr<http_listener>> Bind(
+      http_listener_options options);
+  ~http_listener();
+
+  httplib::Server& Server();
+  // The address with the actual port.
+  const std::string& Address() const;
+
+  // Serves in the background until `Stop`.
+  result<void> Start();
+  // Stops listening and waits for the open connections to end.
+  void Stop();
+
+  std::size_t OpenConnections() const;
+
+ private:
+  struct state;
+  explicit http_listener(std::unique_ptr<state> initial);
+  std::unique_ptr<state> state_;
+};
+
+// Splits "ip:port". Fails with `invalid_argument` on anything else.
+struct ip_endpoint {
+  std::string ip;
+  int port = 0;
+};
+result<ip_endpoint> ParseEndpoint(const std::string& address);
+
+}  // namespace apricotwheel
