Add the daemon process: wiring, HTTP routes, logging, planned stop

The managers are created and started in dependency order. A planned stop turns readiness false, keeps serving for the readiness grace, refuses new requests, waits for those in flight, hands key records and ownership over and ends.

--- /dev/null
+++ b/src/daemon/daemon.cc
@@ -0,0 +1,229 @@
+#include "daemon/daemon.h"
+
+#include <fstream>
+#include <iterator>
+#include <utility>
+
+#include "daemon/daemon_events.h"
+#include "daemon/http_reply.h"
+#include "daemon/job_api.h"
+#include "daemon/service_api.h"
+#include "daemon/status_api.h"
+#include "kernel/random.h"
+#include "placement/cell_state.h"
+
+namespace apricotwheel {
+
+namespace {
+
+constexpr std::size_t kIncarnationBytes = 6;
+constexpr std::size_t kMinKeyBytes = 32;
+constexpr auto kInFlightPollInterval = milliseconds(10);
+// Time that the planned stop keeps for the hand-over after the drain.
+constexpr auto kHandOverTime = milliseconds(5000);
+
+result<std::string> ReadKey(const std::string& path) {
+  std::ifstream file(path, std::ios::binary);
+  if (!file) {
+    return Fail(error_kind::kIo, "cannot read the peer key file " + path,
+                "create it with 32 or more random bytes and make it readable");
+  }
+  std::string key((std::istreambuf_iterator<char>(file)),
+                  std::istreambuf_iterator<char>());
+  if (key.size() < kMinKeyBytes) {
+    return Fail(error_kind::kInvalidArgument,
+                "the peer key file " + path + " holds " +
+                    std::to_string(key.size()) + " bytes",
+                "use a key of 32 or more random bytes, the same on all VMs");
+  }
+  return key;
+}
+
+// Gives errors of the HTTP library itself (malformed request, body over the
+// limit, unknown route) the error body of docs/api.md. Nothing has run then.
+void AddErrorHandler(httplib::Server& server) {
+  server.set_error_handler(
+      [](const httplib::Request&, httplib::Response& response) {
+        if (!response.body.empty()) return;
+        const bool too_large = response.status == 413;
+        ReplyError(
+            response, response.status,
+            {error_kind::kInvalidArgument,
+             "the request was refused with status " +
+                 std::to_string(response.status),
+             too_large ? "send a smaller body or raise max_body_bytes"
+                       : "see docs/api.md for the routes and their arguments"},
+            outcome_note{request_outcome::kNotRun,
+                         too_large ? "body_too_large" : "malformed_request"});
+      });
+}
+
+}  // namespace
+
+daemon_process::daemon_process(daemon_settings settings, clock_ptr clock,
+                               log_sink log)
+    : settings_(std::move(settings)),
+      member_id_(settings_.name + "." + RandomHex(kIncarnationBytes)),
+      clock_(std::move(clock)),
+      log_(std::move(log)),
+      metrics_(std::make_shared<prometheus::Registry>()) {}
+
+daemon_process::~daemon_process() { StopParts(); }
+
+result<std::unique_ptr<daemon_process>> daemon_process::Start(
+    daemon_settings settings, clock_ptr clock, log_sink log) {
+  std::unique_ptr<daemon_process> process(new daemon_process(
+      std::move(settings), std::move(clock), std::move(log)));
+  BOOST_LEAF_CHECK(process->CreateParts());
+  process->Connect();
+  process->AddRoutes();
+  BOOST_LEAF_CHECK(process->StartParts());
+  return process;
+}
+
+result<void> daemon_process::CreateParts() {
+  BOOST_LEAF_ASSIGN(kv_, kv_client::Create({settings_.kv_address}));
+  BOOST_LEAF_ASSIGN(vm_list_,
+                    vm_list_client::Create({settings_.vm_list_address}));
+
+  peer_node_options peer;
+  peer.member_id = member_id_;
+  peer.listen_address = settings_.peer_address;
+  BOOST_LEAF_ASSIGN(peer.key, ReadKey(settings_.peer_key_file));
+  peer.max_frame_bytes = static_cast<std::size_t>(settings_.max_frame_bytes);
+  peer.max_handler_threads =
+      static_cast<std::size_t>(settings_.max_handler_threads);
+  peer.clock = clock_;
+  peer.log = log_;
+  peer.metrics = metrics_;
+  BOOST_LEAF_ASSIGN(peers_, peer_node::Start(std::move(peer)));
+
+  cluster_manager_options cluster;
+  cluster.settings = settings_;
+  cluster.member_id = member_id_;
+  cluster.policy_names = PolicyNames();
+  cluster.kv = kv_.get();
+  cluster.vm_list = vm_list_.get();
+  cluster.peers = peers_.get();
+  cluster.clock = clock_;
+  cluster.log = log_;
+  cluster.metrics = metrics_;
+  BOOST_LEAF_ASSIGN(cluster_, cluster_manager::Create(std::move(cluster)));
+
+  const std::uint64_t seed = SystemRandom().state;
+  BOOST_LEAF_ASSIGN(
+      workers_,
+      worker_manager::Create({settings_, member_id_, cluster_.get(),
+                              peers_.get(), clock_, log_, metrics_, seed}));
+  BOOST_LEAF_ASSIGN(
+      jobs_, job_manager::Create({settings_, member_id_, kv_.get(),
+                                  cluster_.get(), workers_.get(), peers_.get(),
+                                  clock_, log_, metrics_}));
+  BOOST_LEAF_ASSIGN(
+      requests_,
+      dispatcher::Create({settings_, member_id_, cluster_.get(), workers_.get(),
+                          peers_.get(), clock_, log_, metrics_, seed}));
+
+  http_listener_options http;
+  http.address = settings_.http_address;
+  http.max_connections =
+      static_cast<std::size_t>(settings_.max_http_connections);
+  http.max_body_bytes = static_cast<std::size_t>(settings_.max_body_bytes);
+  BOOST_LEAF_ASSIGN(http_, http_listener::Bind(std::move(http)));
+  return {};
+}
+
+void daemon_process::Connect() {
+  workers_->OnInstances([this](std::span<const instance_record> instances) {
+    requests_->SetInstances(instances);
+  });
+  cluster_->SetGossipSource([this](wire::gossipT& gossip) {
+    workers_->FillGossip(gossip);
+    requests_->FillGossip(gossip);
+  });
+}
+
+void daemon_process::AddRoutes() {
+  httplib::Server& server = http_->Server();
+  AddErrorHandler(server);
+  AddServiceRoutes(server, *requests_);
+  AddJobRoutes(server, *jobs_);
+  status_sources sources;
+  sources.settings = &settings_;
+  sources.member_id = member_id_;
+  sources.cluster = cluster_.get();
+  sources.workers = workers_.get();
+  sources.jobs = jobs_.get();
+  sources.requests = requests_.get();
+  sources.peers = peers_.get();
+  sources.kv = kv_.get();
+  sources.stopping = &stopping_;
+  sources.metrics = metrics_;
+  AddStatusRoutes(server, std::move(sources));
+}
+
+result<void> daemon_process::StartParts() {
+  // Listeners are registered by the upper managers before the cluster manager
+  // starts to call them.
+  BOOST_LEAF_CHECK(requests_->Start());
+  BOOST_LEAF_CHECK(workers_->Start());
+  BOOST_LEAF_CHECK(jobs_->Start());
+  BOOST_LEAF_CHECK(cluster_->Start());
+  BOOST_LEAF_CHECK(http_->Start());
+  Emit(log_, kDaemonStarted,
+       {Field("member", member_id_), Field("http", http_->Address()),
+        Field("peer", peers_->ListenAddress())});
+  return {};
+}
+
+const std::string& daemon_process::HttpAddress() const {
+  return http_->Address();
+}
+
+void daemon_process::DrainAndStop() {
+  Emit(log_, kStopRequested, {Field("member", member_id_)});
+  stopping_ = true;
+  cluster_->AnnounceLeaving();
+  // The balancer and the peers need a moment to see that this daemon is not
+  // ready; requests that arrive until then are served.
+  clock_->SleepFor(settings_.readiness_grace);
+  requests_->RefuseNew();
+  WaitForRequests(clock_->Now() + settings_.drain_timeout);
+  HandOver(clock_->Now() + kHandOverTime);
+  StopParts();
+  Emit(log_, kDaemonStopped, {Field("member", member_id_)});
+}
+
+void daemon_process::WaitForRequests(time_point deadline) {
+  while (requests_->InFlight() > 0 && clock_->Now() < deadline) {
+    clock_->SleepFor(kInFlightPollInterval);
+  }
+  const std::size_t left = requests_->InFlight();
+  Emit(log_, left == 0 ? kDrainFinished : kDrainTimedOut,
+       {Field("in_flight", left)});
+}
+
+void daemon_process::HandOver(time_point deadline) {
+  const auto done = Attempt([&] {
+    return cluster_->HandOver(deadline, [&](const assignment& next) {
+      requests_->HandOverKeys(next, deadline);
+      workers_->ReleaseAll();
+    });
+  });
+  if (!done) {
+    Emit(log_, kHandOverFailed, {Field("reason", Describe(done.failure))});
+  }
+}
+
+void daemon_process::StopParts() {
+  if (std::exchange(stopped_, true)) return;
+  stopping_ = true;
+  if (http_) http_->Stop();
+  if (requests_) requests_->Stop();
+  if (jobs_) jobs_->Stop();
+  if (workers_) workers_->Stop();
+  if (cluster_) cluster_->Stop();
+  if (peers_) peers_->Stop();
+}
+
+}  // namespace apricotwheel
--- /dev/null
+++ b/src/daemon/daemon.h
@@ -0,0 +1,66 @@
+#pragma once
+
+#include <atomic>
+#include <memory>
+
+#include "cluster/cluster_manager.h"
+#include "config/settings.h"
+#include "dispatch/dispatcher.h"
+#include "jobs/job_manager.h"
+#include "kernel/clock.h"
+#include "kernel/error.h"
+#include "kernel/log.h"
+#include "kernel/metrics.h"
+#include "peer/peer_node.h"
+#include "platform/http_listener.h"
+#include "platform/kv_client.h"
+#include "platform/vm_list_client.h"
+#include "workers/worker_manager.h"
+
+namespace apricotwheel {
+
+// One daemon: all managers, wired together, in the order in which they depend
+// on each other.
+class daemon_process {
+ public:
+  // Opens sockets and starts all threads.
+  static result<std::unique_ptr<daemon_process>> Start(daemon_settings settings,
+                                                       clock_ptr clock,
+                                                       log_sink log);
+  ~daemon_process();
+
+  // Planned stop: readiness turns false, requests in flight finish, ownership
+  // is handed over. Bounded by `drain_timeout` and `readiness_grace`.
+  void DrainAndStop();
+
+  const std::string& HttpAddress() const;
+
+ private:
+  daemon_process(daemon_settings settings, clock_ptr clock, log_sink log);
+  result<void> CreateParts();
+  result<void> StartParts();
+  void Connect();
+  void AddRoutes();
+  void WaitForRequests(time_point deadline);
+  void HandOver(time_point deadline);
+  void StopParts();
+
+  daemon_settings settings_;
+  std::string member_id_;
+  clock_ptr clock_;
+  log_sink log_;
+  metrics_ptr metrics_;
+  std::atomic<bool> stopping_ = false;
+  bool stopped_ = false;
+
+  std::unique_ptr<kv_client> kv_;
+  std::unique_ptr<vm_list_client> vm_list_;
+  std::unique_ptr<peer_node> peers_;
+  std::unique_ptr<cluster_manager> cluster_;
+  std::unique_ptr<worker_manager> workers_;
+  std::unique_ptr<job_manager> jobs_;
+  std::unique_ptr<dispatcher> requests_;
+  std::unique_ptr<http_listener> http_;
+};
+
+}  // namespace apricotwheel
--- /dev/null
+++ b/src/daemon/http_reply.h
@@ -0,0 +1,28 @@
+#pragma once
+
+#include <httplib.h>
+
+#include <nlohmann/json.hpp>
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include "dispatch/dispatcher.h"
+#include "kernel/error.h"
+
+namespace apricotwheel {
+
+// Outcome and reason of an error body, for requests and job calls.
+struct outcome_note {
+  request_outcome outcome = request_outcome::kNotRun;
+  std::string reason;
+};
+
+void ReplyJson(httplib::Response& response, int status,
+               const nlohmann::json& body);
+
+// Writes the error body of docs/api.md and, with a note, the outcome headers.
+void ReplyError(httplib::Response& response, int status, const error& failure,
+                const std::optional<outcome_note>& note = {});
+
+}  // namespace apricotwheel
--- /dev/null
+++ b/src/daemon/process_metrics.h
@@ -0,0 +1,33 @@
+#pragma once
+
+#include <cstdint>
+
+#include "kernel/metrics.h"
+
+namespace apricotwheel {
+
+// Totals since the start of the process that other packages count.
+struct control_totals {
+  std::uint64_t peer_bytes_sent = 0;
+  std::uint64_t peer_bytes_received = 0;
+  std::uint64_t peer_messages_sent = 0;
+  std::uint64_t kv_calls = 0;
+};
+
+// Control cost of this process: processor time, memory, messages and
+// key-value calls. Updated at each scrape.
+class process_metrics {
+ public:
+  explicit process_metrics(prometheus::Registry& registry);
+  void Update(const control_totals& totals);
+
+ private:
+  prometheus::Gauge& cpu_seconds_;
+  prometheus::Gauge& resident_bytes_;
+  prometheus::Gauge& peer_bytes_sent_;
+  prometheus::Gauge& peer_bytes_received_;
+  prometheus::Gauge& peer_messages_sent_;
+  prometheus::Gauge& kv_calls_;
+};
+
+}  // namespace apricotwheel
--- /dev/null
+++ b/src/daemon/service_api.h
@@ -0,0 +1,21 @@
+#pragma once
+
+#include <httplib.h>
+
+#include "dispatch/dispatcher.h"
+#include "kernel/error.h"
+
+namespace apricotwheel {
+
+// Reads a caller's request for `/v1/services/{service}/{path}`. Fails with
+// `invalid_argument` on a malformed header.
+result<service_request> ParseServiceRequest(const httplib::Request& http);
+
+// Writes a response with its outcome headers.
+void WriteServiceResponse(const service_response& answer,
+                          httplib::Response& http);
+
+// Adds the routes for requests and tickets.
+void AddServiceRoutes(httplib::Server& server, dispatcher& requests);
+
+}  // namespace apricotwheel
