Implement the platform clients and the HTTP listener

The headers of src/platform had no implementation. The clients use one small HTTP/1.1 connection class: cpp-httplib's client limits single reads instead of whole calls, does not tell whether a byte was sent, and takes a body without a length as complete. The listener keeps cpp-httplib's server but serves each connection on a bounded thread, ends idle connections at a stop without polling, and refuses paths that would exceed a task thread's stack in std::regex.

--- /dev/null
+++ b/src/platform/http_connection.cc
@@ -0,0 +1,305 @@
+#include "platform/http_connection.h"
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <poll.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <cerrno>
+#include <charconv>
+
+namespace apricotwheel {
+
+namespace {
+
+constexpr std::size_t kMaxLineBytes = 16 * 1024;
+constexpr std::size_t kMaxReplyBytes = 64 << 20;
+constexpr std::size_t kMaxIdleConnections = 8;
+constexpr std::size_t kReadBytes = 16 * 1024;
+
+time_point Now() {
+  static const clock_ptr clock = runtime_clock::Running();
+  return clock->Now();
+}
+
+bool SameName(std::string_view left, std::string_view right) {
+  return std::equal(left.begin(), left.end(), right.begin(), right.end(),
+                    [](unsigned char a, unsigned char b) {
+                      return std::tolower(a) == std::tolower(b);
+                    });
+}
+
+boost::leaf::error_id Unavailable(const std::string& message) {
+  return Fail(error_kind::kUnavailable, message,
+              "check the address and that the service runs");
+}
+boost::leaf::error_id TimedOut(const std::string& message) {
+  return Fail(error_kind::kTimeout, message,
+              "read the state back before repeating the call");
+}
+boost::leaf::error_id Corrupt(const std::string& message) {
+  return Fail(error_kind::kCorrupt, message,
+              "check the sender; the call may have had its effect");
+}
+
+// Waits for `events`; returns false when the deadline passed.
+bool WaitReady(int socket, short events, time_point deadline) {
+  while (true) {
+    const auto left = std::chrono::ceil<milliseconds>(deadline - Now()).count();
+    if (left <= 0) return false;
+    pollfd entry{socket, events, 0};
+    const int ready =
+        poll(&entry, 1, static_cast<int>(std::min<std::int64_t>(left, 60000)));
+    if (ready > 0) return true;
+    if (ready < 0 && errno != EINTR) return false;
+  }
+}
+
+bool ParseNumber(std::string_view text, int base, std::size_t& number) {
+  const auto parsed =
+      std::from_chars(text.data(), text.data() + text.size(), number, base);
+  return !text.empty() && parsed.ec == std::errc() &&
+         parsed.ptr == text.data() + text.size();
+}
+
+// True if a pooled connection was closed by the other side or holds bytes that
+// belong to no request, such as a second answer.
+bool IsSpent(int socket) {
+  pollfd entry{socket, POLLIN | POLLRDHUP, 0};
+  return poll(&entry, 1, 0) != 0;
+}
+
+bool IsPlainToken(std::string_view text) {
+  return text.find_first_of("\r\n") == std::string_view::npos &&
+         text.find('\0') == std::string_view::npos;
+}
+
+}  // namespace
+
+std::string_view FindHeader(const header_list& headers, std::string_view name) {
+  for (const auto& [key, value] : headers) {
+    if (SameName(key, name)) return value;
+  }
+  return {};
+}
+
+void http_connection::Close() {
+  if (socket_ >= 0) close(socket_);
+  socket_ = -1;
+  buffer_.clear();
+}
+
+result<void> http_connection::Connect(time_point deadline) {
+  sockaddr_in address{};
+  address.sin_family = AF_INET;
+  address.sin_port = htons(static_cast<std::uint16_t>(peer_.port));
+  if (inet_pton(AF_INET, peer_.ip.c_str(), &address.sin_addr) != 1) {
+    return Fail(error_kind::kInvalidArgument, peer_.ip + " is no IPv4 address",
+                "give an address as ip:port");
+  }
+  const std::string peer = peer_.ip + ":" + std::to_string(peer_.port);
+  socket_ = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+  if (socket_ < 0) return Unavailable("no socket for " + peer);
+  const int on = 1;
+  setsockopt(socket_, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
+  const auto* raw = reinterpret_cast<const sockaddr*>(&address);
+  if (connect(socket_, raw, sizeof address) == 0) return {};
+  int fault = errno;
+  if (fault == EINPROGRESS) {
+    fault = ETIMEDOUT;
+    if (WaitReady(socket_, POLLOUT, deadline)) {
+      socklen_t size = sizeof fault;
+      getsockopt(socket_, SOL_SOCKET, SO_ERROR, &fault, &size);
+    }
+  }
+  if (fault == 0) return {};
+  Close();
+  return Unavailable("cannot connect to " + peer);
+}
+
+result<void> http_connection::SendAll(std::string_view data,
+                                      time_point deadline) {
+  bool sent_any = false;
+  while (!data.empty()) {
+    const ssize_t sent = send(socket_, data.data(), data.size(), MSG_NOSIGNAL);
+    if (sent > 0) {
+      sent_any = true;
+      data.remove_prefix(static_cast<std::size_t>(sent));
+    } else if (errno == EAGAIN || errno == EINTR) {
+      if (!WaitReady(socket_, POLLOUT, deadline)) {
+        if (!sent_any) return Unavailable("no byte could be sent in time");
+        return TimedOut("the request could not be sent in time");
+      }
+    } else if (!sent_any) {
+      return Unavailable("the connection ended before the first byte");
+    } else {
+      return TimedOut("the connection ended while the request was sent");
+    }
+  }
+  return {};
+}
+
+result<void> http_connection::Fill(time_point deadline) {
+  while (true) {
+    if (!WaitReady(socket_, POLLIN, deadline)) {
+      return TimedOut("no complete reply in time");
+    }
+    char chunk[kReadBytes];
+    const ssize_t count = recv(socket_, chunk, sizeof chunk, 0);
+    if (count > 0) {
+      buffer_.append(chunk, static_cast<std::size_t>(count));
+      reply_began_ = true;
+      return {};
+    }
+    if (count < 0 && (errno == EAGAIN || errno == EINTR)) continue;
+    if (reply_began_) return Corrupt("the reply was cut short");
+    return TimedOut("the connection ended without a reply");
+  }
+}
+
+result<std::string> http_connection::ReadLine(time_point deadline) {
+  while (true) {
+    const auto end = buffer_.find("\r\n");
+    if (end != std::string::npos) {
+      std::string line = buffer_.substr(0, end);
+      buffer_.erase(0, end + 2);
+      return line;
+    }
+    if (buffer_.size() > kMaxLineBytes) return Corrupt("a line is too long");
+    BOOST_LEAF_CHECK(Fill(deadline));
+  }
+}
+
+result<void> http_connection::ReadExactly(std::size_t count, std::string& into,
+                                          time_point deadline) {
+  if (count > kMaxReplyBytes || into.size() + count > kMaxReplyBytes) {
+    return Corrupt("the reply is too long");
+  }
+  while (buffer_.size() < count) BOOST_LEAF_CHECK(Fill(deadline));
+  into.append(buffer_, 0, count);
+  buffer_.erase(0, count);
+  return {};
+}
+
+result<http_reply> http_connection::ReadReply(const http_call& call,
+                                              time_point deadline) {
+  http_reply reply;
+  do {
+    BOOST_LEAF_AUTO(line, ReadLine(deadline));
+    std::size_t status = 0;
+    if (line.size() < 12 || line.compare(0, 7, "HTTP/1.") != 0 ||
+        !ParseNumber(std::string_view(line).substr(9, 3), 10, status)) {
+      return Corrupt("malformed status line");
+    }
+    reply = {};
+    reply.status = static_cast<int>(status);
+    while (true) {
+      BOOST_LEAF_AUTO(header, ReadLine(deadline));
+      if (header.empty()) break;
+      const auto colon = header.find(':');
+      if (colon == std::string::npos || reply.headers.size() > 256) {
+        return Corrupt("malformed header");
+      }
+      const auto begin = header.find_first_not_of(" \t", colon + 1);
+      reply.headers.emplace_back(
+          header.substr(0, colon),
+          begin == std::string::npos ? "" : header.substr(begin));
+    }
+  } while (reply.status < 200);
+
+  if (call.method == "HEAD" || reply.status == 204 || reply.status == 304) {
+    return reply;
+  }
+  if (SameName(FindHeader(reply.headers, "Transfer-Encoding"), "chunked")) {
+    while (true) {
+      BOOST_LEAF_AUTO(line, ReadLine(deadline));
+      std::size_t size = 0;
+      if (!ParseNumber(std::string_view(line).substr(0, line.find(';')), 16,
+                       size)) {
+        return Corrupt("malformed chunk size");
+      }
+      if (size == 0) break;
+      BOOST_LEAF_CHECK(ReadExactly(size, reply.body, deadline));
+      BOOST_LEAF_AUTO(end, ReadLine(deadline));
+      if (!end.empty()) return Corrupt("a chunk is longer than its size");
+    }
+    while (true) {
+      BOOST_LEAF_AUTO(trailer, ReadLine(deadline));
+      if (trailer.empty()) return reply;
+    }
+  }
+  std::size_t length = 0;
+  // A body that ends with the connection cannot be told from a truncated one.
+  if (!ParseNumber(FindHeader(reply.headers, "Content-Length"), 10, length)) {
+    return Corrupt("the reply has no length");
+  }
+  BOOST_LEAF_CHECK(ReadExactly(length, reply.body, deadline));
+  return reply;
+}
+
+result<http_reply> http_connection::Exchange(const http_call& call,
+                                             duration connect_timeout,
+                                             duration timeout) {
+  bool usable = IsPlainToken(call.method) && IsPlainToken(call.target) &&
+                call.target.find(' ') == std::string::npos;
+  std::string head =
+      call.method + " " + call.target + " HTTP/1.1\r\nHost: " + peer_.ip + ":" +
+      std::to_string(peer_.port) +
+      "\r\nContent-Length: " + std::to_string(call.body.size()) + "\r\n";
+  for (const auto& [key, value] : call.headers) {
+    usable = usable && IsPlainToken(key) && IsPlainToken(value);
+    head += key;
+    head += ": ";
+    head += value;
+    head += "\r\n";
+  }
+  if (!usable) {
+    return Fail(error_kind::kInvalidArgument, "a header or path has a line end",
+                "remove control characters");
+  }
+  head += "\r\n";
+  head += call.body;
+
+  const auto start = Now();
+  const auto deadline = start + timeout;
+  if (socket_ >= 0 && (!buffer_.empty() || IsSpent(socket_))) Close();
+  reply_began_ = false;
+  if (socket_ < 0) {
+    BOOST_LEAF_CHECK(Connect(std::min(deadline, start + connect_timeout)));
+  }
+  // Errors pass through unchanged, so the result is only inspected here.
+  auto reply = [&]() -> result<http_reply> {
+    BOOST_LEAF_CHECK(SendAll(head, deadline));
+    return ReadReply(call, deadline);
+  }();
+  if (!reply || SameName(FindHeader(reply->headers, "Connection"), "close")) {
+    Close();
+  }
+  return reply;
+}
+
+result<http_reply> http_pool::Call(const http_call& call,
+                                   duration connect_timeout, duration timeout) {
+  std::unique_ptr<http_connection> connection;
+  {
+    const std::lock_guard lock(mutex_);
+    if (!idle_.empty()) {
+      connection = std::move(idle_.back());
+      idle_.pop_back();
+    }
+  }
+  if (!connection) connection = std::make_unique<http_connection>(peer_);
+  auto reply = connection->Exchange(call, connect_timeout, timeout);
+  if (connection->IsOpen()) {
+    const std::lock_guard lock(mutex_);
+    if (idle_.size() < kMaxIdleConnections) {
+      idle_.push_back(std::move(connection));
+    }
+  }
+  return reply;
+}
+
+}  // namespace apricotwheel
--- /dev/null
+++ b/src/platform/http_connection.h
@@ -0,0 +1,82 @@
+#pragma once
+
+#include <cstddef>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "kernel/clock.h"
+#include "kernel/error.h"
+#include "platform/http_listener.h"
+#include "platform/instance_client.h"
+
+namespace apricotwheel {
+
+struct http_call {
+  std::string method = "POST";
+  std::string target;
+  header_list headers;
+  std::string body;
+};
+
+struct http_reply {
+  int status = 0;
+  header_list headers;
+  std::string body;
+};
+
+// The value of the first header called `name` in any case, or empty.
+std::string_view FindHeader(const header_list& headers, std::string_view name);
+
+// One HTTP/1.1 client connection. cpp-httplib's client limits each read but not
+// the whole call, does not tell whether a byte was sent, and accepts a body
+// without a length, so the clients of this package use this class instead.
+class http_connection {
+ public:
+  explicit http_connection(ip_endpoint peer) : peer_(std::move(peer)) {}
+  ~http_connection() { Close(); }
+  http_connection(const http_connection&) = delete;
+  http_connection& operator=(const http_connection&) = delete;
+
+  // Sends a request and reads its whole reply. Fails with
+  //  `unavailable` if no byte can have been sent,
+  //  `timeout` if the connection ended before a reply began or the time ran
+  //  out, `corrupt` if the reply is malformed or cut short.
+  // The connection is closed after any failure.
+  result<http_reply> Exchange(const http_call& call, duration connect_timeout,
+                              duration timeout);
+
+  bool IsOpen() const { return socket_ >= 0; }
+  void Close();
+
+ private:
+  result<void> Connect(time_point deadline);
+  result<void> SendAll(std::string_view data, time_point deadline);
+  result<std::string> ReadLine(time_point deadline);
+  result<void> ReadExactly(std::size_t count, std::string& into,
+                           time_point deadline);
+  result<void> Fill(time_point deadline);
+  result<http_reply> ReadReply(const http_call& call, time_point deadline);
+
+  ip_endpoint peer_;
+  int socket_ = -1;
+  std::string buffer_;
+  bool reply_began_ = false;
+};
+
+// Keep-alive connections to one address, shared by many threads.
+class http_pool {
+ public:
+  explicit http_pool(ip_endpoint peer) : peer_(std::move(peer)) {}
+  result<http_reply> Call(const http_call& call, duration connect_timeout,
+                          duration timeout);
+
+ private:
+  ip_endpoint peer_;
+  std::mutex mutex_;
+  std::vector<std::unique_ptr<http_connection>> idle_;
+};
+
+}  // namespace apricotwheel
--- /dev/null
+++ b/src/platform/http_listener.cc
@@ -0,0 +1,310 @@
+#include "platform/http_listener.h"
+
+#include <arpa/inet.h>
+#include <poll.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <cerrno>
+#include <charconv>
+#include <limits>
+#include <map>
+#include <mutex>
+
+namespace apricotwheel {
+
+namespace {
+
+// cpp-httplib listens with a backlog of 5, which drops connections in a burst.
+constexpr int kBacklog = 1024;
+// Routes are matched by std::regex, whose recursion grows with the path and
+// must stay within the stack of a task thread.
+constexpr std::size_t kMaxTargetBytes = 1024;
+// Threads that answer connections past the limit with 503.
+constexpr std::size_t kMaxRefusals = 32;
+constexpr auto kRefusalReadTimeout = milliseconds(500);
+constexpr auto kIoTimeout = std::chrono::seconds(30);
+
+thread_local int current_socket = -1;
+
+bool WaitReady(int socket, short events, duration timeout) {
+  pollfd entry{socket, events, 0};
+  const auto wait = std::chrono::ceil<milliseconds>(timeout).count();
+  int ready = 0;
+  do {
+    ready = poll(&entry, 1, static_cast<int>(wait));
+  } while (ready < 0 && errno == EINTR);
+  return ready > 0;
+}
+
+// A connection with a read buffer; cpp-httplib reads headers byte by byte.
+class socket_stream : public httplib::Stream {
+ public:
+  explicit socket_stream(int socket) : socket_(socket) {}
+
+  bool is_readable() const override {
+    return begin_ < end_ || WaitReady(socket_, POLLIN, kIoTimeout);
+  }
+  bool is_writable() const override {
+    return WaitReady(socket_, POLLOUT, kIoTimeout);
+  }
+  ssize_t read(char* into, size_t size) override {
+    if (begin_ == end_) {
+      if (!WaitReady(socket_, POLLIN, kIoTimeout)) return -1;
+      const ssize_t count = recv(socket_, buffer_, sizeof buffer_, 0);
+      if (count <= 0) return count;
+      begin_ = 0;
+      end_ = static_cast<std::size_t>(count);
+    }
+    const std::size_t count = std::min(size, end_ - begin_);
+    std::copy_n(buffer_ + begin_, count, into);
+    begin_ += count;
+    return static_cast<ssize_t>(count);
+  }
+  ssize_t write(const char* data, size_t size) override {
+    if (!is_writable()) return -1;
+    return send(socket_, data, size, MSG_NOSIGNAL);
+  }
+  void get_remote_ip_and_port(std::string& ip, int& port) const override {
+    sockaddr_in address{};
+    socklen_t length = sizeof address;
+    getpeername(socket_, reinterpret_cast<sockaddr*>(&address), &length);
+    Describe(address, ip, port);
+  }
+  void get_local_ip_and_port(std::string& ip, int& port) const override {
+    sockaddr_in address{};
+    socklen_t length = sizeof address;
+    getsockname(socket_, reinterpret_cast<sockaddr*>(&address), &length);
+    Describe(address, ip, port);
+  }
+  socket_t socket() const override { return socket_; }
+  bool HasBuffered() const { return begin_ < end_; }
+
+ private:
+  static void Describe(const sockaddr_in& address, std::string& ip, int& port) {
+    char text[INET_ADDRSTRLEN] = {};
+    inet_ntop(AF_INET, &address.sin_addr, text, sizeof text);
+    ip = text;
+    port = ntohs(address.sin_port);
+  }
+
+  int socket_;
+  char buffer_[4096];
+  std::size_t begin_ = 0;
+  std::size_t end_ = 0;
+};
+
+class connection_server : public httplib::Server {
+ public:
+  http_listener_options options;
+  std::mutex mutex;
+  std::map<int, bool> idle_by_socket;
+  bool stopping = false;
+
+  // Wakes the threads that wait for a next request.
+  void CloseIdle() {
+    const std::lock_guard lock(mutex);
+    stopping = true;
+    for (const auto& [socket, idle] : idle_by_socket) {
+      if (idle) shutdown(socket, SHUT_RD);
+    }
+  }
+
+ private:
+  bool process_and_close_socket(socket_t socket) override {
+    bool admitted = false;
+    {
+      const std::lock_guard lock(mutex);
+      admitted = !stopping && idle_by_socket.size() < options.max_connections;
+      if (admitted) idle_by_socket[socket] = true;
+    }
+    if (!admitted) {
+      Refuse(socket);
+      return false;
+    }
+    Serve(socket);
+    const std::lock_guard lock(mutex);
+    idle_by_socket.erase(socket);
+    shutdown(socket, SHUT_RDWR);
+    close(socket);
+    return true;
+  }
+
+  void Serve(int socket) {
+    socket_stream stream(socket);
+    current_socket = socket;
+    while (stream.HasBuffered() ||
+           WaitReady(socket, POLLIN, options.keep_alive)) {
+      bool last = false;
+      {
+        const std::lock_guard lock(mutex);
+        idle_by_socket[socket] = false;
+        last = stopping;
+      }
+      bool closed = false;
+      if (!process_request(stream, last, closed, nullptr) || closed) break;
+      const std::lock_guard lock(mutex);
+      if (stopping) break;
+      idle_by_socket[socket] = true;
+    }
+    current_socket = -1;
+  }
+
+  static void Refuse(int socket) {
+    char request[4096];
+    // A close with unread data would reset the connection and lose the answer.
+    if (WaitReady(socket, POLLIN, kRefusalReadTimeout)) {
+      recv(socket, request, sizeof request, MSG_DONTWAIT);
+    }
+    static constexpr std::string_view kBody =
+        R"({"error":{"kind":"overloaded","message":"too many connections",)"
+        R"("remedy":"reuse connections or try again later"},)"
+        R"("outcome":"not_run","reason":"connection_limit"})";
+    const std::string answer =
+        "HTTP/1.1 503 Service Unavailable\r\nRetry-After: 1\r\n"
+        "Apricotwheel-Outcome: not_run\r\n"
+        "Apricotwheel-Reason: connection_limit\r\n"
+        "Content-Type: application/json\r\nConnection: close\r\n"
+        "Content-Length: " +
+        std::to_string(kBody.size()) + "\r\n\r\n" + std::string(kBody);
+    send(socket, answer.data(), answer.size(), MSG_NOSIGNAL | MSG_DONTWAIT);
+    shutdown(socket, SHUT_WR);
+    if (WaitReady(socket, POLLIN, kRefusalReadTimeout)) {
+      recv(socket, request, sizeof request, MSG_DONTWAIT);
+    }
+    close(socket);
+  }
+};
+
+// One thread for each connection, and a few more for refusals. Past both, the
+// accepting thread answers itself, so that threads stay bounded.
+class thread_queue : public httplib::TaskQueue {
+ public:
+  explicit thread_queue(std::size_t limit) : limit_(limit) {}
+  void enqueue(std::function<void()> body) override {
+    if (threads_.Running() < limit_) {
+      const auto started =
+          Attempt([&] { return threads_.Spawn("http", body); });
+      if (started) return;
+    }
+    body();
+  }
+  void shutdown() override { threads_.JoinAll(); }
+
+ private:
+  std::size_t limit_;
+  thread_group threads_;
+};
+
+}  // namespace
+
+struct http_listener::state {
+  connection_server server;
+  std::string address;
+  int socket = -1;
+  thread_group threads;
+  bool started = false;
+};
+
+result<ip_endpoint> ParseEndpoint(const std::string& address) {
+  ip_endpoint endpoint;
+  const auto colon = address.rfind(':');
+  in_addr parsed{};
+  bool valid = colon != std::string::npos;
+  if (valid) {
+    endpoint.ip = address.substr(0, colon);
+    const char* end = address.data() + address.size();
+    const auto number =
+        std::from_chars(address.data() + colon + 1, end, endpoint.port);
+    valid = number.ec == std::errc() && number.ptr == end &&
+            endpoint.port >= 0 &&
+            endpoint.port <= std::numeric_limits<std::uint16_t>::max() &&
+            inet_pton(AF_INET, endpoint.ip.c_str(), &parsed) == 1;
+  }
+  if (!valid) {
+    return Fail(error_kind::kInvalidArgument, "'" + address + "' is no address",
+                "give an IPv4 address and a port as ip:port");
+  }
+  return endpoint;
+}
+
+http_listener::http_listener(std::unique_ptr<state> initial)
+    : state_(std::move(initial)) {}
+
+http_listener::~http_listener() { Stop(); }
+
+result<std::unique_ptr<http_listener>> http_listener::Bind(
+    http_listener_options options) {
+  BOOST_LEAF_AUTO(endpoint, ParseEndpoint(options.address));
+  auto initial = std::make_unique<state>();
+  auto& server = initial->server;
+  server.options = options;
+  int* const socket = &initial->socket;
+  // SO_REUSEPORT, which cpp-httplib sets, would let two processes share a port.
+  server.set_socket_options([socket](socket_t opened) {
+    *socket = opened;
+    const int on = 1;
+    setsockopt(opened, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
+  });
+  server.set_tcp_nodelay(true);
+  server.set_address_family(AF_INET);
+  server.set_payload_max_length(options.max_body_bytes);
+  server.set_keep_alive_max_count(std::numeric_limits<std::size_t>::max());
+  server.set_read_timeout(kIoTimeout);
+  server.set_write_timeout(kIoTimeout);
+  const std::size_t limit = options.max_connections + kMaxRefusals;
+  server.new_task_queue = [limit] { return new thread_queue(limit); };
+  server.set_pre_routing_handler(
+      [](const httplib::Request& request, httplib::Response& response) {
+        if (request.target.size() <= kMaxTargetBytes) {
+          return httplib::Server::HandlerResponse::Unhandled;
+        }
+        response.status = 414;
+        response.set_header("Apricotwheel-Outcome", "not_run");
+        return httplib::Server::HandlerResponse::Handled;
+      });
+  const bool bound =
+      endpoint.port == 0
+          ? (endpoint.port = server.bind_to_any_port(endpoint.ip)) > 0
+          : server.bind_to_port(endpoint.ip, endpoint.port);
+  if (!bound || listen(initial->socket, kBacklog) != 0) {
+    return Fail(error_kind::kIo, "cannot listen on " + options.address,
+                "choose a free port of this machine");
+  }
+  initial->address = endpoint.ip + ":" + std::to_string(endpoint.port);
+  return std::unique_ptr<http_listener>(new http_listener(std::move(initial)));
+}
+
+httplib::Server& http_listener::Server() { return state_->server; }
+const std::string& http_listener::Address() const { return state_->address; }
+int http_listener::CurrentSocket() { return current_socket; }
+
+result<void> http_listener::Start() {
+  BOOST_LEAF_CHECK(state_->threads.Spawn(
+      "http-accept", [this] { state_->server.listen_after_bind(); }));
+  state_->started = true;
+  const auto clock = runtime_clock::Running();
+  // Server::stop has no effect before the accept loop runs.
+  while (!state_->server.is_running()) clock->SleepFor(milliseconds(1));
+  return {};
+}
+
+void http_listener::Stop() {
+  if (state_->started) {
+    state_->started = false;
+    state_->server.stop();
+    state_->server.CloseIdle();
+    state_->threads.JoinAll();
+    state_->socket = -1;
+  }
+  if (state_->socket >= 0) close(state_->socket);
+  state_->socket = -1;
+}
+
+std::size_t http_listener::OpenConnections() const {
+  const std::lock_guard lock(state_->server.mutex);
+  return state_->server.idle_by_socket.size();
+}
+
+}  // namespace apricotwheel
--- a/src/platform/http_listener.h
+++ b/src/platform/http_listener.h
@@ -24,7 +24,8 @@
 // `Apricotwheel-Outcome: not_run`, and closed.
 class http_listener {
  public:
-  // Opens the socket; routes are added to `Server()` before `Start`.
+  // Opens the socket; routes are added to `Server()` before `Start`. The
+  // pre-routing handler is taken: it refuses a target over 1024 bytes (414).
   static result<std::unique_ptr<http_listener>> Bind(
       http_listener_options options);
   ~http_listener();
@@ -40,6 +41,10 @@
 
   std::size_t OpenConnections() const;
 
+  // Descriptor of the connection whose request the calling thread handles, or
+  // -1. Stand-ins use it to break a connection on purpose.
+  static int CurrentSocket();
+
  private:
   struct state;
   explicit http_listener(std::unique_ptr<state> initial);
--- /dev/null
+++ b/src/platform/instance_client.cc
@@ -0,0 +1,87 @@
+#include "platform/instance_client.h"
+
+#include "platform/http_connection.h"
+#include "platform/wire_format.h"
+
+namespace apricotwheel {
+
+namespace {
+
+constexpr auto kUsageTimeout = milliseconds(1000);
+
+}  // namespace
+
+struct instance_client::state {
+  explicit state(ip_endpoint peer) : connection(std::move(peer)) {}
+  instance_client_options options;
+  http_connection connection;
+};
+
+instance_client::instance_client(std::unique_ptr<state> initial)
+    : state_(std::move(initial)) {}
+instance_client::~instance_client() = default;
+
+result<std::unique_ptr<instance_client>> instance_client::Create(
+    instance_client_options options) {
+  BOOST_LEAF_AUTO(peer, ParseEndpoint(options.address));
+  auto initial = std::make_unique<state>(peer);
+  initial->options = std::move(options);
+  return std::unique_ptr<instance_client>(
+      new instance_client(std::move(initial)));
+}
+
+result<instance_response> instance_client::Send(const instance_request& request,
+                                                duration timeout) {
+  http_call call{request.method, request.path, request.headers, request.body};
+  call.headers.emplace_back("Apricotwheel-Epoch",
+                            std::to_string(request.epoch));
+  call.headers.emplace_back("Apricotwheel-Correlation-Id",
+                            request.correlation_id);
+  BOOST_LEAF_AUTO(reply, state_->connection.Exchange(
+                             call, state_->options.connect_timeout, timeout));
+  // The correlation id is checked first: a refusal that belongs to another
+  // request must not be taken as proof that this one did not run.
+  if (FindHeader(reply.headers, "Apricotwheel-Correlation-Id") !=
+      request.correlation_id) {
+    Close();
+    return Fail(error_kind::kCorrupt, "the answer is for another request",
+                "treat the request as one that may have run");
+  }
+  const bool not_run =
+      FindHeader(reply.headers, "Apricotwheel-Outcome") == "not_run";
+  if (not_run && reply.status == 412) {
+    Close();
+    return Fail(error_kind::kStaleEpoch, "the instance has seen a later owner",
+                "drop this worker");
+  }
+  if (not_run && reply.status == 503) {
+    Close();
+    return Fail(error_kind::kCapacity, "the instance has no free slot",
+                "send the request to another instance");
+  }
+  return instance_response{reply.status, std::move(reply.headers),
+                           std::move(reply.body)};
+}
+
+result<instance_usage> instance_client::Usage() {
+  http_call call;
+  call.method = "GET";
+  call.target = "/apricotwheel/usage";
+  BOOST_LEAF_AUTO(
+      reply, state_->connection.Exchange(call, state_->options.connect_timeout,
+                                         kUsageTimeout));
+  if (reply.status != 200) {
+    Close();
+    return Fail(error_kind::kUnavailable, "the instance reports no use",
+                "treat its slots as taken");
+  }
+  return ParseReply(reply.body, [](const nlohmann::json& json) {
+    return instance_usage{json.at("slots_in_use").get<std::uint32_t>(),
+                          json.at("connections").get<std::uint32_t>()};
+  });
+}
+
+bool instance_client::IsOpen() const { return state_->connection.IsOpen(); }
+void instance_client::Close() { state_->connection.Close(); }
+
+}  // namespace apricotwheel
--- /dev/null
+++ b/src/platform/wire_format.h
@@ -0,0 +1,39 @@
+#pragma once
+
+#include <nlohmann/json.hpp>
+#include <string_view>
+
+#include "kernel/error.h"
+#include "platform/vm_list_client.h"
+#include "platform/worker_client.h"
+
+namespace apricotwheel {
+
+// JSON forms of the contract pages. Reading throws nlohmann::json::exception on
+// a missing or mistyped field; callers at the edge catch it.
+nlohmann::json ToJson(const resource_vector& amounts);
+nlohmann::json ToJson(const task_spec& spec);
+nlohmann::json ToJson(const task_status& status);
+nlohmann::json ToJson(const worker_snapshot& snapshot);
+nlohmann::json ToJson(const vm_record& vm);
+nlohmann::json ToJson(const vm_list& list);
+
+resource_vector ResourcesFromJson(const nlohmann::json& json);
+task_spec TaskSpecFromJson(const nlohmann::json& json);
+task_status TaskStatusFromJson(const nlohmann::json& json);
+worker_snapshot SnapshotFromJson(const nlohmann::json& json);
+vm_list VmListFromJson(const nlohmann::json& json);
+
+// Parses a reply with `read` and turns any JSON fault into `corrupt`.
+template <class Read>
+auto ParseReply(std::string_view body, Read read)
+    -> result<decltype(read(nlohmann::json()))> {
+  try {
+    return read(nlohmann::json::parse(body));
+  } catch (const nlohmann::json::exception& fault) {
+    return Fail(error_kind::kCorrupt, fault.what(),
+                "check that both sides follow the same contract page");
+  }
+}
+
+}  // namespace apricotwheel
--- /dev/null
+++ b/src/platform/worker_client.cc
@@ -0,0 +1,129 @@
+#include "platform/worker_client.h"
+
+#include "platform/http_connection.h"
+#include "platform/wire_format.h"
+
+namespace apricotwheel {
+
+namespace {
+
+using nlohmann::json;
+
+result<void> CheckStatus(const http_reply& reply) {
+  switch (reply.status) {
+    case 200:
+      return {};
+    case 400:
+      return Fail(error_kind::kInvalidArgument, "the worker refused the call",
+                  "check the fields against docs/contracts/worker.md");
+    case 404:
+      return Fail(error_kind::kNotFound, "no such task on this worker",
+                  "read the task list again");
+    case 409:
+      return Fail(error_kind::kStaleEpoch, "the worker has seen a later owner",
+                  "drop this worker");
+    case 410:
+      return Fail(error_kind::kConflict,
+                  "the lease had ended when the start arrived; nothing started",
+                  "start the task again with a new lease");
+    case 503:
+      return Fail(error_kind::kUnavailable, "the worker takes no calls now",
+                  "try again later");
+    case 507:
+      return Fail(error_kind::kCapacity, "the task does not fit",
+                  "place it on another worker");
+    default:
+      return Fail(error_kind::kTimeout,
+                  "the worker answered " + std::to_string(reply.status),
+                  "read the task list before repeating the call");
+  }
+}
+
+}  // namespace
+
+struct worker_client::state {
+  explicit state(ip_endpoint peer) : pool(std::move(peer)) {}
+  worker_client_options options;
+  http_pool pool;
+
+  result<http_reply> Call(const char* target, const json& body) {
+    http_call call;
+    call.target = target;
+    try {
+      call.body = body.dump();
+    } catch (const json::exception&) {
+      return Fail(error_kind::kInvalidArgument, "text is not valid UTF-8",
+                  "encode binary values as text");
+    }
+    const duration timeout = options.call_timeout;
+    BOOST_LEAF_AUTO(reply, pool.Call(call, timeout, timeout));
+    BOOST_LEAF_CHECK(CheckStatus(reply));
+    return reply;
+  }
+};
+
+worker_client::worker_client(std::unique_ptr<state> initial)
+    : state_(std::move(initial)) {}
+worker_client::~worker_client() = default;
+
+result<std::unique_ptr<worker_client>> worker_client::Create(
+    worker_client_options options) {
+  BOOST_LEAF_AUTO(peer, ParseEndpoint(options.address));
+  auto initial = std::make_unique<state>(peer);
+  initial->options = std::move(options);
+  return std::unique_ptr<worker_client>(new worker_client(std::move(initial)));
+}
+
+result<worker_snapshot> worker_client::Claim(std::uint64_t epoch,
+                                             std::string_view owner) {
+  BOOST_LEAF_AUTO(
+      reply, state_->Call("/v1/claim", {{"epoch", epoch}, {"owner", owner}}));
+  return ParseReply(reply.body, SnapshotFromJson);
+}
+
+result<worker_snapshot> worker_client::Renew(
+    std::uint64_t epoch, std::int64_t expires_at_ms,
+    std::span<const std::string> acknowledged) {
+  json body = {{"epoch", epoch},
+               {"expires_at_ms", expires_at_ms},
+               {"acknowledged", json::array()}};
+  for (const auto& task : acknowledged) body["acknowledged"].push_back(task);
+  BOOST_LEAF_AUTO(reply, state_->Call("/v1/renew", body));
+  return ParseReply(reply.body, SnapshotFromJson);
+}
+
+result<task_status> worker_client::Start(std::uint64_t epoch,
+                                         const task_spec& spec,
+                                         std::int64_t expires_at_ms) {
+  const json body = {{"epoch", epoch},
+                     {"spec", ToJson(spec)},
+                     {"expires_at_ms", expires_at_ms}};
+  BOOST_LEAF_AUTO(reply, state_->Call("/v1/start", body));
+  return ParseReply(reply.body, TaskStatusFromJson);
+}
+
+result<void> worker_client::Stop(std::uint64_t epoch, std::string_view task_id,
+                                 stop_mode mode) {
+  const json body = {
+      {"epoch", epoch},
+      {"task_id", task_id},
+      {"mode", mode == stop_mode::kCheckpoint ? "checkpoint" : "kill"}};
+  BOOST_LEAF_CHECK(state_->Call("/v1/stop", body));
+  return {};
+}
+
+result<void> worker_client::Throttle(std::uint64_t epoch,
+                                     std::string_view task_id,
+                                     std::int64_t cpu_milli) {
+  const json body = {
+      {"epoch", epoch}, {"task_id", task_id}, {"cpu_milli", cpu_milli}};
+  BOOST_LEAF_CHECK(state_->Call("/v1/throttle", body));
+  return {};
+}
+
+result<void> worker_client::Release(std::uint64_t epoch) {
+  BOOST_LEAF_CHECK(state_->Call("/v1/release", {{"epoch", epoch}}));
+  return {};
+}
+
+}  // namespace apricotwheel
