Add the stand-ins for the platform's services

Tests need a key-value service, a VM list, worker agents and instances whose faults can be switched. The library apricotwheel_standins runs them in a test process, and apricotwheel_standin runs them as processes.

--- /dev/null
+++ b/testing/arguments.h
@@ -0,0 +1,29 @@
+#pragma once
+
+#include <map>
+#include <string>
+#include <vector>
+
+#include "kernel/error.h"
+
+namespace apricotwheel::standins {
+
+// Flags of a subcommand: `--name value`, or `--name` alone for a switch.
+using arguments = std::multimap<std::string, std::string>;
+
+arguments ParseArguments(int count, char** values);
+std::string FlagOr(const arguments& flags, const std::string& name,
+                   const std::string& otherwise);
+result<int> NumberOr(const arguments& flags, const std::string& name,
+                     int otherwise);
+
+// Prints `ready <address>` and waits for SIGTERM or SIGINT, which `main` has
+// blocked in all threads.
+void ServeUntilSignal(const std::string& address);
+
+result<void> RunKv(const arguments& flags);
+result<void> RunVmList(const arguments& flags);
+result<void> RunWorker(const arguments& flags);
+result<void> RunCell(const arguments& flags);
+
+}  // namespace apricotwheel::standins
--- /dev/null
+++ b/testing/cell_command.cc
@@ -0,0 +1,29 @@
+#include <iostream>
+
+#include "platform/wire_format.h"
+#include "testing/arguments.h"
+#include "testing/cell_file.h"
+
+namespace apricotwheel::standins {
+
+result<void> RunCell(const arguments& flags) {
+  std::vector<cell_group> groups;
+  const auto [first, last] = flags.equal_range("group");
+  for (auto it = first; it != last; ++it) {
+    BOOST_LEAF_AUTO(group, ParseGroup(it->second));
+    groups.push_back(group);
+  }
+  BOOST_LEAF_AUTO(domains, NumberOr(flags, "failure-domains", 3));
+  BOOST_LEAF_AUTO(port, NumberOr(flags, "base-port", 21000));
+  if (groups.empty() || domains < 1 || port < 1) {
+    return Fail(error_kind::kInvalidArgument, "the cell would be empty",
+                "give --group, --failure-domains and --base-port above 0");
+  }
+  const auto cell = BuildCell(groups, domains, port);
+  const auto path = FlagOr(flags, "output", "");
+  if (!path.empty()) return WriteCellFile(path, cell);
+  std::cout << ToJson(cell).dump(2) << "\n";
+  return {};
+}
+
+}  // namespace apricotwheel::standins
--- /dev/null
+++ b/testing/cell_file.h
@@ -0,0 +1,31 @@
+#pragma once
+
+#include <string>
+#include <vector>
+
+#include "kernel/error.h"
+#include "platform/vm_list_client.h"
+
+namespace apricotwheel::standins {
+
+// A group of equal VMs of a cell, as one `--group` flag gives it.
+struct cell_group {
+  std::string name;
+  int count = 0;
+  resource_vector capacity;
+  int per_rack = 1;
+};
+
+// Parses NAME:COUNT:CPU_MILLI:MEMORY_MIB:ACCELERATORS:PER_RACK.
+result<cell_group> ParseGroup(const std::string& text);
+
+// Lays out the groups: racks of `per_rack` VMs, dealt to the failure domains in
+// turn; agents listen on 127.0.0.1 from `base_port` upwards.
+vm_list BuildCell(const std::vector<cell_group>& groups, int failure_domains,
+                  int base_port);
+
+// A cell file is a JSON VM list as docs/contracts/vm-list.md defines it.
+result<vm_list> ReadCellFile(const std::string& path);
+result<void> WriteCellFile(const std::string& path, const vm_list& cell);
+
+}  // namespace apricotwheel::standins
--- /dev/null
+++ b/testing/journal.h
@@ -0,0 +1,31 @@
+#pragma once
+
+#include <mutex>
+#include <nlohmann/json.hpp>
+#include <string>
+
+#include "kernel/error.h"
+
+namespace apricotwheel::standins {
+
+// Milliseconds of CLOCK_MONOTONIC, which all processes of a machine share.
+std::int64_t MonotonicMs();
+
+// Appends one JSON line per event to a file; several processes may share it.
+class journal {
+ public:
+  journal() = default;
+  ~journal();
+  journal(const journal&) = delete;
+  journal& operator=(const journal&) = delete;
+
+  result<void> Open(const std::string& path);
+  // Adds `at_ms` and writes the line; does nothing if no file is open.
+  void Append(nlohmann::json event);
+
+ private:
+  std::mutex mutex_;
+  int file_ = -1;
+};
+
+}  // namespace apricotwheel::standins
--- /dev/null
+++ b/testing/vmlist_standin.cc
@@ -0,0 +1,121 @@
+#include "testing/vmlist_standin.h"
+
+#include <algorithm>
+#include <deque>
+#include <mutex>
+
+#include "platform/wire_format.h"
+#include "testing/json_route.h"
+
+namespace apricotwheel::standins {
+
+namespace {
+
+using nlohmann::json;
+
+struct dated_list {
+  time_point at;
+  vm_list list;
+};
+
+}  // namespace
+
+struct vmlist_standin::state {
+  vmlist_standin_options options;
+  std::mutex mutex;
+  // States of the list, oldest first; more than one while the list lags.
+  std::deque<dated_list> states;
+  duration lag{};
+  bool frozen = false;
+  bool malformed = false;
+  vm_list served;
+  std::unique_ptr<http_listener> listener;
+
+  const vm_list& Served() {
+    if (frozen) return served;
+    const auto visible = options.clock->Now() - lag;
+    while (states.size() > 1 && states[1].at <= visible) states.pop_front();
+    served = states.front().list;
+    return served;
+  }
+
+  template <class Edit>
+  json_answer Change(Edit edit) {
+    const std::lock_guard lock(mutex);
+    Served();
+    vm_list next = states.back().list;
+    if (!edit(next.vms)) return {404};
+    ++next.version;
+    states.push_back({options.clock->Now(), std::move(next)});
+    return {};
+  }
+
+  void AddRoutes() {
+    auto& server = listener->Server();
+    server.Get("/v1/vms",
+               [this](const httplib::Request&, httplib::Response& response) {
+                 const std::lock_guard lock(mutex);
+                 if (malformed) {
+                   response.set_content("{\"version\": 1, \"vms\": [{}", "");
+                 } else {
+                   SetJson(response, {200, ToJson(Served())});
+                 }
+               });
+    RouteJson(server, "/admin/leaving", [this](const json& call) {
+      return Change([id = call.at("id").get<std::string>()](auto& vms) {
+        const auto vm = std::find_if(vms.begin(), vms.end(),
+                                     [&](const auto& v) { return v.id == id; });
+        if (vm == vms.end()) return false;
+        vm->state = vm_state::kLeaving;
+        return true;
+      });
+    });
+    RouteJson(server, "/admin/remove", [this](const json& call) {
+      return Change([id = call.at("id").get<std::string>()](auto& vms) {
+        return std::erase_if(vms, [&](const auto& vm) { return vm.id == id; }) >
+               0;
+      });
+    });
+    RouteJson(server, "/admin/add", [this](const json& call) {
+      const auto added = VmListFromJson(
+          {{"version", 1}, {"vms", json::array({call.at("vm")})}});
+      return Change([&](auto& vms) {
+        vms.push_back(added.vms.front());
+        return true;
+      });
+    });
+    RouteJson(server, "/admin/faults", [this](const json& call) {
+      const std::lock_guard lock(mutex);
+      Served();
+      lag = milliseconds(call.value("lag_ms", std::int64_t{0}));
+      frozen = call.value("frozen", false);
+      malformed = call.value("malformed", false);
+      return json_answer{};
+    });
+  }
+};
+
+vmlist_standin::vmlist_standin(std::unique_ptr<state> initial)
+    : state_(std::move(initial)) {}
+vmlist_standin::~vmlist_standin() { state_->listener->Stop(); }
+
+result<std::unique_ptr<vmlist_standin>> vmlist_standin::Start(
+    vmlist_standin_options options) {
+  auto initial = std::make_unique<state>();
+  initial->options = std::move(options);
+  initial->states.push_back(
+      {initial->options.clock->Now(), initial->options.cell});
+  http_listener_options listen;
+  listen.address = initial->options.listen;
+  BOOST_LEAF_ASSIGN(initial->listener, http_listener::Bind(listen));
+  initial->AddRoutes();
+  BOOST_LEAF_CHECK(initial->listener->Start());
+  return std::unique_ptr<vmlist_standin>(
+      new vmlist_standin(std::move(initial)));
+}
+
+const std::string& vmlist_standin::Address() const {
+  return state_->listener->Address();
+}
+
+}  // namespace apricotwheel::standins
--- /dev/null
+++ b/testing/worker_agent.cc
@@ -0,0 +1,432 @@
+#include "testing/worker_agent.h"
+
+#include <algorithm>
+#include <atomic>
+#include <charconv>
+#include <condition_variable>
+#include <functional>
+#include <map>
+#include <mutex>
+#include <optional>
+#include <vector>
+
+#include "platform/wire_format.h"
+#include "testing/instance_standin.h"
+#include "testing/json_route.h"
+
+namespace apricotwheel::standins {
+
+namespace {
+
+using nlohmann::json;
+
+// Clocks of the agents differ by up to this, so that a scheduler that compares
+// the clocks of two workers, or a worker's clock with its own, is found out.
+constexpr std::int64_t kMaxClockOffsetMs = 1000000;
+constexpr std::size_t kMaxConnections = 64;
+
+struct hosted_task {
+  task_status status;
+  std::int64_t started_ms = 0;
+  std::int64_t lease_ms = 0;
+  std::int64_t progress_at_ms = 0;
+  std::int64_t cpu_limit = 0;  // 0 for none.
+  std::unique_ptr<instance_standin> instance;
+};
+
+resource_vector Scale(const resource_vector& amounts, std::int64_t percent) {
+  return {amounts.cpu_milli * percent / 100, amounts.memory_mib * percent / 100,
+          amounts.accelerators};
+}
+
+}  // namespace
+
+struct worker_agent::state {
+  worker_agent_options options;
+  mutable std::mutex mutex;
+  std::condition_variable changed;
+  worker_faults faults;
+  bool stopping = false;
+  std::shared_ptr<std::atomic<std::uint64_t>> epoch =
+      std::make_shared<std::atomic<std::uint64_t>>(0);
+  std::string owner;
+  std::uint64_t released_epoch = 0;
+  std::optional<std::int64_t> renewed_ms;           // By the current epoch.
+  std::optional<std::int64_t> previous_renewed_ms;  // By an earlier one.
+  std::map<std::string, hosted_task> tasks;
+  std::vector<std::unique_ptr<instance_standin>> ended_instances;
+  std::int64_t sampled_ms = 0;
+  std::uint64_t capacity_breaches = 0;
+  std::uint64_t use_breaches = 0;
+  std::uint64_t late_starts = 0;
+  std::uint64_t stale_refused = 0;
+  std::map<std::string, std::uint64_t> calls;
+  std::unique_ptr<http_listener> listener;
+
+  using lock = std::unique_lock<std::mutex>;
+
+  std::int64_t ClockMs() const {
+    const auto offset = static_cast<std::int64_t>(
+        std::hash<std::string>()(options.vm.id) % kMaxClockOffsetMs);
+    return offset + std::chrono::duration_cast<milliseconds>(
+                        options.clock->Now().time_since_epoch())
+                        .count();
+  }
+
+  void Log(const char* event, const task_status& task) const {
+    options.events->Append({{"event", event},
+                            {"worker", options.vm.id},
+                            {"task", task.spec.task_id},
+                            {"job", task.spec.job_id},
+                            {"workload", task.spec.workload},
+                            {"team", task.spec.team},
+                            {"resources", ToJson(task.spec.resources)},
+                            {"epoch", epoch->load()},
+                            {"message", task.message}});
+  }
+
+  void End(hosted_task& task, task_state how, const std::string& message) {
+    task.status.state = how;
+    task.status.message = message;
+    task.status.used = {};
+    if (task.instance) {
+      task.instance->Kill();
+      ended_instances.push_back(std::move(task.instance));
+    }
+    Log(how == task_state::kFinished ? "task_finished" : "task_ended",
+        task.status);
+  }
+
+  resource_vector ActualUse(const hosted_task& task) const {
+    auto use = Scale(task.status.spec.resources, faults.actual_percent);
+    if (task.cpu_limit > 0)
+      use.cpu_milli = std::min(use.cpu_milli, task.cpu_limit);
+    return use;
+  }
+
+  // Brings the tasks up to the present. Every call starts with it, so that a
+  // call that was delivered late finds the leases that have lapsed ended.
+  void Update() {
+    const auto now = ClockMs();
+    const bool sample =
+        now - sampled_ms >=
+        std::chrono::duration_cast<milliseconds>(options.usage_lag).count();
+    if (sample) sampled_ms = now;
+    for (auto& [id, task] : tasks) {
+      auto& status = task.status;
+      if (status.state != task_state::kRunning) continue;
+      // A task makes no progress after the end of its lease.
+      const auto until = std::min(now, task.lease_ms);
+      auto elapsed = std::max<std::int64_t>(until - task.progress_at_ms, 0);
+      task.progress_at_ms = now;
+      const auto declared = status.spec.resources.cpu_milli;
+      if (task.cpu_limit > 0 && task.cpu_limit < declared) {
+        elapsed = elapsed * task.cpu_limit / declared;
+      }
+      status.ran_ms += elapsed;
+      if (sample) {
+        status.used = Scale(ActualUse(task), faults.report_percent);
+      }
+      if (faults.fail_tasks) {
+        End(task, task_state::kFailed, "the worker fails every task");
+      } else if (status.spec.kind != task_kind::kService &&
+                 status.ran_ms >= status.spec.run_ms) {
+        End(task, task_state::kFinished, "");
+      } else if (now >= task.lease_ms) {
+        End(task, task_state::kStopped, "the task lease expired");
+      }
+    }
+  }
+
+  // Checks the epoch of a call and makes it the highest. Fails with 409.
+  bool Admit(const json& call) {
+    const auto asked = call.at("epoch").get<std::uint64_t>();
+    const auto highest = epoch->load();
+    if (options.ignore_epochs) {
+      if (asked > highest) epoch->store(asked);
+      return true;
+    }
+    if (asked < highest || asked <= released_epoch) {
+      ++stale_refused;
+      return false;
+    }
+    if (asked > highest) {
+      epoch->store(asked);
+      owner.clear();
+      if (renewed_ms) previous_renewed_ms = renewed_ms;
+      renewed_ms.reset();
+    }
+    return true;
+  }
+
+  worker_snapshot Snapshot() const {
+    worker_snapshot snapshot;
+    snapshot.worker_clock_ms = ClockMs();
+    snapshot.highest_epoch = epoch->load();
+    snapshot.capacity = options.vm.capacity;
+    if (previous_renewed_ms) {
+      snapshot.previous_renewal_age_ms =
+          snapshot.worker_clock_ms - *previous_renewed_ms;
+    }
+    for (const auto& [id, task] : tasks) {
+      snapshot.tasks.push_back(task.status);
+      snapshot.tasks.back().age_ms = snapshot.worker_clock_ms - task.started_ms;
+    }
+    return snapshot;
+  }
+
+  json_answer Claim(const json& call) {
+    const auto claimant = call.at("owner").get<std::string>();
+    // Two owners with one epoch cannot both be right.
+    if (!options.ignore_epochs && !owner.empty() && owner != claimant &&
+        call.at("epoch").get<std::uint64_t>() == epoch->load()) {
+      return {409};
+    }
+    owner = claimant;
+    return {200, ToJson(Snapshot())};
+  }
+
+  json_answer Renew(const json& call) {
+    const auto expires = call.at("expires_at_ms").get<std::int64_t>();
+    renewed_ms = ClockMs();
+    for (auto& [id, task] : tasks) {
+      task.lease_ms = std::max(task.lease_ms, expires);
+    }
+    for (const auto& id : call.at("acknowledged")) {
+      const auto it = tasks.find(id.get<std::string>());
+      if (it != tasks.end() &&
+          it->second.status.state != task_state::kRunning) {
+        tasks.erase(it);
+      }
+    }
+    return {200, ToJson(Snapshot())};
+  }
+
+  // Counts a start that needs more than the VM has. Returns whether it fits.
+  bool CheckCapacity(const task_spec& spec) {
+    resource_vector declared = spec.resources;
+    resource_vector actual = Scale(spec.resources, faults.actual_percent);
+    for (const auto& [id, task] : tasks) {
+      if (task.status.state != task_state::kRunning) continue;
+      declared = declared + task.status.spec.resources;
+      actual = actual + ActualUse(task);
+    }
+    const bool fits = Fits(declared, options.vm.capacity);
+    const bool use_fits = Fits(actual, options.vm.capacity);
+    if (!fits) ++capacity_breaches;
+    if (!use_fits) ++use_breaches;
+    if (!fits || !use_fits) {
+      options.events->Append(
+          {{"event", fits ? "use_breach" : "capacity_breach"},
+           {"worker", options.vm.id},
+           {"task", spec.task_id},
+           {"declared", ToJson(declared)},
+           {"actual", ToJson(actual)},
+           {"capacity", ToJson(options.vm.capacity)}});
+    }
+    return fits;
+  }
+
+  json_answer StartTask(const json& call) {
+    const auto spec = TaskSpecFromJson(call.at("spec"));
+    const auto expires = call.at("expires_at_ms").get<std::int64_t>();
+    const auto found = tasks.find(spec.task_id);
+    if (found != tasks.end()) return {200, ToJson(found->second.status)};
+    const auto now = ClockMs();
+    if (expires <= now) {
+      ++late_starts;
+      return {410};
+    }
+    if (!CheckCapacity(spec) && options.refuse_over_capacity) return {507};
+
+    hosted_task task;
+    task.status.spec = spec;
+    task.started_ms = task.progress_at_ms = now;
+    task.lease_ms = expires;
+    const auto& resumed = spec.checkpoint;
+    std::from_chars(resumed.data(), resumed.data() + resumed.size(),
+                    task.status.ran_ms);
+    if (spec.kind == task_kind::kService) {
+      instance_standin_options instance;
+      instance.listen =
+          options.vm.address.substr(0, options.vm.address.rfind(':')) + ":0";
+      instance.worker_id = options.vm.id;
+      instance.task_id = spec.task_id;
+      instance.slots = spec.slots;
+      instance.connections = spec.connections;
+      instance.epoch = epoch;
+      instance.ignore_epochs = options.ignore_epochs;
+      instance.events = options.events;
+      instance.clock = options.clock;
+      auto started = Attempt([&] { return instance_standin::Start(instance); });
+      if (!started) return {500, {{"error", started.failure.message}}};
+      task.instance = std::move(*started);
+      task.status.address = task.instance->Address();
+    }
+    Log("task_started", task.status);
+    const auto answer = ToJson(task.status);
+    tasks[spec.task_id] = std::move(task);
+    return {200, answer};
+  }
+
+  json_answer StopTask(const json& call) {
+    const auto it = tasks.find(call.at("task_id").get<std::string>());
+    const bool checkpoint = call.at("mode").get<std::string>() == "checkpoint";
+    if (it == tasks.end()) return {404};
+    auto& task = it->second;
+    if (task.status.state != task_state::kRunning) return {};
+    if (checkpoint && task.status.spec.kind != task_kind::kService) {
+      task.status.checkpoint = std::to_string(task.status.ran_ms);
+      End(task, task_state::kCheckpointed, "");
+    } else {
+      End(task, task_state::kStopped, "stopped by the owner");
+    }
+    return {};
+  }
+
+  json_answer Throttle(const json& call) {
+    const auto it = tasks.find(call.at("task_id").get<std::string>());
+    const auto limit = call.at("cpu_milli").get<std::int64_t>();
+    if (limit < 1) return {400};
+    if (it == tasks.end() || it->second.status.state != task_state::kRunning) {
+      return {404};
+    }
+    it->second.cpu_limit = limit;
+    return {};
+  }
+
+  json_answer Release(const json& call) {
+    released_epoch = call.at("epoch").get<std::uint64_t>();
+    renewed_ms.reset();
+    return {};
+  }
+
+  void AddCall(const char* kind, json_answer (state::*apply)(const json&)) {
+    RouteJson(listener->Server(), std::string("/v1/") + kind,
+              [this, kind, apply](const json& call) {
+                lock held(mutex);
+                ++calls[kind];
+                options.clock->WaitUntil(held, changed, time_point::max(), [&] {
+                  return stopping || !faults.frozen || faults.dead;
+                });
+                if (stopping || faults.dead) {
+                  DropConnection();
+                  return json_answer{503};
+                }
+                Update();
+                if (!Admit(call)) {
+                  return json_answer{409, {{"highest_epoch", epoch->load()}}};
+                }
+                const auto answer = (this->*apply)(call);
+                if (faults.delay_ms > 0) {
+                  options.clock->WaitFor(held, changed,
+                                         milliseconds(faults.delay_ms),
+                                         [&] { return stopping; });
+                }
+                if (faults.lose_replies > 0) {
+                  --faults.lose_replies;
+                  DropConnection();
+                }
+                return answer;
+              });
+  }
+
+  void Change(const worker_faults& next) {
+    const std::lock_guard held(mutex);
+    Update();
+    faults = next;
+    if (faults.dead) {
+      for (auto& [id, task] : tasks) {
+        if (task.status.state == task_state::kRunning) {
+          End(task, task_state::kStopped, "the VM failed");
+        }
+      }
+      tasks.clear();
+    }
+    changed.notify_all();
+  }
+
+  void AddRoutes() {
+    AddCall("claim", &state::Claim);
+    AddCall("renew", &state::Renew);
+    AddCall("start", &state::StartTask);
+    AddCall("stop", &state::StopTask);
+    AddCall("throttle", &state::Throttle);
+    AddCall("release", &state::Release);
+    auto& server = listener->Server();
+    RouteJson(server, "/admin/faults", [this](const json& call) {
+      const auto number = [&call](const char* name, std::int64_t otherwise) {
+        return call.value(name, otherwise);
+      };
+      Change({call.value("fail_tasks", false), call.value("frozen", false),
+              call.value("dead", false), number("report_percent", 100),
+              number("actual_percent", 100), number("delay_ms", 0),
+              number("lose_replies", 0)});
+      return json_answer{};
+    });
+    server.Get("/admin/stats",
+               [this](const httplib::Request&, httplib::Response& response) {
+                 const std::lock_guard held(mutex);
+                 Update();
+                 SetJson(response, {200,
+                                    {{"worker", options.vm.id},
+                                     {"calls", calls},
+                                     {"owner", owner},
+                                     {"capacity_breaches", capacity_breaches},
+                                     {"use_breaches", use_breaches},
+                                     {"late_starts", late_starts},
+                                     {"stale_refused", stale_refused},
+                                     {"snapshot", ToJson(Snapshot())}}});
+               });
+  }
+};
+
+worker_agent::worker_agent(std::unique_ptr<state> initial)
+    : state_(std::move(initial)) {}
+
+worker_agent::~worker_agent() {
+  {
+    const std::lock_guard held(state_->mutex);
+    state_->stopping = true;
+    state_->changed.notify_all();
+  }
+  state_->listener->Stop();
+}
+
+result<std::unique_ptr<worker_agent>> worker_agent::Start(
+    worker_agent_options options) {
+  auto initial = std::make_unique<state>();
+  initial->options = std::move(options);
+  http_listener_options listen;
+  listen.address = initial->options.vm.address;
+  listen.max_connections = kMaxConnections;
+  BOOST_LEAF_ASSIGN(initial->listener, http_listener::Bind(listen));
+  initial->AddRoutes();
+  BOOST_LEAF_CHECK(initial->listener->Start());
+  return std::unique_ptr<worker_agent>(new worker_agent(std::move(initial)));
+}
+
+const std::string& worker_agent::Address() const {
+  return state_->listener->Address();
+}
+
+void worker_agent::SetFaults(const worker_faults& faults) {
+  state_->Change(faults);
+}
+
+void worker_agent::Tick() {
+  std::vector<std::unique_ptr<instance_standin>> ended;
+  {
+    const std::lock_guard held(state_->mutex);
+    state_->Update();
+    ended.swap(state_->ended_instances);
+  }
+  // Instances join their threads as they are destroyed, outside the lock.
+}
+
+std::uint64_t worker_agent::CapacityBreaches() const {
+  const std::lock_guard held(state_->mutex);
+  return state_->capacity_breaches;
+}
+
+}  // namespace apricotwheel::standins
--- /dev/null
+++ b/testing/worker_standin.h
@@ -0,0 +1,35 @@
+#pragma once
+
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "testing/worker_agent.h"
+
+namespace apricotwheel::standins {
+
+struct worker_standin_options {
+  vm_list cell;
+  std::vector<std::string> only;  // VM ids; empty for all.
+  std::string journal_path;       // Empty for none.
+  // Options of each agent; `vm` and `events` are filled in.
+  worker_agent_options agent;
+};
+
+// The worker agents of a cell in one process, with one thread that ends tasks.
+class worker_standin {
+ public:
+  static result<std::unique_ptr<worker_standin>> Start(
+      worker_standin_options options);
+  ~worker_standin();
+
+  std::size_t Size() const;
+  worker_agent& Agent(std::size_t index);
+
+ private:
+  struct state;
+  explicit worker_standin(std::unique_ptr<state> initial);
+  std::unique_ptr<state> state_;
+};
+
+}  // namespace apricotwheel::standins
