--- /dev/null
+++ b/tests/platform/instance_test.cc
@@ -0,0 +1,191 @@
+#include <boost/test/data/monomorphic.hpp>
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+#include <thread>
+#include <vector>
+
+#include "platform/http_connection.h"
+#include "platform/instance_client.h"
+#include "testing/instance_standin.h"
+
+namespace apricotwheel {
+namespace {
+
+namespace data = boost::unit_test::data;
+using standins::instance_faults;
+using standins::instance_standin;
+
+struct fixture {
+  std::unique_ptr<instance_standin> service;
+  std::unique_ptr<instance_client> client;
+
+  explicit fixture(const standins::instance_standin_options& options = {})
+      : service(instance_standin::Start(options).value()), client(Connect()) {}
+
+  std::unique_ptr<instance_client> Connect() const {
+    return instance_client::Create({.address = service->Address()}).value();
+  }
+  static instance_request Request(const std::string& id,
+                                  std::uint64_t epoch = 1) {
+    instance_request request;
+    request.method = "POST";
+    request.path = "/work";
+    request.body = "body of " + id;
+    request.correlation_id = id;
+    request.epoch = epoch;
+    return request;
+  }
+  outcome<instance_response> Send(const std::string& id) {
+    return Attempt(
+        [&] { return client->Send(Request(id), milliseconds(300)); });
+  }
+};
+
+struct fault_row {
+  const char* name;
+  instance_faults faults;
+  error_kind expected;
+};
+std::ostream& operator<<(std::ostream& out, const fault_row& row) {
+  return out << row.name;
+}
+
+const fault_row kFaultRows[] = {
+    {"late", {.delay_ms = 600}, error_kind::kTimeout},
+    {"closed mid-reply", {.close_mid_reply = 1}, error_kind::kCorrupt},
+    {"truncated body", {.truncate_body = 1}, error_kind::kCorrupt},
+    {"no last chunk", {.omit_last_chunk = 1}, error_kind::kCorrupt},
+    {"wrong correlation", {.wrong_correlation = 1}, error_kind::kCorrupt},
+};
+
+// Guards against an incomplete or foreign answer that is delivered, and one
+// whose connection is used again. The request ran, so no error may deny it.
+BOOST_DATA_TEST_CASE(faulty_answer_is_not_delivered, data::make(kFaultRows),
+                     row) {
+  fixture test;
+  test.service->SetFaults(row.faults);
+  const auto failed = test.Send("c1");
+  BOOST_REQUIRE(!failed);
+  BOOST_TEST((failed.failure.kind == row.expected));
+  BOOST_TEST(test.service->RunsOf("c1") == 1u);
+  BOOST_TEST(!test.client->IsOpen());
+  test.service->SetFaults({});
+  const auto next = test.Send("c2");
+  BOOST_REQUIRE(bool(next));
+  BOOST_TEST(next->body.find("\"c2\"") != std::string::npos);
+}
+
+// Guards against a second answer that is taken for that of the next request.
+BOOST_AUTO_TEST_CASE(second_answer_is_dropped) {
+  fixture test;
+  test.service->SetFaults({.answer_twice = 1});
+  BOOST_TEST(bool(test.Send("c1")));
+  std::this_thread::sleep_for(milliseconds(20));
+  const auto next = test.Send("c2");
+  BOOST_REQUIRE(bool(next));
+  BOOST_TEST(next->body.find("\"c2\"") != std::string::npos);
+  BOOST_TEST(test.service->RunsOf("c2") == 1u);
+}
+
+// Guards against an instance that serves a daemon whose partition was taken
+// over. The variant that ignores epochs shows that the check can fail.
+BOOST_AUTO_TEST_CASE(older_epoch_is_refused) {
+  for (const bool broken : {false, true}) {
+    standins::instance_standin_options options;
+    options.ignore_epochs = broken;
+    fixture test(options);
+    test.client->Send(fixture::Request("c1", 5), milliseconds(300)).value();
+    const auto stale = Attempt([&] {
+      return test.client->Send(fixture::Request("c2", 4), milliseconds(300));
+    });
+    BOOST_TEST(bool(stale) == broken);
+    if (!broken) BOOST_TEST((stale.failure.kind == error_kind::kStaleEpoch));
+    BOOST_TEST(test.service->RunsOf("c2") == (broken ? 1u : 0u));
+  }
+}
+
+// Guards against a dead instance that is reported as one that may have run.
+BOOST_AUTO_TEST_CASE(unreachable_instance_is_unavailable) {
+  fixture test;
+  BOOST_TEST(bool(test.Send("c1")));
+  test.service.reset();
+  const auto failed = test.Send("c2");
+  BOOST_TEST((failed.failure.kind == error_kind::kUnavailable));
+}
+
+// Guards against breaches of the limits that the instance does not see.
+BOOST_AUTO_TEST_CASE(breaches_are_counted_and_use_is_reported) {
+  for (const bool refuse : {false, true}) {
+    standins::instance_standin_options options;
+    options.slots = 1;
+    options.connections = 2;
+    options.refuse_over_limit = refuse;
+    fixture test(options);
+    test.service->SetFaults({.service_ms = 150});
+    std::thread first([&] { BOOST_TEST(bool(test.Send("c1"))); });
+    std::this_thread::sleep_for(milliseconds(50));
+    const auto second = test.Connect();
+    const auto usage = second->Usage().value();
+    BOOST_TEST(usage.slots_in_use == 1u);
+    BOOST_TEST(usage.connections == 1u);
+    BOOST_TEST(test.service->SlotBreaches() == 0u);
+    const auto sent = Attempt([&] {
+      return second->Send(fixture::Request("c2"), milliseconds(300));
+    });
+    first.join();
+    BOOST_TEST(bool(sent) == !refuse);
+    if (refuse) BOOST_TEST((sent.failure.kind == error_kind::kCapacity));
+    BOOST_TEST(test.service->SlotBreaches() == 1u);
+    BOOST_TEST(test.service->ConnectionBreaches() == 0u);
+    const auto third = test.Connect();
+    const auto fourth = test.Connect();
+    third->Usage().value();
+    fourth->Usage().value();
+    Attempt([&] {
+      return fourth->Send(fixture::Request("c3"), milliseconds(300));
+    });
+    BOOST_TEST(test.service->ConnectionBreaches() == 1u);
+  }
+}
+
+// Guards against a header value that smuggles a second header or request.
+BOOST_AUTO_TEST_CASE(line_ends_in_headers_are_refused) {
+  fixture test;
+  auto request = fixture::Request("c1\r\nX: y");
+  const auto failed =
+      Attempt([&] { return test.client->Send(request, milliseconds(300)); });
+  BOOST_TEST((failed.failure.kind == error_kind::kInvalidArgument));
+}
+
+// Guards against connections past the limit that wait instead of being told.
+BOOST_AUTO_TEST_CASE(listener_refuses_connections_past_its_limit) {
+  http_listener_options options;
+  options.address = "127.0.0.1:0";
+  options.max_connections = 2;
+  const auto listener = http_listener::Bind(options).value();
+  listener->Server().Get("/", [](const auto&, auto& response) {
+    response.set_content("ok", "text/plain");
+  });
+  BOOST_REQUIRE(bool(Attempt([&] { return listener->Start(); })));
+  std::vector<std::unique_ptr<http_connection>> connections;
+  for (int i = 0; i < 3; ++i) {
+    connections.push_back(std::make_unique<http_connection>(
+        ParseEndpoint(listener->Address()).value()));
+    http_call call;
+    call.method = "GET";
+    call.target = "/";
+    const auto reply =
+        connections.back()
+            ->Exchange(call, milliseconds(300), milliseconds(300))
+            .value();
+    BOOST_TEST(reply.status == (i < 2 ? 200 : 503));
+    if (i == 2) {
+      BOOST_TEST(FindHeader(reply.headers, "apricotwheel-outcome") ==
+                 "not_run");
+    }
+  }
+  BOOST_TEST(listener->OpenConnections() == 2u);
+}
+
+}  // namespace
+}  // namespace apricotwheel
