--- /dev/null
+++ b/src/config/settings.cc
@@ -0,0 +1,308 @@
+#include "config/settings.h"
+
+#include <array>
+#include <fstream>
+#include <sstream>
+
+#include "config/fields.h"
+
+namespace apricotwheel {
+namespace {
+
+using text_member = std::string daemon_settings::*;
+using number_member = std::int64_t daemon_settings::*;
+using duration_member = duration daemon_settings::*;
+using setting_member =
+    std::variant<text_member, number_member, duration_member>;
+
+enum class setting_type { kName, kAddress, kPath, kChoice, kNumber, kDuration };
+
+// One setting. Its default is the initial value of the member.
+struct setting_row {
+  std::string_view key;
+  setting_type type;
+  std::string_view unit;
+  setting_member member;
+  bool is_required;
+  std::int64_t low;   // In the unit; 0 for texts.
+  std::int64_t high;  // In the unit; 0 for texts.
+  std::string_view help;
+};
+
+constexpr std::array<std::string_view, 4> kLogLevels = {"debug", "info",
+                                                        "warning", "error"};
+
+constexpr auto kName = setting_type::kName;
+constexpr auto kAddress = setting_type::kAddress;
+constexpr auto kNumber = setting_type::kNumber;
+constexpr auto kDuration = setting_type::kDuration;
+using s = daemon_settings;
+
+// clang-format off
+constexpr std::array<setting_row, 28> kSettings = {{
+    {"name", kName, "", &s::name, true, 0, 0,
+     "name of this daemon, unique in the cell"},
+    {"failure_domain", kName, "", &s::failure_domain, true, 0, 0,
+     "failure domain of the VM that the daemon runs on"},
+    {"http_address", kAddress, "", &s::http_address, true, 0, 0,
+     "address for callers and operators"},
+    {"peer_address", kAddress, "", &s::peer_address, true, 0, 0,
+     "address for other daemons"},
+    {"kv_address", kAddress, "", &s::kv_address, true, 0, 0,
+     "address of the key-value service"},
+    {"vm_list_address", kAddress, "", &s::vm_list_address, true, 0, 0,
+     "address of the VM list"},
+    {"peer_key_file", setting_type::kPath, "", &s::peer_key_file, true, 0, 0,
+     "file with the shared key of all daemons, 32 bytes or more"},
+    {"lease_ttl_ms", kDuration, "ms", &s::lease_ttl, false, 500, 60'000,
+     "time until the key-value lease of a dead daemon expires"},
+    {"lease_renew_interval_ms", kDuration, "ms", &s::lease_renew_interval, false, 50, 20'000,
+     "time between renewals of the key-value lease"},
+    {"gossip_interval_ms", kDuration, "ms", &s::gossip_interval, false, 10, 5000,
+     "time between summaries sent to each other daemon"},
+    {"vm_list_interval_ms", kDuration, "ms", &s::vm_list_interval, false, 50, 2500,
+     "time between reads of the VM list; a leaving VM must be known within 5 s"},
+    {"worker_renew_interval_ms", kDuration, "ms", &s::worker_renew_interval, false, 50, 20'000,
+     "time between renewals of the task lease of an owned worker"},
+    {"task_lease_ms", kDuration, "ms", &s::task_lease, false, 1000, 600'000,
+     "time until the tasks of a worker that hears no owner end"},
+    {"dispatch_authority_ms", kDuration, "ms", &s::dispatch_authority, false, 200, 60'000,
+     "time after a renewal in which requests may be sent to the worker"},
+    {"clock_margin_ms", kDuration, "ms", &s::clock_margin, false, 10, 10'000,
+     "margin for clock drift on authority and leases"},
+    {"key_retention_ms", kDuration, "ms", &s::key_retention, false, 1000, 3'600'000,
+     "time that the record of an idempotency key is kept"},
+    {"drain_timeout_ms", kDuration, "ms", &s::drain_timeout, false, 100, 600'000,
+     "longest time of a planned stop"},
+    {"readiness_grace_ms", kDuration, "ms", &s::readiness_grace, false, 0, 60'000,
+     "time between readiness false and the hand-over in a planned stop"},
+    {"job_commit_interval_ms", kDuration, "ms", &s::job_commit_interval, false, 1, 1000,
+     "time over which job records are collected into one write"},
+    {"max_http_connections", kNumber, "connections", &s::max_http_connections, false, 1, 100'000,
+     "connections of callers that are open at once"},
+    {"max_body_bytes", kNumber, "bytes", &s::max_body_bytes, false, 1024, 64 << 20,
+     "largest body of a request or response"},
+    {"max_frame_bytes", kNumber, "bytes", &s::max_frame_bytes, false, 65'536, 256 << 20,
+     "largest frame between daemons"},
+    {"max_handler_threads", kNumber, "threads", &s::max_handler_threads, false, 1, 4096,
+     "threads for peer requests that block"},
+    {"recorded_answer_bytes", kNumber, "bytes", &s::recorded_answer_bytes, false, 0, 16 << 20,
+     "largest response that is recorded for an idempotency key"},
+    {"retry_budget_percent", kNumber, "percent", &s::retry_budget_percent, false, 0, 100,
+     "retries in percent of requests"},
+    {"breaker_failures", kNumber, "failures", &s::breaker_failures, false, 1, 1000,
+     "consecutive failures that open the circuit breaker of an instance"},
+    {"quarantine_failures", kNumber, "failures", &s::quarantine_failures, false, 1, 1000,
+     "failures of different jobs that put a worker into quarantine"},
+    {"log_level", setting_type::kChoice, "", &s::log_level, false, 0, 0,
+     "lowest level that is logged: debug, info, warning or error"},
+}};
+// clang-format on
+
+std::int64_t ToMs(duration span) {
+  return std::chrono::duration_cast<milliseconds>(span).count();
+}
+
+void ReadSetting(const setting_row& row, const yaml_node& node,
+                 daemon_settings& settings, fault_list& faults) {
+  if (const auto* number = std::get_if<number_member>(&row.member)) {
+    ReadInteger(node, row.key, row.low, row.high, settings.**number, faults);
+    return;
+  }
+  if (const auto* span = std::get_if<duration_member>(&row.member)) {
+    std::int64_t count = ToMs(settings.**span);
+    ReadInteger(node, row.key, row.low, row.high, count, faults);
+    settings.** span = milliseconds(count);
+    return;
+  }
+  std::string& text = settings.*std::get<text_member>(row.member);
+  switch (row.type) {
+    case setting_type::kName:
+      ReadName(node, row.key, text, faults);
+      break;
+    case setting_type::kAddress:
+      ReadAddress(node, row.key, text, faults);
+      break;
+    case setting_type::kChoice: {
+      std::size_t choice = 0;
+      if (ReadChoice(node, row.key, kLogLevels, choice, faults)) {
+        text = kLogLevels[choice];
+      }
+      break;
+    }
+    default:
+      ReadText(node, row.key, text, faults);
+      break;
+  }
+}
+
+struct cross_check {
+  std::string_view key;
+  bool (*holds)(const daemon_settings& settings);
+  std::string_view message;
+  std::string_view remedy;
+};
+
+// clang-format off
+constexpr std::array<cross_check, 9> kCrossChecks = {{
+    {"lease_renew_interval_ms",
+     [](const daemon_settings& v) { return 2 * v.lease_renew_interval <= v.lease_ttl; },
+     "one lost renewal would end the lease",
+     "write at most half of lease_ttl_ms"},
+    {"worker_renew_interval_ms",
+     [](const daemon_settings& v) { return 2 * v.worker_renew_interval + v.clock_margin <= v.dispatch_authority; },
+     "one lost renewal would end the authority over instances",
+     "write at most half of dispatch_authority_ms less clock_margin_ms"},
+    {"clock_margin_ms",
+     [](const daemon_settings& v) { return 2 * v.clock_margin <= v.dispatch_authority; },
+     "the margin uses up the authority over instances",
+     "write at most half of dispatch_authority_ms"},
+    {"dispatch_authority_ms",
+     [](const daemon_settings& v) { return v.dispatch_authority + 2 * v.clock_margin <= v.task_lease; },
+     "requests could be sent to a task whose lease has expired",
+     "write at most task_lease_ms less twice clock_margin_ms"},
+    {"readiness_grace_ms",
+     [](const daemon_settings& v) { return v.readiness_grace < v.drain_timeout; },
+     "the planned stop would end before the hand-over starts",
+     "write less than drain_timeout_ms"},
+    {"max_frame_bytes",
+     [](const daemon_settings& v) { return v.max_frame_bytes >= v.max_body_bytes + 65'536; },
+     "a largest body would not fit into a frame",
+     "write at least max_body_bytes plus 65536"},
+    {"recorded_answer_bytes",
+     [](const daemon_settings& v) { return v.recorded_answer_bytes <= v.max_body_bytes; },
+     "no response is that large",
+     "write at most max_body_bytes"},
+    {"gossip_interval_ms",
+     [](const daemon_settings& v) { return v.gossip_interval <= v.lease_ttl; },
+     "peers would use summaries of expired members",
+     "write at most lease_ttl_ms"},
+    {"peer_address",
+     [](const daemon_settings& v) { return v.peer_address.empty() || v.peer_address != v.http_address; },
+     "the address is also the http_address",
+     "use two ports"},
+}};
+// clang-format on
+
+// Line of a key, or of the whole file if a default takes part in the conflict.
+int LineOf(const yaml_node& root, std::string_view key) {
+  for (const auto& [name, value] : root.pairs) {
+    if (name.scalar == key) return name.line;
+  }
+  return 0;
+}
+
+void CheckKeyFile(std::string_view file, int line,
+                  const daemon_settings& settings,
+                  std::vector<config_fault>& faults) {
+  constexpr std::size_t kMinKeyBytes = 32;
+  std::ifstream stream(settings.peer_key_file, std::ios::binary);
+  std::string bytes(kMinKeyBytes, '\0');
+  if (!stream) {
+    faults.push_back({std::string(file), line, "peer_key_file",
+                      "'" + settings.peer_key_file + "' cannot be read",
+                      "write the path of a readable file"});
+    return;
+  }
+  stream.read(bytes.data(), static_cast<std::streamsize>(bytes.size()));
+  if (static_cast<std::size_t>(stream.gcount()) < kMinKeyBytes) {
+    faults.push_back({std::string(file), line, "peer_key_file",
+                      "the key has fewer than 32 bytes",
+                      "create it with: head -c 32 /dev/urandom"});
+  }
+}
+
+std::string TypeName(setting_type type) {
+  switch (type) {
+    case setting_type::kName:
+      return "name";
+    case setting_type::kAddress:
+      return "ip:port";
+    case setting_type::kPath:
+      return "path";
+    case setting_type::kChoice:
+      return "word";
+    default:
+      return "integer";
+  }
+}
+
+std::string DefaultOf(const setting_row& row) {
+  if (row.is_required) return "required";
+  const daemon_settings defaults;
+  if (const auto* number = std::get_if<number_member>(&row.member)) {
+    return std::to_string(defaults.**number);
+  }
+  if (const auto* span = std::get_if<duration_member>(&row.member)) {
+    return std::to_string(ToMs(defaults.**span));
+  }
+  return defaults.*std::get<text_member>(row.member);
+}
+
+}  // namespace
+
+settings_check CheckSettings(std::string_view file, std::string_view text) {
+  settings_check check;
+  const auto root = ParseYaml(file, text, check.faults);
+  if (!root) return check;
+  fault_list faults{std::string(file), {}};
+  std::vector<std::string_view> keys;
+  std::vector<std::string_view> required;
+  for (const auto& row : kSettings) {
+    keys.push_back(row.key);
+    if (row.is_required) required.push_back(row.key);
+  }
+  daemon_settings settings;
+  const auto values = FindFields(*root, "", keys, required, faults);
+  for (std::size_t at = 0; at < kSettings.size(); ++at) {
+    if (values[at] == nullptr) continue;
+    ReadSetting(kSettings[at], *values[at], settings, faults);
+  }
+  for (const auto& rule : kCrossChecks) {
+    if (rule.holds(settings)) continue;
+    faults.Add(LineOf(*root, rule.key), rule.key, std::string(rule.message),
+               std::string(rule.remedy));
+  }
+  check.faults = std::move(faults.faults);
+  std::stable_sort(check.faults.begin(), check.faults.end(),
+                   [](const config_fault& left, const config_fault& right) {
+                     return left.line < right.line;
+                   });
+  if (check.faults.empty()) check.settings = std::move(settings);
+  return check;
+}
+
+settings_check LoadSettings(std::string_view path) {
+  std::ifstream stream{std::string(path), std::ios::binary};
+  std::ostringstream text;
+  if (!stream || !(text << stream.rdbuf())) {
+    settings_check failed;
+    failed.faults.push_back({std::string(path), 0, "",
+                             "the file cannot be read or is empty",
+                             "write the path of a settings file"});
+    return failed;
+  }
+  settings_check check = CheckSettings(path, text.str());
+  if (!check.settings) return check;
+  CheckKeyFile(path, 0, *check.settings, check.faults);
+  if (!check.faults.empty()) check.settings.reset();
+  return check;
+}
+
+std::string DescribeSettings() {
+  std::string table =
+      "| key | type | unit | default | range | meaning |\n"
+      "| --- | --- | --- | --- | --- | --- |\n";
+  for (const auto& row : kSettings) {
+    std::string range;
+    if (row.high > 0) {
+      range = std::to_string(row.low) + " to " + std::to_string(row.high);
+    }
+    table += "| `" + std::string(row.key) + "` | " + TypeName(row.type) +
+             " | " + std::string(row.unit) + " | " + DefaultOf(row) + " | " +
+             range + " | " + std::string(row.help) + " |\n";
+  }
+  return table;
+}
+
+}  // namespace apricotwheel
