--- a/src/config/fields.cc
+++ b/src/config/fields.cc
@@ -214,7 +214,8 @@
     return values;
   }
   std::unordered_map<std::string_view, int> first_lines;
-  for (const auto& [key, value] : node.pairs) {
+  for (std::size_t at = 0; at < node.keys.size(); ++at) {
+    const yaml_node& key = node.keys[at];
     if (key.kind != node_kind::kScalar) {
       faults.Add(key.line, path, "a key is not a word",
                  "write `key: value` lines");
@@ -240,7 +241,7 @@
                  "remove it or use one of: " + list);
       continue;
     }
-    values[static_cast<std::size_t>(found - keys.begin())] = &value;
+    values[static_cast<std::size_t>(found - keys.begin())] = &node.items[at];
   }
   for (const auto key : required) {
     if (!first_lines.contains(key)) {
--- a/src/config/settings.cc
+++ b/src/config/settings.cc
@@ -186,7 +186,7 @@
 
 // Line of a key, or of the whole file if a default takes part in the conflict.
 int LineOf(const yaml_node& root, std::string_view key) {
-  for (const auto& [name, value] : root.pairs) {
+  for (const auto& name : root.keys) {
     if (name.scalar == key) return name.line;
   }
   return 0;
--- a/src/config/yaml_tree.cc
+++ b/src/config/yaml_tree.cc
@@ -143,7 +143,8 @@
     } else if (!parent.key) {
       parent.key = std::move(node);
     } else {
-      parent.node.pairs.emplace_back(std::move(*parent.key), std::move(node));
+      parent.node.keys.push_back(std::move(*parent.key));
+      parent.node.items.push_back(std::move(node));
       parent.key.reset();
     }
   }
--- a/src/config/yaml_tree.h
+++ b/src/config/yaml_tree.h
@@ -4,7 +4,6 @@
 #include <optional>
 #include <string>
 #include <string_view>
-#include <utility>
 #include <vector>
 
 #include "config/document.h"
@@ -17,10 +16,10 @@
   enum class node_kind { kNull, kScalar, kSequence, kMap };
 
   node_kind kind = node_kind::kNull;
-  int line = 0;                                        // 1-based.
-  std::string scalar;                                  // Of a scalar.
-  std::vector<yaml_node> items;                        // Of a sequence.
-  std::vector<std::pair<yaml_node, yaml_node>> pairs;  // Of a map, in order.
+  int line = 0;                  // 1-based.
+  std::string scalar;            // Of a scalar.
+  std::vector<yaml_node> keys;   // Of a map, in the order of the text.
+  std::vector<yaml_node> items;  // Of a sequence, or the values of a map.
 };
 
 // A value of the key-value service holds 1 MB; the envelope around the text
