Add the placement library: cell state, policies, pre-emption, gangs

Workers of equal capacity in one failure domain form a group. In each group, trees by free accelerators hold the workers by free processors, with the largest free memory below each node, so that a search for a fit is exact and visits O(log n) nodes. A second set of trees by free plus batch use finds workers where pre-emption can make room.

The policies are an OBJECT library whose objects reach every program that links the package; in the archive the linker would drop their registrations.

Checked by tests/placement: decisions, spread, accelerator order, pre-emption victims and gangs against brute force over seeded histories.

--- /dev/null
+++ b/src/placement/capacity_tree.h
@@ -0,0 +1,75 @@
+#pragma once
+
+#include <cstdint>
+#include <vector>
+
+#include "kernel/resources.h"
+
+namespace apricotwheel {
+
+inline constexpr std::uint32_t kNoNode = UINT32_MAX;
+
+// Search trees (treaps) over workers, ordered by processor amount and augmented
+// with the largest memory amount below each node. All trees share one pool with
+// one node for each worker, so that an update allocates nothing. With
+// accelerators kept in separate trees, a search for "at least this much of
+// both" visits O(log n) nodes, whatever the amounts are.
+class capacity_tree {
+ public:
+  // Makes room for the nodes of `count` workers.
+  void Resize(std::size_t count);
+
+  void Insert(std::uint32_t& root, std::uint32_t worker,
+              const resource_vector& amount);
+  void Erase(std::uint32_t& root, std::uint32_t worker);
+
+  // Calls `visit(worker)` for the workers with at least `need` processors and
+  // memory, from the smallest processor amount up, until it returns true.
+  // Returns true if a call did.
+  template <class Visit>
+  bool VisitAscending(std::uint32_t root, const resource_vector& need,
+                      Visit& visit) const {
+    if (root == kNoNode) return false;
+    const node& here = nodes_[root];
+    if (here.max_memory < need.memory_mib) return false;
+    if (here.cpu >= need.cpu_milli) {
+      if (VisitAscending(here.left, need, visit)) return true;
+      if (here.memory >= need.memory_mib && visit(root)) return true;
+    }
+    return VisitAscending(here.right, need, visit);
+  }
+
+  // The same from the largest processor amount down.
+  template <class Visit>
+  bool VisitDescending(std::uint32_t root, const resource_vector& need,
+                       Visit& visit) const {
+    if (root == kNoNode) return false;
+    const node& here = nodes_[root];
+    if (here.max_memory < need.memory_mib) return false;
+    if (VisitDescending(here.right, need, visit)) return true;
+    if (here.cpu < need.cpu_milli) return false;
+    if (here.memory >= need.memory_mib && visit(root)) return true;
+    return VisitDescending(here.left, need, visit);
+  }
+
+ private:
+  struct node {
+    std::int64_t cpu = 0;
+    std::int64_t memory = 0;
+    std::int64_t max_memory = 0;
+    std::uint32_t left = kNoNode;
+    std::uint32_t right = kNoNode;
+    std::uint32_t priority = 0;
+  };
+
+  bool Before(std::uint32_t left, std::uint32_t right) const;
+  void Refresh(std::uint32_t root);
+  void Split(std::uint32_t root, std::uint32_t pivot, std::uint32_t& before,
+             std::uint32_t& after);
+  std::uint32_t Merge(std::uint32_t before, std::uint32_t after);
+  void InsertBelow(std::uint32_t& root, std::uint32_t worker);
+
+  std::vector<node> nodes_;
+};
+
+}  // namespace apricotwheel
--- /dev/null
+++ b/src/placement/policies/first_fit.cc
@@ -0,0 +1,24 @@
+#include <algorithm>
+
+#include "placement/placement_policy.h"
+
+namespace apricotwheel {
+namespace {
+
+// Baseline: the candidate that was added first, by a scan over the workers.
+worker_index Choose(const candidate_query& query, random_source& /*random*/) {
+  worker_index best = kNoWorker;
+  for (const worker_group& group : query.cell->groups) {
+    if (!InScope(query, group)) continue;
+    for (const worker_index worker : group.members) {
+      if (worker >= best) break;
+      if (IsCandidate(query, worker)) best = worker;
+    }
+  }
+  return best;
+}
+
+const policy_registry::registration kRegistration{"first-fit", {Choose}};
+
+}  // namespace
+}  // namespace apricotwheel
--- /dev/null
+++ b/src/placement/policies/random.cc
@@ -0,0 +1,26 @@
+#include "kernel/random.h"
+
+#include "placement/placement_policy.h"
+
+namespace apricotwheel {
+namespace {
+
+// Baseline: a candidate at random, each with the same probability (reservoir
+// sampling over all of them).
+worker_index Choose(const candidate_query& query, random_source& random) {
+  worker_index chosen = kNoWorker;
+  std::uint64_t seen = 0;
+  for (const worker_group& group : query.cell->groups) {
+    if (!InScope(query, group)) continue;
+    for (const worker_index worker : group.members) {
+      if (!IsCandidate(query, worker)) continue;
+      if (NextBelow(random, ++seen) == 0) chosen = worker;
+    }
+  }
+  return chosen;
+}
+
+const policy_registry::registration kRegistration{"random", {Choose}};
+
+}  // namespace
+}  // namespace apricotwheel
--- /dev/null
+++ b/src/placement/worker_choice.cc
@@ -0,0 +1,132 @@
+#include <algorithm>
+
+#include "placement/placement_policy.h"
+
+namespace apricotwheel {
+namespace {
+
+const workload_entry kNoInstances = {};
+
+std::uint32_t DomainCount(const workload_entry& workload,
+                          std::uint32_t domain) {
+  return domain < workload.domain_counts.size() ? workload.domain_counts[domain]
+                                                : 0;
+}
+
+std::uint32_t RackCount(const workload_entry& workload, std::uint32_t rack) {
+  const auto position = std::lower_bound(
+      workload.racks.begin(), workload.racks.end(), rack,
+      [](const rack_count& a, std::uint32_t b) { return a.rack < b; });
+  if (position == workload.racks.end() || position->rack != rack) return 0;
+  return position->count;
+}
+
+// The smallest count of a failure domain that is at least `from`.
+std::uint32_t NextDomainCount(const candidate_query& query,
+                              std::uint32_t from) {
+  std::uint32_t next = UINT32_MAX;
+  for (std::uint32_t domain = 0; domain < query.cell->domains.size();
+       ++domain) {
+    const std::uint32_t count = DomainCount(*query.spread_over, domain);
+    if (count >= from) next = std::min(next, count);
+  }
+  return next;
+}
+
+// The smallest rack count above `limit` in the failure domains of the query.
+std::uint32_t NextRackLimit(const candidate_query& query, std::uint32_t limit) {
+  std::uint32_t next = UINT32_MAX;
+  for (const rack_count& rack : query.spread_over->racks) {
+    if (rack.count > limit &&
+        DomainCount(*query.spread_over, rack.domain) == query.domain_count) {
+      next = std::min(next, rack.count);
+    }
+  }
+  return next;
+}
+
+worker_index ChooseSpread(candidate_query& query,
+                          const placement_policy& policy,
+                          random_source& random) {
+  for (std::uint32_t domain = NextDomainCount(query, 0); domain != UINT32_MAX;
+       domain = NextDomainCount(query, domain + 1)) {
+    query.domain_count = domain;
+    for (std::uint32_t limit = 0; limit != UINT32_MAX;
+         limit = NextRackLimit(query, limit)) {
+      query.rack_limit = limit;
+      const worker_index found = policy.choose(query, random);
+      if (found != kNoWorker) return found;
+    }
+  }
+  return kNoWorker;
+}
+
+const placement_policy& PolicyOf(const cell_data& cell, std::string_view name) {
+  for (const named_policy& each : cell.policies) {
+    if (each.name == name) return *each.policy;
+  }
+  return *cell.default_policy;
+}
+
+}  // namespace
+
+bool InScope(const candidate_query& query, const worker_group& group) {
+  if ((group.capacity.accelerators > 0) != query.with_accelerators) {
+    return false;
+  }
+  if (!Fits(query.request->need, group.capacity)) return false;
+  return query.spread_over == nullptr ||
+         DomainCount(*query.spread_over, group.domain) == query.domain_count;
+}
+
+bool IsCandidate(const candidate_query& query, worker_index worker) {
+  const worker_entry& entry = query.cell->workers[worker];
+  if (!entry.indexed || !Fits(query.request->need, entry.free)) return false;
+  const auto excluded = query.request->excluded_workers;
+  if (std::find(excluded.begin(), excluded.end(), entry.shape.id) !=
+      excluded.end()) {
+    return false;
+  }
+  return query.spread_over == nullptr ||
+         RackCount(*query.spread_over, entry.rack) <= query.rack_limit;
+}
+
+double LeftoverShare(const candidate_query& query, worker_index worker) {
+  const worker_entry& entry = query.cell->workers[worker];
+  const resource_vector left = entry.free - query.request->need;
+  const resource_vector& whole = entry.shape.capacity;
+  const auto share = [](std::int64_t part, std::int64_t all) {
+    return all > 0 ? static_cast<double>(part) / static_cast<double>(all) : 0.0;
+  };
+  return share(left.cpu_milli, whole.cpu_milli) +
+         share(left.memory_mib, whole.memory_mib) +
+         static_cast<double>(left.accelerators);
+}
+
+worker_index ChooseWorker(const cell_data& cell,
+                          const placement_request& request,
+                          random_source& random) {
+  const placement_policy& policy = PolicyOf(cell, request.policy);
+  candidate_query query;
+  query.cell = &cell;
+  query.request = &request;
+  if (request.spread) {
+    const auto found = cell.workload_ids.find(request.workload);
+    query.spread_over = found == cell.workload_ids.end()
+                            ? &kNoInstances
+                            : &cell.workloads[found->second];
+  }
+  // Workers with accelerators come last for work that needs none, even before
+  // spread, because they are few and expensive.
+  for (const bool with_accelerators : {false, true}) {
+    if (!with_accelerators && request.need.accelerators > 0) continue;
+    query.with_accelerators = with_accelerators;
+    const worker_index found = query.spread_over == nullptr
+                                   ? policy.choose(query, random)
+                                   : ChooseSpread(query, policy, random);
+    if (found != kNoWorker) return found;
+  }
+  return kNoWorker;
+}
+
+}  // namespace apricotwheel
