--- /dev/null
+++ b/src/peer/connection.cc
@@ -0,0 +1,114 @@
+#include "peer/connection.h"
+
+#include <poll.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <cerrno>
+#include <cstring>
+
+namespace apricotwheel {
+
+namespace {
+
+constexpr std::size_t kReceiveBytes = 16 * 1024;
+
+}  // namespace
+
+connection::connection(int socket, std::size_t max_frame_bytes, clock_ptr clock,
+                       std::shared_ptr<peer_traffic> traffic)
+    : socket_(socket),
+      clock_(std::move(clock)),
+      traffic_(std::move(traffic)),
+      reader_(max_frame_bytes),
+      receive_buffer_(kReceiveBytes) {}
+
+connection::~connection() { ::close(socket_); }
+
+void connection::Close() {
+  {
+    std::lock_guard guard(mutex_);
+    if (closed_) return;
+    closed_ = true;
+  }
+  // The descriptor is closed with the object, so that no thread can use a
+  // number that the system has given to another file.
+  ::shutdown(socket_, SHUT_RDWR);
+  writer_changed_.notify_all();
+}
+
+write_outcome connection::WriteFrame(byte_view payload, time_point deadline) {
+  const auto frame = EncodeFrame(payload);
+  {
+    std::unique_lock lock(mutex_);
+    const bool is_free =
+        clock_->WaitUntil(lock, writer_changed_, deadline,
+                          [&] { return closed_ || !is_writing_; });
+    if (!is_free || closed_) return write_outcome::kNotSent;
+    is_writing_ = true;
+  }
+  const auto outcome = WriteBytes(frame, deadline);
+  {
+    std::lock_guard guard(mutex_);
+    is_writing_ = false;
+  }
+  writer_changed_.notify_one();
+  if (outcome == write_outcome::kBroken) Close();
+  if (outcome == write_outcome::kSent) ++traffic_->messages_sent;
+  return outcome;
+}
+
+write_outcome connection::WriteBytes(byte_view bytes, time_point deadline) {
+  std::size_t sent = 0;
+  while (sent < bytes.size()) {
+    const auto count =
+        ::send(socket_, bytes.data() + sent, bytes.size() - sent, MSG_NOSIGNAL);
+    if (count > 0) {
+      sent += static_cast<std::size_t>(count);
+      traffic_->bytes_sent += static_cast<std::uint64_t>(count);
+      continue;
+    }
+    if (count < 0 && errno == EINTR) continue;
+    const bool would_block =
+        count < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+    if (would_block && WaitSocket(socket_, POLLOUT, *clock_, deadline)) {
+      continue;
+    }
+    if (!would_block) Close();
+    return sent == 0 ? write_outcome::kNotSent : write_outcome::kBroken;
+  }
+  return write_outcome::kSent;
+}
+
+result<bool> connection::ReadFrame(byte_buffer& payload, time_point deadline) {
+  while (true) {
+    BOOST_LEAF_AUTO(complete, reader_.Next(payload));
+    if (complete) return true;
+    const auto count =
+        ::recv(socket_, receive_buffer_.data(), receive_buffer_.size(), 0);
+    if (count > 0) {
+      traffic_->bytes_received += static_cast<std::uint64_t>(count);
+      reader_.Append(
+          byte_view(receive_buffer_).first(static_cast<std::size_t>(count)));
+      continue;
+    }
+    if (count == 0) {
+      if (reader_.PendingBytes() == 0 || closed_) return false;
+      return Fail(error_kind::kCorrupt, "the last frame is truncated",
+                  "check the peer's log for the reason of the close");
+    }
+    if (errno == EINTR) continue;
+    if (errno != EAGAIN && errno != EWOULDBLOCK) {
+      return Fail(error_kind::kIo,
+                  std::string("cannot read: ") + std::strerror(errno),
+                  "check the network between the daemons");
+    }
+    if (!WaitSocket(socket_, POLLIN, *clock_, deadline)) {
+      return Fail(error_kind::kTimeout, "no frame before the deadline",
+                  "check whether the peer is overloaded");
+    }
+  }
+}
+
+}  // namespace apricotwheel
--- /dev/null
+++ b/src/peer/connection.h
@@ -0,0 +1,80 @@
+#pragma once
+
+#include <atomic>
+#include <condition_variable>
+#include <cstdint>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <string_view>
+
+#include "kernel/clock.h"
+#include "kernel/error.h"
+#include "peer/frame.h"
+
+namespace apricotwheel {
+
+// Byte and message counts over all connections of a node.
+struct peer_traffic {
+  std::atomic<std::uint64_t> bytes_sent = 0;
+  std::atomic<std::uint64_t> bytes_received = 0;
+  std::atomic<std::uint64_t> messages_sent = 0;
+};
+
+enum class write_outcome {
+  kSent,     // All bytes were handed to the socket.
+  kNotSent,  // No byte was; the connection remains usable.
+  kBroken,   // A part was, so that the peer sees a truncated frame; closed.
+};
+
+// One TCP connection with framing. One thread reads; any thread may write.
+class connection {
+ public:
+  // Takes ownership of a connected socket.
+  connection(int socket, std::size_t max_frame_bytes, clock_ptr clock,
+             std::shared_ptr<peer_traffic> traffic);
+  ~connection();
+  connection(const connection&) = delete;
+  connection& operator=(const connection&) = delete;
+
+  write_outcome WriteFrame(byte_view payload, time_point deadline);
+
+  // Waits for the next frame. False at an orderly end of the stream. Fails with
+  // `corrupt` on a truncated or oversized frame, `timeout` at the deadline and
+  // `io` on a socket error.
+  result<bool> ReadFrame(byte_buffer& payload, time_point deadline);
+
+  void SetMaxFrameBytes(std::size_t bytes) { reader_.SetMaxFrameBytes(bytes); }
+
+  // Ends both directions and wakes the reader and waiting writers.
+  void Close();
+  bool IsClosed() const { return closed_; }
+
+ private:
+  write_outcome WriteBytes(byte_view bytes, time_point deadline);
+
+  const int socket_;
+  clock_ptr clock_;
+  std::shared_ptr<peer_traffic> traffic_;
+  frame_reader reader_;
+  byte_buffer receive_buffer_;
+  std::mutex mutex_;
+  std::condition_variable writer_changed_;
+  bool is_writing_ = false;
+  std::atomic<bool> closed_ = false;
+};
+
+// Opens a TCP connection to `ip:port`.
+result<int> ConnectSocket(std::string_view address, runtime_clock& clock,
+                          time_point deadline);
+// Opens a listening socket on `ip:port`.
+result<int> ListenSocket(std::string_view address);
+// The local address of a socket as `ip:port`.
+std::string LocalAddress(int socket);
+// Waits for poll `events`; false at the deadline.
+bool WaitSocket(int socket, short events, runtime_clock& clock,
+                time_point deadline);
+// Sets TCP_NODELAY, non-blocking mode and dead-host detection.
+void ConfigureSocket(int socket);
+
+}  // namespace apricotwheel
--- /dev/null
+++ b/src/peer/envelope.cc
@@ -0,0 +1,69 @@
+#include "peer/envelope.h"
+
+#include <array>
+
+namespace apricotwheel {
+
+namespace {
+
+constexpr std::uint16_t kWireVersion = 1;
+
+constexpr std::array kErrorKinds = {
+    error_kind::kInvalidArgument, error_kind::kNotFound,
+    error_kind::kConflict,        error_kind::kStaleEpoch,
+    error_kind::kUnavailable,     error_kind::kTimeout,
+    error_kind::kCapacity,        error_kind::kImpossible,
+    error_kind::kOverloaded,      error_kind::kShuttingDown,
+    error_kind::kCorrupt,         error_kind::kIo,
+    error_kind::kInternal};
+
+}  // namespace
+
+byte_buffer EncodeMessage(const wire_message& message,
+                          std::uint64_t correlation_id, bool is_response) {
+  flatbuffers::FlatBufferBuilder builder;
+  const auto body = message.body.Pack(builder);
+  builder.Finish(wire::Createenvelope(builder, kWireVersion, correlation_id,
+                                      is_response, message.body.type, body));
+  return {builder.GetBufferPointer(),
+          builder.GetBufferPointer() + builder.GetSize()};
+}
+
+result<wire_message> DecodeMessage(byte_view payload) {
+  constexpr char kRemedy[] = "run the same release on all daemons";
+  flatbuffers::Verifier verifier(payload.data(), payload.size());
+  if (!wire::VerifyenvelopeBuffer(verifier)) {
+    return Fail(error_kind::kCorrupt, "an envelope does not verify", kRemedy);
+  }
+  const auto* envelope = wire::Getenvelope(payload.data());
+  // The verifier accepts unknown union types and absent bodies.
+  if (envelope->version() == 0 || envelope->body() == nullptr ||
+      envelope->body_type() <= wire::body::NONE ||
+      envelope->body_type() > wire::body::MAX) {
+    return Fail(error_kind::kCorrupt, "an envelope has no known body", kRemedy);
+  }
+  wire_message message;
+  envelope->UnPackTo(&message);
+  return message;
+}
+
+wire_message MakeFailure(const error& failure) {
+  wire::failureT body;
+  body.kind = ToString(failure.kind);
+  body.message = failure.message;
+  body.remedy = failure.remedy;
+  return MakeMessage(std::move(body));
+}
+
+error ToError(const wire::failureT& failure) {
+  for (const auto kind : kErrorKinds) {
+    if (ToString(kind) == failure.kind) {
+      return {kind, failure.message, failure.remedy};
+    }
+  }
+  return {error_kind::kInternal,
+          "unknown error kind '" + failure.kind + "': " + failure.message,
+          failure.remedy};
+}
+
+}  // namespace apricotwheel
--- /dev/null
+++ b/src/peer/node_context.h
@@ -0,0 +1,36 @@
+#pragma once
+
+#include <array>
+#include <atomic>
+#include <memory>
+
+#include "kernel/metrics.h"
+#include "peer/connection.h"
+#include "peer/handler_pool.h"
+#include "peer/peer_node.h"
+
+namespace apricotwheel {
+
+// What the connections of one node share. Outlives all of its threads.
+struct node_context {
+  explicit node_context(peer_node_options initial);
+
+  peer_node_options options;
+  std::shared_ptr<peer_traffic> traffic = std::make_shared<peer_traffic>();
+  std::array<peer_handler, static_cast<std::size_t>(wire::body::MAX) + 1>
+      handlers;
+  prometheus::Counter* rejected_connections;
+  prometheus::Counter* invalid_frames;
+  prometheus::Counter* unmatched_replies;
+  prometheus::Counter* overloaded_requests;
+  prometheus::Counter* failed_connects;
+  std::atomic<bool> stopping = false;
+  thread_group threads;  // Acceptor and readers.
+  handler_pool pool;
+};
+
+// Counts and logs a frame or handshake failure of a connection.
+void ReportInvalidFrame(const node_context& context, const error& failure);
+void ReportRejected(const node_context& context, const error& failure);
+
+}  // namespace apricotwheel
--- /dev/null
+++ b/src/peer/peer_link.h
@@ -0,0 +1,60 @@
+#pragma once
+
+#include <condition_variable>
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <string>
+
+#include "kernel/random.h"
+#include "peer/node_context.h"
+
+namespace apricotwheel {
+
+// The outgoing side to one peer: at most one connection, opened on demand,
+// with calls multiplexed by correlation id.
+class peer_link : public std::enable_shared_from_this<peer_link> {
+ public:
+  peer_link(std::shared_ptr<node_context> context, std::string member_id,
+            std::string address);
+
+  const std::string& Address() const { return address_; }
+
+  result<wire_message> Call(const wire_message& request, duration timeout);
+  void Post(const wire_message& message);
+
+  // Ends the back-off: the peer has shown that it is alive.
+  void ResetBackoff();
+
+  // Fails the waiting calls and refuses later ones.
+  void Close();
+
+ private:
+  struct pending_call;
+  using connection_ptr = std::shared_ptr<connection>;
+
+  result<connection_ptr> Obtain(time_point deadline);
+  result<connection_ptr> Open(time_point deadline);
+  void Read(const connection_ptr& link);
+  void Deliver(wire_message reply);
+  void Drop(const connection_ptr& link);
+  void PostNow(const connection_ptr& link, const byte_buffer& payload);
+
+  const std::shared_ptr<node_context> context_;
+  const std::string member_id_;
+  const std::string address_;
+
+  std::mutex mutex_;
+  std::condition_variable changed_;
+  connection_ptr connection_;
+  bool connecting_ = false;
+  bool closed_ = false;
+  int failed_attempts_ = 0;
+  time_point retry_at_{};
+  random_source random_;
+  std::uint64_t last_correlation_id_ = 0;
+  std::map<std::uint64_t, std::shared_ptr<pending_call>> pending_;
+};
+
+}  // namespace apricotwheel
--- /dev/null
+++ b/src/peer/peer_node.cc
@@ -0,0 +1,301 @@
+#include "peer/peer_node.h"
+
+#include <poll.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <map>
+#include <mutex>
+#include <set>
+
+#include "peer/envelope.h"
+#include "peer/handshake.h"
+#include "peer/node_context.h"
+#include "peer/peer_link.h"
+
+namespace apricotwheel {
+
+namespace {
+
+constexpr std::size_t kMinKeyBytes = 32;
+// Bounds the reader threads that connections can occupy. A cell has 9 daemons;
+// the rest allows for restarts and connections that have not yet ended.
+constexpr std::size_t kMaxIncomingConnections = 64;
+// A peer that reads no replies for this long loses its connection, so that it
+// cannot hold handler threads.
+constexpr auto kReplyTimeout = milliseconds(2000);
+// Replies that the reader thread itself writes must not delay it.
+constexpr auto kRefusalTimeout = milliseconds(50);
+
+wire_message RunHandler(const node_context& context, const std::string& sender,
+                        const wire_message& request) {
+  const auto& handler =
+      context.handlers[static_cast<std::size_t>(request.body.type)];
+  if (!handler) {
+    return MakeFailure(
+        {error_kind::kUnavailable,
+         std::string("no handler for ") + wire::EnumNamebody(request.body.type),
+         "run the same release on all daemons"});
+  }
+  try {
+    return handler(sender, request);
+  } catch (const std::exception& failure) {
+    return MakeFailure(
+        {error_kind::kInternal, failure.what(), "report this as a bug"});
+  }
+}
+
+void Reply(const node_context& context, connection& link,
+           std::uint64_t correlation_id, const wire_message& reply,
+           duration timeout) {
+  if (correlation_id == 0) return;
+  auto payload = EncodeMessage(reply, correlation_id, true);
+  if (payload.size() > context.options.max_frame_bytes) {
+    payload = EncodeMessage(
+        MakeFailure(
+            {error_kind::kInternal, "the reply exceeds the frame limit",
+             "the request may have taken effect; raise max_frame_bytes"}),
+        correlation_id, true);
+  }
+  const auto deadline = context.options.clock->Now() + timeout;
+  if (link.WriteFrame(payload, deadline) != write_outcome::kSent &&
+      timeout >= kReplyTimeout) {
+    link.Close();
+  }
+}
+
+}  // namespace
+
+struct peer_node::state {
+  explicit state(peer_node_options options)
+      : context(std::make_shared<node_context>(std::move(options))) {}
+  ~state() {
+    if (listener >= 0) ::close(listener);
+  }
+
+  void Accept();
+  void Serve(const std::shared_ptr<connection>& link);
+  void HandleFrames(const std::shared_ptr<connection>& link,
+                    const std::string& sender);
+  void Dispatch(const std::shared_ptr<connection>& link,
+                const std::string& sender, wire_message request);
+  std::shared_ptr<peer_link> FindLink(std::string_view member_id);
+
+  std::shared_ptr<node_context> context;
+  int listener = -1;
+  std::string listen_address;
+  std::mutex mutex;
+  std::map<std::string, std::shared_ptr<peer_link>, std::less<>> links;
+  std::set<std::shared_ptr<connection>> incoming;
+  std::once_flag stopped;
+};
+
+peer_node::peer_node(std::shared_ptr<state> initial)
+    : state_(std::move(initial)) {}
+
+peer_node::~peer_node() { Stop(); }
+
+result<std::unique_ptr<peer_node>> peer_node::Start(peer_node_options options) {
+  if (options.key.size() < kMinKeyBytes) {
+    return Fail(error_kind::kInvalidArgument, "the peer key is too short",
+                "use a key of 32 bytes or more");
+  }
+  if (options.member_id.empty() ||
+      options.member_id.size() > kMaxMemberIdBytes) {
+    return Fail(error_kind::kInvalidArgument,
+                "the member id has a wrong length",
+                "use a name of 1 to 200 bytes");
+  }
+  auto initial = std::make_shared<state>(std::move(options));
+  BOOST_LEAF_ASSIGN(initial->listener,
+                    ListenSocket(initial->context->options.listen_address));
+  initial->listen_address = LocalAddress(initial->listener);
+  auto* self = initial.get();  // `Stop` joins the thread before it ends.
+  BOOST_LEAF_CHECK(initial->context->threads.Spawn("peer-accept",
+                                                   [self] { self->Accept(); }));
+  return std::unique_ptr<peer_node>(new peer_node(std::move(initial)));
+}
+
+void peer_node::Handle(wire::body type, peer_handler handler) {
+  state_->context->handlers[static_cast<std::size_t>(type)] =
+      std::move(handler);
+}
+
+void peer_node::SetAddress(std::string_view member_id,
+                           std::string_view address) {
+  std::shared_ptr<peer_link> replaced;
+  {
+    std::lock_guard guard(state_->mutex);
+    const auto found = state_->links.find(member_id);
+    if (found != state_->links.end()) {
+      if (found->second->Address() == address) return;
+      replaced = std::move(found->second);
+      state_->links.erase(found);
+    }
+    if (!address.empty() && !state_->context->stopping) {
+      state_->links.emplace(
+          member_id,
+          std::make_shared<peer_link>(state_->context, std::string(member_id),
+                                      std::string(address)));
+    }
+  }
+  if (replaced) replaced->Close();
+}
+
+result<wire_message> peer_node::Call(std::string_view member_id,
+                                     const wire_message& request,
+                                     duration timeout) {
+  if (state_->context->stopping) {
+    return Fail(error_kind::kUnavailable, "this daemon is stopping",
+                "send to another daemon");
+  }
+  const auto link = state_->FindLink(member_id);
+  if (!link) {
+    return Fail(error_kind::kNotFound,
+                "no peer is named " + std::string(member_id),
+                "wait until the member list is up to date");
+  }
+  return link->Call(request, timeout);
+}
+
+void peer_node::Post(std::string_view member_id, const wire_message& message) {
+  if (state_->context->stopping) return;
+  if (const auto link = state_->FindLink(member_id)) link->Post(message);
+}
+
+std::string peer_node::ListenAddress() const { return state_->listen_address; }
+
+std::uint64_t peer_node::BytesSent() const {
+  return state_->context->traffic->bytes_sent;
+}
+
+std::uint64_t peer_node::BytesReceived() const {
+  return state_->context->traffic->bytes_received;
+}
+
+std::uint64_t peer_node::MessagesSent() const {
+  return state_->context->traffic->messages_sent;
+}
+
+void peer_node::Stop() {
+  std::call_once(state_->stopped, [this] {
+    auto& context = *state_->context;
+    context.stopping = true;
+    ::shutdown(state_->listener, SHUT_RDWR);
+    decltype(state_->links) links;
+    {
+      std::lock_guard guard(state_->mutex);
+      links.swap(state_->links);
+      for (const auto& link : state_->incoming) link->Close();
+    }
+    for (const auto& [id, link] : links) link->Close();
+    context.pool.Stop();
+    context.threads.JoinAll();
+  });
+}
+
+std::shared_ptr<peer_link> peer_node::state::FindLink(
+    std::string_view member_id) {
+  std::lock_guard guard(mutex);
+  const auto found = links.find(member_id);
+  return found == links.end() ? nullptr : found->second;
+}
+
+void peer_node::state::Accept() {
+  const auto& options = context->options;
+  while (!context->stopping) {
+    WaitSocket(listener, POLLIN, *options.clock, time_point::max());
+    if (context->stopping) return;
+    const int socket = ::accept4(listener, nullptr, nullptr, SOCK_CLOEXEC);
+    if (socket < 0) {
+      // Without this pause a lack of descriptors would occupy a core.
+      if (errno == EMFILE || errno == ENFILE) {
+        options.clock->SleepFor(milliseconds(10));
+      }
+      continue;
+    }
+    ConfigureSocket(socket);
+    const auto link = std::make_shared<connection>(
+        socket, kMaxHandshakeFrameBytes, options.clock, context->traffic);
+    {
+      std::lock_guard guard(mutex);
+      if (context->stopping) return;
+      if (incoming.size() >= kMaxIncomingConnections) {
+        ReportRejected(
+            *context, {error_kind::kOverloaded, "too many incoming connections",
+                       "check who connects to the peer address"});
+        continue;
+      }
+      incoming.insert(link);
+    }
+    const auto spawned = Attempt([&] {
+      return context->threads.Spawn("peer-reader", [this, link] {
+        Serve(link);
+        link->Close();
+        std::lock_guard guard(mutex);
+        incoming.erase(link);
+      });
+    });
+    if (!spawned) {
+      std::lock_guard guard(mutex);
+      incoming.erase(link);
+    }
+  }
+}
+
+void peer_node::state::Serve(const std::shared_ptr<connection>& link) {
+  const auto& options = context->options;
+  const auto deadline = options.clock->Now() + 2 * options.connect_timeout;
+  const auto sender = Attempt([&] {
+    return AuthenticateServer(*link, options.key, options.member_id, deadline);
+  });
+  if (!sender) {
+    if (!context->stopping) ReportRejected(*context, sender.failure);
+    return;
+  }
+  link->SetMaxFrameBytes(options.max_frame_bytes);
+  if (const auto outgoing = FindLink(*sender)) outgoing->ResetBackoff();
+  HandleFrames(link, *sender);
+}
+
+void peer_node::state::HandleFrames(const std::shared_ptr<connection>& link,
+                                    const std::string& sender) {
+  byte_buffer payload;
+  while (!context->stopping) {
+    const auto received =
+        Attempt([&] { return link->ReadFrame(payload, time_point::max()); });
+    if (!received || !*received) {
+      if (!received && received.failure.kind == error_kind::kCorrupt) {
+        ReportInvalidFrame(*context, received.failure);
+      }
+      return;
+    }
+    auto message = Attempt([&] { return DecodeMessage(payload); });
+    if (!message) return ReportInvalidFrame(*context, message.failure);
+    if (message->is_response) {
+      context->unmatched_replies->Increment();
+      continue;
+    }
+    Dispatch(link, sender, std::move(*message));
+  }
+}
+
+void peer_node::state::Dispatch(const std::shared_ptr<connection>& link,
+                                const std::string& sender,
+                                wire_message request) {
+  const auto correlation_id = request.correlation_id;
+  const auto job = [this, link, sender,
+                    message =
+                        std::make_shared<wire_message>(std::move(request))] {
+    Reply(*context, *link, message->correlation_id,
+          RunHandler(*context, sender, *message), kReplyTimeout);
+  };
+  if (context->pool.Submit(job)) return;
+  context->overloaded_requests->Increment();
+  Reply(*context, *link, correlation_id,
+        MakeFailure({error_kind::kOverloaded, "all handler threads are busy",
+                     "retry later or at another daemon"}),
+        kRefusalTimeout);
+}
+
+}  // namespace apricotwheel
--- /dev/null
+++ b/src/peer/socket.cc
@@ -0,0 +1,137 @@
+#include <arpa/inet.h>
+#include <fcntl.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <poll.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <cerrno>
+#include <charconv>
+#include <cstring>
+
+#include "peer/connection.h"
+
+namespace apricotwheel {
+
+namespace {
+
+// Bounds one poll so that a paused clock's advance is noticed.
+constexpr auto kMaxPollSlice = milliseconds(20);
+// Unacknowledged data or silent keep-alives for this long end a connection
+// whose host is gone; a paused process's host still acknowledges.
+constexpr int kDeadHostMs = 5000;
+constexpr int kListenBacklog = 128;
+
+result<sockaddr_in> ParseAddress(std::string_view address) {
+  sockaddr_in parsed{};
+  parsed.sin_family = AF_INET;
+  const auto colon = address.rfind(':');
+  std::uint16_t port = 0;
+  if (colon != std::string_view::npos) {
+    const std::string ip(address.substr(0, colon));
+    const char* end = address.data() + address.size();
+    const auto [stop, status] =
+        std::from_chars(address.data() + colon + 1, end, port);
+    if (status == std::errc() && stop == end &&
+        ::inet_pton(AF_INET, ip.c_str(), &parsed.sin_addr) == 1) {
+      parsed.sin_port = htons(port);
+      return parsed;
+    }
+  }
+  return Fail(error_kind::kInvalidArgument,
+              "'" + std::string(address) + "' is not an address",
+              "write an IPv4 number and a port, for example 10.0.0.1:7100");
+}
+
+const sockaddr* AsGeneric(const sockaddr_in& address) {
+  return reinterpret_cast<const sockaddr*>(&address);  // As the API requires.
+}
+
+void SetOption(int socket, int level, int name, int value) {
+  ::setsockopt(socket, level, name, &value, sizeof(value));
+}
+
+}  // namespace
+
+void ConfigureSocket(int socket) {
+  ::fcntl(socket, F_SETFL, ::fcntl(socket, F_GETFL) | O_NONBLOCK);
+  SetOption(socket, IPPROTO_TCP, TCP_NODELAY, 1);
+  SetOption(socket, IPPROTO_TCP, TCP_USER_TIMEOUT, kDeadHostMs);
+  SetOption(socket, SOL_SOCKET, SO_KEEPALIVE, 1);
+  SetOption(socket, IPPROTO_TCP, TCP_KEEPIDLE, 2);
+  SetOption(socket, IPPROTO_TCP, TCP_KEEPINTVL, 1);
+  SetOption(socket, IPPROTO_TCP, TCP_KEEPCNT, 3);
+}
+
+bool WaitSocket(int socket, short events, runtime_clock& clock,
+                time_point deadline) {
+  // A wait without a deadline ends by data or by the socket's shutdown, so it
+  // needs no periodic wake-ups.
+  const bool is_unbounded = deadline == time_point::max();
+  while (true) {
+    const auto left = deadline - clock.Now();
+    if (left <= duration::zero()) return false;
+    const auto slice = std::chrono::ceil<milliseconds>(
+        std::min<duration>(left, kMaxPollSlice));
+    pollfd entry{socket, events, 0};
+    const int ready =
+        ::poll(&entry, 1, is_unbounded ? -1 : static_cast<int>(slice.count()));
+    if (ready > 0) return true;
+    if (ready < 0 && errno != EINTR) return true;  // The next call reports it.
+  }
+}
+
+result<int> ConnectSocket(std::string_view address, runtime_clock& clock,
+                          time_point deadline) {
+  BOOST_LEAF_AUTO(target, ParseAddress(address));
+  const int socket = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  const auto fail = [&](int code) {
+    if (socket >= 0) ::close(socket);
+    return Fail(error_kind::kUnavailable,
+                "cannot connect to " + std::string(address) + ": " +
+                    std::strerror(code),
+                "check that the daemon runs and that the address is right");
+  };
+  if (socket < 0) return fail(errno);
+  ConfigureSocket(socket);
+  if (::connect(socket, AsGeneric(target), sizeof(target)) == 0) return socket;
+  if (errno != EINPROGRESS) return fail(errno);
+  if (!WaitSocket(socket, POLLOUT, clock, deadline)) return fail(ETIMEDOUT);
+  int code = 0;
+  socklen_t size = sizeof(code);
+  ::getsockopt(socket, SOL_SOCKET, SO_ERROR, &code, &size);
+  if (code != 0) return fail(code);
+  return socket;
+}
+
+result<int> ListenSocket(std::string_view address) {
+  BOOST_LEAF_AUTO(local, ParseAddress(address));
+  const int socket =
+      ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0);
+  if (socket >= 0) {
+    SetOption(socket, SOL_SOCKET, SO_REUSEADDR, 1);
+    if (::bind(socket, AsGeneric(local), sizeof(local)) == 0 &&
+        ::listen(socket, kListenBacklog) == 0) {
+      return socket;
+    }
+  }
+  const int code = errno;
+  if (socket >= 0) ::close(socket);
+  return Fail(
+      error_kind::kIo,
+      "cannot listen on " + std::string(address) + ": " + std::strerror(code),
+      "choose an address of this machine with a free port");
+}
+
+std::string LocalAddress(int socket) {
+  sockaddr_in local{};
+  socklen_t size = sizeof(local);
+  ::getsockname(socket, reinterpret_cast<sockaddr*>(&local), &size);
+  char text[INET_ADDRSTRLEN] = {};
+  ::inet_ntop(AF_INET, &local.sin_addr, text, sizeof(text));
+  return std::string(text) + ":" + std::to_string(ntohs(local.sin_port));
+}
+
+}  // namespace apricotwheel
--- /dev/null
+++ b/tests/peer/peer_node_test.cc
@@ -0,0 +1,177 @@
+#include "peer/peer_node.h"
+
+#include <boost/test/unit_test.hpp>
+#include <future>
+#include <thread>
+#include <vector>
+
+#include "tests/peer/raw_peer.h"
+
+namespace apricotwheel {
+namespace {
+
+wire_message Echo(const std::string& sender, const wire_message& request) {
+  wire::job_responseT reply;
+  reply.body = sender + ":" + request.body.Asjob_request()->body;
+  return MakeMessage(std::move(reply));
+}
+
+struct pair_fixture {
+  std::unique_ptr<peer_node> left = StartNode("left.1");
+  std::unique_ptr<peer_node> right = StartNode("right.1");
+
+  pair_fixture() {
+    right->Handle(wire::body::job_request, Echo);
+    left->SetAddress("right.1", right->ListenAddress());
+  }
+  auto Call(const std::string& text, duration timeout = milliseconds(5000)) {
+    return Attempt(
+        [&] { return left->Call("right.1", JobRequest(text), timeout); });
+  }
+};
+
+// Guards against replies that reach another caller when many share one link,
+// and against a sender that is not the proven member.
+BOOST_FIXTURE_TEST_CASE(concurrent_calls_get_their_own_replies, pair_fixture) {
+  std::vector<std::thread> callers;
+  std::atomic<int> wrong = 0;
+  for (int caller = 0; caller < 8; ++caller) {
+    callers.emplace_back([&, caller] {
+      for (int i = 0; i < 100; ++i) {
+        const auto text = std::to_string(caller) + "-" + std::to_string(i);
+        const auto reply = Call(text);
+        if (!reply || reply->body.Asjob_response()->body != "left.1:" + text) {
+          ++wrong;
+        }
+      }
+    });
+  }
+  for (auto& caller : callers) caller.join();
+  BOOST_TEST(wrong == 0);
+  BOOST_TEST(left->MessagesSent() >= 800U);
+  BOOST_TEST(right->BytesSent() > 0U);
+}
+
+// Guards against errors that lose their kind on the way, and against calls to
+// unknown peers or unhandled types that hang.
+BOOST_FIXTURE_TEST_CASE(failures_keep_their_kind, pair_fixture) {
+  right->Handle(wire::body::stop_request, [](const auto&, const auto&) {
+    return MakeFailure({error_kind::kStaleEpoch, "old", "claim again"});
+  });
+  const auto call = [&](auto body) {
+    return Attempt([&] {
+      return left->Call("right.1", MakeMessage(std::move(body)),
+                        milliseconds(2000));
+    });
+  };
+  BOOST_TEST(Describe(call(wire::stop_requestT{}).failure) ==
+             "stale_epoch: old; claim again");
+  BOOST_TEST(
+      (call(wire::ticket_requestT{}).failure.kind == error_kind::kUnavailable));
+  const auto unknown = Attempt(
+      [&] { return left->Call("nobody", JobRequest("x"), milliseconds(100)); });
+  BOOST_TEST((unknown.failure.kind == error_kind::kNotFound));
+}
+
+// Guards against an unbounded number of handler threads, and against a busy
+// handler that blocks the reader of its connection.
+BOOST_AUTO_TEST_CASE(requests_past_the_bound_are_overloaded) {
+  const auto left = StartNode("left.1");
+  const auto right = StartNode(
+      "right.1", [](auto& options) { options.max_handler_threads = 2; });
+  std::promise<void> release;
+  const auto released = release.get_future().share();
+  std::atomic<int> running = 0;
+  right->Handle(wire::body::job_request,
+                [&](const auto& sender, const auto& in) {
+                  ++running;
+                  released.wait();
+                  return Echo(sender, in);
+                });
+  left->SetAddress("right.1", right->ListenAddress());
+  const auto call = [&] {
+    return Attempt([&] {
+      return left->Call("right.1", JobRequest("x"), milliseconds(5000));
+    });
+  };
+  auto first = std::async(std::launch::async, call);
+  auto second = std::async(std::launch::async, call);
+  BOOST_REQUIRE(Eventually([&] { return running == 2; }));
+  BOOST_TEST((call().failure.kind == error_kind::kOverloaded));
+  release.set_value();
+  BOOST_TEST(static_cast<bool>(first.get()));
+  BOOST_TEST(static_cast<bool>(second.get()));
+}
+
+// Guards against `unavailable` for a request that the peer's handler has, and
+// against a link that stays unusable after the peer's restart.
+BOOST_FIXTURE_TEST_CASE(cut_between_send_and_reply_is_a_timeout, pair_fixture) {
+  std::promise<void> entered;
+  right->Handle(wire::body::job_request, [&](const auto&, const auto&) {
+    entered.set_value();
+    std::this_thread::sleep_for(milliseconds(200));
+    return wire_message();
+  });
+  auto pending = std::async(std::launch::async, [&] { return Call("x"); });
+  entered.get_future().wait();
+  const auto address = right->ListenAddress();
+  right->Stop();
+  BOOST_TEST((pending.get().failure.kind == error_kind::kTimeout));
+  BOOST_TEST((Call("y").failure.kind == error_kind::kUnavailable));
+
+  // The address now belongs to another incarnation, which must not be taken for
+  // the one that was called.
+  right = StartNode("right.2",
+                    [&](auto& options) { options.listen_address = address; });
+  right->Handle(wire::body::job_request, Echo);
+  BOOST_TEST((Call("z").failure.kind == error_kind::kUnavailable));
+  left->SetAddress("right.1", "");
+  left->SetAddress("right.2", address);
+  BOOST_TEST(static_cast<bool>(Attempt([&] {
+    return left->Call("right.2", JobRequest("z"), milliseconds(2000));
+  })));
+}
+
+// Guards against daemons with different keys that exchange messages.
+BOOST_AUTO_TEST_CASE(wrong_key_is_rejected_by_both_sides) {
+  const auto metrics = std::make_shared<prometheus::Registry>();
+  const auto right =
+      StartNode("right.1", [&](auto& options) { options.metrics = metrics; });
+  std::atomic<int> handled = 0;
+  right->Handle(wire::body::job_request,
+                [&](const auto& sender, const auto& in) {
+                  ++handled;
+                  return Echo(sender, in);
+                });
+  const auto left = StartNode(
+      "left.1", [](auto& options) { options.key = std::string(32, 'w'); });
+  left->SetAddress("right.1", right->ListenAddress());
+  const auto reply = Attempt([&] {
+    return left->Call("right.1", JobRequest("x"), milliseconds(2000));
+  });
+  BOOST_TEST((reply.failure.kind == error_kind::kUnavailable));
+  BOOST_TEST(handled == 0);
+  BOOST_TEST(Eventually([&] {
+    return Count(*metrics, "apricotwheel_peer_rejected_connections_total") == 1;
+  }));
+}
+
+// Guards against one-way messages that are lost while the first connection is
+// being opened, or that wait for an unreachable peer.
+BOOST_FIXTURE_TEST_CASE(post_is_delivered_and_never_blocks, pair_fixture) {
+  std::promise<std::string> received;
+  right->Handle(wire::body::gossip, [&](const auto& sender, const auto&) {
+    received.set_value(sender);
+    return wire_message();
+  });
+  left->Post("right.1", MakeMessage(wire::gossipT{}));
+  BOOST_TEST(received.get_future().get() == "left.1");
+  left->SetAddress("gone", "127.0.0.1:1");
+  const auto start = std::chrono::steady_clock::now();
+  for (int i = 0; i < 100; ++i)
+    left->Post("gone", MakeMessage(wire::gossipT{}));
+  BOOST_TEST((std::chrono::steady_clock::now() - start < milliseconds(500)));
+}
+
+}  // namespace
+}  // namespace apricotwheel
--- /dev/null
+++ b/tests/peer/raw_peer.h
@@ -0,0 +1,111 @@
+#pragma once
+
+#include <poll.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <memory>
+#include <string>
+#include <thread>
+
+#include "peer/connection.h"
+#include "peer/envelope.h"
+#include "peer/handshake.h"
+#include "peer/peer_node.h"
+
+// Helpers of the peer tests: nodes on free loopback ports, and a peer that is
+// driven frame by frame to misbehave.
+namespace apricotwheel {
+
+inline const std::string kTestKey(32, 'k');
+
+template <class Change>
+std::unique_ptr<peer_node> StartNode(const std::string& member_id,
+                                     Change change) {
+  peer_node_options options;
+  options.member_id = member_id;
+  options.listen_address = "127.0.0.1:0";
+  options.key = kTestKey;
+  change(options);
+  return Attempt([&] { return peer_node::Start(options); }).value.value();
+}
+inline std::unique_ptr<peer_node> StartNode(const std::string& member_id) {
+  return StartNode(member_id, [](auto&) {});
+}
+
+inline wire_message JobRequest(const std::string& text) {
+  wire::job_requestT body;
+  body.body = text;
+  return MakeMessage(std::move(body));
+}
+
+template <class Condition>
+bool Eventually(Condition condition) {
+  for (int i = 0; i < 500; ++i) {
+    if (condition()) return true;
+    std::this_thread::sleep_for(milliseconds(10));
+  }
+  return condition();
+}
+
+inline double Count(prometheus::Registry& metrics, const std::string& name) {
+  for (const auto& family : metrics.Collect()) {
+    if (family.name == name) return family.metric.at(0).counter.value;
+  }
+  return -1;
+}
+
+inline time_point SoonEnough() {
+  return runtime_clock::Running()->Now() + milliseconds(5000);
+}
+
+inline std::unique_ptr<connection> Wrap(int socket) {
+  ConfigureSocket(socket);
+  return std::make_unique<connection>(socket, 8 << 20, runtime_clock::Running(),
+                                      std::make_shared<peer_traffic>());
+}
+
+inline int RawSocket(const std::string& address) {
+  const auto clock = runtime_clock::Running();
+  return Attempt([&] { return ConnectSocket(address, *clock, SoonEnough()); })
+      .value.value();
+}
+
+// Connects to a node and authenticates as `client.1`.
+inline std::unique_ptr<connection> RawClient(const std::string& address,
+                                             const std::string& server_id) {
+  auto link = Wrap(RawSocket(address));
+  const auto proven = Attempt([&] {
+    return AuthenticateClient(*link, kTestKey, "client.1", server_id,
+                              SoonEnough());
+  });
+  return proven ? std::move(link) : nullptr;
+}
+
+// Accepts one connection of a node and authenticates as `raw.1`.
+struct raw_server {
+  int listener =
+      Attempt([] { return ListenSocket("127.0.0.1:0"); }).value.value();
+  std::string address = LocalAddress(listener);
+
+  ~raw_server() { ::close(listener); }
+  std::unique_ptr<connection> Accept() const {
+    WaitSocket(listener, POLLIN, *runtime_clock::Running(), SoonEnough());
+    auto link = Wrap(::accept(listener, nullptr, nullptr));
+    const auto proven = Attempt([&] {
+      return AuthenticateServer(*link, kTestKey, "raw.1", SoonEnough());
+    });
+    return proven ? std::move(link) : nullptr;
+  }
+};
+
+// True if the other side closes the connection.
+inline bool ClosesSoon(connection& link) {
+  byte_buffer payload;
+  const auto read =
+      Attempt([&] { return link.ReadFrame(payload, SoonEnough()); });
+  return read ? !*read : read.failure.kind == error_kind::kIo;
+}
+
+}  // namespace apricotwheel
