Add the cluster manager

Cause: a daemon needs its member record, the assignment, the document in force and the merged VM list.

Change: one thread each for lease, watch, VM list, planning and gossip. After an outage of the key-value service no assignment is planned for one lease time, so that returning members can write their records.

--- /dev/null
+++ b/src/cluster/cluster_core.cc
@@ -0,0 +1,142 @@
+#include "cluster/cluster_core.h"
+
+#include <prometheus/counter.h>
+#include <prometheus/gauge.h>
+
+#include <algorithm>
+
+#include "cluster/cluster_events.h"
+
+namespace apricotwheel {
+
+namespace {
+
+cluster_manager_options WithDefaults(cluster_manager_options options) {
+  if (!options.clock) options.clock = runtime_clock::Running();
+  if (!options.metrics) {
+    options.metrics = std::make_shared<prometheus::Registry>();
+  }
+  return options;
+}
+
+member OwnRecord(const cluster_manager_options& options) {
+  const auto& settings = options.settings;
+  return {options.member_id,     settings.name,         settings.failure_domain,
+          settings.http_address, settings.peer_address, false};
+}
+
+}  // namespace
+
+cluster_core::cluster_core(cluster_manager_options options)
+    : options_(WithDefaults(std::move(options))),
+      clock_(options_.clock),
+      documents_(options_.policy_names, options_.log, *options_.metrics),
+      vms_(clock_),
+      board_(clock_),
+      lease_(options_.kv, clock_, options_.settings, OwnRecord(options_),
+             options_.log),
+      assignment_writes_(
+          &prometheus::BuildCounter()
+               .Name("apricotwheel_cluster_assignment_writes_total")
+               .Help("Assignments that this daemon has written.")
+               .Register(*options_.metrics)
+               .Add({})),
+      member_gauge_(&prometheus::BuildGauge()
+                         .Name("apricotwheel_cluster_members")
+                         .Help("Daemons with a member record.")
+                         .Register(*options_.metrics)
+                         .Add({})),
+      view_(std::make_shared<const cluster_view>()),
+      lease_signal_(clock_),
+      watch_signal_(clock_),
+      vm_signal_(clock_),
+      planner_signal_(clock_),
+      gossip_signal_(clock_) {}
+
+result<void> cluster_core::Start() {
+  documents_.OnDocument([this](const active_document_ptr& next) {
+    vms_.SetDrain(next->document->drain);
+    gossip_signal_.Wake();  // Peers learn drained VMs without a delay.
+    if (document_listener) document_listener(next);
+  });
+  BOOST_LEAF_CHECK(threads_.Spawn("cluster-lease", [this] { RunLease(); }));
+  BOOST_LEAF_CHECK(threads_.Spawn("cluster-watch", [this] { RunWatch(); }));
+  BOOST_LEAF_CHECK(threads_.Spawn("cluster-vms", [this] { RunVmList(); }));
+  BOOST_LEAF_CHECK(threads_.Spawn("cluster-plan", [this] { RunPlanner(); }));
+  BOOST_LEAF_CHECK(threads_.Spawn("cluster-gossip", [this] { RunGossip(); }));
+  return {};
+}
+
+void cluster_core::Stop() {
+  for (auto* signal : {&lease_signal_, &watch_signal_, &vm_signal_,
+                       &planner_signal_, &gossip_signal_}) {
+    signal->RequestStop();
+  }
+  threads_.JoinAll();
+  // Running handlers may call the listeners, whose targets end after this.
+  std::unique_lock guard(handler_mutex_);
+  handlers_closed_ = true;
+}
+
+void cluster_core::RunLease() {
+  while (!lease_signal_.StopRequested()) {
+    const bool was_held = lease_.IsHeld();
+    const auto wait = lease_.Tick();
+    if (!was_held && lease_.IsHeld()) planner_signal_.Wake();
+    if (lease_signal_.WaitFor(wait)) return;
+  }
+}
+
+void cluster_core::RunVmList() {
+  bool has_failed = false;
+  while (!vm_signal_.StopRequested()) {
+    auto fetched = Attempt([&] { return options_.vm_list->Fetch(); });
+    if (fetched) {
+      const auto marks = vms_.OwnMarks();
+      vms_.Update(std::move(*fetched));
+      planner_signal_.Wake();
+      // Guarantee 6 counts from when the list names a VM; do not wait for the
+      // next round.
+      if (vms_.OwnMarks() != marks) gossip_signal_.Wake();
+    } else if (!has_failed) {
+      Emit(options_.log, cluster_events::kVmListFailed,
+           {Field("reason", Describe(fetched.failure))});
+    }
+    has_failed = !fetched;
+    if (vm_signal_.WaitFor(options_.settings.vm_list_interval)) return;
+  }
+}
+
+void cluster_core::AnnounceLeaving() {
+  lease_.MarkLeaving();
+  lease_signal_.Wake();
+  SendGossip();
+}
+
+cluster_view_ptr cluster_core::View() const {
+  std::lock_guard guard(mutex_);
+  return view_;
+}
+
+std::vector<peer_summary> cluster_core::Summaries() const {
+  auto all = board_.Summaries();
+  const auto view = View();
+  std::erase_if(all, [&](const peer_summary& one) {
+    return view->FindMember(one.member_id) == nullptr;
+  });
+  return all;
+}
+
+cluster_status cluster_core::Status() const {
+  cluster_status status;
+  status.holds_lease = lease_.IsHeld();
+  status.document_revision = documents_.Revision();
+  status.document_fault = documents_.Fault();
+  status.vm_list_version = vms_.Version();
+  status.vm_list_age_ms = vms_.AgeMs();
+  std::lock_guard guard(mutex_);
+  status.kv_reachable = is_listed_ && kv_reachable_;
+  return status;
+}
+
+}  // namespace apricotwheel
--- /dev/null
+++ b/src/cluster/cluster_core.h
@@ -0,0 +1,123 @@
+#pragma once
+
+#include <atomic>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <optional>
+#include <set>
+#include <shared_mutex>
+#include <string>
+#include <vector>
+
+#include "cluster/cluster_manager.h"
+#include "cluster/document_follower.h"
+#include "cluster/gossip_board.h"
+#include "cluster/member_lease.h"
+#include "cluster/vm_tracker.h"
+#include "kernel/thread_group.h"
+
+namespace apricotwheel {
+
+// The working parts of a cluster manager. The handlers that it registers with
+// the peer node refer to it weakly, because the node outlives it.
+class cluster_core : public std::enable_shared_from_this<cluster_core> {
+ public:
+  explicit cluster_core(cluster_manager_options options);
+
+  void RegisterHandlers();
+  result<void> Start();
+  void Stop();
+  void AnnounceLeaving();
+  result<void> HandOver(time_point deadline,
+                        const cluster_manager::handover_step& before_commit);
+
+  cluster_view_ptr View() const;
+  std::vector<peer_summary> Summaries() const;
+  cluster_status Status() const;
+
+  document_follower& Documents() { return documents_; }
+  const vm_tracker& Vms() const { return vms_; }
+  const member_lease& Lease() const { return lease_; }
+
+  cluster_manager::view_listener view_listener;
+  cluster_manager::document_listener document_listener;
+  cluster_manager::gossip_source gossip_source;
+
+ private:
+  struct stored_member {
+    member record;
+    std::uint64_t revision = 0;
+  };
+
+  void RunLease();
+  void RunWatch();
+  void RunVmList();
+  void RunPlanner();
+  void RunGossip();
+
+  // cluster_watch.cc
+  bool ListAll(std::uint64_t& revision);
+  void Apply(const kv_event& event);
+  void ApplyMember(const kv_event& event, const std::string& id);
+  void ApplyAssignment(const kv_entry& entry);
+  void Publish();
+  void UpdatePeers(const std::vector<member>& members);
+  void SetReachable(bool reachable);
+
+  // cluster_planner.cc
+  std::optional<assignment> NextAssignment(const cluster_view& view,
+                                           bool without_self);
+  result<void> WriteAssignment(const assignment& next, std::uint64_t expected,
+                               time_point deadline);
+  result<void> RefreshAssignment();
+  bool IsSettling() const;
+  bool HasOlderVmList() const;
+
+  // cluster_gossip.cc
+  void SendGossip();
+  void ReceiveGossip(const std::string& sender, const wire::gossipT& message);
+  void FetchDocument(const std::string& sender);
+  void ForgetSilentPeers();
+
+  cluster_manager_options options_;
+  const clock_ptr clock_;
+  document_follower documents_;
+  vm_tracker vms_;
+  gossip_board board_;
+  member_lease lease_;
+  prometheus::Counter* const assignment_writes_;
+  prometheus::Gauge* const member_gauge_;
+
+  mutable std::mutex mutex_;
+  std::map<std::string, stored_member> members_;
+  std::uint64_t members_revision_ = 0;
+  assignment owners_;
+  std::uint64_t assignment_revision_ = 0;
+  cluster_view_ptr view_;
+  std::set<std::string> linked_peers_;
+  std::map<std::string, time_point> vanished_peers_;
+  time_point settled_at_{};
+  bool is_listed_ = false;
+  bool kv_reachable_ = true;
+
+  std::mutex publish_mutex_;         // Orders views and the listener's calls.
+  std::shared_mutex handler_mutex_;  // Shared by running peer handlers.
+  bool handlers_closed_ = false;
+  std::mutex gossip_mutex_;  // Guards the composer.
+  gossip_composer composer_;
+  std::atomic<bool> is_fetching_ = false;
+
+  stop_signal lease_signal_;
+  stop_signal watch_signal_;
+  stop_signal vm_signal_;
+  stop_signal planner_signal_;
+  stop_signal gossip_signal_;
+  thread_group threads_;
+};
+
+// Key of the assignment in the key-value service.
+inline constexpr std::string_view kAssignmentKey =
+    "apricotwheel/cluster/assignment";
+
+}  // namespace apricotwheel
--- /dev/null
+++ b/src/cluster/cluster_planner.cc
@@ -0,0 +1,170 @@
+#include <prometheus/counter.h>
+
+#include <algorithm>
+
+#include "cluster/cluster_core.h"
+#include "cluster/cluster_events.h"
+
+namespace apricotwheel {
+
+namespace {
+
+// The n-th member waits n times this before it writes.
+constexpr auto kRankDelay = milliseconds(200);
+// At most five writes of the assignment a second for each daemon.
+constexpr auto kMinWriteInterval = milliseconds(200);
+// A member whose VM list is older than a peer's leaves the write to others for
+// two list intervals, so that lists of different age do not undo each other.
+constexpr auto kOlderListDelay = milliseconds(2000);
+constexpr auto kIdleWait = milliseconds(500);
+constexpr auto kRetryWait = milliseconds(100);
+
+bool OwnsAny(const assignment& owners, std::string_view id) {
+  const auto is_own = [&](const ownership& entry) { return entry.owner == id; };
+  return std::any_of(owners.shards.begin(), owners.shards.end(), is_own) ||
+         std::any_of(owners.partitions.begin(), owners.partitions.end(),
+                     [&](const auto& entry) { return is_own(entry.second); });
+}
+
+// The member's place among those that may write; leaving ones come last.
+int RankOf(const cluster_view& view, std::string_view id) {
+  int rank = 0;
+  for (const auto& one : view.members) {
+    if (one.id == id) return rank;
+    if (!one.leaving) ++rank;
+  }
+  return rank;
+}
+
+}  // namespace
+
+std::optional<assignment> cluster_core::NextAssignment(const cluster_view& view,
+                                                       bool without_self) {
+  auto partitions = vms_.Partitions(view.owners);
+  if (!partitions) {
+    if (!without_self) return std::nullopt;
+    // A hand-over needs no list: it moves what has an owner.
+    partitions.emplace();
+    for (const auto& [name, entry] : view.owners.partitions) {
+      if (!entry.owner.empty()) partitions->push_back(name);
+    }
+  }
+  auto members = view.members;
+  if (without_self) {
+    std::erase_if(members, [&](const member& one) {
+      return one.id == options_.member_id;
+    });
+  }
+  return PlanAssignment(view.owners, members, *partitions);
+}
+
+bool cluster_core::HasOlderVmList() const {
+  const auto summaries = Summaries();
+  return std::any_of(summaries.begin(), summaries.end(),
+                     [&](const peer_summary& one) {
+                       return one.gossip.vm_list_version > vms_.Version();
+                     });
+}
+
+bool cluster_core::IsSettling() const {
+  std::lock_guard guard(mutex_);
+  return !is_listed_ || clock_->Now() < settled_at_;
+}
+
+void cluster_core::RunPlanner() {
+  time_point differs_since = time_point::max();
+  time_point next_write{};
+  while (!planner_signal_.StopRequested()) {
+    const auto view = View();
+    std::optional<assignment> plan;
+    if (lease_.IsHeld() && !lease_.IsLeaving() && !IsSettling() &&
+        view->FindMember(options_.member_id) != nullptr) {
+      plan = NextAssignment(*view, false);
+    }
+    if (!plan || *plan == view->owners) {
+      differs_since = time_point::max();
+      if (planner_signal_.WaitFor(kIdleWait)) return;
+      continue;
+    }
+    const auto now = clock_->Now();
+    differs_since = std::min(differs_since, now);
+    auto delay = RankOf(*view, options_.member_id) * duration(kRankDelay);
+    if (HasOlderVmList()) delay += kOlderListDelay;
+    const auto due = std::max(differs_since + delay, next_write);
+    if (now < due) {
+      if (planner_signal_.WaitFor(due - now)) return;
+      continue;  // Plans again with what has changed meanwhile.
+    }
+    next_write = now + kMinWriteInterval;
+    const auto written = Attempt([&] {
+      return WriteAssignment(*plan, view->assignment_revision,
+                             now + options_.settings.lease_renew_interval);
+    });
+    const bool is_conflict =
+        !written && written.failure.kind == error_kind::kConflict;
+    if (is_conflict) Attempt([&] { return RefreshAssignment(); });
+    if (written || is_conflict) differs_since = time_point::max();
+  }
+}
+
+result<void> cluster_core::WriteAssignment(const assignment& next,
+                                           std::uint64_t expected,
+                                           time_point deadline) {
+  kv_entry entry;
+  entry.key = kAssignmentKey;
+  entry.value = EncodeAssignment(next);
+  BOOST_LEAF_ASSIGN(entry.revision,
+                    options_.kv->PutSettled(entry.key, entry.value, expected,
+                                            *clock_, deadline));
+  assignment_writes_->Increment();
+  Emit(options_.log, cluster_events::kAssignmentWritten,
+       {Field("revision", entry.revision)});
+  ApplyAssignment(entry);
+  Publish();
+  return {};
+}
+
+result<void> cluster_core::RefreshAssignment() {
+  BOOST_LEAF_AUTO(entry, options_.kv->Get(kAssignmentKey));
+  if (entry) {
+    ApplyAssignment(*entry);
+    Publish();
+  }
+  return {};
+}
+
+result<void> cluster_core::HandOver(
+    time_point deadline, const cluster_manager::handover_step& before_commit) {
+  lease_.MarkLeaving();
+  lease_signal_.Wake();
+  outcome<void> handed_over;
+  handed_over.failure = {error_kind::kTimeout,
+                         "ownership was not handed over in time",
+                         "successors take it when the lease has ended"};
+  while (clock_->Now() < deadline) {
+    const auto view = View();
+    const auto plan = NextAssignment(*view, true);
+    if (!OwnsAny(view->owners, options_.member_id)) {
+      handed_over.succeeded = true;
+      break;
+    }
+    if (plan && lease_.IsHeld()) {
+      if (before_commit) before_commit(*plan);
+      const auto written = Attempt([&] {
+        return WriteAssignment(*plan, view->assignment_revision, deadline);
+      });
+      if (written) continue;
+      if (written.failure.kind == error_kind::kConflict) {
+        const auto read = Attempt([&] { return RefreshAssignment(); });
+        if (read) continue;
+      }
+    }
+    clock_->SleepUntil(
+        std::min<time_point>(deadline, clock_->Now() + kRetryWait));
+  }
+  lease_.Resign();
+  if (!handed_over) return Fail(handed_over.failure);
+  return {};
+}
+
+}  // namespace apricotwheel
--- /dev/null
+++ b/src/cluster/cluster_watch.cc
@@ -0,0 +1,188 @@
+#include <prometheus/gauge.h>
+
+#include <algorithm>
+
+#include "cluster/cluster_core.h"
+#include "cluster/cluster_events.h"
+#include "kernel/random.h"
+
+namespace apricotwheel {
+
+namespace {
+
+// Bounds how long a stop waits for the thread; a watch that ends without an
+// event costs one call.
+constexpr auto kWatchWait = milliseconds(2000);
+constexpr auto kRetryBase = milliseconds(100);
+constexpr auto kRetryLimit = milliseconds(1000);
+
+}  // namespace
+
+void cluster_core::RunWatch() {
+  auto random = SystemRandom();
+  std::uint64_t revision = 0;
+  bool needs_list = true;
+  int failures = 0;
+  while (!watch_signal_.StopRequested()) {
+    if (needs_list) needs_list = !ListAll(revision);
+    auto seen = Attempt([&]() -> result<kv_watch_result> {
+      if (needs_list) {
+        return Fail(error_kind::kUnavailable, "the list failed", "retry");
+      }
+      return options_.kv->Watch(kClusterPrefix, revision, kWatchWait);
+    });
+    SetReachable(static_cast<bool>(seen));
+    if (!seen) {
+      const auto wait =
+          BackoffWithJitter(random, failures++, kRetryBase, kRetryLimit);
+      if (watch_signal_.WaitFor(wait)) return;
+      continue;
+    }
+    failures = 0;
+    needs_list = seen->history_lost;
+    // After lost history the list is read later than this revision, so events
+    // from here on miss nothing that the list lacks.
+    revision = std::max(revision, seen->revision);
+    if (seen->events.empty()) continue;
+    for (const auto& event : seen->events) Apply(event);
+    Publish();
+  }
+}
+
+bool cluster_core::ListAll(std::uint64_t& revision) {
+  const auto listed =
+      Attempt([&] { return options_.kv->List(kClusterPrefix); });
+  if (!listed) return false;
+  std::map<std::string, std::uint64_t> gone;
+  {
+    std::lock_guard guard(mutex_);
+    for (const auto& [id, stored] : members_) gone[id] = stored.revision;
+  }
+  for (const auto& entry : *listed) {
+    revision = std::max(revision, entry.revision);
+    if (entry.key.starts_with(kMembersPrefix)) {
+      gone.erase(entry.key.substr(kMembersPrefix.size()));
+    }
+    Apply({entry, false});
+  }
+  for (const auto& [id, known_revision] : gone) {
+    kv_event deletion;
+    deletion.entry.key = std::string(kMembersPrefix) + id;
+    deletion.entry.revision = known_revision + 1;
+    deletion.deleted = true;
+    Apply(deletion);
+  }
+  {
+    std::lock_guard guard(mutex_);
+    is_listed_ = true;
+  }
+  Publish();
+  return true;
+}
+
+void cluster_core::Apply(const kv_event& event) {
+  const auto& key = event.entry.key;
+  if (key.starts_with(kMembersPrefix)) {
+    ApplyMember(event, key.substr(kMembersPrefix.size()));
+  } else if (key == kAssignmentKey && !event.deleted) {
+    ApplyAssignment(event.entry);
+  } else if (key == kDocumentKey && !event.deleted) {
+    documents_.Offer(event.entry.value);
+  }
+}
+
+void cluster_core::ApplyMember(const kv_event& event, const std::string& id) {
+  const auto revision = event.entry.revision;
+  if (event.deleted && id == options_.member_id) {
+    lease_.RecordDeleted(revision);
+    lease_signal_.Wake();
+  }
+  std::optional<member> record;
+  if (!event.deleted) {
+    auto decoded = Attempt([&] { return DecodeMember(event.entry.value); });
+    if (!decoded || decoded->id != id) {
+      Emit(options_.log, cluster_events::kRecordInvalid,
+           {Field("key", event.entry.key)});
+      return;
+    }
+    record = std::move(*decoded);
+  }
+  std::lock_guard guard(mutex_);
+  const auto found = members_.find(id);
+  if (found != members_.end() && found->second.revision >= revision) return;
+  if (record) {
+    members_[id] = {std::move(*record), revision};
+  } else if (found != members_.end()) {
+    members_.erase(found);
+  }
+  members_revision_ = std::max(members_revision_, revision);
+}
+
+void cluster_core::ApplyAssignment(const kv_entry& entry) {
+  auto decoded = Attempt([&] { return DecodeAssignment(entry.value); });
+  if (!decoded) {
+    Emit(options_.log, cluster_events::kRecordInvalid,
+         {Field("key", entry.key), Field("reason", Describe(decoded.failure))});
+    return;
+  }
+  std::lock_guard guard(mutex_);
+  if (entry.revision <= assignment_revision_) return;
+  owners_ = std::move(*decoded);
+  assignment_revision_ = entry.revision;
+}
+
+void cluster_core::Publish() {
+  std::lock_guard order(publish_mutex_);
+  auto next = std::make_shared<cluster_view>();
+  {
+    std::lock_guard guard(mutex_);
+    next->members_revision = members_revision_;
+    next->assignment_revision = assignment_revision_;
+    next->owners = owners_;
+    for (const auto& [id, stored] : members_) {
+      next->members.push_back(stored.record);
+      // An announcement by gossip arrives even if the record cannot be written.
+      if (board_.IsDraining(id)) next->members.back().leaving = true;
+    }
+    if (next->members == view_->members && next->owners == view_->owners &&
+        next->assignment_revision == view_->assignment_revision) {
+      return;
+    }
+    view_ = next;
+  }
+  member_gauge_->Set(static_cast<double>(next->members.size()));
+  UpdatePeers(next->members);
+  planner_signal_.Wake();
+  if (view_listener) view_listener(next);
+}
+
+void cluster_core::UpdatePeers(const std::vector<member>& members) {
+  for (const auto& one : members) {
+    if (one.id == options_.member_id) continue;
+    options_.peers->SetAddress(one.id, one.peer_address);
+  }
+  std::lock_guard guard(mutex_);
+  const auto now = clock_->Now();
+  for (const auto& id : linked_peers_) vanished_peers_.try_emplace(id, now);
+  for (const auto& one : members) {
+    if (one.id != options_.member_id) linked_peers_.insert(one.id);
+    vanished_peers_.erase(one.id);
+  }
+}
+
+void cluster_core::SetReachable(bool reachable) {
+  {
+    std::lock_guard guard(mutex_);
+    if (reachable == kv_reachable_) return;
+    kv_reachable_ = reachable;
+    // Members whose leases ended in the outage need time to write their records
+    // again; planning before that would move everything twice.
+    if (reachable && is_listed_) {
+      settled_at_ = clock_->Now() + options_.settings.lease_ttl;
+    }
+  }
+  Emit(options_.log,
+       reachable ? cluster_events::kServiceBack : cluster_events::kServiceLost);
+}
+
+}  // namespace apricotwheel
--- /dev/null
+++ b/src/cluster/member_lease.cc
@@ -0,0 +1,114 @@
+#include "cluster/member_lease.h"
+
+#include "cluster/cluster_events.h"
+
+namespace apricotwheel {
+
+namespace {
+
+// A failed call is repeated well within the lease.
+constexpr int kRetriesPerInterval = 4;
+
+}  // namespace
+
+member_lease::member_lease(kv_client* kv, clock_ptr clock,
+                           const daemon_settings& settings, member record,
+                           log_sink log)
+    : kv_(kv),
+      clock_(std::move(clock)),
+      time_to_live_(settings.lease_ttl),
+      renew_interval_(settings.lease_renew_interval),
+      margin_(settings.clock_margin),
+      log_(std::move(log)),
+      record_(std::move(record)) {}
+
+duration member_lease::Tick() {
+  std::lock_guard guard(call_mutex_);
+  if (resigned_) return renew_interval_;
+  const auto now = clock_->Now();
+  const bool is_due =
+      lease_id_.empty() || now - last_renewal_ >= renew_interval_;
+  if (is_due && !Renew()) return renew_interval_ / kRetriesPerInterval;
+  if (record_due_.exchange(false) && !WriteRecord()) {
+    record_due_ = true;
+    return renew_interval_ / kRetriesPerInterval;
+  }
+  return std::max(duration::zero(),
+                  last_renewal_ + renew_interval_ - clock_->Now());
+}
+
+bool member_lease::Renew() {
+  // The service counts from when it receives the call, which is not earlier.
+  const auto sent_at = clock_->Now();
+  const auto extend = [&] {
+    last_renewal_ = sent_at;
+    valid_until_ =
+        (sent_at + time_to_live_ - margin_).time_since_epoch().count();
+  };
+  if (!lease_id_.empty()) {
+    const auto renewed = Attempt([&] { return kv_->RenewLease(lease_id_); });
+    if (renewed) {
+      extend();
+      return true;
+    }
+    if (renewed.failure.kind != error_kind::kNotFound) return false;
+    lease_id_.clear();
+    record_written_ = false;
+    record_due_ = true;
+    valid_until_ = 0;
+    Emit(log_, cluster_events::kLeaseLost,
+         {Field("member", record_.id),
+          Field("reason", Describe(renewed.failure))});
+  }
+  const auto granted = Attempt([&] { return kv_->GrantLease(time_to_live_); });
+  if (!granted) return false;
+  lease_id_ = *granted;
+  extend();
+  Emit(log_, cluster_events::kLeaseTaken, {Field("member", record_.id)});
+  return true;
+}
+
+bool member_lease::WriteRecord() {
+  // No other process has this key, so an unchecked write is safe to repeat.
+  kv_put_options options;
+  options.lease_id = lease_id_;
+  record_.leaving = leaving_;
+  const auto written =
+      Attempt([&] { return kv_->Put(Key(), EncodeMember(record_), options); });
+  if (written) {
+    record_revision_ = *written;
+    record_written_ = true;
+    return true;
+  }
+  // The lease may have ended since its last renewal; check it at once.
+  if (written.failure.kind != error_kind::kTimeout) last_renewal_ = {};
+  return false;
+}
+
+bool member_lease::IsHeld() const {
+  return record_written_ &&
+         clock_->Now().time_since_epoch().count() < valid_until_;
+}
+
+void member_lease::MarkLeaving() {
+  leaving_ = true;
+  record_due_ = true;
+}
+
+void member_lease::RecordDeleted(std::uint64_t revision) {
+  if (revision <= record_revision_) return;  // An earlier record's deletion.
+  record_written_ = false;
+  record_due_ = true;
+}
+
+void member_lease::Resign() {
+  std::lock_guard guard(call_mutex_);
+  if (resigned_) return;
+  resigned_ = true;
+  valid_until_ = 0;
+  // If a call fails, the record disappears when the lease expires.
+  Attempt([&] { return kv_->Remove(Key()); });
+  if (!lease_id_.empty()) Attempt([&] { return kv_->RevokeLease(lease_id_); });
+}
+
+}  // namespace apricotwheel
--- /dev/null
+++ b/src/cluster/vm_tracker.h
@@ -0,0 +1,73 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "cluster/cluster_view.h"
+#include "kernel/clock.h"
+#include "platform/vm_list_client.h"
+
+namespace apricotwheel {
+
+// `<failure domain>/<rack>` of a VM.
+std::string PartitionOf(const vm_record& vm);
+
+// Merges the VM list with what peers and the document say about leaving VMs,
+// and remembers for how long partitions have been absent. Thread-safe.
+class vm_tracker {
+ public:
+  explicit vm_tracker(clock_ptr clock) : clock_(std::move(clock)) {}
+
+  // A list that was fetched. One of a lower version changes only the age.
+  void Update(vm_list fetched);
+  void SetDrain(const std::vector<std::string>& vms);
+  // The leaving VMs of a peer, seen in the list `list_version`.
+  void SetPeerMarks(const std::string& member_id,
+                    const std::vector<std::string>& vms,
+                    std::uint64_t list_version);
+  // Ends the marks of a peer that is gone, once the own list is as new as the
+  // one that the marks came from.
+  void ForgetPeer(const std::string& member_id);
+
+  std::shared_ptr<const vm_list> Merged() const;
+  // The VMs that this daemon itself knows as leaving: by its list or its
+  // document. Marks of peers are left out, since they would echo for ever.
+  std::vector<std::string> OwnMarks() const;
+  std::uint64_t Version() const;
+  std::int64_t AgeMs() const;
+
+  // All listed partitions, and those that have an owner and have not been
+  // absent for 10 s. Absent before the first list.
+  std::optional<std::vector<std::string>> Partitions(const assignment& owners);
+
+ private:
+  struct peer_marks {
+    std::vector<std::string> vms;
+    std::uint64_t list_version = 0;
+    bool is_gone = false;
+  };
+
+  struct absence {
+    time_point since{};
+    std::uint64_t epoch = 0;  // A new owner restarts the wait.
+  };
+
+  const clock_ptr clock_;
+  mutable std::mutex mutex_;
+  std::optional<vm_list> list_;
+  time_point fetched_at_{};
+  std::optional<time_point> lower_since_;
+  std::set<std::string, std::less<>> drain_;
+  std::map<std::string, peer_marks> peers_;
+  std::set<std::string, std::less<>> listed_partitions_;
+  std::map<std::string, absence> absent_;
+  mutable std::shared_ptr<const vm_list> merged_;  // Null if outdated.
+};
+
+}  // namespace apricotwheel
