Add claims, leases and tasks of owned workers

Partition owners need one place that holds capacity and tasks of their workers. Adds the lease arithmetic, the fleet under one lock, a session thread for each worker and the delivery of task events.

--- /dev/null
+++ b/src/workers/event_courier.h
@@ -0,0 +1,25 @@
+#pragma once
+
+#include <functional>
+#include <string>
+#include <vector>
+
+#include "cluster/cluster_manager.h"
+#include "workers/worker_fleet.h"
+
+namespace apricotwheel {
+
+struct event_courier_options {
+  std::string member_id;
+  cluster_manager* cluster = nullptr;
+  peer_node* peers = nullptr;
+  worker_fleet* fleet = nullptr;
+};
+
+// Delivers the fleet's pending events once to the owners of their shards and
+// hands the answers to the fleet. Events that are not accepted stay pending.
+// Returns true if some remain.
+bool DeliverEvents(const event_courier_options& options,
+                   const worker_manager::task_event_sink& local_sink);
+
+}  // namespace apricotwheel
--- /dev/null
+++ b/src/workers/worker_calls.h
@@ -0,0 +1,38 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <span>
+#include <string>
+#include <string_view>
+
+#include "platform/worker_client.h"
+
+namespace apricotwheel {
+
+// The calls of one worker agent as plain functions, so that tests can answer
+// them without a network. Each matches the function of `worker_client`.
+struct worker_calls {
+  std::function<outcome<worker_snapshot>(std::uint64_t epoch,
+                                         std::string_view owner)>
+      claim;
+  std::function<outcome<worker_snapshot>(
+      std::uint64_t epoch, std::int64_t expires_at_ms,
+      std::span<const std::string> acknowledged)>
+      renew;
+  std::function<outcome<task_status>(std::uint64_t epoch, const task_spec& spec,
+                                     std::int64_t expires_at_ms)>
+      start;
+  std::function<outcome<void>(std::uint64_t epoch, std::string_view task_id,
+                              stop_mode mode)>
+      stop;
+  std::function<outcome<void>(std::uint64_t epoch, std::string_view task_id,
+                              std::int64_t cpu_milli)>
+      throttle;
+  std::function<outcome<void>(std::uint64_t epoch)> release;
+};
+
+// Calls over HTTP to the agent at `address` (ip:port).
+result<worker_calls> ConnectWorker(const std::string& address);
+
+}  // namespace apricotwheel
--- /dev/null
+++ b/src/workers/worker_fleet.h
@@ -0,0 +1,199 @@
+#pragma once
+
+#include <array>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <optional>
+#include <set>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "kernel/random.h"
+#include "workers/wake_signal.h"
+#include "workers/worker_health.h"
+#include "workers/worker_lease.h"
+#include "workers/worker_manager.h"
+
+namespace apricotwheel {
+
+struct worker_fleet_options {
+  worker_lease_options lease;
+  std::size_t quarantine_failures = 5;
+  duration quarantine = milliseconds(30'000);
+  clock_ptr clock;
+  log_sink log;
+  std::uint64_t random_seed = 1;
+};
+
+// What a session sends in one renewal.
+struct renewal_order {
+  std::int64_t expires_at_ms = 0;
+  std::vector<std::string> acknowledged;
+};
+
+// One call that a session makes for the fleet.
+struct worker_order {
+  enum class kind { kStart, kStop, kThrottle };
+  kind what = kind::kStart;
+  task_spec spec;
+  std::int64_t expires_at_ms = 0;  // Of a start.
+  stop_mode mode = stop_mode::kKill;
+  std::int64_t cpu_milli = 0;  // Of a throttle.
+};
+
+// All owned workers with their tasks, reservations and capacity, under one
+// lock. It makes no calls: sessions carry out its orders and report the
+// results. Thread-safe.
+class worker_fleet {
+ public:
+  explicit worker_fleet(worker_fleet_options options);
+
+  // Adds a worker of an owned partition, or updates its leaving mark. A higher
+  // epoch forgets what an earlier one knew. `wake` is signalled when there are
+  // orders for the worker.
+  void SetWorker(const vm_record& vm, std::string_view partition,
+                 std::uint64_t epoch, std::shared_ptr<wake_signal> wake);
+  // A worker that the VM list no longer names takes no new tasks.
+  void MarkLeaving(std::string_view worker);
+  // Forgets a worker without a report: its successor reports its tasks.
+  void DropWorker(std::string_view worker, std::uint64_t epoch);
+  // True if a worker that left the VM list holds no task any more.
+  bool CanForget(std::string_view worker) const;
+
+  // Called by the session of the worker.
+  void OnClaimed(std::string_view worker, const worker_snapshot& snapshot,
+                 time_point received);
+  renewal_order PrepareRenewal(std::string_view worker);
+  void OnRenewed(std::string_view worker, const renewal_order& sent_order,
+                 const worker_snapshot& snapshot, time_point sent,
+                 time_point received);
+  void OnUnreachable(std::string_view worker);
+  std::vector<worker_order> TakeOrders(std::string_view worker);
+  void OnStarted(std::string_view worker, const worker_order& order,
+                 const outcome<task_status>& answer);
+  // True while a result is awaited that the next regular renewal would report
+  // too late.
+  bool NeedsFastRenewal(std::string_view worker) const;
+
+  // The peer calls; see worker_manager.h. `view_epochs` are the shard epochs of
+  // the current assignment, which fence as well as those in messages do.
+  using shard_epochs = std::array<std::uint64_t, kShardCount>;
+  wire::place_responseT Place(const wire::place_requestT& request,
+                              const shard_epochs& view_epochs);
+  wire::stop_responseT StopTasks(const wire::stop_requestT& request,
+                                 const shard_epochs& view_epochs);
+  // `expected` lists the owned partitions with the workers that the VM list
+  // names there.
+  using partition_workers = std::map<std::string, std::vector<std::string>>;
+  wire::inventory_responseT Inventory(const wire::inventory_requestT& request,
+                                      const partition_workers& expected,
+                                      const shard_epochs& view_epochs);
+
+  // Ends reservations and pre-emptions that are too old and reports the tasks
+  // of workers whose lease has certainly expired. Called often.
+  void Sweep();
+
+  // Events that no owner has accepted yet, and the answer to them.
+  std::vector<wire::running_taskT> PendingEvents() const;
+  void OnAccepted(std::span<const wire::running_taskT> sent,
+                  std::span<const std::string> accepted);
+  // Called with the lock held when there are new events; must not block.
+  void OnEvents(std::function<void()> listener) {
+    events_listener_ = std::move(listener);
+  }
+
+  std::optional<time_point> AuthorityOf(std::string_view task_id) const;
+  std::vector<instance_record> Instances() const;
+  std::vector<worker_status_line> Workers() const;
+  std::vector<std::string> Explain(const wire::taskT& task) const;
+  void FillGossip(wire::gossipT& gossip) const;
+
+ private:
+  enum class phase { kReserved, kAwaitingRoom, kStarting, kRunning, kEnded };
+  struct task_entry {
+    task_spec spec;
+    std::string policy;
+    bool spread = false;
+    std::vector<std::string> excluded;
+    std::string worker;
+    phase now = phase::kStarting;
+    task_status status;
+    bool start_sent = false;
+    // A start with an unknown effect can still arrive until the worker's clock
+    // passes this expiry.
+    std::optional<std::int64_t> unsettled_until_ms;
+    // A list that was asked for after this moment shows the task.
+    time_point listed_from = time_point::min();
+    std::optional<stop_mode> stop;
+    bool stop_sent = false;
+    bool on_worker_list = false;
+    bool end_accepted = false;
+    bool adopted = false;
+    bool throttled = false;
+    std::string reservation;
+    std::vector<std::string> victims;
+    time_point deadline = time_point::max();  // Of a reservation or a room.
+  };
+  enum class worker_phase { kClaiming, kReady, kUnresponsive };
+  struct worker_entry {
+    vm_record vm;
+    std::string partition;
+    std::uint64_t epoch = 0;
+    worker_phase now = worker_phase::kClaiming;
+    worker_lease lease{{}};
+    worker_health health{1, duration(0)};
+    time_point taken_at;
+    std::optional<time_point> first_failure;
+    worker_index index = kNoWorker;
+    std::set<std::string, std::less<>> to_acknowledge;
+    std::set<std::string, std::less<>> strays;  // To be killed.
+    std::vector<worker_order> throttles;
+    std::shared_ptr<wake_signal> wake;
+  };
+  using task_map = std::map<std::string, task_entry, std::less<>>;
+  using worker_map = std::map<std::string, worker_entry, std::less<>>;
+
+  placement_request RequestOf(const task_entry& task) const;
+  void Report(const task_entry& task);
+  void End(task_entry& task, task_state state, std::string_view message,
+           bool on_list);
+  void EraseTask(std::string_view task_id);
+  void UpdateUsable(worker_entry& worker);
+  void Reconcile(worker_entry& worker, const worker_snapshot& snapshot,
+                 time_point sent, bool is_claim);
+  void ReconcileListed(worker_entry& worker, const task_status& status,
+                       bool is_claim);
+  void ReconcileMissing(task_entry& task, const worker_snapshot& snapshot,
+                        time_point sent);
+  void StartWaiting(worker_entry& worker);
+  void LimitOveruse(worker_entry& worker);
+  void VacateLeaving(worker_entry& worker);
+  void AskStop(task_entry& task, stop_mode mode);
+  void Reserve(const wire::place_requestT& request,
+               wire::place_responseT& response);
+  std::unique_ptr<wire::task_placementT> PlaceOne(const wire::taskT& task);
+  std::unique_ptr<wire::task_placementT> Commit(
+      const wire::place_requestT& request, const wire::taskT& task);
+  task_entry MakeEntry(const wire::taskT& task) const;
+  bool Fenced(std::uint32_t shard, std::uint64_t epoch,
+              const shard_epochs& view_epochs);
+  std::string StateName(const worker_entry& worker) const;
+  void ExpireWorker(worker_entry& worker);
+
+  const worker_fleet_options options_;
+  mutable std::mutex mutex_;
+  std::unique_ptr<cell_state> cell_;
+  mutable random_source random_;
+  worker_map workers_;
+  task_map tasks_;
+  std::map<std::string, wire::running_taskT, std::less<>> events_;
+  shard_epochs shard_epochs_{};
+  std::function<void()> events_listener_;
+};
+
+}  // namespace apricotwheel
--- /dev/null
+++ b/src/workers/worker_lease.h
@@ -0,0 +1,70 @@
+#pragma once
+
+#include <cstdint>
+#include <optional>
+
+#include "kernel/clock.h"
+
+namespace apricotwheel {
+
+struct worker_lease_options {
+  duration task_lease = milliseconds(10'000);
+  // Two monotonic clocks that differ by less than 5% stay within this margin
+  // over one task lease.
+  duration drift_margin = milliseconds(500);
+  duration dispatch_authority = milliseconds(2500);
+  duration authority_margin = milliseconds(250);
+};
+
+// The lease arithmetic of one worker, without any calls. Times of the worker
+// are milliseconds on its monotonic clock, own times are on the clock of this
+// daemon. Not thread-safe.
+class worker_lease {
+ public:
+  explicit worker_lease(const worker_lease_options& options)
+      : options_(options) {}
+
+  // A claim was answered. Earlier owners can extend no lease from now on.
+  void OnClaimed(std::int64_t worker_clock_ms,
+                 std::optional<std::int64_t> previous_renewal_age_ms,
+                 time_point received);
+
+  // The worker's clock stood at `worker_clock_ms` before `received`.
+  void OnSample(std::int64_t worker_clock_ms, time_point received);
+
+  // The absolute expiry for a renewal or start that is sent at `now`.
+  std::int64_t ExpiryToSend(time_point now) const;
+
+  // A call with this expiry is about to be sent. It counts even if its reply
+  // is lost.
+  void OnSent(std::int64_t expires_at_ms);
+
+  // A renewal that was sent at `sent` was acknowledged.
+  void OnAcknowledged(time_point sent);
+
+  // From this own time on, no task that was listed or started under this lease
+  // can run. Absent before the claim.
+  std::optional<time_point> CertainExpiry() const { return certain_expiry_; }
+
+  // Until when requests may be sent to the worker's instances. Absent before
+  // the first acknowledged renewal.
+  std::optional<time_point> AuthorityUntil() const { return authority_until_; }
+
+  // From when requests may be sent: the authority of the predecessor has ended.
+  time_point AuthorityFrom() const { return authority_from_; }
+
+  bool HasAuthority(time_point now) const;
+
+  // The last sample of the worker's clock.
+  std::int64_t LastSampleMs() const { return sample_ms_; }
+
+ private:
+  worker_lease_options options_;
+  std::int64_t sample_ms_ = 0;
+  time_point sampled_at_;
+  std::optional<time_point> certain_expiry_;
+  std::optional<time_point> authority_until_;
+  time_point authority_from_ = time_point::max();
+};
+
+}  // namespace apricotwheel
--- /dev/null
+++ b/src/workers/worker_session.h
@@ -0,0 +1,57 @@
+#pragma once
+
+#include <atomic>
+#include <cstdint>
+#include <memory>
+#include <string>
+
+#include "workers/worker_calls.h"
+#include "workers/worker_fleet.h"
+
+namespace apricotwheel {
+
+struct worker_session_options {
+  std::string worker;
+  std::string member_id;
+  std::uint64_t epoch = 0;
+  duration renew_interval = milliseconds(1000);
+  clock_ptr clock;
+  log_sink log;
+  worker_calls calls;
+  worker_fleet* fleet = nullptr;  // Outlives the session.
+  std::shared_ptr<wake_signal> wake;
+};
+
+// Serves one owned worker: claims it, renews its leases and carries out the
+// fleet's orders until it is stopped or the worker has seen a higher epoch.
+class worker_session {
+ public:
+  explicit worker_session(worker_session_options options)
+      : options_(std::move(options)) {}
+
+  // Body of the session's thread.
+  void Run();
+
+  // Ends the session; with `release` the worker is told that the successor
+  // need not wait.
+  void Stop(bool release);
+
+  std::uint64_t Epoch() const { return options_.epoch; }
+  bool Ended() const { return ended_.load(); }
+  const std::shared_ptr<wake_signal>& Wake() const { return options_.wake; }
+
+ private:
+  bool Claim();
+  bool Renew();
+  bool CarryOut();
+  bool Execute(const worker_order& order);
+  bool RenewalDue() const;
+
+  worker_session_options options_;
+  time_point next_renewal_;
+  bool answered_ = true;  // The latest call got an answer.
+  std::atomic<bool> release_ = false;
+  std::atomic<bool> ended_ = false;
+};
+
+}  // namespace apricotwheel
