Add the dispatcher: routing, limits, queues, breakers, retries, keys

Cause: the package had only its header. Change: adds the stages of a request as small parts with narrow inputs (router, request queue, instance pool, service lane, circuit breaker, retry budget, key registry, request flow) and the dispatcher that wires them to the managers. The key hand-over message gets two appended fields: the clock of the maker of each accepted ticket epoch, because the age of a ticket decides whether its record can still exist, and whether the key history is complete. Run: build with warnings as errors, scripts/check_catalogues.

--- /dev/null
+++ b/src/dispatch/dispatch_wire.h
@@ -0,0 +1,29 @@
+#pragma once
+
+#include <string>
+
+#include "dispatch/dispatcher.h"
+
+namespace apricotwheel {
+
+// A request between two stages, with what the entry resolved.
+struct staged_request {
+  service_request request;
+  priority_class priority = priority_class::kService;
+  bool repeatable = false;
+  time_point deadline;
+  std::string correlation_id;
+};
+
+wire::dispatch_requestT ToWire(const staged_request& staged,
+                               wire::dispatch_stage stage, time_point now);
+staged_request FromWire(const wire::dispatch_requestT& message, time_point now);
+
+wire::dispatch_responseT ToWire(const service_response& response);
+service_response FromWire(const wire::dispatch_responseT& message);
+
+using wire_headers = decltype(wire::dispatch_responseT::headers);
+wire_headers HeadersToWire(const header_list& headers);
+header_list HeadersFromWire(const wire_headers& headers);
+
+}  // namespace apricotwheel
--- /dev/null
+++ b/src/dispatch/instance_connection.cc
@@ -0,0 +1,34 @@
+#include "dispatch/instance_connection.h"
+
+namespace apricotwheel {
+
+namespace {
+
+// The client may connect within `Send`, after the authority was read. The
+// connect time must stay below the 250 ms margin that the authority contains.
+constexpr duration kConnectTimeout = milliseconds(100);
+
+}  // namespace
+
+connection_opener InstanceClientOpener() {
+  return [](const std::string& address) {
+    outcome<connection_ptr> opened;
+    auto created = Attempt([&] {
+      return instance_client::Create({address, kConnectTimeout});
+    });
+    if (!created) {
+      opened.failure = created.failure;
+      return opened;
+    }
+    const std::shared_ptr<instance_client> client = std::move(*created);
+    opened.value = std::make_shared<instance_connection>(instance_connection{
+        [client](const instance_request& request, duration timeout) {
+          return Attempt([&] { return client->Send(request, timeout); });
+        },
+        [client] { return Attempt([&] { return client->Usage(); }); },
+        [client] { return client->IsOpen(); }});
+    return opened;
+  };
+}
+
+}  // namespace apricotwheel
--- /dev/null
+++ b/src/dispatch/instance_pool.cc
@@ -0,0 +1,288 @@
+#include "dispatch/instance_pool.h"
+
+#include <xxhash.h>
+
+#include <algorithm>
+
+namespace apricotwheel {
+
+namespace {
+
+// Below the idle limit of the instances (60 s), so that an idle connection is
+// rarely closed by the other side while a request is being sent.
+constexpr duration kIdleLifetime = std::chrono::seconds(10);
+constexpr duration kReadInterval = milliseconds(50);
+constexpr duration kFailedReadInterval = milliseconds(200);
+// While own requests are in flight, a report gives only an upper bound of the
+// other use. After this span the instance gets no new requests until one exact
+// report was read, so that other use that has ended cannot stay counted.
+constexpr duration kQuiesceAfter = std::chrono::seconds(1);
+
+// How long the last known use of an instance that left the list is remembered.
+constexpr duration kUnlistedUse = std::chrono::seconds(60);
+
+std::uint32_t SlotLimit(const instance_record& record) {
+  return std::min(record.slots, kMaxSlots);
+}
+
+// One connection of each instance is kept free for a successor's first usage
+// read, which happens before the successor knows what is in use.
+std::uint32_t ConnectionLimit(const instance_record& record) {
+  const auto limit = std::min(record.connections, kMaxConnections);
+  return limit > 1 ? limit - 1 : limit;
+}
+
+bool HasConnection(const pooled_instance& instance) {
+  return !instance.idle.empty() ||
+         instance.own_connections + instance.other_connections <
+             ConnectionLimit(instance.record);
+}
+
+connection_ptr TakeConnection(pooled_instance& instance) {
+  while (!instance.idle.empty()) {
+    const connection_ptr connection = instance.idle.back().connection;
+    instance.idle.pop_back();
+    if (connection->is_open()) return connection;
+    --instance.own_connections;
+  }
+  ++instance.own_connections;
+  return nullptr;
+}
+
+void ReturnConnection(pooled_instance& instance, connection_ptr connection,
+                      time_point now) {
+  if (connection && connection->is_open() && instance.listed) {
+    instance.idle.push_back({std::move(connection), now});
+  } else {
+    --instance.own_connections;
+  }
+}
+
+void RequireExactRead(pooled_instance& instance, time_point now) {
+  instance.needs_exact_read = true;
+  ++instance.read_generation;
+  instance.next_read_at = now;
+}
+
+bool HasOthers(const pooled_instance& instance) {
+  return instance.other_slots > 0 || instance.other_connections > 0;
+}
+
+}  // namespace
+
+void instance_pool::SetInstances(std::span<const instance_record> records,
+                                 time_point now) {
+  for (auto& [task_id, instance] : instances_) {
+    if (instance->listed) instance->unlisted_at = now;
+    instance->listed = false;
+  }
+  for (const instance_record& record : records) {
+    auto& instance = instances_[record.task_id];
+    if (!instance || instance->record.address != record.address) {
+      const auto seed = XXH64(record.task_id.data(), record.task_id.size(),
+                              options_.random_seed);
+      instance = std::make_shared<pooled_instance>(
+          record, circuit_breaker(options_.breaker_failures, seed));
+      if (record.foreign_use_possible) RequireExactRead(*instance, now);
+      continue;
+    }
+    const bool other_epoch = instance->record.epoch != record.epoch;
+    const bool foreign_use_appeared =
+        record.foreign_use_possible &&
+        (other_epoch || !instance->record.foreign_use_possible);
+    if (foreign_use_appeared) RequireExactRead(*instance, now);
+    if (other_epoch) instance->stale = false;
+    instance->record = record;
+    instance->listed = true;
+  }
+  DropUnused(now);
+}
+
+// An instance that left the list is kept while it may be in use, so that its
+// use still counts if it returns.
+void instance_pool::DropUnused(time_point now) {
+  std::erase_if(instances_, [now](const auto& entry) {
+    const pooled_instance& instance = *entry.second;
+    if (instance.listed || instance.own_slots > 0 || instance.reading) {
+      return false;
+    }
+    return !HasOthers(instance) || now - instance.unlisted_at > kUnlistedUse;
+  });
+}
+
+bool instance_pool::HasAuthority(pooled_instance& instance,
+                                 time_point now) const {
+  if (now < instance.authority_until) return true;
+  const auto authority = options_.authority(instance.record.task_id);
+  if (!authority) return false;
+  instance.authority_until = *authority;
+  return now < *authority;
+}
+
+std::uint32_t instance_pool::FreeSlotsOf(pooled_instance& instance,
+                                         time_point now) const {
+  if (!instance.listed || !instance.record.accepting || instance.stale ||
+      !instance.record.authority_started || instance.needs_exact_read ||
+      !instance.breaker.Allows(now)) {
+    return 0;
+  }
+  if (!HasAuthority(instance, now)) return 0;
+  const auto taken = instance.own_slots + instance.other_slots;
+  const auto limit = SlotLimit(instance.record);
+  if (taken >= limit || !HasConnection(instance)) return 0;
+  // A half-open breaker lets one probe through.
+  if (instance.breaker.State(now) == breaker_state::kHalfOpen) return 1;
+  return limit - taken;
+}
+
+std::optional<slot_lease> instance_pool::Acquire(time_point now) {
+  pooled_instance_ptr best;
+  std::uint32_t best_free = 0;
+  for (const auto& [task_id, instance] : instances_) {
+    const auto free = FreeSlotsOf(*instance, now);
+    if (free <= best_free) continue;
+    best = instance;
+    best_free = free;
+  }
+  if (!best) return std::nullopt;
+  ++best->own_slots;
+  best->breaker.OnStart(now);
+  connection_ptr connection = TakeConnection(*best);
+  return slot_lease{best, best->record, std::move(connection)};
+}
+
+void instance_pool::Release(slot_lease lease, lease_end end, time_point now) {
+  pooled_instance& instance = *lease.instance;
+  --instance.own_slots;
+  switch (end) {
+    case lease_end::kCompleted:
+      instance.breaker.OnSuccess();
+      break;
+    case lease_end::kNotSent:
+      instance.breaker.OnNeutral();
+      instance.authority_until = {};  // The authority may have ended.
+      break;
+    case lease_end::kUnreachable:
+      instance.breaker.OnFailure(now);
+      break;
+    case lease_end::kStaleEpoch:
+      instance.breaker.OnNeutral();
+      if (instance.record.epoch == lease.record.epoch) instance.stale = true;
+      break;
+    case lease_end::kNoSlot:
+      instance.breaker.OnNeutral();
+      RequireExactRead(instance, now);
+      break;
+    case lease_end::kUnknown:
+      instance.breaker.OnFailure(now);
+      if (!HasOthers(instance)) instance.others_since = now;
+      ++instance.other_slots;
+      ++instance.other_connections;
+      ++instance.read_generation;
+      instance.next_read_at = now;
+      lease.connection = nullptr;
+      break;
+  }
+  ReturnConnection(instance, std::move(lease.connection), now);
+  if (!instance.listed) DropUnused(now);
+}
+
+std::optional<usage_read> instance_pool::StartUsageRead(time_point now) {
+  for (const auto& [task_id, instance] : instances_) {
+    if (!instance->listed || instance->reading ||
+        now < instance->next_read_at) {
+      continue;
+    }
+    if (!instance->needs_exact_read && HasOthers(*instance) &&
+        now - instance->others_since >= kQuiesceAfter) {
+      instance->needs_exact_read = true;
+    }
+    const bool exact = instance->own_slots == 0 && instance->needs_exact_read;
+    if (instance->needs_exact_read ? !exact : !HasOthers(*instance)) continue;
+    instance->reading = true;
+    return usage_read{instance, TakeConnection(*instance), exact,
+                      instance->read_generation};
+  }
+  return std::nullopt;
+}
+
+void instance_pool::FinishUsageRead(usage_read read,
+                                    const outcome<instance_usage>& usage,
+                                    time_point now) {
+  pooled_instance& instance = *read.instance;
+  instance.reading = false;
+  instance.next_read_at = now + (usage ? kReadInterval : kFailedReadInterval);
+  if (usage && read.generation == instance.read_generation) {
+    if (read.exact) {
+      const auto own =
+          instance.own_connections - 1;  // Without the reading one.
+      instance.other_slots = usage->slots_in_use;
+      instance.other_connections =
+          usage->connections > own ? usage->connections - own : 0;
+      instance.needs_exact_read = false;
+      instance.others_since = now;
+    } else {
+      instance.other_slots =
+          std::min(instance.other_slots, usage->slots_in_use);
+      instance.other_connections =
+          std::min(instance.other_connections, usage->connections);
+    }
+  }
+  if (!usage) read.connection = nullptr;
+  ReturnConnection(instance, std::move(read.connection), now);
+  if (!instance.listed) DropUnused(now);
+}
+
+std::vector<connection_ptr> instance_pool::TakeExpired(time_point now) {
+  std::vector<connection_ptr> expired;
+  for (auto& [task_id, instance] : instances_) {
+    std::erase_if(instance->idle, [&](const auto& idle) {
+      if (instance->listed && now - idle.since < kIdleLifetime) return false;
+      expired.push_back(idle.connection);
+      --instance->own_connections;
+      return true;
+    });
+  }
+  DropUnused(now);
+  return expired;
+}
+
+std::uint32_t instance_pool::FreeSlots(time_point now) const {
+  std::uint32_t total = 0;
+  for (const auto& [task_id, instance] : instances_) {
+    total += FreeSlotsOf(*instance, now);
+  }
+  return total;
+}
+
+std::uint32_t instance_pool::TotalSlots() const {
+  std::uint32_t total = 0;
+  for (const auto& [task_id, instance] : instances_) {
+    if (instance->listed) total += SlotLimit(instance->record);
+  }
+  return total;
+}
+
+std::uint32_t instance_pool::Accepting() const {
+  std::uint32_t total = 0;
+  for (const auto& [task_id, instance] : instances_) {
+    if (instance->listed && instance->record.accepting && !instance->stale) {
+      ++total;
+    }
+  }
+  return total;
+}
+
+std::size_t instance_pool::Listed() const {
+  return static_cast<std::size_t>(
+      std::count_if(instances_.begin(), instances_.end(),
+                    [](const auto& entry) { return entry.second->listed; }));
+}
+
+std::vector<pooled_instance_ptr> instance_pool::Instances() const {
+  std::vector<pooled_instance_ptr> all;
+  for (const auto& [task_id, instance] : instances_) all.push_back(instance);
+  return all;
+}
+
+}  // namespace apricotwheel
--- /dev/null
+++ b/src/dispatch/key_registry.cc
@@ -0,0 +1,311 @@
+#include "dispatch/key_registry.h"
+
+#include <algorithm>
+
+#include "dispatch/dispatch_outcome.h"
+#include "dispatch/dispatch_wire.h"
+#include "kernel/random.h"
+
+namespace apricotwheel {
+
+namespace {
+
+std::int64_t ToMs(duration span) {
+  return std::chrono::duration_cast<milliseconds>(span).count();
+}
+
+// Clocks travel in whole milliseconds, so the age of a ticket that was handed
+// over is known only to this precision.
+constexpr std::int64_t kTicketAgeErrorMs = 2;
+
+// Bytes of a handed-over record without key and body.
+constexpr std::size_t kRecordOverhead = 130;
+
+// Keys and tickets share the map; a prefix keeps them apart.
+std::string RecordName(const service_request& request) {
+  return request.ticket.empty() ? "k:" + request.idempotency_key
+                                : "t:" + request.ticket;
+}
+
+}  // namespace
+
+key_registry::key_registry(key_registry_options options)
+    : options_(std::move(options)) {}
+
+void key_registry::SetOwnership(std::uint32_t shard, std::uint64_t epoch,
+                                bool owned) {
+  const std::lock_guard lock(mutex_);
+  shard_state& state = shards_[shard];
+  if (epoch < state.epoch) return;  // An older view.
+  if (epoch == state.epoch && (!owned || state.was_owned)) {
+    // Nobody else owns the shard under the same epoch, so records stay valid.
+    state.owned = owned;
+    return;
+  }
+  state.epoch = epoch;
+  state.was_owned = owned;
+  state.owned = owned;
+  state.handed_over = false;
+  state.history_complete = owned && epoch == 1;
+  state.owner_since = options_.clock->Now();
+  state.accepted_epochs.clear();
+  state.records.clear();
+  state.body_bytes = 0;
+  if (owned) {
+    Adopt(state);
+  } else if (state.arrived && state.arrived->epoch < epoch) {
+    state.arrived.reset();  // Another daemon became the successor.
+  }
+}
+
+// Takes over the records of the hand-over, if it came from the predecessor.
+void key_registry::Adopt(shard_state& shard) {
+  const auto handover = std::move(shard.arrived);
+  if (!handover || handover->epoch + 1 != shard.epoch) return;
+  shard.history_complete = handover->history_complete;
+  const auto epochs = std::min(handover->accepted_epochs.size(),
+                               handover->accepted_clocks_ms.size());
+  for (std::size_t index = 0; index < epochs; ++index) {
+    shard.accepted_epochs[handover->accepted_epochs[index]] =
+        milliseconds(handover->accepted_clocks_ms[index]) -
+        shard.arrived_at.time_since_epoch();
+  }
+  for (const auto& taken : handover->records) {
+    auto adopted = std::make_shared<record>();
+    adopted->digest = taken->digest;
+    adopted->finished = true;
+    adopted->finished_at = shard.owner_since;
+    service_response response;
+    if (taken->finished) {
+      response.outcome = static_cast<request_outcome>(taken->outcome);
+      response.status = taken->status;
+      response.headers = HeadersFromWire(taken->headers);
+      response.body.assign(taken->body.begin(), taken->body.end());
+      response.reason = taken->reason;
+    } else {
+      // It still ran at the predecessor, whose caller got the response.
+      response = MakeUnknown(reason::kOwnerLost);
+    }
+    Keep(shard, *adopted, std::move(response));
+    shard.records.emplace(taken->key, std::move(adopted));
+  }
+}
+
+bool key_registry::HistoryComplete(const shard_state& shard) const {
+  return shard.history_complete ||
+         options_.clock->Now() - shard.owner_since >= options_.retention;
+}
+
+std::optional<service_response> key_registry::RefuseTicket(
+    const shard_state& shard, const ticket& used) const {
+  // The view here may be older than the ticket.
+  if (used.epoch > shard.epoch) return MakeNotRun(reason::kOwnershipUncertain);
+  duration clock_offset{0};
+  if (used.epoch < shard.epoch) {
+    const auto accepted = shard.accepted_epochs.find(used.epoch);
+    if (accepted == shard.accepted_epochs.end()) {
+      return MakeUnknown(reason::kTicketExpired);
+    }
+    clock_offset = accepted->second;
+  }
+  const duration maker_clock =
+      options_.clock->Now().time_since_epoch() + clock_offset;
+  const std::int64_t age_ms = ToMs(maker_clock) - used.made_at_ms;
+  if (age_ms < -kTicketAgeErrorMs) return MakeNotRun(reason::kInvalid);
+  // Records of used tickets are dropped after the retention, so a ticket must
+  // become unusable before.
+  if (age_ms >= ToMs(options_.retention) - 2 * kTicketAgeErrorMs) {
+    return MakeUnknown(reason::kTicketExpired);
+  }
+  return std::nullopt;
+}
+
+std::optional<service_response> key_registry::RefuseKey(
+    const shard_state& shard) const {
+  if (!options_.holds_lease()) return MakeNotRun(reason::kOwnershipUncertain);
+  if (!HistoryComplete(shard)) return MakeUnknown(reason::kKeyHistoryLost);
+  return std::nullopt;
+}
+
+service_response key_registry::RunOnce(const service_request& request,
+                                       time_point deadline, const runner& run) {
+  const auto number = ShardOfRequest(request);
+  if (!number) return MakeNotRun(reason::kInvalid);
+  const std::string name = RecordName(request);
+  const std::uint64_t digest = DigestOf(request);
+  std::unique_lock lock(mutex_);
+  shard_state& shard = shards_[*number];
+  if (!shard.owned || shard.handed_over) {
+    return MakeNotRun(reason::kOwnershipUncertain);
+  }
+  const auto known = shard.records.find(name);
+  if (known != shard.records.end()) {
+    return Repeat(lock, known->second, digest, deadline);
+  }
+  const auto refusal = request.ticket.empty()
+                           ? RefuseKey(shard)
+                           : RefuseTicket(shard, *DecodeTicket(request.ticket));
+  if (refusal) return *refusal;
+  if (shard.records.size() >= options_.max_records) DropExpired(shard);
+  if (shard.records.size() >= options_.max_records) {
+    return MakeNotRun(reason::kQueueFull);
+  }
+  const auto made = std::make_shared<record>();
+  made->digest = digest;
+  shard.records.emplace(name, made);
+  lock.unlock();
+  service_response response = run();
+  lock.lock();
+  Finish(shard, name, made, response);
+  return response;
+}
+
+service_response key_registry::Repeat(std::unique_lock<std::mutex>& lock,
+                                      const record_ptr& known,
+                                      std::uint64_t digest,
+                                      time_point deadline) {
+  const record_ptr held = known;  // The map may drop it during the wait.
+  if (held->digest != digest) return MakeNotRun(reason::kKeyReused);
+  if (!options_.clock->WaitUntil(lock, held->ended, deadline,
+                                 [&] { return held->finished; })) {
+    return MakeUnknown(reason::kDeadline);
+  }
+  return held->response;
+}
+
+void key_registry::Finish(shard_state& shard, const std::string& key,
+                          const record_ptr& made,
+                          const service_response& response) {
+  made->finished = true;
+  made->finished_at = options_.clock->Now();
+  const auto found = shard.records.find(key);
+  const bool recorded = found != shard.records.end() && found->second == made;
+  if (response.outcome == request_outcome::kNotRun) {
+    // It did not run, so that a repeat may.
+    made->response = response;
+    if (recorded) shard.records.erase(found);
+  } else if (recorded) {
+    Keep(shard, *made, response);
+  } else {
+    made->response = response;  // For those that wait.
+  }
+  made->ended.notify_all();
+}
+
+void key_registry::Keep(shard_state& shard, record& kept,
+                        service_response response) const {
+  const std::size_t size = response.body.size();
+  if (size > options_.recorded_body_bytes ||
+      shard.body_bytes + size > options_.max_body_bytes) {
+    response.body.clear();
+    response.headers.clear();
+    response.reason = reason::kNotRecorded;
+  }
+  shard.body_bytes += response.body.size();
+  kept.response = std::move(response);
+}
+
+result<std::string> key_registry::MintTicket(std::uint32_t shard) {
+  const std::lock_guard lock(mutex_);
+  const shard_state& state = shards_[shard];
+  if (!state.owned || state.handed_over) {
+    return Fail(error_kind::kUnavailable,
+                "shard " + std::to_string(shard) + " is not owned here",
+                "ask the owner of the shard");
+  }
+  return EncodeTicket({shard, state.epoch,
+                       ToMs(options_.clock->Now().time_since_epoch()),
+                       RandomHex(16)});
+}
+
+std::optional<wire::key_handoverT> key_registry::TakeHandover(
+    std::uint32_t shard, std::size_t max_bytes) {
+  const std::lock_guard lock(mutex_);
+  shard_state& state = shards_[shard];
+  if (!state.owned) return std::nullopt;
+  state.handed_over = true;
+  DropExpired(state);
+  wire::key_handoverT handover;
+  handover.shard = shard;
+  handover.epoch = state.epoch;
+  handover.history_complete = HistoryComplete(state);
+  const time_point now = options_.clock->Now();
+  const duration own_clock = now.time_since_epoch();
+  handover.accepted_epochs.push_back(state.epoch);
+  handover.accepted_clocks_ms.push_back(ToMs(own_clock));
+  // The tickets of earlier epochs end one retention after the hand-over.
+  if (now - state.owner_since < options_.retention) {
+    for (const auto& [epoch, offset] : state.accepted_epochs) {
+      handover.accepted_epochs.push_back(epoch);
+      handover.accepted_clocks_ms.push_back(ToMs(own_clock + offset));
+    }
+  }
+  std::size_t bytes = 0;
+  for (const auto& [name, held] : state.records) {
+    auto& sent =
+        handover.records.emplace_back(std::make_unique<wire::key_recordT>());
+    bytes += kRecordOverhead + name.size();
+    sent->key = name;
+    sent->digest = held->digest;
+    sent->finished = held->finished;
+    if (!held->finished) continue;
+    sent->outcome = static_cast<wire::request_outcome>(held->response.outcome);
+    sent->status = held->response.status;
+    sent->reason = held->response.reason;
+    sent->age_ms = ToMs(now - held->finished_at);
+    const std::string& body = held->response.body;
+    if (bytes + body.size() > max_bytes) {
+      sent->reason = reason::kNotRecorded;
+      continue;
+    }
+    bytes += body.size();
+    sent->headers = HeadersToWire(held->response.headers);
+    sent->body.assign(body.begin(), body.end());
+  }
+  return handover;
+}
+
+wire::acknowledgementT key_registry::AcceptHandover(
+    const wire::key_handoverT& handover) {
+  wire::acknowledgementT answer;
+  if (handover.shard >= kShardCount) {
+    answer.reason = "no such shard";
+    return answer;
+  }
+  const std::lock_guard lock(mutex_);
+  shard_state& state = shards_[handover.shard];
+  if (handover.epoch < state.epoch) {
+    answer.reason = "a later epoch is known";
+    return answer;
+  }
+  state.arrived = std::make_unique<wire::key_handoverT>(handover);
+  state.arrived_at = options_.clock->Now();
+  answer.accepted = true;
+  return answer;
+}
+
+void key_registry::DropExpired(shard_state& shard) const {
+  const time_point now = options_.clock->Now();
+  std::erase_if(shard.records, [&](const auto& entry) {
+    const record& held = *entry.second;
+    if (!held.finished || now - held.finished_at < options_.retention) {
+      return false;
+    }
+    shard.body_bytes -= held.response.body.size();
+    return true;
+  });
+}
+
+void key_registry::DropExpired() {
+  const std::lock_guard lock(mutex_);
+  for (shard_state& shard : shards_) DropExpired(shard);
+}
+
+std::size_t key_registry::RecordCount() const {
+  const std::lock_guard lock(mutex_);
+  std::size_t total = 0;
+  for (const shard_state& shard : shards_) total += shard.records.size();
+  return total;
+}
+
+}  // namespace apricotwheel
--- /dev/null
+++ b/src/dispatch/request_queue.cc
@@ -0,0 +1,100 @@
+#include "dispatch/request_queue.h"
+
+#include <algorithm>
+
+#include "dispatch/dispatch_outcome.h"
+
+namespace apricotwheel {
+
+namespace {
+
+// A waiting request counts as one class more urgent after each such span, so
+// that a steady stream of urgent requests does not starve the others.
+constexpr duration kAgeingStep = std::chrono::seconds(1);
+
+std::int64_t Rank(std::size_t priority, const queue_entry& entry,
+                  time_point now) {
+  const auto steps = (now - entry.entered_at) / kAgeingStep;
+  return std::max<std::int64_t>(static_cast<std::int64_t>(priority) - steps, 0);
+}
+
+std::size_t IndexOf(priority_class priority) {
+  return static_cast<std::size_t>(priority);
+}
+
+}  // namespace
+
+std::optional<std::string_view> request_queue::Enter(const queue_entry& entry,
+                                                     priority_class priority,
+                                                     std::uint32_t slots,
+                                                     bool slot_free) {
+  auto& own = classes_[IndexOf(priority)];
+  if (own.size() >= limit_) return reason::kQueueFull;
+  if (entry.deadline <= entry.entered_at) return reason::kDeadline;
+  if (!slot_free && slots > 0) {
+    std::int64_t ahead = 1;  // The next slot to become free is not its own.
+    for (std::size_t index = 0; index <= IndexOf(priority); ++index) {
+      ahead += static_cast<std::int64_t>(classes_[index].size());
+    }
+    const duration wait = service_time_ * ahead / slots;
+    if (entry.entered_at + wait > entry.deadline) return reason::kDeadline;
+  }
+  own.push_back(entry);
+  return std::nullopt;
+}
+
+void request_queue::Return(const queue_entry& entry, priority_class priority) {
+  auto& own = classes_[IndexOf(priority)];
+  const auto place =
+      std::lower_bound(own.begin(), own.end(), entry,
+                       [](const queue_entry& left, const queue_entry& right) {
+                         return left.entered_at < right.entered_at;
+                       });
+  own.insert(place, entry);
+}
+
+std::optional<std::uint64_t> request_queue::Front(time_point now) const {
+  const queue_entry* best = nullptr;
+  std::int64_t best_rank = 0;
+  for (std::size_t index = 0; index < classes_.size(); ++index) {
+    if (classes_[index].empty()) continue;
+    const queue_entry& head = classes_[index].front();
+    const auto rank = Rank(index, head, now);
+    if (best == nullptr || rank < best_rank ||
+        (rank == best_rank && head.entered_at < best->entered_at)) {
+      best = &head;
+      best_rank = rank;
+    }
+  }
+  if (best == nullptr) return std::nullopt;
+  return best->id;
+}
+
+bool request_queue::Remove(std::uint64_t id) {
+  for (auto& entries : classes_) {
+    const auto found =
+        std::find_if(entries.begin(), entries.end(),
+                     [&](const queue_entry& entry) { return entry.id == id; });
+    if (found == entries.end()) continue;
+    entries.erase(found);
+    return true;
+  }
+  return false;
+}
+
+void request_queue::RecordServiceTime(duration spent) {
+  service_time_ =
+      service_time_ == duration(0) ? spent : (service_time_ * 7 + spent) / 8;
+}
+
+std::size_t request_queue::Length() const {
+  std::size_t total = 0;
+  for (const auto& entries : classes_) total += entries.size();
+  return total;
+}
+
+std::size_t request_queue::Length(priority_class priority) const {
+  return classes_[IndexOf(priority)].size();
+}
+
+}  // namespace apricotwheel
--- /dev/null
+++ b/src/dispatch/retry_budget.h
@@ -0,0 +1,38 @@
+#pragma once
+
+#include <algorithm>
+#include <cstdint>
+#include <mutex>
+
+namespace apricotwheel {
+
+// Limits retries to a percentage of requests, so that retries cannot multiply
+// the load of a failing service. Thread-safe.
+class retry_budget {
+ public:
+  explicit retry_budget(std::int64_t percent) : percent_(percent) {}
+
+  void CountRequest() {
+    const std::lock_guard lock(mutex_);
+    balance_ = std::min(balance_ + percent_, kLimit);
+  }
+
+  // Takes one retry from the budget; false if there is none left.
+  bool TryRetry() {
+    const std::lock_guard lock(mutex_);
+    if (balance_ < kRetryCost) return false;
+    balance_ -= kRetryCost;
+    return true;
+  }
+
+ private:
+  // Hundredths of a retry. At most 10 retries are saved up in quiet times.
+  static constexpr std::int64_t kRetryCost = 100;
+  static constexpr std::int64_t kLimit = 10 * kRetryCost;
+
+  const std::int64_t percent_;
+  std::mutex mutex_;
+  std::int64_t balance_ = 0;
+};
+
+}  // namespace apricotwheel
--- /dev/null
+++ b/src/dispatch/service_lane.h
@@ -0,0 +1,83 @@
+#pragma once
+
+#include <condition_variable>
+#include <memory>
+#include <mutex>
+#include <set>
+#include <span>
+#include <string>
+#include <unordered_map>
+
+#include "dispatch/dispatch_metrics.h"
+#include "dispatch/dispatch_wire.h"
+#include "dispatch/instance_pool.h"
+#include "dispatch/request_queue.h"
+#include "dispatch/router.h"
+
+namespace apricotwheel {
+
+struct service_lane_options {
+  std::string service;
+  std::size_t queue_limit = 512;
+  instance_pool_options pool;
+  connection_opener open;
+  clock_ptr clock;
+  log_sink log;
+  std::shared_ptr<dispatch_metrics> metrics;
+};
+
+// The instance owner's stage of one service: queues requests, takes a slot for
+// each, sends it and decides its outcome. Thread-safe.
+class service_lane {
+ public:
+  explicit service_lane(service_lane_options options);
+
+  void SetInstances(std::span<const instance_record> records);
+  void SetQueueLimit(std::size_t limit);
+
+  // Runs one request at one of the own instances; blocks until its outcome is
+  // known. Sends it a second time only if the first attempt provably did not
+  // run.
+  service_response Run(const staged_request& staged);
+
+  // Regular work: closes idle connections and gives out slots that became free
+  // with time.
+  void Tick();
+  void UpdateGauges();
+  // The next usage report that is due to be read, and the read itself, which
+  // blocks. Each started read must be run.
+  std::optional<usage_read> StartUsageRead();
+  void RunUsageRead(usage_read read);
+
+  own_capacity Capacity() const;
+
+ private:
+  struct waiter {
+    std::condition_variable ready;
+    std::optional<slot_lease> lease;
+    bool no_instance = false;
+  };
+
+  // Both need the lock.
+  void Grant();
+  std::optional<slot_lease> WaitForSlot(std::unique_lock<std::mutex>& lock,
+                                        const queue_entry& entry,
+                                        waiter& waiting);
+
+  struct attempt_result {
+    lease_end end = lease_end::kNotSent;
+    service_response response;
+  };
+  attempt_result Send(const staged_request& staged, slot_lease& lease,
+                      time_point entered_at);
+  void Release(slot_lease lease, lease_end end);
+
+  const service_lane_options options_;
+  mutable std::mutex mutex_;
+  request_queue queue_;
+  instance_pool pool_;
+  std::unordered_map<std::uint64_t, waiter*> waiting_;
+  std::uint64_t next_id_ = 1;
+};
+
+}  // namespace apricotwheel
