--- a/src/dispatch/instance_pool.cc
+++ b/src/dispatch/instance_pool.cc
@@ -40,7 +40,7 @@
 
 connection_ptr TakeConnection(pooled_instance& instance) {
   while (!instance.idle.empty()) {
-    const connection_ptr connection = instance.idle.back().connection;
+    connection_ptr connection = std::move(instance.idle.back().connection);
     instance.idle.pop_back();
     if (connection->is_open()) return connection;
     --instance.own_connections;
@@ -235,11 +235,12 @@
 
 std::vector<connection_ptr> instance_pool::TakeExpired(time_point now) {
   std::vector<connection_ptr> expired;
-  for (auto& [task_id, instance] : instances_) {
-    std::erase_if(instance->idle, [&](const auto& idle) {
-      if (instance->listed && now - idle.since < kIdleLifetime) return false;
+  for (auto& entry : instances_) {
+    pooled_instance& instance = *entry.second;
+    std::erase_if(instance.idle, [&](const auto& idle) {
+      if (instance.listed && now - idle.since < kIdleLifetime) return false;
       expired.push_back(idle.connection);
-      --instance->own_connections;
+      --instance.own_connections;
       return true;
     });
   }
