--- a/testing/cell/process_cell.cc
+++ b/testing/cell/process_cell.cc
@@ -103,9 +103,9 @@
   for (std::size_t index = 0; index < cell->daemons_.size(); ++index) {
     if (cell->options_.relay_kv) {
       BOOST_LEAF_AUTO(
-          relay, tcp_relay::Start(
-                     cell->Loopback(kRelayPort + static_cast<int>(index)),
-                     cell->kv_address_));
+          relay,
+          tcp_relay::Start(cell->Loopback(kRelayPort + static_cast<int>(index)),
+                           cell->kv_address_));
       cell->relays_.push_back(std::move(relay));
     }
     BOOST_LEAF_CHECK(cell->StartDaemon(index));
@@ -125,10 +125,10 @@
   for (const std::string& group : options_.groups) {
     generate.insert(generate.end(), {"--group", group});
   }
-  generate.insert(generate.end(),
-                  {"--failure-domains", std::to_string(options_.failure_domains),
-                   "--base-port",
-                   std::to_string(options_.base_port + kWorkerPort)});
+  generate.insert(
+      generate.end(),
+      {"--failure-domains", std::to_string(options_.failure_domains),
+       "--base-port", std::to_string(options_.base_port + kWorkerPort)});
   {
     BOOST_LEAF_AUTO(generator, child_process::Start({generate, cell_file}));
     if (generator->Wait(kStandinStartMs) != 0) {
@@ -164,9 +164,9 @@
   std::map<std::string, std::string> values = {
       {"name", name},
       {"failure_domain",
-       "fd-" + std::to_string(index % static_cast<std::size_t>(
-                                          options_.failure_domains) +
-                              1)},
+       "fd-" +
+           std::to_string(
+               index % static_cast<std::size_t>(options_.failure_domains) + 1)},
       {"http_address", DaemonAddress(index)},
       {"peer_address", Loopback(kPeerPort + static_cast<int>(index))},
       {"kv_address",
--- a/testing/cell/process_cell.h
+++ b/testing/cell/process_cell.h
@@ -15,10 +15,10 @@
 namespace apricotwheel::testing {
 
 struct process_cell_options {
-  std::string folder;     // Created; holds logs, journal and settings.
-  std::string daemon;     // Path of apricotwheeld.
-  std::string standin;    // Path of apricotwheel_standin.
-  std::string document;   // Text of the operators' document.
+  std::string folder;    // Created; holds logs, journal and settings.
+  std::string daemon;    // Path of apricotwheeld.
+  std::string standin;   // Path of apricotwheel_standin.
+  std::string document;  // Text of the operators' document.
   std::size_t daemons = 3;
   std::vector<std::string> groups;  // As `apricotwheel_standin cell --group`.
   int failure_domains = 3;
--- a/testing/cell/tcp_relay.cc
+++ b/testing/cell/tcp_relay.cc
@@ -69,8 +69,9 @@
       close(client);
       continue;
     }
-    const auto spawned = Attempt(
-        [&] { return threads.Spawn("relay", [this, client] { Serve(client); }); });
+    const auto spawned = Attempt([&] {
+      return threads.Spawn("relay", [this, client] { Serve(client); });
+    });
     if (!spawned) close(client);
   }
 }
@@ -112,8 +113,8 @@
   close(state_->listener);
 }
 
-result<std::unique_ptr<tcp_relay>> tcp_relay::Start(const std::string& listen_at,
-                                                    const std::string& target) {
+result<std::unique_ptr<tcp_relay>> tcp_relay::Start(
+    const std::string& listen_at, const std::string& target) {
   BOOST_LEAF_AUTO(own, ParseEndpoint(listen_at));
   BOOST_LEAF_AUTO(other, ParseEndpoint(target));
   auto initial = std::make_shared<state>();
--- a/testing/cell/tcp_relay.h
+++ b/testing/cell/tcp_relay.h
@@ -10,10 +10,10 @@
 // What a relay does with the bytes of its connections.
 enum class relay_mode {
   kPass,
-  kDropToServer,   // Requests vanish; answers pass.
-  kDropToClient,   // Requests pass; answers vanish.
-  kDropBoth,       // All bytes vanish; connections stay open.
-  kRefuse,         // Open connections are reset, new ones are closed at once.
+  kDropToServer,  // Requests vanish; answers pass.
+  kDropToClient,  // Requests pass; answers vanish.
+  kDropBoth,      // All bytes vanish; connections stay open.
+  kRefuse,        // Open connections are reset, new ones are closed at once.
 };
 
 // Forwards TCP connections to one address, so that a test can cut a link in
