--- a/src/platform/http_connection.cc
+++ b/src/platform/http_connection.cc
@@ -191,7 +191,7 @@
     BOOST_LEAF_AUTO(line, ReadLine(deadline));
     std::size_t status = 0;
     if (line.size() < 12 || line.compare(0, 7, "HTTP/1.") != 0 ||
-        !ParseNumber(std::string_view(line).substr(9, 3), 10, status)) {
+        !ParseNumber(std::string_view{line}.substr(9, 3), 10, status)) {
       return Corrupt("malformed status line");
     }
     reply = {};
@@ -217,7 +217,7 @@
     while (true) {
       BOOST_LEAF_AUTO(line, ReadLine(deadline));
       std::size_t size = 0;
-      if (!ParseNumber(std::string_view(line).substr(0, line.find(';')), 16,
+      if (!ParseNumber(std::string_view{line}.substr(0, line.find(';')), 16,
                        size)) {
         return Corrupt("malformed chunk size");
       }
@@ -292,7 +292,8 @@
     }
   }
   if (!connection) connection = std::make_unique<http_connection>(peer_);
-  auto reply = connection->Exchange(call, connect_timeout, timeout);
+  // After a failure the connection is closed and not kept.
+  BOOST_LEAF_AUTO(reply, connection->Exchange(call, connect_timeout, timeout));
   if (connection->IsOpen()) {
     const std::lock_guard lock(mutex_);
     if (idle_.size() < kMaxIdleConnections) {
--- a/src/platform/http_listener.cc
+++ b/src/platform/http_listener.cc
@@ -239,7 +239,8 @@
   BOOST_LEAF_AUTO(endpoint, ParseEndpoint(options.address));
   auto initial = std::make_unique<state>();
   auto& server = initial->server;
-  server.options = options;
+  server.options = std::move(options);
+  const auto& limits = server.options;
   int* const socket = &initial->socket;
   // SO_REUSEPORT, which cpp-httplib sets, would let two processes share a port.
   server.set_socket_options([socket](socket_t opened) {
@@ -249,11 +250,11 @@
   });
   server.set_tcp_nodelay(true);
   server.set_address_family(AF_INET);
-  server.set_payload_max_length(options.max_body_bytes);
+  server.set_payload_max_length(limits.max_body_bytes);
   server.set_keep_alive_max_count(std::numeric_limits<std::size_t>::max());
   server.set_read_timeout(kIoTimeout);
   server.set_write_timeout(kIoTimeout);
-  const std::size_t limit = options.max_connections + kMaxRefusals;
+  const std::size_t limit = limits.max_connections + kMaxRefusals;
   server.new_task_queue = [limit] { return new thread_queue(limit); };
   server.set_pre_routing_handler(
       [](const httplib::Request& request, httplib::Response& response) {
@@ -264,12 +265,22 @@
         response.set_header("Apricotwheel-Outcome", "not_run");
         return httplib::Server::HandlerResponse::Handled;
       });
+  // A caller that is not told would send its next request into the close.
+  connection_server* const owner = &server;
+  server.set_post_routing_handler(
+      [owner](const httplib::Request&, httplib::Response& response) {
+        const std::lock_guard lock(owner->mutex);
+        if (!owner->stopping) return;
+        response.headers.erase("Keep-Alive");
+        response.headers.erase("Connection");
+        response.set_header("Connection", "close");
+      });
   const bool bound =
       endpoint.port == 0
           ? (endpoint.port = server.bind_to_any_port(endpoint.ip)) > 0
           : server.bind_to_port(endpoint.ip, endpoint.port);
   if (!bound || listen(initial->socket, kBacklog) != 0) {
-    return Fail(error_kind::kIo, "cannot listen on " + options.address,
+    return Fail(error_kind::kIo, "cannot listen on " + limits.address,
                 "choose a free port of this machine");
   }
   initial->address = endpoint.ip + ":" + std::to_string(endpoint.port);
--- a/src/platform/http_listener.h
+++ b/src/platform/http_listener.h
@@ -25,7 +25,8 @@
 class http_listener {
  public:
   // Opens the socket; routes are added to `Server()` before `Start`. The
-  // pre-routing handler is taken: it refuses a target over 1024 bytes (414).
+  // pre- and post-routing handlers are taken: they refuse a target over 1024
+  // bytes (414) and announce the close of a connection during a stop.
   static result<std::unique_ptr<http_listener>> Bind(
       http_listener_options options);
   ~http_listener();
--- a/tests/platform/instance_test.cc
+++ b/tests/platform/instance_test.cc
@@ -157,6 +157,43 @@
   BOOST_TEST((failed.failure.kind == error_kind::kInvalidArgument));
 }
 
+// Guards against a stop that cuts off a request in flight, or that waits for
+// idle keep-alive connections.
+BOOST_AUTO_TEST_CASE(listener_stop_ends_idle_and_completes_busy_connections) {
+  http_listener_options options;
+  options.address = "127.0.0.1:0";
+  const auto listener = http_listener::Bind(options).value();
+  listener->Server().Get("/slow", [](const auto&, auto& response) {
+    std::this_thread::sleep_for(milliseconds(200));
+    response.set_content("ok", "text/plain");
+  });
+  BOOST_REQUIRE(bool(Attempt([&] { return listener->Start(); })));
+  const auto peer = ParseEndpoint(listener->Address()).value();
+  http_connection idle(peer);
+  http_call call;
+  call.method = "GET";
+  call.target = "/none";
+  BOOST_TEST(idle.Exchange(call, milliseconds(300), milliseconds(300))
+                 .value()
+                 .status == 404);
+  std::thread busy([&] {
+    http_connection connection(peer);
+    http_call slow = call;
+    slow.target = "/slow";
+    const auto reply =
+        connection.Exchange(slow, milliseconds(300), milliseconds(2000))
+            .value();
+    BOOST_TEST(reply.body == "ok");
+    BOOST_TEST(!connection.IsOpen());
+  });
+  std::this_thread::sleep_for(milliseconds(50));
+  const auto begin = std::chrono::steady_clock::now();
+  listener->Stop();
+  BOOST_TEST((std::chrono::steady_clock::now() - begin < milliseconds(2000)));
+  busy.join();
+  BOOST_TEST(listener->OpenConnections() == 0u);
+}
+
 // Guards against connections past the limit that wait instead of being told.
 BOOST_AUTO_TEST_CASE(listener_refuses_connections_past_its_limit) {
   http_listener_options options;
