Check test results in the main thread of instance_test

ThreadSanitizer reported races inside Boost.Test, because two test threads made checks themselves; they now hand over their results. One lint finding in the stand-in instance is fixed.

--- a/testing/instance_standin.cc
+++ b/testing/instance_standin.cc
@@ -151,7 +151,7 @@
         "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n" +
         std::string(kCorrelationHeader) + ": " + id + "\r\n";
     const std::string& body = response.body;
-    const auto half = std::string_view(body).substr(0, body.size() / 2);
+    const auto half = std::string_view{body}.substr(0, body.size() / 2);
     if (Take(faults.wrong_correlation)) {
       response.headers.erase(kCorrelationHeader);
       response.set_header(kCorrelationHeader, "other-" + id);
--- a/tests/platform/instance_test.cc
+++ b/tests/platform/instance_test.cc
@@ -122,7 +122,8 @@
     options.refuse_over_limit = refuse;
     fixture test(options);
     test.service->SetFaults({.service_ms = 150});
-    std::thread first([&] { BOOST_TEST(bool(test.Send("c1"))); });
+    bool first_answered = false;
+    std::thread first([&] { first_answered = bool(test.Send("c1")); });
     std::this_thread::sleep_for(milliseconds(50));
     const auto second = test.Connect();
     const auto usage = second->Usage().value();
@@ -133,6 +134,7 @@
       return second->Send(fixture::Request("c2"), milliseconds(300));
     });
     first.join();
+    BOOST_TEST(first_answered);
     BOOST_TEST(bool(sent) == !refuse);
     if (refuse) BOOST_TEST((sent.failure.kind == error_kind::kCapacity));
     BOOST_TEST(test.service->SlotBreaches() == 1u);
@@ -176,21 +178,22 @@
   BOOST_TEST(idle.Exchange(call, milliseconds(300), milliseconds(300))
                  .value()
                  .status == 404);
+  http_connection connection(peer);
+  std::string body;
   std::thread busy([&] {
-    http_connection connection(peer);
     http_call slow = call;
     slow.target = "/slow";
-    const auto reply =
-        connection.Exchange(slow, milliseconds(300), milliseconds(2000))
-            .value();
-    BOOST_TEST(reply.body == "ok");
-    BOOST_TEST(!connection.IsOpen());
+    body = connection.Exchange(slow, milliseconds(300), milliseconds(2000))
+               .value()
+               .body;
   });
   std::this_thread::sleep_for(milliseconds(50));
   const auto begin = std::chrono::steady_clock::now();
   listener->Stop();
   BOOST_TEST((std::chrono::steady_clock::now() - begin < milliseconds(2000)));
   busy.join();
+  BOOST_TEST(body == "ok");
+  BOOST_TEST(!connection.IsOpen());
   BOOST_TEST(listener->OpenConnections() == 0u);
 }
 
