--- /dev/null
+++ b/ctl/apply.cc
@@ -0,0 +1,92 @@
+#include "ctl/document_store.h"
+#include "ctl/files.h"
+
+namespace apricotwheel::ctl {
+namespace {
+
+// The text to compare with after a conflict. Revisions before the current one
+// are not stored, so a conflict with an expected revision can be shown only
+// against the file that the operator names.
+std::optional<std::string> BaseText(const command_context& context) {
+  if (context.base.empty()) return std::nullopt;
+  const auto text = Attempt([&] { return ReadFile(context.base); });
+  if (text) return *text;
+  context.err << "no diff: " << Describe(text.failure) << "\n";
+  return std::nullopt;
+}
+
+int ReportRevision(const command_context& context, document_store& store,
+                   std::uint64_t expected, std::uint64_t stored,
+                   const std::string& text) {
+  const int code = Report(context, {error_kind::kConflict,
+                                    "revision " + std::to_string(expected) +
+                                        " was expected, but revision " +
+                                        std::to_string(stored) + " is stored",
+                                    "merge the changes and apply again"});
+  auto base = BaseText(context);
+  if (!base) {
+    context.err << "without --base FILE the diff starts at the applied file\n";
+    base = text;
+  }
+  PrintConflict(context, store, base);
+  return code;
+}
+
+std::string SummaryOf(const std::optional<stored_document>& current,
+                      const cell_document& next) {
+  if (!current) return "first document";
+  const auto before = CheckText("stored", current->envelope.text).document;
+  if (!before) return "replaces a document that is not valid";
+  return Summarize(DiffDocuments(*before, next));
+}
+
+int Apply(const command_context& context, document_store& store,
+          const std::string& text, const cell_document& document) {
+  const auto current = Attempt([&] { return store.Read(); });
+  if (!current) return Report(context, current.failure);
+  const std::uint64_t revision =
+      current->has_value() ? (*current)->envelope.revision : 0;
+  if (context.expect_revision && *context.expect_revision != revision) {
+    return ReportRevision(context, store, *context.expect_revision, revision,
+                          text);
+  }
+  if (current->has_value() && (*current)->envelope.text == text) {
+    context.out << "revision " << revision << " is this document already\n";
+    return kOk;
+  }
+  const auto summary = SummaryOf(*current, document);
+  const auto written =
+      Attempt([&] { return store.Write(*current, text, summary); });
+  if (written) {
+    context.out << "revision " << written->revision
+                << " is in force: " << summary << "\n";
+    return kOk;
+  }
+  const int code = Report(context, written.failure);
+  if (written.failure.kind == error_kind::kConflict) {
+    std::optional<std::string> base;
+    if (current->has_value()) base = (*current)->envelope.text;
+    PrintConflict(context, store, base);
+  }
+  return code;
+}
+
+}  // namespace
+
+int RunApply(const command_context& context, const argument_list& arguments) {
+  if (arguments.size() != 1) {
+    return Usage(context, "one file is expected", "write apply FILE");
+  }
+  const auto text = Attempt([&] { return ReadFile(arguments[0]); });
+  if (!text) return Report(context, text.failure);
+  const auto check = CheckText(arguments[0], *text);
+  if (!check.document) {
+    PrintFaults(context, check.faults);
+    return kInvalidInput;
+  }
+  auto store = Attempt([&] { return document_store::Create(context); });
+  if (!store) return Report(context, store.failure);
+  return Apply(context, **store, *text, *check.document);
+}
+
+}  // namespace apricotwheel::ctl
--- /dev/null
+++ b/ctl/command.h
@@ -0,0 +1,82 @@
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <ostream>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "kernel/clock.h"
+#include "kernel/error.h"
+
+namespace apricotwheel::ctl {
+
+enum exit_code : int {
+  kOk = 0,
+  kFailed = 1,
+  kInvalidInput = 2,
+  kConflict = 3,
+  kUnavailable = 4,
+  kUnknownEffect = 5,
+};
+
+// The options of one invocation and where its output goes.
+struct command_context {
+  std::ostream& out;
+  std::ostream& err;
+  clock_ptr clock = runtime_clock::Running();
+  std::string kv{};      // ip:port of the key-value service.
+  std::string daemon{};  // ip:port of a daemon.
+  bool json = false;
+  std::string author{};
+  duration timeout = milliseconds(10'000);
+  std::optional<std::uint64_t> expect_revision{};
+  std::string base{};     // apply: file that the operator started from.
+  bool settings = false;  // check: the file holds settings.
+  bool undo = false;      // drain: remove instead of add.
+  bool all = false;       // status: ask every member.
+  std::int64_t limit = 20;
+  std::int64_t count = 0;  // submit: tasks; 0 takes the workload's.
+  std::int64_t run_ms =
+      0;  // submit: declared run time; 0 takes the workload's.
+  std::int64_t wait_ms = 0;
+  std::string priority{};  // submit: class; empty takes the workload's.
+  std::string request_id{};
+};
+
+using argument_list = std::vector<std::string>;
+
+struct command {
+  std::string_view name;
+  std::string_view arguments;
+  std::string_view help;
+  int (*run)(const command_context& context, const argument_list& arguments);
+};
+
+std::span<const command> Commands();
+
+// Runs the command that `arguments` starts with; returns the exit code.
+int RunCommand(const command_context& context, const argument_list& arguments);
+
+// Prints `failure` and returns its exit code.
+int Report(const command_context& context, const error& failure);
+// Prints a usage fault and returns kInvalidInput.
+int Usage(const command_context& context, std::string_view message,
+          std::string_view remedy);
+
+int RunCheck(const command_context& context, const argument_list& arguments);
+int RunApply(const command_context& context, const argument_list& arguments);
+int RunShow(const command_context& context, const argument_list& arguments);
+int RunDiff(const command_context& context, const argument_list& arguments);
+int RunDrain(const command_context& context, const argument_list& arguments);
+int RunAudit(const command_context& context, const argument_list& arguments);
+int RunStatus(const command_context& context, const argument_list& arguments);
+int RunSubmit(const command_context& context, const argument_list& arguments);
+int RunJob(const command_context& context, const argument_list& arguments);
+int RunWhy(const command_context& context, const argument_list& arguments);
+int RunCancel(const command_context& context, const argument_list& arguments);
+int RunHelp(const command_context& context, const argument_list& arguments);
+
+}  // namespace apricotwheel::ctl
--- /dev/null
+++ b/ctl/daemon_client.h
@@ -0,0 +1,42 @@
+#pragma once
+
+#include <nlohmann/json.hpp>
+#include <string>
+
+#include "ctl/command.h"
+
+namespace apricotwheel::ctl {
+
+struct daemon_answer {
+  int status = 0;
+  nlohmann::json body;
+};
+
+struct daemon_call {
+  std::string method;  // GET, POST or DELETE.
+  std::string path;
+  std::string body;
+  bool has_effect = false;  // A lost reply leaves the effect unknown.
+  duration extra_wait{};    // Added to the read timeout.
+};
+
+// Makes one call to the daemon at `address`. Fails with `unavailable` if the
+// call provably had no effect and with `timeout` if its effect is unknown; an
+// answer with an error status is no failure here.
+result<daemon_answer> CallDaemon(const command_context& context,
+                                 const std::string& address,
+                                 const daemon_call& call);
+
+// The error that an answer with an error status stands for.
+error ErrorOf(const daemon_answer& answer, bool has_effect);
+
+// Calls the daemon of the context and fails on every status above 299.
+result<daemon_answer> CallForSuccess(const command_context& context,
+                                     const daemon_call& call);
+
+// The value of `key` as text, "-" if it is absent.
+std::string TextOf(const nlohmann::json& object, std::string_view key);
+
+void PrintJson(const command_context& context, const nlohmann::json& value);
+
+}  // namespace apricotwheel::ctl
--- /dev/null
+++ b/ctl/document_store.h
@@ -0,0 +1,66 @@
+#pragma once
+
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "config/document.h"
+#include "ctl/command.h"
+#include "platform/kv_client.h"
+
+namespace apricotwheel::ctl {
+
+struct stored_document {
+  document_envelope envelope;
+  std::uint64_t kv_revision = 0;  // Of the key; for compare-and-swap.
+};
+
+// Reads and writes the operators' document in the key-value service.
+class document_store {
+ public:
+  // Fails with `invalid_argument` if the context names no service.
+  static result<std::unique_ptr<document_store>> Create(
+      const command_context& context);
+
+  // Absent if no document is stored. An error is never `timeout`, because a
+  // read has no effect.
+  result<std::optional<stored_document>> Read();
+
+  // Writes `text` as the revision after `current` by compare-and-swap, then its
+  // audit entry. First makes sure that the audit entry of `current` exists,
+  // because its writer may have died between its two writes.
+  // Fails with `conflict` if another document was written since `current`, with
+  // `timeout` if the effect is not known.
+  result<document_envelope> Write(const std::optional<stored_document>& current,
+                                  std::string text, std::string summary);
+
+  struct audit_trail {
+    std::vector<std::string> entries;  // JSON, oldest first.
+    std::optional<document_envelope> current;
+  };
+  // Includes the entry of the current revision even if it is not yet written.
+  result<audit_trail> ReadAudit();
+
+ private:
+  document_store(const command_context& context,
+                 std::unique_ptr<kv_client> client);
+
+  result<void> EnsureAudit(const document_envelope& envelope);
+
+  const command_context& context_;
+  std::unique_ptr<kv_client> client_;
+};
+
+// The key of a revision's audit entry.
+std::string AuditKey(std::uint64_t revision);
+
+// "7 changes: workload a: instances 1 -> 2; ..." in at most 400 bytes.
+std::string Summarize(const std::vector<std::string>& changes);
+
+// Prints a conflict: what differs between `base` and the document that is
+// stored now.
+void PrintConflict(const command_context& context, document_store& store,
+                   const std::optional<std::string>& base);
+
+}  // namespace apricotwheel::ctl
--- /dev/null
+++ b/ctl/drain.cc
@@ -0,0 +1,62 @@
+#include "config/drain_edit.h"
+#include "ctl/document_store.h"
+#include "ctl/files.h"
+#include "kernel/random.h"
+
+namespace apricotwheel::ctl {
+namespace {
+
+// Operators race rarely; more attempts than this mean that something else
+// rewrites the document all the time.
+constexpr int kMaxAttempts = 8;
+
+// One read-modify-write. Returns the exit code, or the error of the write.
+result<std::string> DrainOnce(const command_context& context,
+                              document_store& store, const argument_list& vms) {
+  BOOST_LEAF_AUTO(stored, store.Read());
+  if (!stored) {
+    return Fail(error_kind::kNotFound, "no document is stored",
+                "write the first one with `apricotwheelctl apply`");
+  }
+  const argument_list none;
+  BOOST_LEAF_AUTO(text,
+                  EditDrain(stored->envelope.text, context.undo ? none : vms,
+                            context.undo ? vms : none));
+  if (text == stored->envelope.text) {
+    return "revision " + std::to_string(stored->envelope.revision) +
+           " has this drain list already";
+  }
+  const auto before = CheckText("stored", stored->envelope.text).document;
+  const auto after = CheckText("edited", text).document;
+  std::string summary = "drain list";
+  if (before && after) summary = Summarize(DiffDocuments(*before, *after));
+  BOOST_LEAF_AUTO(written, store.Write(stored, std::move(text), summary));
+  return "revision " + std::to_string(written.revision) +
+         " is in force: " + summary;
+}
+
+}  // namespace
+
+int RunDrain(const command_context& context, const argument_list& arguments) {
+  if (arguments.empty()) {
+    return Usage(context, "VM ids are expected", "write drain VM...");
+  }
+  auto store = Attempt([&] { return document_store::Create(context); });
+  if (!store) return Report(context, store.failure);
+  random_source random = SystemRandom();
+  for (int attempt = 1;; ++attempt) {
+    const auto done =
+        Attempt([&] { return DrainOnce(context, **store, arguments); });
+    if (done) {
+      context.out << *done << "\n";
+      return kOk;
+    }
+    if (done.failure.kind != error_kind::kConflict || attempt == kMaxAttempts) {
+      return Report(context, done.failure);
+    }
+    context.clock->SleepFor(BackoffWithJitter(random, attempt, milliseconds(20),
+                                              milliseconds(1000)));
+  }
+}
+
+}  // namespace apricotwheel::ctl
--- /dev/null
+++ b/ctl/files.cc
@@ -0,0 +1,59 @@
+#include "ctl/files.h"
+
+#include <algorithm>
+#include <fstream>
+#include <sstream>
+
+#ifdef APRICOTWHEEL_HAS_POLICIES
+#include "placement/cell_state.h"
+#endif
+
+namespace apricotwheel::ctl {
+
+result<std::string> ReadFile(const std::string& path) {
+  std::ifstream stream(path, std::ios::binary);
+  std::ostringstream text;
+  if (!stream || !(text << stream.rdbuf())) {
+    return Fail(error_kind::kInvalidArgument,
+                "'" + path + "' cannot be read or is empty",
+                "write the path of a readable file");
+  }
+  return text.str();
+}
+
+document_check CheckText(std::string_view file, std::string_view text) {
+#ifdef APRICOTWHEEL_HAS_POLICIES
+  return CheckDocument(file, text, PolicyNames());
+#else
+  return CheckDocument(file, text, {});
+#endif
+}
+
+void PrintFaults(const command_context& context,
+                 const std::vector<config_fault>& faults) {
+  for (const auto& fault : faults) context.err << Describe(fault) << "\n";
+}
+
+void PrintTable(std::ostream& out, const std::vector<std::string>& heading,
+                const std::vector<std::vector<std::string>>& rows) {
+  std::vector<std::size_t> widths;
+  for (const auto& title : heading) widths.push_back(title.size());
+  for (const auto& row : rows) {
+    for (std::size_t at = 0; at < row.size(); ++at) {
+      widths[at] = std::max(widths[at], row[at].size());
+    }
+  }
+  const auto print = [&](const std::vector<std::string>& row) {
+    std::string line;
+    for (std::size_t at = 0; at < row.size(); ++at) {
+      if (at > 0) line += "  ";
+      line += row[at];
+      if (at + 1 < row.size()) line.append(widths[at] - row[at].size(), ' ');
+    }
+    out << line << "\n";
+  };
+  print(heading);
+  for (const auto& row : rows) print(row);
+}
+
+}  // namespace apricotwheel::ctl
--- /dev/null
+++ b/ctl/files.h
@@ -0,0 +1,25 @@
+#pragma once
+
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "config/document.h"
+#include "ctl/command.h"
+
+namespace apricotwheel::ctl {
+
+result<std::string> ReadFile(const std::string& path);
+
+// Checks a document with the policies that this program knows.
+document_check CheckText(std::string_view file, std::string_view text);
+
+// Prints one line for each fault, on the error stream.
+void PrintFaults(const command_context& context,
+                 const std::vector<config_fault>& faults);
+
+// Prints a table with a heading; columns are as wide as their longest cell.
+void PrintTable(std::ostream& out, const std::vector<std::string>& heading,
+                const std::vector<std::vector<std::string>>& rows);
+
+}  // namespace apricotwheel::ctl
--- /dev/null
+++ b/ctl/main.cc
@@ -0,0 +1,112 @@
+#include <gflags/gflags.h>
+
+#include <algorithm>
+#include <cstdlib>
+#include <iostream>
+
+#include "ctl/command.h"
+
+DEFINE_string(kv, "", "ip:port of the key-value service");
+DEFINE_string(daemon, "", "ip:port of any daemon");
+DEFINE_bool(json, false, "print JSON");
+DEFINE_string(author, "", "author of a change; default: the user's name");
+DEFINE_int32(timeout_ms, 10'000, "longest time of a call");
+DEFINE_int64(expect_revision, -1,
+             "apply: fail with a conflict unless this revision is stored");
+DEFINE_string(base, "", "apply: file to compare with after a conflict");
+DEFINE_bool(settings, false, "check: the file holds a daemon's settings");
+DEFINE_bool(undo, false, "drain: remove the VMs from the list");
+DEFINE_bool(all, false, "status: ask every member");
+DEFINE_int64(limit, 20, "audit: number of newest entries");
+DEFINE_int64(count, 0, "submit: number of tasks; 0: the workload's");
+DEFINE_int64(run_ms, 0, "submit: declared run time; 0: the workload's");
+DEFINE_int64(wait_ms, 0, "job: wait so long for its end");
+DEFINE_string(class, "", "submit: urgent, service or batch");
+DEFINE_string(request_id, "", "submit: repeats with this id are one job");
+
+namespace apricotwheel::ctl {
+namespace {
+
+std::string UserName() {
+  for (const char* variable : {"USER", "LOGNAME"}) {
+    const char* name = std::getenv(variable);
+    if (name != nullptr && *name != '\0') return name;
+  }
+  return "unknown";
+}
+
+// Sets the flags of `line` and moves the other arguments to `rest`. The parser
+// of gflags exits with code 1 at a wrong flag, which here means `failed`.
+result<void> ParseFlags(std::span<char*> line, argument_list& rest) {
+  for (std::size_t at = 0; at < line.size(); ++at) {
+    const std::string_view argument = line[at];
+    if (argument.size() < 3 || argument.substr(0, 2) != "--") {
+      rest.emplace_back(argument);
+      continue;
+    }
+    const auto equals = argument.find('=');
+    std::string name(argument.substr(2, equals - 2));
+    std::replace(name.begin(), name.end(), '-', '_');
+    gflags::CommandLineFlagInfo info;
+    if (!gflags::GetCommandLineFlagInfo(name.c_str(), &info)) {
+      return Fail(error_kind::kInvalidArgument,
+                  "'" + std::string(argument) + "' is not an option",
+                  "run `apricotwheelctl help`");
+    }
+    std::string value = "true";
+    if (equals != std::string_view::npos) {
+      value = argument.substr(equals + 1);
+    } else if (info.type != "bool" && ++at < line.size()) {
+      value = line[at];
+    }
+    if (at >= line.size() ||
+        gflags::SetCommandLineOption(name.c_str(), value.c_str()).empty()) {
+      return Fail(error_kind::kInvalidArgument,
+                  "option --" + name + " lacks a valid value",
+                  "write a value of type " + info.type);
+    }
+  }
+  return {};
+}
+
+int Main(std::span<char*> line) {
+  command_context context{std::cout, std::cerr};
+  argument_list arguments;
+  const auto parsed = Attempt([&] { return ParseFlags(line, arguments); });
+  if (!parsed) return Report(context, parsed.failure);
+  std::string help;
+  if (gflags::GetCommandLineOption("help", &help) && help == "true") {
+    return RunHelp(context, {});
+  }
+  if (FLAGS_timeout_ms < 1) {
+    return Usage(context, "the timeout is out of range",
+                 "write --timeout-ms above 0");
+  }
+  context.kv = FLAGS_kv;
+  context.daemon = FLAGS_daemon;
+  context.json = FLAGS_json;
+  context.author = FLAGS_author.empty() ? UserName() : FLAGS_author;
+  context.author.resize(std::min<std::size_t>(context.author.size(), 200));
+  context.timeout = milliseconds(FLAGS_timeout_ms);
+  if (FLAGS_expect_revision >= 0) {
+    context.expect_revision = static_cast<std::uint64_t>(FLAGS_expect_revision);
+  }
+  context.base = FLAGS_base;
+  context.settings = FLAGS_settings;
+  context.undo = FLAGS_undo;
+  context.all = FLAGS_all;
+  context.limit = FLAGS_limit;
+  context.count = FLAGS_count;
+  context.run_ms = FLAGS_run_ms;
+  context.wait_ms = FLAGS_wait_ms;
+  context.priority = FLAGS_class;
+  context.request_id = FLAGS_request_id;
+  return RunCommand(context, arguments);
+}
+
+}  // namespace
+}  // namespace apricotwheel::ctl
+
+int main(int argc, char** argv) {
+  return apricotwheel::ctl::Main({argv + 1, argv + argc});
+}
--- /dev/null
+++ b/ctl/show.cc
@@ -0,0 +1,115 @@
+#include <nlohmann/json.hpp>
+
+#include "ctl/document_store.h"
+#include "ctl/files.h"
+
+namespace apricotwheel::ctl {
+namespace {
+
+using nlohmann::json;
+
+std::string Dump(const json& value) {
+  return value.dump(2, ' ', false, json::error_handler_t::replace) + "\n";
+}
+
+error NoDocument() {
+  return {error_kind::kNotFound, "no document is stored",
+          "write the first one with `apricotwheelctl apply`"};
+}
+
+}  // namespace
+
+int RunShow(const command_context& context, const argument_list& arguments) {
+  if (!arguments.empty()) {
+    return Usage(context, "show takes no argument", "remove it");
+  }
+  auto store = Attempt([&] { return document_store::Create(context); });
+  if (!store) return Report(context, store.failure);
+  const auto stored = Attempt([&] { return (*store)->Read(); });
+  if (!stored) return Report(context, stored.failure);
+  if (!stored->has_value()) return Report(context, NoDocument());
+  const auto& envelope = (*stored)->envelope;
+  if (context.json) {
+    context.out << Dump(json::parse(EncodeEnvelope(envelope)));
+    return kOk;
+  }
+  // The text alone goes to the output, so that it can be edited and applied.
+  context.err << "revision " << envelope.revision << " by " << envelope.author
+              << ": " << envelope.summary << "\n";
+  context.out << envelope.text;
+  return kOk;
+}
+
+int RunDiff(const command_context& context, const argument_list& arguments) {
+  if (arguments.size() != 1) {
+    return Usage(context, "one file is expected", "write diff FILE");
+  }
+  const auto text = Attempt([&] { return ReadFile(arguments[0]); });
+  if (!text) return Report(context, text.failure);
+  const auto check = CheckText(arguments[0], *text);
+  if (!check.document) {
+    PrintFaults(context, check.faults);
+    return kInvalidInput;
+  }
+  auto store = Attempt([&] { return document_store::Create(context); });
+  if (!store) return Report(context, store.failure);
+  const auto stored = Attempt([&] { return (*store)->Read(); });
+  if (!stored) return Report(context, stored.failure);
+  if (!stored->has_value()) return Report(context, NoDocument());
+  const auto& envelope = (*stored)->envelope;
+  const auto before = CheckText("stored document", envelope.text);
+  if (!before.document) {
+    PrintFaults(context, before.faults);
+    return kFailed;
+  }
+  const auto changes = DiffDocuments(*before.document, *check.document);
+  if (context.json) {
+    context.out << Dump(
+        {{"revision", envelope.revision}, {"changes", changes}});
+    return kOk;
+  }
+  for (const auto& change : changes) context.out << change << "\n";
+  if (changes.empty()) {
+    context.out << "no difference to revision " << envelope.revision << "\n";
+  }
+  return kOk;
+}
+
+int RunAudit(const command_context& context, const argument_list& arguments) {
+  if (!arguments.empty() || context.limit < 1) {
+    return Usage(context, "audit takes no argument and a limit above 0",
+                 "write audit --limit N");
+  }
+  auto store = Attempt([&] { return document_store::Create(context); });
+  if (!store) return Report(context, store.failure);
+  const auto trail = Attempt([&] { return (*store)->ReadAudit(); });
+  if (!trail) return Report(context, trail.failure);
+  const auto count = trail->entries.size();
+  const auto limit = static_cast<std::size_t>(context.limit);
+  json list = json::array();
+  std::vector<std::vector<std::string>> rows;
+  for (std::size_t at = count > limit ? count - limit : 0; at < count; ++at) {
+    const json entry = json::parse(trail->entries[at], nullptr, false);
+    if (!entry.is_object()) {
+      context.err << "warning: an audit entry is damaged\n";
+      continue;
+    }
+    const auto cell = [&](const char* key) {
+      const auto found = entry.find(key);
+      if (found == entry.end()) return std::string("-");
+      return found->is_string() ? found->get<std::string>() : found->dump();
+    };
+    rows.push_back({cell("revision"), cell("written_at_ms"), cell("author"),
+                    cell("summary")});
+    list.push_back(entry);
+  }
+  if (context.json) {
+    context.out << Dump(list);
+  } else {
+    PrintTable(context.out, {"revision", "written_at_ms", "author", "summary"},
+               rows);
+  }
+  return kOk;
+}
+
+}  // namespace apricotwheel::ctl
--- /dev/null
+++ b/ctl/status.cc
@@ -0,0 +1,142 @@
+#include <map>
+
+#include "ctl/daemon_client.h"
+#include "ctl/files.h"
+#include "ctl/status_report.h"
+
+namespace apricotwheel::ctl {
+namespace {
+
+using nlohmann::json;
+using row_list = std::vector<std::vector<std::string>>;
+
+// More members than this are no cell of this project; it bounds --all.
+constexpr std::size_t kMaxMembers = 64;
+
+void PrintList(const command_context& context, const json& status,
+               const char* list, const std::vector<std::string>& columns) {
+  row_list rows;
+  const auto found = status.find(list);
+  if (found != status.end()) {
+    for (const auto& entry : *found) {
+      std::vector<std::string> row;
+      for (const auto& column : columns) row.push_back(TextOf(entry, column));
+      rows.push_back(std::move(row));
+    }
+  }
+  context.out << "\n" << list << ": " << rows.size() << "\n";
+  if (!rows.empty()) PrintTable(context.out, columns, rows);
+}
+
+// One line for each owner, because 32 single shards say little.
+void PrintShards(const command_context& context, const json& status) {
+  std::map<std::string, std::string> owners;
+  const auto found = status.find("shards");
+  if (found != status.end()) {
+    for (const auto& entry : *found) {
+      owners[TextOf(entry, "owner")] += " " + TextOf(entry, "shard");
+    }
+  }
+  row_list rows;
+  for (const auto& [owner, shards] : owners) rows.push_back({owner, shards});
+  context.out << "\nshards\n";
+  PrintTable(context.out, {"owner", "shards"}, rows);
+}
+
+std::string Amounts(const json& worker, const char* key) {
+  const auto found = worker.find(key);
+  if (found == worker.end()) return "-";
+  return TextOf(*found, "cpu_milli") + "/" + TextOf(*found, "memory_mib") +
+         "/" + TextOf(*found, "accelerators");
+}
+
+void PrintWorkers(const command_context& context, const json& status) {
+  row_list rows;
+  const auto found = status.find("workers");
+  if (found != status.end()) {
+    for (const auto& worker : *found) {
+      rows.push_back({TextOf(worker, "worker"), TextOf(worker, "partition"),
+                      TextOf(worker, "state"), TextOf(worker, "tasks"),
+                      Amounts(worker, "free"), Amounts(worker, "capacity")});
+    }
+  }
+  context.out << "\nworkers (free and capacity: cpu_milli/memory_mib/"
+                 "accelerators): "
+              << rows.size() << "\n";
+  if (rows.empty()) return;
+  PrintTable(context.out,
+             {"worker", "partition", "state", "tasks", "free", "capacity"},
+             rows);
+}
+
+void PrintStatus(const command_context& context, const json& status) {
+  const auto document = status.find("document");
+  context.out << TextOf(status, "member_id") << " in "
+              << TextOf(status, "failure_domain") << ", ready "
+              << TextOf(status, "ready");
+  if (document != status.end()) {
+    context.out << ", document revision " << TextOf(*document, "revision")
+                << " of cell " << TextOf(*document, "cell");
+  }
+  context.out << ", pending tasks " << TextOf(status, "pending_tasks")
+              << ", in flight " << TextOf(status, "in_flight") << "\n";
+  PrintList(
+      context, status, "members",
+      {"id", "failure_domain", "http_address", "peer_address", "leaving"});
+  PrintList(context, status, "partitions", {"name", "owner", "epoch"});
+  PrintShards(context, status);
+  PrintWorkers(context, status);
+  PrintList(context, status, "instances",
+            {"task_id", "service", "worker", "address", "accepting"});
+}
+
+// A daemon lists only the workers that it owns; this adds those of the others.
+void AddOtherMembers(const command_context& context, json& status) {
+  const json members = status.value("members", json::array());
+  std::size_t asked = 0;
+  for (const auto& member : members) {
+    if (TextOf(member, "id") == TextOf(status, "member_id")) continue;
+    if (++asked > kMaxMembers) break;
+    const auto other = Attempt([&] {
+      return CallDaemon(context, TextOf(member, "http_address"),
+                        {"GET", "/v1/status", "", false, {}});
+    });
+    if (!other || other->status != 200) {
+      context.err << "warning: member " << TextOf(member, "id")
+                  << " gives no status\n";
+      continue;
+    }
+    for (const char* list : {"workers", "instances"}) {
+      const auto found = other->body.find(list);
+      if (found == other->body.end() || !status[list].is_array()) continue;
+      for (const auto& entry : *found) status[list].push_back(entry);
+    }
+  }
+}
+
+}  // namespace
+
+int RunStatus(const command_context& context, const argument_list& arguments) {
+  if (!arguments.empty()) {
+    return Usage(context, "status takes no argument", "remove it");
+  }
+  auto answer = Attempt([&] {
+    return CallForSuccess(context, {"GET", "/v1/status", "", false, {}});
+  });
+  if (!answer) return Report(context, answer.failure);
+  if (context.all) AddOtherMembers(context, answer->body);
+  const auto warnings = FindWarnings(answer->body);
+  if (context.json) {
+    json report = answer->body;
+    report["warnings"] = warnings;
+    PrintJson(context, report);
+    return kOk;
+  }
+  PrintStatus(context, answer->body);
+  for (const auto& warning : warnings) {
+    context.err << "warning: " << warning << "\n";
+  }
+  return kOk;
+}
+
+}  // namespace apricotwheel::ctl
--- /dev/null
+++ b/ctl/status_report.cc
@@ -0,0 +1,95 @@
+#include "ctl/status_report.h"
+
+#include <algorithm>
+#include <set>
+
+#include "ctl/daemon_client.h"
+
+namespace apricotwheel::ctl {
+namespace {
+
+using nlohmann::json;
+
+// Past this age of the VM list a leaving VM may have been missed for longer
+// than the 5 s of guarantee 6.
+constexpr std::int64_t kMaxVmListAgeMs = 5000;
+
+// `value` throws for a wrong type; a daemon of another version may send one.
+template <class Value>
+Value Get(const json& object, const char* key, Value fallback) {
+  if (!object.is_object()) return fallback;
+  const auto found = object.find(key);
+  if (found == object.end()) return fallback;
+  if constexpr (std::is_same_v<Value, bool>) {
+    return found->is_boolean() ? found->get<bool>() : fallback;
+  } else {
+    return found->is_number_integer() ? found->get<Value>() : fallback;
+  }
+}
+
+json Part(const json& object, const char* key) {
+  const auto found = object.find(key);
+  return found == object.end() ? json() : *found;
+}
+
+void WarnOfOwners(const json& status, const char* list, const char* name,
+                  std::vector<std::string>& warnings) {
+  std::set<std::string> members;
+  for (const auto& member : Part(status, "members")) {
+    members.insert(TextOf(member, "id"));
+  }
+  std::string orphans;
+  std::size_t count = 0;
+  for (const auto& entry : Part(status, list)) {
+    if (members.contains(TextOf(entry, "owner"))) continue;
+    // A few names tell where to look; 32 shards would hide the other warnings.
+    if (++count <= 5) orphans += " " + TextOf(entry, name);
+  }
+  if (count == 0) return;
+  warnings.push_back(std::to_string(count) + " " + list +
+                     " have no live owner:" + orphans +
+                     (count > 5 ? " ..." : ""));
+}
+
+}  // namespace
+
+std::vector<std::string> FindWarnings(const json& status) {
+  std::vector<std::string> warnings;
+  if (Get(status, "leaving", false)) {
+    warnings.emplace_back("this daemon is stopping");
+  } else if (!Get(status, "ready", false)) {
+    warnings.emplace_back("this daemon is not ready; see /readyz");
+  }
+  if (!Get(status, "kv_reachable", false)) {
+    warnings.emplace_back(
+        "the key-value service cannot be reached; new jobs are refused");
+  }
+  if (!Get(status, "holds_lease", false)) {
+    warnings.emplace_back("this daemon holds no lease; others may take over");
+  }
+  const std::string fault = TextOf(Part(status, "document"), "fault");
+  if (fault != "-" && !fault.empty()) {
+    warnings.push_back("the stored document is not in force: " + fault);
+  }
+  const auto age = Get(Part(status, "vm_list"), "age_ms", std::int64_t{-1});
+  if (age < 0 || age > kMaxVmListAgeMs) {
+    warnings.push_back("the VM list is stale (age " + std::to_string(age) +
+                       " ms)");
+  }
+  WarnOfOwners(status, "partitions", "name", warnings);
+  WarnOfOwners(status, "shards", "shard", warnings);
+  for (const auto& worker : Part(status, "workers")) {
+    const std::string state = TextOf(worker, "state");
+    if (state == "unresponsive" || state == "quarantined") {
+      warnings.push_back("worker " + TextOf(worker, "worker") + " is " + state);
+    }
+  }
+  for (const auto& instance : Part(status, "instances")) {
+    if (Get(instance, "accepting", false)) continue;
+    warnings.push_back("instance " + TextOf(instance, "task_id") + " on " +
+                       TextOf(instance, "worker") + " accepts no requests");
+  }
+  return warnings;
+}
+
+}  // namespace apricotwheel::ctl
--- a/src/config/drain_edit.cc
+++ b/src/config/drain_edit.cc
@@ -72,7 +72,10 @@
   const std::string prefix = EntryPrefix(lines[last - 1]);
   std::size_t kept = 0;
   text_lines added;
-  for (const auto& id : add) added.push_back(prefix + "\"" + id + "\"");
+  for (const auto& id : add) {
+    added.push_back(prefix);
+    added.back().append("\"").append(id).append("\"");
+  }
   lines.insert(lines.begin() + static_cast<std::ptrdiff_t>(last), added.begin(),
                added.end());
   for (auto item = drain.items.rbegin(); item != drain.items.rend(); ++item) {
@@ -97,7 +100,9 @@
   if (open == std::string::npos || close == std::string::npos) return;
   std::string list;
   for (const auto& id : all) {
-    list += (list.empty() ? "\"" : ", \"") + id + "\"";
+    list += list.empty() ? "\"" : ", \"";
+    list += id;
+    list += '"';
   }
   line = line.substr(0, open + 1) + list + line.substr(close);
 }
