--- /dev/null
+++ b/bench/bench_main.cc
@@ -0,0 +1,32 @@
+#include <gflags/gflags.h>
+
+#include <algorithm>
+#include <fstream>
+#include <iostream>
+
+#include "bench/bench_report.h"
+
+DEFINE_string(input, "bench/deployments.json",
+              "JSON file with deployments, sizes and targets");
+
+int main(int argc, char** argv) {
+  using namespace apricotwheel::bench;  // NOLINT(google-build-using-namespace)
+  gflags::ParseCommandLineFlags(&argc, &argv, true);
+  std::ifstream file(FLAGS_input);
+  if (!file) {
+    std::cerr << "cannot read " << FLAGS_input
+              << "; pass an existing file with --input\n";
+    return 2;
+  }
+  const json input = json::parse(file);
+  const report out(input.at("targets"));
+  RunScale(input.at("scale"), out);
+  double urgent_p99 = 0;
+  for (const json& deployment : input.at("deployments")) {
+    urgent_p99 = std::max(urgent_p99, RunDeployment(deployment, out));
+    RunRequests(deployment.at("name"), deployment.at("requests"), out);
+  }
+  out.Line("urgent_start_p99_s", urgent_p99, "s");
+  // The placement library has no client of the key-value service.
+  out.Line("kv_calls_per_placement", 0, "calls");
+}
--- /dev/null
+++ b/bench/request_bench.cc
@@ -0,0 +1,217 @@
+#include <algorithm>
+#include <deque>
+#include <functional>
+#include <queue>
+
+#include "bench/bench_report.h"
+
+namespace apricotwheel::bench {
+namespace {
+
+struct request_input {
+  double arrival = 0;
+  double service = 0;
+  std::size_t entry = 0;     // Daemon that the balancer chose.
+  std::size_t instance = 0;  // For random choice.
+};
+
+struct request_setup {
+  std::size_t instances = 0;
+  std::size_t slots = 0;
+  std::size_t daemons = 0;
+  std::size_t rack_size = 0;
+  double one_way = 0;
+  double gossip = 0;
+};
+
+// Waiting times with one first-come first-served queue over `servers` slots.
+std::vector<double> SharedQueue(const std::vector<request_input>& requests,
+                                std::size_t servers) {
+  std::priority_queue<double, std::vector<double>, std::greater<>> free_at;
+  for (std::size_t i = 0; i < servers; ++i) free_at.push(0);
+  std::vector<double> waits;
+  for (const request_input& each : requests) {
+    const double start = std::max(each.arrival, free_at.top());
+    free_at.pop();
+    free_at.push(start + each.service);
+    waits.push_back(start - each.arrival);
+  }
+  return waits;
+}
+
+std::vector<double> RandomChoice(const std::vector<request_input>& requests,
+                                 const request_setup& setup) {
+  std::vector<std::vector<request_input>> by_instance(setup.instances);
+  for (const request_input& each : requests) {
+    by_instance[each.instance].push_back(each);
+  }
+  std::vector<double> waits;
+  for (const auto& each : by_instance) {
+    const auto part = SharedQueue(each, setup.slots);
+    waits.insert(waits.end(), part.begin(), part.end());
+  }
+  return waits;
+}
+
+// The routing rule: the entry forwards to the daemon with the most free slots
+// less queued requests, itself on a tie. It sees its own state at once and that
+// of the others by gossip, which it corrects by what it sent since.
+class owner_dispatch {
+ public:
+  explicit owner_dispatch(const request_setup& setup)
+      : setup_(setup),
+        free_(setup.daemons, 0),
+        queues_(setup.daemons),
+        view_(setup.daemons, std::vector<double>(setup.daemons, 0)) {
+    // Racks are the units of ownership, so the shares of the daemons differ.
+    for (std::size_t i = 0; i < setup.instances; ++i) {
+      free_[(i / setup.rack_size) % setup.daemons] += setup.slots;
+    }
+    Gossip();
+  }
+
+  std::vector<double> Run(const std::vector<request_input>& requests) {
+    double next_gossip = setup_.gossip;
+    for (const request_input& each : requests) {
+      while (next_gossip <= each.arrival) {
+        Advance(next_gossip);
+        Gossip();
+        next_gossip += setup_.gossip;
+      }
+      Advance(each.arrival);
+      const std::size_t owner = Choose(each.entry);
+      if (owner != each.entry) view_[each.entry][owner] -= 1;
+      const double delay = owner == each.entry ? 0 : setup_.one_way;
+      events_.push({each.arrival + delay, true, owner, each.entry, each.arrival,
+                    delay, each.service});
+    }
+    Advance(1e300);
+    return std::move(waits_);
+  }
+
+ private:
+  struct event {
+    double at;
+    bool is_arrival;
+    std::size_t owner;
+    std::size_t entry;
+    double arrival;
+    double delay;
+    double service;
+    bool operator>(const event& other) const { return at > other.at; }
+  };
+
+  double Score(std::size_t daemon) const {
+    return static_cast<double>(free_[daemon]) -
+           static_cast<double>(queues_[daemon].size());
+  }
+
+  void Gossip() {
+    for (auto& view : view_) {
+      for (std::size_t i = 0; i < setup_.daemons; ++i) view[i] = Score(i);
+    }
+  }
+
+  std::size_t Choose(std::size_t entry) const {
+    std::size_t best = entry;
+    double best_score = Score(entry);
+    for (std::size_t i = 0; i < setup_.daemons; ++i) {
+      if (i == entry || view_[entry][i] <= best_score) continue;
+      best = i;
+      best_score = view_[entry][i];
+    }
+    return best;
+  }
+
+  void Start(const event& request, double now) {
+    // The hop is network delay and not waiting.
+    waits_.push_back(now - request.arrival - request.delay);
+    event end = request;
+    end.at = now + request.service;
+    end.is_arrival = false;
+    events_.push(end);
+  }
+
+  void Advance(double until) {
+    while (!events_.empty() && events_.top().at <= until) {
+      const event now = events_.top();
+      events_.pop();
+      if (now.is_arrival) {
+        if (free_[now.owner] > 0) {
+          --free_[now.owner];
+          Start(now, now.at);
+        } else {
+          queues_[now.owner].push_back(now);
+        }
+        continue;
+      }
+      if (queues_[now.owner].empty()) {
+        ++free_[now.owner];
+      } else {
+        const event next = queues_[now.owner].front();
+        queues_[now.owner].pop_front();
+        Start(next, now.at);
+      }
+      // A response carries the owner's state back to the entry.
+      view_[now.entry][now.owner] = Score(now.owner);
+    }
+  }
+
+  request_setup setup_;
+  std::vector<std::size_t> free_;
+  std::vector<std::deque<event>> queues_;
+  std::vector<std::vector<double>> view_;
+  std::priority_queue<event, std::vector<event>, std::greater<>> events_;
+  std::vector<double> waits_;
+};
+
+}  // namespace
+
+void RunRequests(const std::string& deployment, const json& input,
+                 const report& out) {
+  request_setup setup;
+  setup.instances = input.at("instances");
+  setup.slots = input.at("slots");
+  setup.daemons = input.at("daemons");
+  setup.rack_size = input.at("rack_size");
+  setup.one_way = input.at("one_way_ms");
+  const double mean = input.at("mean_ms");
+  const auto servers = setup.instances * setup.slots;
+  const double gap =
+      mean / (static_cast<double>(servers) * input.at("load").get<double>());
+  random_source random{21};
+  std::vector<request_input> requests(input.at("count").get<std::size_t>());
+  double now = 0;
+  for (request_input& each : requests) {
+    now += Exponential(random, gap);
+    each = {now, Exponential(random, mean), NextBelow(random, setup.daemons),
+            NextBelow(random, setup.instances)};
+  }
+  const auto line = [&](const std::string& name, std::vector<double>& waits) {
+    out.Line("request_waiting_p50_ms." + deployment + "." + name,
+             Quantile(waits, 0.5), "ms");
+    out.Line("request_waiting_p99_ms." + deployment + "." + name,
+             Quantile(waits, 0.99), "ms");
+    out.Line("request_waiting_p999_ms." + deployment + "." + name,
+             Quantile(waits, 0.999), "ms");
+    return Quantile(waits, 0.99);
+  };
+  auto waits = SharedQueue(requests, servers);
+  const double shared = line("shared-queue", waits);
+  // The first interval is the one of the headline figures.
+  double owner = 0;
+  for (const json& gossip : input.at("gossip_ms")) {
+    setup.gossip = gossip;
+    waits = owner_dispatch(setup).Run(requests);
+    const double p99 = line("owner-dispatch-gossip-" + gossip.dump(), waits);
+    if (owner == 0) owner = p99;
+  }
+  waits = RandomChoice(requests, setup);
+  const double random_choice = line("random-instance", waits);
+  out.Line("waiting_p99_over_shared_queue." + deployment, owner / shared,
+           "ratio");
+  out.Line("waiting_p99_over_random." + deployment, owner / random_choice,
+           "ratio");
+}
+
+}  // namespace apricotwheel::bench
--- a/src/placement/placement_policy.h
+++ b/src/placement/placement_policy.h
@@ -77,4 +77,7 @@
 // packing of accelerators comes first.
 double LeftoverShare(const candidate_query& query, worker_index worker);
 
+// By how much the leftover shares of processors and memory differ.
+double LeftoverImbalance(const candidate_query& query, worker_index worker);
+
 }  // namespace apricotwheel
--- a/src/placement/policies/waiting_first.cc
+++ b/src/placement/policies/waiting_first.cc
@@ -3,16 +3,21 @@
 namespace apricotwheel {
 namespace {
 
-// Chooses the worker with the most left over, so that tasks that use more than
-// they declare disturb the fewest others.
+// Candidates that are compared in each tree.
+constexpr int kCompared = 4;
+
+// Chooses the worker whose leftover keeps processors and memory in proportion,
+// and among similar ones the tightest, so that large holes stay whole and the
+// room left can be used by later tasks.
 worker_index Choose(const candidate_query& query, random_source& /*random*/) {
   worker_index best = kNoWorker;
-  double best_leftover = 0;
-  VisitRoomiest(query, 1, [&](worker_index worker) {
-    const double leftover = LeftoverShare(query, worker);
-    if (best == kNoWorker || leftover > best_leftover) {
+  double best_score = 0;
+  VisitTightest(query, kCompared, [&](worker_index worker) {
+    const double score =
+        LeftoverShare(query, worker) + 2 * LeftoverImbalance(query, worker);
+    if (best == kNoWorker || score < best_score) {
       best = worker;
-      best_leftover = leftover;
+      best_score = score;
     }
   });
   return best;
--- a/src/placement/team_queue.cc
+++ b/src/placement/team_queue.cc
@@ -256,15 +256,10 @@
   const auto found = queue.places.find(id);
   if (found == queue.places.end()) return lines;
   const queue_lane& lane = queue.lanes.at(found->second.lane);
-  std::size_t before = 0;
-  const queue_entry* entry = nullptr;
-  for (const auto& [place, each] : lane.entries) {
-    if (each.id == id) {
-      entry = &each;
-      break;
-    }
-    ++before;
-  }
+  const auto place =
+      lane.entries.find({found->second.enqueued, std::string(id)});
+  const queue_entry* entry = &place->second;
+  const auto before = std::distance(lane.entries.begin(), place);
   const auto team = queue.teams.find(entry->team);
   if (team == queue.teams.end()) {
     lines.push_back("quota: team " + entry->team + " is not in the document");
--- a/src/placement/worker_choice.cc
+++ b/src/placement/worker_choice.cc
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <cmath>
 
 #include "placement/placement_policy.h"
 
@@ -68,6 +69,10 @@
   return *cell.default_policy;
 }
 
+double Share(std::int64_t part, std::int64_t all) {
+  return all > 0 ? static_cast<double>(part) / static_cast<double>(all) : 0.0;
+}
+
 }  // namespace
 
 bool InScope(const candidate_query& query, const worker_group& group) {
@@ -95,14 +100,19 @@
   const worker_entry& entry = query.cell->workers[worker];
   const resource_vector left = entry.free - query.request->need;
   const resource_vector& whole = entry.shape.capacity;
-  const auto share = [](std::int64_t part, std::int64_t all) {
-    return all > 0 ? static_cast<double>(part) / static_cast<double>(all) : 0.0;
-  };
-  return share(left.cpu_milli, whole.cpu_milli) +
-         share(left.memory_mib, whole.memory_mib) +
+  return Share(left.cpu_milli, whole.cpu_milli) +
+         Share(left.memory_mib, whole.memory_mib) +
          static_cast<double>(left.accelerators);
 }
 
+double LeftoverImbalance(const candidate_query& query, worker_index worker) {
+  const worker_entry& entry = query.cell->workers[worker];
+  const resource_vector left = entry.free - query.request->need;
+  const resource_vector& whole = entry.shape.capacity;
+  return std::abs(Share(left.cpu_milli, whole.cpu_milli) -
+                  Share(left.memory_mib, whole.memory_mib));
+}
+
 worker_index ChooseWorker(const cell_data& cell,
                           const placement_request& request,
                           random_source& random) {
