--- a/src/placement/team_queue.cc
+++ b/src/placement/team_queue.cc
@@ -169,6 +169,14 @@
   if (!lane.blocked_since) lane.blocked_since = now;
 }
 
+void EndBackoff(team_queue& queue, const resource_vector& free,
+                time_point now) {
+  for (auto& [key, lane] : queue.lanes) {
+    if (lane.not_before <= now || lane.entries.empty()) continue;
+    if (Fits(lane.entries.begin()->second.need, free)) lane.not_before = now;
+  }
+}
+
 void Charge(team_queue& queue, std::string_view team,
             const resource_vector& amount) {
   team_account& account = queue.teams[std::string(team)];
--- a/src/placement/team_queue.h
+++ b/src/placement/team_queue.h
@@ -119,6 +119,11 @@
 void ReturnUnplaced(team_queue& queue, std::string_view id, time_point now,
                     random_source& random);
 
+// Room was made on a worker, of which `free` is free now: ends the back-off of
+// the entries of which a part fits there, instead of leaving them to wait for
+// it. Call it when tasks end.
+void EndBackoff(team_queue& queue, const resource_vector& free, time_point now);
+
 // Counts what already runs (after a take-over), and what ended.
 void Charge(team_queue& queue, std::string_view team,
             const resource_vector& amount);
--- a/tests/placement/team_queue_test.cc
+++ b/tests/placement/team_queue_test.cc
@@ -144,6 +144,22 @@
   BOOST_TEST(ReservedForOthers(queue, other, now).empty());
 }
 
+// Guards against an entry that waits for its back-off although room was made,
+// and against waking entries for which the room is too small.
+BOOST_AUTO_TEST_CASE(released_room_ends_the_backoff_of_what_fits) {
+  team_queue queue = Queue();
+  random_source random{1};
+  Enqueue(queue, Entry("small", "a", 1000, kStart));
+  Enqueue(queue, Entry("large", "b", 3000, kStart));
+  for (int i = 0; i < 2; ++i) {
+    ReturnUnplaced(queue, Next(queue, kStart), kStart, random);
+  }
+  BOOST_TEST(Next(queue, kStart).empty());
+  EndBackoff(queue, {2000, 0, 0}, kStart);
+  BOOST_TEST(Next(queue, kStart) == "small");
+  BOOST_TEST(Next(queue, kStart).empty());
+}
+
 // Guards against ageing that a steady stream of urgent entries defeats.
 BOOST_AUTO_TEST_CASE(old_batch_work_passes_young_urgent_work) {
   team_queue queue = Queue();
