--- a/bench/deployment_bench.cc
+++ b/bench/deployment_bench.cc
@@ -47,8 +47,9 @@
 
 // Arrivals of all pools; `load` is the offered part of the scarcest resource.
 std::vector<generated_task> Generate(const json& input, double load,
-                                     std::uint64_t urgent_percent) {
-  random_source random{input.at("seed").get<std::uint64_t>()};
+                                     std::uint64_t urgent_percent,
+                                     std::uint64_t seed) {
+  random_source random{seed};
   std::vector<generated_task> tasks;
   double end = 0;
   for (const json& pool : input.at("pools")) {
@@ -138,6 +139,7 @@
         events_.pop();
         if (generation_[done.task] == done.generation) End(done.task, now);
       }
+      ReserveForOldest(now);
       Schedule(now);
     }
     result_.used_over_opened = opened_sum_ > 0 ? used_sum_ / opened_sum_ : 0;
@@ -251,6 +253,14 @@
     }
   }
 
+  // Keeps one worker free for the oldest entry that does not fit.
+  void ReserveForOldest(double now) {
+    const auto entry = ReservationCandidate(queue_, At(now));
+    if (!entry) return;
+    Reserve(queue_, entry->id,
+            cell_->WorkersToReserve(entry->need, entry->parts), At(now));
+  }
+
   void Observe(double span) {
     used_sum_ += used_ * span;
     opened_sum_ += opened_ * span;
@@ -349,16 +359,38 @@
   double best = 1e300;
   for (const std::string& policy : PolicyNames()) {
     const std::string suffix = "." + name + "." + policy;
+    // The samples of all seeds are put together: one run has too few large
+    // tasks for its p99.9.
     const auto run = [&](const char* load, std::uint64_t urgent_percent) {
-      return event_loop(input, policy,
-                        Generate(input, input.at(load), urgent_percent))
-          .Run();
+      loop_result all;
+      const auto runs = input.at("runs").get<std::uint64_t>();
+      for (std::uint64_t i = 0; i < runs; ++i) {
+        const auto seed = input.at("seed").get<std::uint64_t>() + i;
+        const auto one =
+            event_loop(input, policy,
+                       Generate(input, input.at(load), urgent_percent, seed))
+                .Run();
+        all.waits.insert(all.waits.end(), one.waits.begin(), one.waits.end());
+        all.urgent_waits.insert(all.urgent_waits.end(),
+                                one.urgent_waits.begin(),
+                                one.urgent_waits.end());
+        all.used_over_opened +=
+            one.used_over_opened / static_cast<double>(runs);
+      }
+      return all;
+    };
+    const auto mean = [](const std::vector<double>& samples) {
+      double sum = 0;
+      for (const double each : samples) sum += each;
+      return sum / static_cast<double>(samples.size());
     };
     auto result = run("load", 0);
     out.Line("waiting_p50_s" + suffix, Quantile(result.waits, 0.5), "s");
     out.Line("waiting_p99_s" + suffix, Quantile(result.waits, 0.99), "s");
     out.Line("waiting_p999_s" + suffix, Quantile(result.waits, 0.999), "s");
     auto heavy = run("heavy_load", 0);
+    out.Line("waiting_mean_s" + suffix, mean(result.waits), "s");
+    out.Line("heavy_waiting_mean_s" + suffix, mean(heavy.waits), "s");
     out.Line("heavy_waiting_p50_s" + suffix, Quantile(heavy.waits, 0.5), "s");
     out.Line("heavy_waiting_p99_s" + suffix, Quantile(heavy.waits, 0.99), "s");
     out.Line("heavy_waiting_p999_s" + suffix, Quantile(heavy.waits, 0.999),
--- a/bench/request_bench.cc
+++ b/bench/request_bench.cc
@@ -23,6 +23,7 @@
   double one_way = 0;
   double gossip = 0;
   int handover_limit = 0;
+  bool offers = false;
 };
 
 // Waiting times with one first-come first-served queue over `servers` slots.
@@ -66,7 +67,8 @@
       : setup_(setup),
         free_(setup.daemons, 0),
         queues_(setup.daemons),
-        view_(setup.daemons, std::vector<double>(setup.daemons, 0)) {
+        view_(setup.daemons, std::vector<double>(setup.daemons, 0)),
+        queuing_(setup.daemons, std::vector<bool>(setup.daemons, false)) {
     // Racks are the units of ownership, so the shares of the daemons differ.
     for (std::size_t i = 0; i < setup.instances; ++i) {
       free_[(i / setup.rack_size) % setup.daemons] += setup.slots;
@@ -86,17 +88,20 @@
       const std::size_t owner = Choose(each.entry);
       if (owner != each.entry) view_[each.entry][owner] -= 1;
       const double delay = owner == each.entry ? 0 : setup_.one_way;
-      events_.push({each.arrival + delay, true, owner, each.entry, each.arrival,
-                    delay, each.service, 0});
+      events_.push({each.arrival + delay, event_kind::kArrival, owner,
+                    each.entry, each.arrival, delay, each.service, 0});
     }
     Advance(1e300);
     return std::move(waits_);
   }
 
+  std::uint64_t ControlMessages() const { return control_messages_; }
+
  private:
+  enum class event_kind { kArrival, kEnd, kQueuedNotice, kOffer };
   struct event {
     double at;
-    bool is_arrival;
+    event_kind kind;
     std::size_t owner;
     std::size_t entry;
     double arrival;
@@ -133,7 +138,7 @@
     waits_.push_back(now - request.arrival - request.delay);
     event end = request;
     end.at = now + request.service;
-    end.is_arrival = false;
+    end.kind = event_kind::kEnd;
     events_.push(end);
   }
 
@@ -158,18 +163,64 @@
       return;
     }
     queues_[request.owner].push_back(request);
+    if (!setup_.offers) return;
+    for (std::size_t i = 0; i < setup_.daemons; ++i) {
+      if (i != request.owner) {
+        Send(event_kind::kQueuedNotice, i, request.owner, request.at);
+      }
+    }
+  }
+
+  // A message from daemon `from` to daemon `owner`.
+  void Send(event_kind kind, std::size_t owner, std::size_t from, double now) {
+    events_.push({now + setup_.one_way, kind, owner, from, 0, 0, 0, 0});
+    ++control_messages_;
+  }
+
+  void OfferSlots(std::size_t owner, double now) {
+    if (!setup_.offers) return;
+    std::size_t left = free_[owner];
+    for (std::size_t i = 0; i < setup_.daemons && left > 0; ++i) {
+      if (!queuing_[owner][i]) continue;
+      queuing_[owner][i] = false;
+      Send(event_kind::kOffer, i, owner, now);
+      --left;
+    }
+  }
+
+  void AnswerOffer(std::size_t owner, std::size_t to, double now) {
+    if (queues_[owner].empty()) return;
+    event request = queues_[owner].front();
+    queues_[owner].pop_front();
+    request.at = now + setup_.one_way;
+    request.owner = to;
+    request.handovers = setup_.handover_limit;
+    events_.push(request);
+    if (!queues_[owner].empty()) {
+      Send(event_kind::kQueuedNotice, to, owner, now);
+    }
   }
 
   void Advance(double until) {
     while (!events_.empty() && events_.top().at <= until) {
       const event now = events_.top();
       events_.pop();
-      if (now.is_arrival) {
+      if (now.kind == event_kind::kArrival) {
         Receive(now);
         continue;
       }
+      if (now.kind == event_kind::kQueuedNotice) {
+        queuing_[now.owner][now.entry] = true;
+        OfferSlots(now.owner, now.at);
+        continue;
+      }
+      if (now.kind == event_kind::kOffer) {
+        AnswerOffer(now.owner, now.entry, now.at);
+        continue;
+      }
       if (queues_[now.owner].empty()) {
         ++free_[now.owner];
+        OfferSlots(now.owner, now.at);
       } else {
         const event next = queues_[now.owner].front();
         queues_[now.owner].pop_front();
@@ -184,6 +235,8 @@
   std::vector<std::size_t> free_;
   std::vector<std::deque<event>> queues_;
   std::vector<std::vector<double>> view_;
+  std::vector<std::vector<bool>> queuing_;  // Who told whom to queue requests.
+  std::uint64_t control_messages_ = 0;
   std::priority_queue<event, std::vector<event>, std::greater<>> events_;
   std::vector<double> waits_;
 };
@@ -235,6 +288,18 @@
     out.Line("hand_over_p99_over_shared_queue." + deployment + ".gossip-" +
                  gossip.dump(),
              handed / shared, "ratio");
+    changed.offers = true;
+    owner_dispatch with_offers(changed);
+    waits = with_offers.Run(requests);
+    const double offered = line("offers-gossip-" + gossip.dump(), waits);
+    out.Line("offers_p99_over_shared_queue." + deployment + ".gossip-" +
+                 gossip.dump(),
+             offered / shared, "ratio");
+    out.Line("offers_messages_per_request." + deployment + ".gossip-" +
+                 gossip.dump(),
+             static_cast<double>(with_offers.ControlMessages()) /
+                 static_cast<double>(requests.size()),
+             "messages");
   }
   waits = RandomChoice(requests, setup);
   const double random_choice = line("random-instance", waits);
--- a/src/placement/cell_state.cc
+++ b/src/placement/cell_state.cc
@@ -71,6 +71,18 @@
   return a.memory_mib > b.memory_mib;
 }
 
+// The largest part of a resource of the worker that `need` lacks there.
+double MissingShare(const resource_vector& need, const worker_entry& entry) {
+  const resource_vector missing = MaxOf(need - entry.free, {});
+  const resource_vector& whole = entry.shape.capacity;
+  const auto share = [](std::int64_t part, std::int64_t all) {
+    return all > 0 ? static_cast<double>(part) / static_cast<double>(all) : 0.0;
+  };
+  return std::max({share(missing.cpu_milli, whole.cpu_milli),
+                   share(missing.memory_mib, whole.memory_mib),
+                   share(missing.accelerators, whole.accelerators)});
+}
+
 }  // namespace
 
 struct cell_state::state {
@@ -302,6 +314,23 @@
   return chosen;
 }
 
+std::vector<std::string> cell_state::WorkersToReserve(
+    const resource_vector& need, std::size_t count) const {
+  std::vector<std::pair<double, worker_index>> all;
+  const cell_data& cell = state_->data;
+  for (worker_index worker = 0; worker < cell.workers.size(); ++worker) {
+    const worker_entry& entry = cell.workers[worker];
+    if (!entry.indexed || !Fits(need, entry.shape.capacity)) continue;
+    all.emplace_back(MissingShare(need, entry), worker);
+  }
+  const std::size_t kept = std::min(count, all.size());
+  std::partial_sort(all.begin(),
+                    all.begin() + static_cast<std::ptrdiff_t>(kept), all.end());
+  std::vector<std::string> ids;
+  for (std::size_t i = 0; i < kept; ++i) ids.push_back(Shape(all[i].second).id);
+  return ids;
+}
+
 std::vector<std::string> cell_state::Explain(
     const placement_request& task) const {
   return ExplainRequest(state_->data, task);
--- a/src/placement/cell_state.h
+++ b/src/placement/cell_state.h
@@ -85,6 +85,11 @@
   std::vector<worker_index> DecideGang(std::span<const placement_request> tasks,
                                        random_source& random) const;
 
+  // The usable workers whose capacity holds `need` and that lack the least for
+  // it, at most `count`: the ones to keep free for a task that did not fit.
+  std::vector<std::string> WorkersToReserve(const resource_vector& need,
+                                            std::size_t count) const;
+
   // Why a task waits or is refused: one line for each cause, resource by
   // resource, with the number of workers it holds for and an example VM.
   std::vector<std::string> Explain(const placement_request& task) const;
--- a/tests/placement/cell_state_test.cc
+++ b/tests/placement/cell_state_test.cc
@@ -293,6 +293,21 @@
              boost::test_tools::per_element());
 }
 
+// Guards against reserving workers that cannot hold the task, or ones from
+// which more has to go than from others.
+BOOST_AUTO_TEST_CASE(reserved_workers_lack_the_least) {
+  cell_fixture fixture;
+  fixture.Add("vm-small", {2000, 1024, 0});
+  const auto a = fixture.Add("vm-a", {4000, 4096, 0});
+  const auto b = fixture.Add("vm-b", {4000, 4096, 0});
+  fixture.cell->SetUsable(fixture.Add("vm-c", {4000, 4096, 0}), false);
+  BOOST_TEST(fixture.Run(a, Request("t", {3000, 0, 0})));
+  BOOST_TEST(fixture.Run(b, Request("u", {2000, 0, 0})));
+  const std::vector<std::string> expected = {"vm-b", "vm-a"};
+  BOOST_TEST(fixture.cell->WorkersToReserve({3000, 0, 0}, 5) == expected,
+             boost::test_tools::per_element());
+}
+
 // Guards against a task that is counted twice, lost when its worker changes
 // shape or goes, or counted with less than it uses.
 BOOST_AUTO_TEST_CASE(counts_follow_tasks_and_workers) {
