--- /dev/null
+++ b/tests/peer/fault_test.cc
@@ -0,0 +1,185 @@
+#include <boost/test/unit_test.hpp>
+#include <future>
+
+#include "kernel/random.h"
+#include "tests/peer/raw_peer.h"
+
+namespace apricotwheel {
+namespace {
+
+struct node_fixture {
+  metrics_ptr metrics = std::make_shared<prometheus::Registry>();
+  std::atomic<int> handled = 0;
+  std::unique_ptr<peer_node> node = StartNode("node.1", [&](auto& options) {
+    options.metrics = metrics;
+    options.max_frame_bytes = 64 * 1024;
+  });
+
+  node_fixture() {
+    node->Handle(wire::body::job_request, [&](const auto&, const auto&) {
+      ++handled;
+      return MakeMessage(wire::job_responseT{});
+    });
+  }
+  auto Counted(const char* name, double expected) {
+    return Eventually([&] { return Count(*metrics, name) == expected; });
+  }
+  auto InvalidFrames(double expected) {
+    return Counted("apricotwheel_peer_invalid_frames_total", expected);
+  }
+  auto Rejected(double expected) {
+    return Counted("apricotwheel_peer_rejected_connections_total", expected);
+  }
+};
+
+void SendBytes(int socket, byte_view bytes) {
+  BOOST_REQUIRE(::send(socket, bytes.data(), bytes.size(), MSG_NOSIGNAL) ==
+                static_cast<ssize_t>(bytes.size()));
+}
+
+// Guards against frames that are cut at any byte and still change something.
+BOOST_AUTO_TEST_CASE(frames_cut_anywhere_yield_nothing) {
+  const auto whole = EncodeFrame(EncodeMessage(JobRequest("x"), 1, false));
+  for (std::size_t cut = 0; cut < whole.size(); ++cut) {
+    frame_reader reader(1024);
+    reader.Append(byte_view(whole).first(cut));
+    byte_buffer payload;
+    BOOST_TEST(!reader.Next(payload).value());
+    BOOST_TEST(reader.PendingBytes() == cut);
+    const auto body = byte_view(whole).subspan(kFrameHeaderBytes);
+    if (cut < body.size())
+      Attempt([&] { return DecodeMessage(body.first(cut)); });
+  }
+}
+
+// Guards against a decoder that a flipped bit crashes or that returns a message
+// without a body.
+BOOST_AUTO_TEST_CASE(flipped_bits_never_yield_a_message_without_body) {
+  const auto whole = EncodeMessage(JobRequest("some text"), 7, false);
+  for (std::size_t bit = 0; bit < whole.size() * 8; ++bit) {
+    auto copy = whole;
+    copy[bit / 8] ^= static_cast<std::uint8_t>(1U << (bit % 8));
+    const auto message = Attempt([&] { return DecodeMessage(copy); });
+    if (message) {
+      BOOST_TEST(message->body.value != nullptr);
+    } else {
+      BOOST_TEST((message.failure.kind == error_kind::kCorrupt));
+    }
+  }
+}
+
+// Guards against truncated, oversized, empty and unverifiable frames that keep
+// the connection open, are not counted, or reach a handler.
+BOOST_FIXTURE_TEST_CASE(invalid_frames_close_the_connection, node_fixture) {
+  const auto connect = [&] {
+    auto link = RawClient(node->ListenAddress(), "node.1");
+    BOOST_REQUIRE(link);
+    return link;
+  };
+  auto link = connect();
+  link->WriteFrame(byte_buffer(100, 0xab), SoonEnough());
+  BOOST_TEST(ClosesSoon(*link));
+  BOOST_TEST(InvalidFrames(1));
+  link = connect();
+  link->WriteFrame(byte_buffer(64 * 1024 + 1), SoonEnough());
+  BOOST_TEST(ClosesSoon(*link));
+  BOOST_TEST(InvalidFrames(2));
+  link = connect();
+  link->WriteFrame({}, SoonEnough());
+  BOOST_TEST(ClosesSoon(*link));
+  BOOST_TEST(InvalidFrames(3));
+  const auto whole = EncodeFrame(EncodeMessage(JobRequest("x"), 1, false));
+  const int socket = RawSocket(node->ListenAddress());
+  link = Wrap(socket);
+  BOOST_REQUIRE(Authenticate(*link, "node.1"));
+  SendBytes(socket, byte_view(whole).first(whole.size() - 1));
+  link.reset();
+  BOOST_TEST(InvalidFrames(4));
+  BOOST_TEST(handled == 0);
+}
+
+// Guards against a recorded handshake that is accepted again, an envelope that
+// is parsed before the proof, and a silent connection that stays for ever.
+BOOST_FIXTURE_TEST_CASE(unproven_connections_are_rejected, node_fixture) {
+  const byte_buffer challenge(kChallengeBytes, 1);
+  auto first = Wrap(RawSocket(node->ListenAddress()));
+  first->WriteFrame(challenge, SoonEnough());
+  byte_buffer theirs;
+  BOOST_REQUIRE(first->ReadFrame(theirs, SoonEnough()).value());
+  auto proof =
+      HandshakeProof(kTestKey, "client", challenge, theirs, "client.1");
+  for (const char letter : std::string("client.1")) {
+    proof.push_back(static_cast<std::uint8_t>(letter));
+  }
+  first->WriteFrame(proof, SoonEnough());
+  byte_buffer answer;
+  BOOST_REQUIRE(first->ReadFrame(answer, SoonEnough()).value());
+
+  auto replayed = Wrap(RawSocket(node->ListenAddress()));
+  replayed->WriteFrame(challenge, SoonEnough());
+  BOOST_REQUIRE(replayed->ReadFrame(theirs, SoonEnough()).value());
+  replayed->WriteFrame(proof, SoonEnough());
+  BOOST_TEST(ClosesSoon(*replayed));
+  BOOST_TEST(Rejected(1));
+
+  auto eager = Wrap(RawSocket(node->ListenAddress()));
+  eager->WriteFrame(EncodeMessage(JobRequest("x"), 1, false), SoonEnough());
+  BOOST_TEST(ClosesSoon(*eager));
+  BOOST_TEST(Rejected(2));
+
+  auto silent = Wrap(RawSocket(node->ListenAddress()));
+  BOOST_TEST(ClosesSoon(*silent));
+  BOOST_TEST(Rejected(3));
+  BOOST_TEST(handled == 0);
+}
+
+// Guards against a reply that is delivered to a call that it does not answer.
+BOOST_FIXTURE_TEST_CASE(reply_to_a_wrong_id_is_dropped, node_fixture) {
+  raw_server server;
+  node->SetAddress("raw.1", server.address);
+  auto call = std::async(std::launch::async, [&] {
+    return Attempt([&] {
+      return node->Call("raw.1", JobRequest("x"), milliseconds(600));
+    });
+  });
+  const auto link = server.Accept();
+  BOOST_REQUIRE(link);
+  byte_buffer payload;
+  BOOST_REQUIRE(link->ReadFrame(payload, SoonEnough()).value());
+  const auto id = DecodeMessage(payload).value().correlation_id;
+  const auto reply = MakeMessage(wire::job_responseT{});
+  link->WriteFrame(EncodeMessage(reply, id + 1, true), SoonEnough());
+  link->WriteFrame(EncodeMessage(reply, id, false), SoonEnough());
+  BOOST_TEST((call.get().failure.kind == error_kind::kTimeout));
+  link->WriteFrame(EncodeMessage(reply, id, true), SoonEnough());  // Too late.
+  BOOST_TEST(Counted("apricotwheel_peer_unmatched_replies_total", 3));
+}
+
+// Guards against a frozen peer that holds a caller past its timeout, and
+// against `timeout` for a frame that was not sent whole.
+BOOST_FIXTURE_TEST_CASE(frozen_peer_does_not_block_callers, node_fixture) {
+  raw_server server;
+  const auto sender = StartNode("sender.1");
+  sender->SetAddress("raw.1", server.address);
+  auto accepted =
+      std::async(std::launch::async, [&] { return server.Accept(); });
+  const auto call = [&](const std::string& text) {
+    const auto start = std::chrono::steady_clock::now();
+    const auto reply = Attempt([&] {
+      return sender->Call("raw.1", JobRequest(text), milliseconds(300));
+    });
+    BOOST_TEST((std::chrono::steady_clock::now() - start < milliseconds(1500)));
+    return reply.failure.kind;
+  };
+  BOOST_TEST((call("small") == error_kind::kTimeout));
+  const auto frozen = accepted.get();  // Never read again.
+  BOOST_REQUIRE(frozen);
+  const std::string large(7 << 20, 'x');
+  auto kind = error_kind::kTimeout;  // Until the socket buffers are full.
+  for (int i = 0; i < 5 && kind == error_kind::kTimeout; ++i)
+    kind = call(large);
+  BOOST_TEST((kind == error_kind::kUnavailable));
+}
+
+}  // namespace
+}  // namespace apricotwheel
--- a/tests/peer/raw_peer.h
+++ b/tests/peer/raw_peer.h
@@ -72,15 +72,18 @@
       .value.value();
 }
 
-// Connects to a node and authenticates as `client.1`.
+// Proves the key to a node as `client.1`.
+inline bool Authenticate(connection& link, const std::string& server_id) {
+  return static_cast<bool>(Attempt([&] {
+    return AuthenticateClient(link, kTestKey, "client.1", server_id,
+                              SoonEnough());
+  }));
+}
+
 inline std::unique_ptr<connection> RawClient(const std::string& address,
                                              const std::string& server_id) {
   auto link = Wrap(RawSocket(address));
-  const auto proven = Attempt([&] {
-    return AuthenticateClient(*link, kTestKey, "client.1", server_id,
-                              SoonEnough());
-  });
-  return proven ? std::move(link) : nullptr;
+  return Authenticate(*link, server_id) ? std::move(link) : nullptr;
 }
 
 // Accepts one connection of a node and authenticates as `raw.1`.
