Fix lint findings in package cluster

Cause: clang-tidy reported a copied parameter and a struct that its analysis takes for uninitialised in the watch loop.

Change: pass the reason by reference; call the watch only after a list.

Run: built the cluster library; lint and tests were not run again.

--- a/src/cluster/cluster_watch.cc
+++ b/src/cluster/cluster_watch.cc
@@ -25,12 +25,12 @@
   int failures = 0;
   while (!watch_signal_.StopRequested()) {
     if (needs_list) needs_list = !ListAll(revision);
-    auto seen = Attempt([&]() -> result<kv_watch_result> {
-      if (needs_list) {
-        return Fail(error_kind::kUnavailable, "the list failed", "retry");
-      }
-      return options_.kv->Watch(kClusterPrefix, revision, kWatchWait);
-    });
+    outcome<kv_watch_result> seen;  // Failed unless the watch succeeds.
+    if (!needs_list) {
+      seen = Attempt([&] {
+        return options_.kv->Watch(kClusterPrefix, revision, kWatchWait);
+      });
+    }
     SetReachable(static_cast<bool>(seen));
     if (!seen) {
       const auto wait =
--- a/src/cluster/document_follower.cc
+++ b/src/cluster/document_follower.cc
@@ -35,7 +35,7 @@
   if (!check.document) {
     std::string reason = "revision " + std::to_string(envelope->revision);
     for (const auto& fault : check.faults) reason += "; " + Describe(fault);
-    return Reject(envelope->revision, std::move(reason));
+    return Reject(envelope->revision, reason);
   }
   const auto next = std::make_shared<const active_document>(
       active_document{std::move(*envelope), std::move(check.document)});
@@ -52,7 +52,8 @@
   if (listener_) listener_(next);
 }
 
-void document_follower::Reject(std::uint64_t revision, std::string reason) {
+void document_follower::Reject(std::uint64_t revision,
+                               const std::string& reason) {
   {
     std::lock_guard guard(mutex_);
     if (fault_ == reason) return;
--- a/src/cluster/document_follower.h
+++ b/src/cluster/document_follower.h
@@ -33,7 +33,7 @@
   bool Wants(std::uint64_t revision) const;
 
  private:
-  void Reject(std::uint64_t revision, std::string reason);
+  void Reject(std::uint64_t revision, const std::string& reason);
 
   const std::vector<std::string> policy_names_;
   const log_sink log_;
