--- /dev/null
+++ b/src/jobs/job_replies.h
@@ -0,0 +1,19 @@
+#pragma once
+
+#include <string>
+#include <string_view>
+
+#include "jobs/job_manager.h"
+#include "kernel/error.h"
+
+namespace apricotwheel {
+
+// An error reply of a job call as docs/api.md says.
+job_reply ErrorReply(int status, const error& failure, std::string_view outcome,
+                     std::string_view reason);
+
+job_reply NotRun(std::string_view message, std::string_view reason);
+job_reply UnknownEffect(std::string_view message, std::string_view reason);
+job_reply NoSuchJob(std::string_view job_id);
+
+}  // namespace apricotwheel
--- /dev/null
+++ b/src/jobs/shard_owner.h
@@ -0,0 +1,181 @@
+#pragma once
+
+#include <condition_variable>
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <optional>
+#include <set>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+#include "jobs/cell_calls.h"
+#include "jobs/job_manager.h"
+#include "jobs/job_metrics.h"
+#include "jobs/job_store.h"
+#include "kernel/random.h"
+#include "kernel/thread_group.h"
+#include "workers/wake_signal.h"
+
+namespace apricotwheel {
+
+struct shard_owner_options {
+  std::uint32_t shard = 0;
+  std::uint64_t epoch = 0;
+  std::string member_id;
+  kv_calls kv;
+  cell_calls cell;
+  duration commit_interval = milliseconds(25);
+  duration task_lease = milliseconds(10'000);
+  clock_ptr clock;
+  log_sink log;
+  std::shared_ptr<job_metrics> metrics;
+  std::uint64_t random_seed = 1;
+};
+
+// The jobs and services of one shard under one epoch: their records, the
+// pending queue, placement, and the take-over. Thread-safe.
+class shard_owner {
+ public:
+  explicit shard_owner(shard_owner_options options);
+  ~shard_owner();
+
+  // Starts the threads that call `Round` and `Commit`.
+  result<void> Start();
+  void Stop();
+
+  // One round: load, inventories, services, stops and placements.
+  void Round();
+  // Writes staged records now. Returns false if some could not be written.
+  bool Commit();
+
+  // `body` is that of POST /v1/jobs.
+  job_reply Submit(std::string_view body);
+  job_reply Get(std::string_view job_id, duration wait);
+  job_reply Cancel(std::string_view job_id);
+  job_reply Why(std::string_view job_id);
+  job_reply List();
+
+  // Handles events of the workers owned by `member`; returns the ids whose end
+  // is committed or needs no record.
+  std::vector<std::string> OnEvents(
+      const std::string& member, std::span<const wire::running_taskT> events);
+
+  std::uint64_t Epoch() const { return options_.epoch; }
+  std::size_t PendingTasks() const;
+  std::size_t ActiveTasks() const;
+
+ private:
+  struct service_entry {
+    workload_config config;
+    std::map<std::uint32_t, managed_task> instances;
+    std::uint32_t failures = 0;  // In a row.
+    time_point retry_at = time_point::min();
+    std::vector<std::string> failed_on;
+  };
+  // A task with the job or service that it belongs to.
+  struct task_ref {
+    managed_task* task = nullptr;
+    job_record* job = nullptr;
+    service_entry* service = nullptr;
+    explicit operator bool() const { return task != nullptr; }
+    const std::string& Team() const;
+    resource_vector Need() const;
+    priority_class Priority() const;
+    bool IsGang() const { return job && job->kind == task_kind::kGang; }
+    bool Unwanted() const;
+  };
+  struct inventory_sweep {
+    bool wanted = true;
+    bool active = false;
+    time_point started;
+    time_point asked_at = time_point::min();
+    std::set<std::string, std::less<>> complete;
+    std::set<std::string, std::less<>> shown;
+  };
+
+  // shard_owner.cc
+  task_ref Find(std::string_view task_id);
+  void SetState(const task_ref& ref, attempt_state state);
+  void Requeue(const task_ref& ref, std::string_view reason, duration delay);
+  void Finish(const task_ref& ref, attempt_state state);
+  void OnAttemptFailed(const task_ref& ref, std::string_view message);
+  void RestartGang(job_record& job, std::string_view reason);
+  void SettleGang(job_record& job);
+  void StageJob(job_record& job);
+  void SetRunning(const task_ref& ref, const std::string& member,
+                  const wire::running_taskT& event);
+  bool Apply(const std::string& member, const wire::running_taskT& event,
+             std::vector<std::pair<std::string, std::string>>& to_commit);
+  bool Load();
+  void PromoteCommitted(std::string_view job_id);
+  void PromoteAllCommitted();
+  wire::taskT ToWireTask(const task_ref& ref) const;
+
+  // shard_owner_api.cc
+  job_reply SubmitJob(job_record job);
+  std::optional<job_reply> Refusal(const job_record& job,
+                                   const cell_picture& cell) const;
+
+  // shard_owner_place.cc
+  void PlacePending(const cell_picture& cell);
+  std::vector<task_ref> Ordered(const cell_picture& cell);
+  bool WithinQuota(const std::string& team, const resource_vector& need,
+                   const cell_picture& cell) const;
+  std::string ChooseMember(const task_ref& ref, std::vector<member_room>& rooms,
+                           std::size_t& speculative) const;
+  void OnPlaced(const std::string& member, const wire::place_requestT& request,
+                const outcome<wire::place_responseT>& answer);
+  void PlaceGangs(const cell_picture& cell);
+  void PlaceGang(const std::string& job_id, const cell_picture& cell);
+  bool CommitGang(const std::string& job_id, const std::string& reservation,
+                  const std::map<std::string, std::vector<std::string>>& parts);
+  void ReleaseGang(
+      const std::string& reservation,
+      const std::map<std::string, std::vector<std::string>>& parts);
+  wire::place_requestT GangRequest(wire::place_mode mode,
+                                   const std::string& reservation,
+                                   const std::vector<std::string>& task_ids);
+
+  // shard_owner_services.cc
+  void KeepServices(const cell_picture& cell);
+  void KeepService(service_entry& service, std::uint32_t wanted,
+                   const std::set<std::string_view>& leaving);
+  void SendStops(const cell_picture& cell);
+
+  // shard_owner_inventory.cc
+  void TakeInventory(const cell_picture& cell);
+  void OnInventory(const std::string& member, const cell_picture& cell,
+                   const wire::inventory_responseT& answer);
+  void EndSweep(const cell_picture& cell);
+  bool SweepComplete(const cell_picture& cell) const;
+
+  const shard_owner_options options_;
+  job_store store_;
+  mutable std::mutex mutex_;
+  std::condition_variable changed_;
+  bool loaded_ = false;
+  // False until one inventory was complete since the take-over.
+  bool services_known_ = false;
+  std::map<std::string, job_record, std::less<>> jobs_;
+  std::map<std::string, service_entry, std::less<>> services_;
+  std::set<std::string, std::less<>> pending_;
+  std::set<std::string, std::less<>> uncommitted_;  // Jobs.
+  std::set<std::string, std::less<>> stopping_;     // Tasks.
+  // Tasks that run without a job or after their end, by member.
+  std::map<std::string, std::set<std::string>> orphans_;
+  std::map<std::string, resource_vector, std::less<>> used_;
+  std::size_t active_ = 0;
+  inventory_sweep sweep_;
+  std::map<std::string, ownership, std::less<>> seen_partitions_;
+  random_source random_;
+  wake_signal round_wake_;
+  wake_signal commit_wake_;
+  thread_group threads_;
+};
+
+}  // namespace apricotwheel
