Test the dispatcher's parts and add the load tool

Cause: the limits, outcomes and key rules had no tests, and no tool checked that responses belong to their requests. Change: table tests of each error at each stage, slot limits under threads, foreign and unknown use, queue, breaker, budget, keys, tickets and hand-over; apricotwheel_load. Idempotency-Key is passed on to the instance. An exact usage report no longer subtracts idle connections that the instance has closed.

--- a/src/dispatch/instance_pool.cc
+++ b/src/dispatch/instance_pool.cc
@@ -214,8 +214,10 @@
   instance.next_read_at = now + (usage ? kReadInterval : kFailedReadInterval);
   if (usage && read.generation == instance.read_generation) {
     if (read.exact) {
-      const auto own =
-          instance.own_connections - 1;  // Without the reading one.
+      // Those that the instance has closed are not in its count.
+      const auto own = static_cast<std::uint32_t>(std::count_if(
+          instance.idle.begin(), instance.idle.end(),
+          [](const auto& idle) { return idle.connection->is_open(); }));
       instance.other_slots = usage->slots_in_use;
       instance.other_connections =
           usage->connections > own ? usage->connections - own : 0;
--- a/src/dispatch/service_lane.cc
+++ b/src/dispatch/service_lane.cc
@@ -134,6 +134,10 @@
                            staged.request.body,
                            staged.correlation_id,
                            record.epoch};
+  if (!staged.request.idempotency_key.empty()) {
+    request.headers.emplace_back("Idempotency-Key",
+                                 staged.request.idempotency_key);
+  }
   const auto authority = options_.pool.authority(record.task_id);
   const time_point started = options_.clock->Now();
   if (started >= staged.deadline) {
--- /dev/null
+++ b/testing/load/load_report.h
@@ -0,0 +1,26 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <ostream>
+#include <string>
+#include <vector>
+
+#include "kernel/clock.h"
+
+namespace apricotwheel::load {
+
+// What one or more connections measured.
+struct load_report {
+  std::vector<duration> latencies;                // Of completed requests.
+  std::map<std::string, std::uint64_t> outcomes;  // By outcome and reason.
+  std::uint64_t mismatches = 0;  // Responses that belong to another request.
+  duration elapsed{0};
+};
+
+void Merge(load_report& total, load_report part);
+
+// Prints one line `name value unit` for each figure.
+void Print(std::ostream& out, load_report report);
+
+}  // namespace apricotwheel::load
--- /dev/null
+++ b/tests/dispatch/flow_test.cc
@@ -0,0 +1,272 @@
+#include <boost/test/unit_test.hpp>
+#include <thread>
+
+#include "tests/dispatch/fakes.h"
+
+namespace apricotwheel {
+namespace {
+
+using std::chrono::seconds;
+
+// Guards against outcomes of a lost peer that claim more than is provable, and
+// against a repeated send of a request that may not be repeated.
+BOOST_AUTO_TEST_CASE(each_peer_failure_has_its_outcome) {
+  struct failure_case {
+    error_kind kind;
+    bool keyed;  // Fails at the key owner, else at the instance owner.
+    std::string_view outcome;
+    std::string_view reason;
+  };
+  const failure_case cases[] = {
+      {error_kind::kUnavailable, false, "not_run", reason::kNoInstance},
+      {error_kind::kNotFound, false, "not_run", reason::kNoInstance},
+      {error_kind::kTimeout, false, "unknown", reason::kOwnerLost},
+      {error_kind::kCorrupt, false, "unknown", reason::kOwnerLost},
+      {error_kind::kUnavailable, true, "not_run", reason::kOwnershipUncertain},
+      {error_kind::kTimeout, true, "unknown", reason::kOwnerLost},
+  };
+  for (const failure_case& fault : cases) {
+    flow_fixture test;
+    test.own = {};
+    test.AddPeer("peer.1", 8);
+    test.AddPeer("peer.2", 8);
+    if (fault.keyed) test.shard.owner = "peer.1";
+    int calls = 0;
+    test.call = [&](const std::string&) {
+      ++calls;
+      return Failed<wire_message>(fault.kind);
+    };
+    auto request = test.Request("POST");
+    if (fault.keyed) request.idempotency_key = "k";
+    const auto response = test.flow.Handle(request);
+    BOOST_TEST_CONTEXT(ToString(fault.kind) << " keyed " << fault.keyed) {
+      BOOST_TEST(ToString(response.outcome) == fault.outcome);
+      BOOST_TEST(response.reason == fault.reason);
+      BOOST_TEST(calls == (fault.outcome == "not_run" && !fault.keyed ? 2 : 1));
+    }
+  }
+}
+
+// Guards against `not_run` for a request whose earlier attempt may have run.
+BOOST_AUTO_TEST_CASE(not_run_after_unknown_is_unknown) {
+  flow_fixture test;
+  test.own = {};
+  test.AddPeer("peer.1", 8);
+  test.AddPeer("peer.2", 4);
+  int calls = 0;
+  test.call = [&](const std::string&) {
+    return Failed<wire_message>(++calls == 1 ? error_kind::kTimeout
+                                             : error_kind::kUnavailable);
+  };
+  for (int request = 0; request < 10; ++request) {  // Fills the retry budget.
+    calls = 1;
+    test.flow.Handle(test.Request("POST"));
+  }
+  calls = 0;
+  const auto response = test.flow.Handle(test.Request("GET"));
+  BOOST_TEST(calls == 2);
+  BOOST_TEST(ToString(response.outcome) == "unknown");
+}
+
+// Guards against retries past the budget, and none within it.
+BOOST_AUTO_TEST_CASE(retry_budget_is_a_share_of_requests) {
+  retry_budget budget(10);
+  int retries = 0;
+  for (int request = 0; request < 100; ++request) {
+    budget.CountRequest();
+    if (budget.TryRetry()) ++retries;
+  }
+  BOOST_TEST(retries == 10);
+}
+
+// Guards against herding on a stale summary, routes to draining or silent
+// daemons, and a needless hop on a tie.
+BOOST_AUTO_TEST_CASE(router_spreads_and_skips) {
+  flow_fixture test;
+  router routes("self.1", test.clock);
+  test.AddPeer("peer.1", 8);
+  const auto pick = [&] {
+    return *routes.Pick("listings", test.own, test.summaries, {});
+  };
+  BOOST_TEST(pick() == "self.1");
+  test.own.queued = 2;
+  BOOST_TEST(pick() == "peer.1");
+  {
+    const router::flight first(routes, "peer.1", "listings");
+    const router::flight second(routes, "peer.1", "listings");
+    BOOST_TEST(pick() == "self.1");
+  }
+  test.summaries[0].gossip.draining = true;
+  BOOST_TEST(pick() == "self.1");
+  test.summaries[0].gossip.draining = false;
+  test.clock->Advance(milliseconds(2100));
+  BOOST_TEST(pick() == "self.1");
+}
+
+// Guards against a key that runs twice, a repeat that gets another response,
+// and a key that is reused for another request.
+BOOST_AUTO_TEST_CASE(repeated_keys_run_once) {
+  flow_fixture test;
+  auto request = test.Request("POST");
+  request.idempotency_key = "k";
+  std::atomic<bool> release = false;
+  test.run_here = [&] {
+    while (!release) std::this_thread::sleep_for(milliseconds(1));
+    service_response response;
+    response.outcome = request_outcome::kCompleted;
+    response.status = 201;
+    response.body = "first";
+    return response;
+  };
+  std::vector<std::thread> callers;
+  std::atomic<int> same = 0;
+  for (int caller = 0; caller < 4; ++caller) {
+    callers.emplace_back([&] {
+      if (test.flow.Handle(request).body == "first") ++same;
+    });
+  }
+  std::this_thread::sleep_for(milliseconds(20));
+  release = true;
+  for (auto& caller : callers) caller.join();
+  BOOST_TEST(same.load() == 4);
+  BOOST_TEST(test.flow.Handle(request).status == 201);
+  BOOST_TEST(test.runs.load() == 1);
+  request.body = "other";
+  BOOST_TEST(test.flow.Handle(request).reason == reason::kKeyReused);
+}
+
+// Guards against the run of a key whose history a new owner does not have, and
+// against a run while a successor could exist.
+BOOST_AUTO_TEST_CASE(keys_need_history_and_lease) {
+  flow_fixture test;
+  auto request = test.Request("POST");
+  request.idempotency_key = "k";
+  test.shard.epoch = 2;
+  BOOST_TEST(test.flow.Handle(request).reason == reason::kKeyHistoryLost);
+  test.clock->Advance(seconds(60));
+  test.holds_lease = false;
+  BOOST_TEST(test.flow.Handle(request).reason == reason::kOwnershipUncertain);
+  BOOST_TEST(test.runs.load() == 0);
+  request.ticket = *Attempt([&] { return test.flow.MintTicket(); });
+  BOOST_TEST(test.flow.Handle(request).status == 200);  // Needs no lease.
+  test.holds_lease = true;
+  request.ticket.clear();
+  BOOST_TEST(test.flow.Handle(request).status == 200);
+}
+
+// Guards against a ticket that runs under a later epoch, after its record was
+// dropped, or twice; and against a malformed one.
+BOOST_AUTO_TEST_CASE(tickets_run_once_under_their_epoch) {
+  flow_fixture test;
+  auto request = test.Request("POST");
+  request.ticket = *Attempt([&] { return test.flow.MintTicket(); });
+  BOOST_TEST(test.flow.Handle(request).status == 200);
+  BOOST_TEST(test.flow.Handle(request).status == 200);
+  BOOST_TEST(test.runs.load() == 1);
+  test.clock->Advance(seconds(61));
+  test.flow.Keys().DropExpired();
+  BOOST_TEST(test.flow.Keys().RecordCount() == 0);
+  BOOST_TEST(test.flow.Handle(request).reason == reason::kTicketExpired);
+  request.ticket = *Attempt([&] { return test.flow.MintTicket(); });
+  test.shard.epoch = 2;
+  BOOST_TEST(test.flow.Handle(request).reason == reason::kTicketExpired);
+  request.ticket = "0.1.x";
+  BOOST_TEST(test.flow.Handle(request).status == 400);
+  BOOST_TEST(test.runs.load() == 1);
+}
+
+// Guards against a hand-over that loses records, admits after the records were
+// taken, or is believed by a later successor; and against a used old ticket
+// that a successor admits because its record had expired.
+BOOST_AUTO_TEST_CASE(handover_keeps_history) {
+  flow_fixture old_owner;
+  auto used = old_owner.Request("POST");
+  used.ticket = *Attempt([&] { return old_owner.flow.MintTicket(); });
+  auto aged = used;
+  old_owner.flow.Handle(aged);
+  old_owner.clock->Advance(seconds(61));
+  used.ticket = *Attempt([&] { return old_owner.flow.MintTicket(); });
+  const auto shard = *ShardOfRequest(used);
+  aged.ticket =
+      std::to_string(shard) + aged.ticket.substr(aged.ticket.find('.'));
+  old_owner.flow.Handle(used);
+  auto fresh = used;
+  fresh.ticket.back() = fresh.ticket.back() == '0' ? '1' : '0';
+  const auto handover = old_owner.flow.Keys().TakeHandover(shard, 1 << 20);
+  BOOST_TEST_REQUIRE(handover.has_value());
+  BOOST_TEST(old_owner.flow.Handle(fresh).reason ==
+             reason::kOwnershipUncertain);
+  for (const std::uint64_t epoch : {2, 3}) {
+    flow_fixture successor;
+    successor.clock->Advance(seconds(1000));  // Its own clock differs.
+    BOOST_TEST(successor.flow.Keys().AcceptHandover(*handover).accepted);
+    successor.shard.epoch = epoch;
+    const bool direct = epoch == 2;
+    BOOST_TEST(successor.flow.Handle(used).status == (direct ? 200 : 502));
+    BOOST_TEST(successor.runs.load() == 0);
+    BOOST_TEST(successor.flow.Handle(aged).reason == reason::kTicketExpired);
+    BOOST_TEST(successor.flow.Handle(fresh).status == (direct ? 200 : 502));
+    BOOST_TEST(successor.runs.load() == (direct ? 1 : 0));
+  }
+}
+
+// Guards against records without a bound, and against a body past the limit
+// that is delivered cut.
+BOOST_AUTO_TEST_CASE(registry_bounds_its_memory) {
+  const auto clock = runtime_clock::Paused();
+  key_registry keys({.recorded_body_bytes = 4,
+                     .max_records = 1,
+                     .clock = clock,
+                     .holds_lease = [] { return true; }});
+  service_request request;
+  request.idempotency_key = "a";
+  keys.SetOwnership(ShardOf("a"), 1, true);
+  const auto run = [] {
+    service_response response;
+    response.outcome = request_outcome::kCompleted;
+    response.status = 200;
+    response.body = "too long";
+    return response;
+  };
+  const auto deadline = clock->Now() + seconds(1);
+  BOOST_TEST(keys.RunOnce(request, deadline, run).body == "too long");
+  const auto repeat = keys.RunOnce(request, deadline, run);
+  BOOST_TEST(repeat.body.empty());
+  BOOST_TEST(repeat.reason == reason::kNotRecorded);
+  std::string other = "b";
+  while (ShardOf(other) != ShardOf("a")) other += "b";
+  request.idempotency_key = other;
+  BOOST_TEST(keys.RunOnce(request, deadline, run).reason == reason::kQueueFull);
+  clock->Advance(seconds(60));
+  BOOST_TEST(keys.RunOnce(request, deadline, run).status == 200);
+}
+
+// Guards against work that starts during a planned stop, against recorded
+// responses that are lost in it, and against connection headers that pass on.
+BOOST_AUTO_TEST_CASE(planned_stop_and_headers) {
+  flow_fixture test;
+  staged_request staged;
+  staged.request = test.Request("POST");
+  staged.request.idempotency_key = "k";
+  staged.deadline = test.clock->Now() + seconds(1);
+  const auto keyed =
+      ToWire(staged, wire::dispatch_stage::key_owner, test.clock->Now());
+  BOOST_TEST(test.flow.HandlePeer(keyed).status == 200);
+  test.flow.RefuseNew();
+  BOOST_TEST(test.flow.HandlePeer(keyed).status == 200);
+  const auto plain =
+      ToWire(staged, wire::dispatch_stage::instance_owner, test.clock->Now());
+  BOOST_TEST(test.flow.HandlePeer(plain).reason == reason::kShuttingDown);
+  BOOST_TEST(test.flow.Handle(test.Request("GET")).reason ==
+             reason::kShuttingDown);
+  BOOST_TEST(test.runs.load() == 1);
+  const auto kept = EndToEndHeaders({{"Connection", "close, X-Hop"},
+                                     {"x-hop", "1"},
+                                     {"Transfer-Encoding", "chunked"},
+                                     {"X-End", "2"}});
+  BOOST_TEST_REQUIRE(kept.size() == 1);
+  BOOST_TEST(kept[0].first == "X-End");
+}
+
+}  // namespace
+}  // namespace apricotwheel
--- /dev/null
+++ b/tests/dispatch/lane_test.cc
@@ -0,0 +1,240 @@
+#include <boost/test/unit_test.hpp>
+#include <thread>
+
+#include "tests/dispatch/fakes.h"
+
+namespace apricotwheel {
+namespace {
+
+// Guards against an outcome that claims more than the error proves, and against
+// a second send after a byte may have been sent.
+BOOST_AUTO_TEST_CASE(each_send_failure_has_its_outcome) {
+  struct failure_case {
+    error_kind kind;
+    request_outcome outcome;
+    int runs;
+  };
+  const failure_case cases[] = {
+      {error_kind::kUnavailable, request_outcome::kNotRun, 4},
+      {error_kind::kStaleEpoch, request_outcome::kNotRun, 1},
+      {error_kind::kCapacity, request_outcome::kNotRun, 1},
+      {error_kind::kTimeout, request_outcome::kUnknown, 1},
+      {error_kind::kCorrupt, request_outcome::kUnknown, 1},
+      {error_kind::kInternal, request_outcome::kUnknown, 1},
+  };
+  for (const failure_case& fault : cases) {
+    lane_fixture test;
+    test.SetRecord(MakeRecord("a"));
+    test.upstream.answer = [&](const instance_request&) {
+      // A refusal leaves no usable instance, so the request waits.
+      if (fault.kind == error_kind::kStaleEpoch ||
+          fault.kind == error_kind::kCapacity) {
+        test.clock->Advance(std::chrono::seconds(2));
+      }
+      return Failed<instance_response>(fault.kind);
+    };
+    const auto response = test.lane.Run(test.Request());
+    BOOST_TEST_CONTEXT(ToString(fault.kind)) {
+      BOOST_TEST(ToString(response.outcome) == ToString(fault.outcome));
+      BOOST_TEST(test.upstream.runs.load() == fault.runs);
+    }
+  }
+}
+
+// Guards against more than 8 requests at an instance under many threads.
+BOOST_AUTO_TEST_CASE(slot_limit_holds_under_many_threads) {
+  lane_fixture test;
+  test.SetRecord(MakeRecord("a"));
+  test.upstream.answer = [](const instance_request&) {
+    std::this_thread::sleep_for(milliseconds(1));
+    outcome<instance_response> answered;
+    answered.value = instance_response{200, {}, ""};
+    return answered;
+  };
+  std::atomic<int> completed = 0;
+  std::vector<std::thread> callers;
+  for (int caller = 0; caller < 32; ++caller) {
+    callers.emplace_back([&] {
+      for (int request = 0; request < 20; ++request) {
+        const auto response = test.lane.Run(test.Request());
+        if (response.outcome == request_outcome::kCompleted) ++completed;
+        // Ownership that moves back and forth must not forget own use.
+        if (caller == 0) test.SetRecord(MakeRecord("a"));
+      }
+    });
+  }
+  for (auto& caller : callers) caller.join();
+  BOOST_TEST(completed.load() == 640);
+  BOOST_TEST(test.upstream.max_slots.load() == 8);
+  BOOST_TEST(test.upstream.opened.load() <= 8);  // Connections are reused.
+}
+
+// Guards against a send before the authority starts, after it ended, or to an
+// instance that accepts nothing.
+BOOST_AUTO_TEST_CASE(nothing_is_sent_without_authority) {
+  for (int fault = 0; fault < 3; ++fault) {
+    lane_fixture test;
+    auto record = MakeRecord("a");
+    if (fault == 0) record.authority_started = false;
+    if (fault == 1) record.accepting = false;
+    if (fault == 2) test.has_authority = false;
+    test.SetRecord(record);
+    std::thread later([&] {
+      std::this_thread::sleep_for(milliseconds(20));
+      test.clock->Advance(std::chrono::seconds(2));
+    });
+    const auto response = test.lane.Run(test.Request());
+    later.join();
+    BOOST_TEST(response.reason == reason::kDeadline);
+    BOOST_TEST(test.upstream.runs.load() == 0);
+  }
+}
+
+// Guards against a send on an authority that ended between the choice of the
+// instance and the send.
+BOOST_AUTO_TEST_CASE(authority_is_read_again_before_the_send) {
+  lane_fixture test;
+  auto options = test.Options();
+  options.open = [&](const std::string& address) {
+    test.has_authority = false;
+    std::thread([&test] {
+      test.clock->Advance(std::chrono::seconds(2));
+    }).join();
+    return test.upstream.Opener()(address);
+  };
+  service_lane lane(options);
+  const auto record = MakeRecord("a");
+  lane.SetInstances({&record, 1});
+  const auto response = lane.Run(test.Request());
+  BOOST_TEST((response.outcome == request_outcome::kNotRun));
+  BOOST_TEST(test.upstream.runs.load() == 0);
+}
+
+// Guards against use of slots that a predecessor's requests still hold.
+BOOST_AUTO_TEST_CASE(foreign_use_counts_until_it_is_zero) {
+  lane_fixture test;
+  auto record = MakeRecord("a");
+  record.foreign_use_possible = true;
+  test.upstream.reported_slots = 5;
+  test.SetRecord(record);
+  BOOST_TEST(test.lane.Capacity().free_slots == 0);  // Not read yet.
+  test.ReadUsage();
+  BOOST_TEST(test.lane.Capacity().free_slots == 3);
+  test.upstream.reported_slots = 0;
+  test.clock->Advance(milliseconds(100));
+  test.ReadUsage();
+  BOOST_TEST(test.lane.Capacity().free_slots == 8);
+}
+
+// Guards against reuse of a slot that an `unknown` request still holds.
+BOOST_AUTO_TEST_CASE(unknown_requests_hold_their_slot_until_reported_free) {
+  lane_fixture test;
+  test.SetRecord(MakeRecord("a"));
+  test.upstream.answer = [](const instance_request&) {
+    return Failed<instance_response>(error_kind::kTimeout);
+  };
+  test.lane.Run(test.Request());
+  test.lane.Run(test.Request());
+  BOOST_TEST(test.lane.Capacity().free_slots == 6);
+  test.upstream.reported_slots = 1;
+  test.ReadUsage();
+  BOOST_TEST(test.lane.Capacity().free_slots == 7);
+  test.upstream.reported_slots = 0;
+  test.clock->Advance(milliseconds(100));
+  test.ReadUsage();
+  BOOST_TEST(test.lane.Capacity().free_slots == 8);
+}
+
+// Guards against other use that stays counted forever because own requests are
+// always in flight, and against leases during the exact read.
+BOOST_AUTO_TEST_CASE(busy_instance_is_quiesced_for_an_exact_read) {
+  instance_pool pool({.authority = [](std::string_view) {
+    return std::optional(time_point::max());
+  }});
+  const time_point now{std::chrono::hours(1)};
+  const auto record = MakeRecord("a");
+  pool.SetInstances({&record, 1}, now);
+  auto held = pool.Acquire(now);
+  auto lost = pool.Acquire(now);
+  pool.Release(*lost, lease_end::kUnknown, now);
+  BOOST_TEST(pool.FreeSlots(now) == 6);
+  const auto later = now + std::chrono::seconds(2);
+  BOOST_TEST(!pool.StartUsageRead(later).has_value());  // One is in flight.
+  BOOST_TEST(pool.FreeSlots(later) == 0);
+  pool.Release(*held, lease_end::kCompleted, later);
+  auto read = pool.StartUsageRead(later);
+  BOOST_TEST_REQUIRE(read.has_value());
+  BOOST_TEST(!pool.Acquire(later).has_value());
+  outcome<instance_usage> usage;
+  usage.value = instance_usage{0, 0};
+  pool.FinishUsageRead(*read, usage, later);
+  BOOST_TEST(pool.FreeSlots(later) == 8);
+}
+
+// Guards against own use that is forgotten when an instance leaves the list and
+// returns, and against connections past the limit.
+BOOST_AUTO_TEST_CASE(use_survives_a_gap_and_connections_are_bounded) {
+  instance_pool pool({.authority = [](std::string_view) {
+    return std::optional(time_point::max());
+  }});
+  const time_point now{std::chrono::hours(1)};
+  auto record = MakeRecord("a");
+  record.connections = 4;  // One is kept for a successor's usage read.
+  pool.SetInstances({&record, 1}, now);
+  std::vector<slot_lease> held;
+  while (auto lease = pool.Acquire(now)) held.push_back(*lease);
+  BOOST_TEST(held.size() == 3);
+  pool.SetInstances({}, now);
+  pool.SetInstances({&record, 1}, now);
+  BOOST_TEST(pool.FreeSlots(now) == 0);
+}
+
+// Guards against a breaker that does not open, does not probe, or lets more
+// than one probe through.
+BOOST_AUTO_TEST_CASE(breaker_opens_and_probes_once) {
+  circuit_breaker breaker(3, 7);
+  time_point now{std::chrono::hours(1)};
+  for (int failure = 0; failure < 3; ++failure) {
+    BOOST_TEST(breaker.Allows(now));
+    breaker.OnStart(now);
+    breaker.OnFailure(now);
+  }
+  BOOST_TEST(!breaker.Allows(now));
+  now += milliseconds(200);
+  BOOST_TEST(breaker.Allows(now));
+  breaker.OnStart(now);
+  BOOST_TEST(!breaker.Allows(now));
+  breaker.OnFailure(now);
+  BOOST_TEST(!breaker.Allows(now + milliseconds(199)));  // Longer back-off.
+  now += milliseconds(400);
+  breaker.OnStart(now);
+  breaker.OnSuccess();
+  BOOST_TEST((breaker.State(now) == breaker_state::kClosed));
+}
+
+// Guards against starvation of batch requests, a wrong order of classes, and
+// queues without a bound.
+BOOST_AUTO_TEST_CASE(queue_orders_ages_and_sheds) {
+  request_queue queue(2);
+  const time_point start{std::chrono::hours(1)};
+  const auto enter = [&](std::uint64_t id, priority_class priority,
+                         duration after, duration span) {
+    return queue.Enter({id, start + after, start + after + span}, priority, 8,
+                       false);
+  };
+  const duration minute = std::chrono::minutes(1);
+  BOOST_TEST(!enter(1, priority_class::kBatch, duration(0), minute));
+  BOOST_TEST(!enter(2, priority_class::kUrgent, milliseconds(500), minute));
+  BOOST_TEST(!enter(3, priority_class::kUrgent, milliseconds(600), minute));
+  BOOST_TEST(*enter(4, priority_class::kUrgent, milliseconds(600), minute) ==
+             reason::kQueueFull);
+  BOOST_TEST(*queue.Front(start + milliseconds(700)) == 2);
+  BOOST_TEST(*queue.Front(start + std::chrono::seconds(2)) == 1);
+  queue.RecordServiceTime(std::chrono::seconds(8));
+  BOOST_TEST(*enter(5, priority_class::kBatch, milliseconds(700),
+                    std::chrono::seconds(3)) == reason::kDeadline);
+  BOOST_TEST(!enter(6, priority_class::kBatch, milliseconds(700), minute));
+}
+
+}  // namespace
+}  // namespace apricotwheel
