--- a/testing/load/load_report.cc
+++ b/testing/load/load_report.cc
@@ -1,6 +1,7 @@
 #include "testing/load/load_report.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace apricotwheel::load {
 
@@ -10,11 +11,11 @@
   return std::chrono::duration<double, std::milli>(span).count();
 }
 
-// The smallest latency that at least `share` of the sorted values reach.
+// The value at `share` of the sorted values, by the nearest rank.
 double Percentile(const std::vector<duration>& sorted, double share) {
   if (sorted.empty()) return 0;
   const auto rank = static_cast<std::size_t>(
-      share * static_cast<double>(sorted.size() - 1) + 0.5);
+      std::lround(share * static_cast<double>(sorted.size() - 1)));
   return Milliseconds(sorted[rank]);
 }
 
