--- /dev/null
+++ b/tests/jobs/job_store_test.cc
@@ -0,0 +1,129 @@
+#include "jobs/job_store.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include "testing/kv_standin.h"
+
+namespace apricotwheel {
+namespace {
+
+using standins::kv_outage;
+using standins::kv_standin;
+
+struct fixture {
+  clock_ptr clock = runtime_clock::Running();
+  std::unique_ptr<kv_standin> service = kv_standin::Start({}).value();
+  std::unique_ptr<kv_client> client =
+      kv_client::Create(
+          {service->Address(), milliseconds(200), milliseconds(200)})
+          .value();
+
+  std::unique_ptr<job_store> Store(std::uint64_t epoch,
+                                   duration retention = milliseconds(0)) {
+    return std::make_unique<job_store>(
+        job_store_options{7,
+                          epoch,
+                          "m" + std::to_string(epoch),
+                          CallsOf(client.get(), clock),
+                          clock,
+                          {},
+                          2000,
+                          retention});
+  }
+  static job_record Job(const std::string& id) {
+    job_record job;
+    job.job_id = id;
+    job.workload = std::string(300, 'w');
+    job.tasks.resize(1);
+    job.tasks[0].task_id = id + "/0";
+    return job;
+  }
+  static std::size_t Load(job_store& store) {
+    return Attempt([&] { return store.Load(); }).value.value().size();
+  }
+  static bool Flush(job_store& store) {
+    return bool(Attempt([&] { return store.Flush(); }));
+  }
+};
+
+// Guards against a write for each job: the cost must depend on time only.
+BOOST_FIXTURE_TEST_CASE(commits_are_grouped, fixture) {
+  auto store = Store(1);
+  BOOST_TEST(Load(*store) == 0u);
+  const auto before = service->CallsOf("put");
+  for (int i = 0; i < 3; ++i) store->Stage(Job("j" + std::to_string(i)));
+  BOOST_TEST(Flush(*store));
+  BOOST_TEST(service->CallsOf("put") - before == 1u);
+  BOOST_TEST(Load(*Store(2)) == 3u);
+}
+
+// Guards against a lost reply that is taken for a lost record, or that makes
+// the owner lose its next compare-and-swap.
+BOOST_FIXTURE_TEST_CASE(lost_reply_is_settled, fixture) {
+  auto store = Store(1);
+  Load(*store);
+  const auto version = store->Stage(Job("j"));
+  service->SetFaults({kv_outage::kNone, 0, 1});
+  BOOST_TEST(Flush(*store));
+  BOOST_TEST((store->StateOf("j", version) == commit_state::kCommitted));
+  store->Stage(Job("k"));
+  BOOST_TEST(Flush(*store));
+  BOOST_TEST(Load(*Store(2)) == 2u);
+}
+
+// Guards against `not_run` for a job that is stored later, and against a final
+// state that is dropped because the service was down.
+BOOST_FIXTURE_TEST_CASE(outage_refuses_new_and_keeps_final, fixture) {
+  auto store = Store(1);
+  Load(*store);
+  auto old_job = Job("old");
+  store->Stage(old_job);
+  BOOST_TEST(Flush(*store));
+  service->SetFaults({kv_outage::kRefuse, 0, 0});
+  old_job.tasks[0].state = attempt_state::kFinished;
+  const auto final_version = store->Stage(old_job);
+  const auto new_version = store->Stage(Job("new"));
+  BOOST_TEST(!Flush(*store));
+  BOOST_TEST((store->StateOf("new", new_version) == commit_state::kRejected));
+  BOOST_TEST((store->StateOf("old", final_version) == commit_state::kWaiting));
+  service->SetFaults({});
+  BOOST_TEST(Flush(*store));
+  const auto loaded = Attempt([&] { return Store(2)->Load(); }).value.value();
+  BOOST_REQUIRE(loaded.size() == 1u);
+  BOOST_TEST((loaded[0].tasks[0].state == attempt_state::kFinished));
+}
+
+// Guards against a deposed owner that acknowledges a job which its successor
+// does not know, in the open segment or in a new one.
+BOOST_FIXTURE_TEST_CASE(successor_fences_the_store, fixture) {
+  auto first = Store(1);
+  Load(*first);
+  first->Stage(Job("a"));
+  BOOST_TEST(Flush(*first));
+  auto second = Store(2);
+  BOOST_TEST(Load(*second) == 1u);
+  for (int i = 0; i < 8; ++i) first->Stage(Job("late" + std::to_string(i)));
+  BOOST_TEST(!Flush(*first));
+  BOOST_TEST(first->Fenced());
+  BOOST_TEST((first->StateOf("late0", 1) == commit_state::kRejected));
+  BOOST_TEST(Load(*Store(3)) == 1u);
+}
+
+// Guards against segments that grow or stay for ever.
+BOOST_FIXTURE_TEST_CASE(old_segments_are_dropped, fixture) {
+  auto store = Store(1);
+  Load(*store);
+  auto ended = Job("e0");
+  ended.tasks[0].state = attempt_state::kFinished;
+  for (int i = 0; i < 4; ++i) {
+    ended.job_id = "e" + std::to_string(i);
+    store->Stage(ended);
+  }
+  for (int i = 0; i < 4; ++i) store->Stage(Job("p" + std::to_string(i)));
+  BOOST_TEST(Flush(*store));
+  BOOST_TEST(store->DropOld().size() >= 3u);
+  BOOST_TEST(Load(*Store(2)) >= 4u);
+}
+
+}  // namespace
+}  // namespace apricotwheel
--- /dev/null
+++ b/tests/jobs/shard_owner_test.cc
@@ -0,0 +1,332 @@
+#include "jobs/shard_owner.h"
+
+#include <boost/test/unit_test.hpp>
+#include <nlohmann/json.hpp>
+#include <thread>
+
+namespace apricotwheel {
+namespace {
+
+using nlohmann::json;
+
+// A cell with the owners m1 and m2 of one partition each, as the job owner
+// sees it; the key-value service is a map.
+struct fixture {
+  clock_ptr clock = runtime_clock::Paused();
+  cell_picture cell;
+  std::map<std::string, kv_entry> stored;
+  std::uint64_t revision = 0;
+  std::map<std::string, bool> complete{{"m1", true}, {"m2", true}};
+  std::map<std::string, std::string> running;  // Task to member.
+  std::map<std::string, std::string> reserved;
+  std::map<std::string, std::size_t> room{{"m1", 8}, {"m2", 8}};
+  std::vector<std::string> started;
+  std::set<std::string> stopped;
+  std::size_t stop_calls = 0;
+  std::string refuses_commit;
+  bool lose_place_replies = false;
+  std::unique_ptr<shard_owner> owner;
+
+  fixture() {
+    auto view = std::make_shared<cluster_view>();
+    auto document = std::make_shared<cell_document>();
+    team_config team;
+    team.name = "red";
+    team.quota = {10'000, 100'000, 0};
+    document->teams.push_back(team);
+    for (const auto kind : {workload_kind::kBatch, workload_kind::kGang}) {
+      workload_config workload;
+      workload.name = ToString(kind);
+      workload.kind = kind;
+      workload.team = "red";
+      workload.resources = {1000, 100, 0};
+      workload.run_ms = 1000;
+      document->workloads.push_back(workload);
+    }
+    for (const std::string name : {"m1", "m2"}) {
+      view->members.push_back({name, name, "a", "", "", false});
+      view->owners.partitions["a/" + name] = {name, 1};
+      cell.rooms.push_back(
+          {name, {8000, 8000, 0}, {{8000, 8000, 0}}, {8000, 8000, 0}});
+    }
+    cell.view = view;
+    cell.document = document;
+    TakeOver(1);
+  }
+
+  void TakeOver(std::uint64_t epoch) {
+    shard_owner_options options;
+    options.shard = ShardOf("red");
+    options.epoch = epoch;
+    options.member_id = "m" + std::to_string(epoch);
+    options.clock = clock;
+    options.metrics =
+        std::make_shared<job_metrics>(std::make_shared<prometheus::Registry>());
+    options.kv = Kv();
+    options.cell.picture = [this] { return cell; };
+    options.cell.place = [this](const auto& member, const auto& request) {
+      return Place(member, request);
+    };
+    options.cell.stop = [this](const auto&, const auto& request) {
+      ++stop_calls;
+      stopped.insert(request.task_ids.begin(), request.task_ids.end());
+      return outcome<wire::stop_responseT>{wire::stop_responseT{}, {}};
+    };
+    options.cell.inventory = [this](const auto& member, const auto&) {
+      return Inventory(member);
+    };
+    owner = std::make_unique<shard_owner>(std::move(options));
+    owner->Round();
+  }
+
+  kv_calls Kv() {
+    kv_calls calls;
+    calls.list = [this](std::string_view prefix) {
+      std::vector<kv_entry> found;
+      for (const auto& [key, entry] : stored) {
+        if (key.starts_with(prefix)) found.push_back(entry);
+      }
+      return outcome<std::vector<kv_entry>>{found, {}};
+    };
+    calls.put_settled = [this](std::string_view key, std::string_view value,
+                               std::uint64_t expected) {
+      outcome<std::uint64_t> answer;
+      auto& entry = stored[std::string(key)];
+      if (entry.revision != expected) {
+        answer.failure.kind = error_kind::kConflict;
+        return answer;
+      }
+      entry = {std::string(key), std::string(value), ++revision};
+      answer.value = revision;
+      return answer;
+    };
+    calls.get = [this](std::string_view key) {
+      return outcome<std::optional<kv_entry>>{
+          std::optional(stored[std::string(key)]), {}};
+    };
+    return calls;
+  }
+
+  outcome<wire::place_responseT> Place(const std::string& member,
+                                       const wire::place_requestT& request) {
+    outcome<wire::place_responseT> answer;
+    answer.value.emplace();
+    for (const auto& task : request.tasks) {
+      auto placement = std::make_unique<wire::task_placementT>();
+      placement->task_id = task->task_id;
+      placement->worker = member + "-w";
+      placement->partition = "a/" + member;
+      placement->status = wire::place_status::wait;
+      const bool reserves = request.mode == wire::place_mode::reserve;
+      if (request.mode == wire::place_mode::release) {
+        reserved.erase(task->task_id);
+      } else if (request.mode == wire::place_mode::commit &&
+                 refuses_commit == member) {
+        placement->status = wire::place_status::refused;
+      } else if (request.mode == wire::place_mode::commit || room[member] > 0) {
+        if (request.mode != wire::place_mode::commit) --room[member];
+        placement->status = reserves ? wire::place_status::reserved
+                                     : wire::place_status::placed;
+        (reserves ? reserved : running)[task->task_id] = member;
+        if (!reserves) started.push_back(task->task_id);
+      }
+      answer->placements.push_back(std::move(placement));
+    }
+    if (lose_place_replies) {
+      answer.value.reset();
+      answer.failure.kind = error_kind::kTimeout;
+    }
+    return answer;
+  }
+
+  outcome<wire::inventory_responseT> Inventory(const std::string& member) {
+    outcome<wire::inventory_responseT> answer;
+    answer.value.emplace();
+    auto line = std::make_unique<wire::partition_inventoryT>();
+    line->partition = "a/" + member;
+    line->complete = complete[member];
+    answer->partitions.push_back(std::move(line));
+    for (const auto& [id, where] : running) {
+      if (where != member) continue;
+      answer->tasks.push_back(std::make_unique<wire::running_taskT>(
+          Event(id, task_state::kRunning)));
+    }
+    return answer;
+  }
+
+  wire::running_taskT Event(const std::string& id, task_state state,
+                            const std::string& message = "") {
+    wire::running_taskT event;
+    event.spec = std::make_unique<wire::taskT>();
+    event.spec->task_id = id;
+    event.state = static_cast<std::uint8_t>(state);
+    event.worker = running[id] + "-w";
+    event.partition = "a/" + running[id];
+    event.message = message;
+    return event;
+  }
+  template <class Function>
+  auto WithCommits(Function function) {
+    std::atomic<bool> done = false;
+    std::thread committer([&] {
+      while (!done) {
+        owner->Commit();
+        std::this_thread::sleep_for(milliseconds(1));
+      }
+    });
+    auto answer = function();
+    done = true;
+    committer.join();
+    return answer;
+  }
+  // Delivers the event while a helper thread commits.
+  bool Deliver(const std::string& id, task_state state,
+               const std::string& message = "") {
+    const std::vector events{Event(id, state, message)};
+    const auto member = running[id];
+    if (state != task_state::kRunning) running.erase(id);
+    return WithCommits([&] {
+             return owner->OnEvents(member, events);
+           }).size() == 1;
+  }
+  std::string Submit(const std::string& workload, int count,
+                     const std::string& request_id = "") {
+    const json body{
+        {"workload", workload}, {"count", count}, {"request_id", request_id}};
+    const auto reply = WithCommits([&] { return owner->Submit(body.dump()); });
+    BOOST_REQUIRE(reply.status / 100 == 2);
+    return json::parse(reply.body)["job_id"];
+  }
+  std::string StateOf(const std::string& job) {
+    return json::parse(owner->Get(job, duration(0)).body)["state"];
+  }
+  void Rounds(int count, duration step = milliseconds(300)) {
+    for (int i = 0; i < count; ++i) {
+      clock->Advance(step);
+      owner->Round();
+    }
+  }
+};
+
+// Guards against a batch job that does not run to its end, and against an end
+// that is accepted before its record is stored.
+BOOST_FIXTURE_TEST_CASE(batch_job_finishes, fixture) {
+  const auto job = Submit("batch", 2);
+  Rounds(1);
+  BOOST_TEST(started.size() == 2u);
+  BOOST_TEST(Deliver(job + "/0", task_state::kRunning));
+  BOOST_TEST(StateOf(job) == "running");
+  BOOST_TEST(Deliver(job + "/0", task_state::kFinished));
+  BOOST_TEST(Deliver(job + "/1", task_state::kFinished));
+  BOOST_TEST(StateOf(job) == "finished");
+  TakeOver(2);
+  BOOST_TEST(StateOf(job) == "finished");
+}
+
+// Guards against a repeated submission that runs the work twice.
+BOOST_FIXTURE_TEST_CASE(request_id_gives_one_job, fixture) {
+  BOOST_TEST(Submit("batch", 1, "x") == Submit("batch", 1, "x"));
+  Rounds(2);
+  BOOST_TEST(started.size() == 1u);
+}
+
+// Guards against a team that exceeds its quota of 10 tasks while they start.
+BOOST_FIXTURE_TEST_CASE(quota_is_exact, fixture) {
+  Submit("batch", 14);
+  Rounds(3);
+  BOOST_TEST(started.size() == 10u);
+}
+
+// Guards against a job that is retried for ever, and against a worker's fault
+// that is counted against the job.
+BOOST_FIXTURE_TEST_CASE(job_fails_after_three_attempts, fixture) {
+  const auto job = Submit("batch", 1);
+  const auto task = job + "/0";
+  for (const auto* message : {"lease expired", "bad", "bad", "bad"}) {
+    BOOST_TEST(StateOf(job) == "pending");
+    Rounds(4, milliseconds(3000));
+    Deliver(task, task_state::kRunning);
+    BOOST_TEST(Deliver(task, task_state::kFailed, message));
+  }
+  BOOST_TEST(StateOf(job) == "failed");
+  BOOST_TEST(started.size() == 4u);
+}
+
+// Guards against a gang of which a part runs: reservations must all be there,
+// and a refused start stops the whole gang.
+BOOST_FIXTURE_TEST_CASE(gang_is_all_or_nothing, fixture) {
+  room = {{"m1", 3}, {"m2", 2}};
+  const auto job = Submit("gang", 6);
+  Rounds(1);
+  BOOST_TEST(started.empty());
+  BOOST_TEST(reserved.empty());
+  room = {{"m1", 3}, {"m2", 3}};
+  refuses_commit = "m2";
+  Rounds(1, milliseconds(3000));
+  BOOST_TEST(started.size() == 3u);
+  Rounds(1);
+  BOOST_TEST(stopped.size() == 3u);
+  for (const auto& id : std::vector(started)) {
+    Deliver(id, task_state::kCheckpointed);
+  }
+  BOOST_TEST(StateOf(job) == "pending");
+  refuses_commit.clear();
+  started.clear();
+  room = {{"m1", 3}, {"m2", 3}};
+  Rounds(1, milliseconds(3000));
+  BOOST_TEST(started.size() == 6u);
+}
+
+// Guards against a task that a new owner places again although a partition
+// whose inventory is missing may run it.
+BOOST_FIXTURE_TEST_CASE(take_over_waits_for_inventories, fixture) {
+  const auto job = Submit("batch", 2);
+  Rounds(1);
+  running.erase(job + "/1");  // Lost with its worker.
+  started.clear();
+  complete["m2"] = false;
+  TakeOver(2);
+  Rounds(20, milliseconds(1000));
+  BOOST_TEST(started.empty());
+  complete["m2"] = true;
+  Rounds(2, milliseconds(1000));
+  BOOST_REQUIRE(started.size() == 1u);
+  BOOST_TEST(started[0] == job + "/1");
+  BOOST_TEST(StateOf(job) == "running");
+}
+
+// Guards against a place call with a lost reply that makes the task run twice.
+BOOST_FIXTURE_TEST_CASE(lost_place_reply_is_settled, fixture) {
+  const auto job = Submit("batch", 1);
+  lose_place_replies = true;
+  Rounds(1);
+  lose_place_replies = false;
+  Rounds(20, milliseconds(1000));
+  BOOST_TEST(started.size() == 1u);
+  BOOST_TEST(StateOf(job) == "running");
+}
+
+// Guards against cancellations that are not idempotent, that start work
+// afterwards, or that send one stop call for each task.
+BOOST_FIXTURE_TEST_CASE(cancel_is_repeatable_and_batched, fixture) {
+  const auto job = Submit("batch", 5);
+  Rounds(1);
+  Deliver(job + "/0", task_state::kRunning);
+  for (int i = 0; i < 2; ++i) {
+    const auto reply = WithCommits([&] { return owner->Cancel(job); });
+    BOOST_TEST(reply.status == 200);
+    BOOST_TEST(json::parse(reply.body)["state"] == "cancelled");
+    BOOST_TEST(json::parse(reply.body)["had_run"] == true);
+  }
+  Rounds(1);
+  BOOST_TEST(stopped.size() == 5u);
+  BOOST_TEST(stop_calls <= 2u);
+  for (const auto& id : std::vector(started)) {
+    BOOST_TEST(Deliver(id, task_state::kStopped));
+  }
+  Rounds(3, milliseconds(3000));
+  BOOST_TEST(started.size() == 5u);
+}
+
+}  // namespace
+}  // namespace apricotwheel
--- /dev/null
+++ b/tests/workers/worker_fleet_test.cc
@@ -0,0 +1,268 @@
+#include "workers/worker_fleet.h"
+
+#include <boost/test/unit_test.hpp>
+
+namespace apricotwheel {
+namespace {
+
+// A fleet whose workers are lists in this test.
+struct fixture {
+  clock_ptr clock = runtime_clock::Paused();
+  worker_fleet fleet{[this] {
+    worker_fleet_options options;
+    options.clock = clock;
+    return options;
+  }()};
+  std::map<std::string, worker_snapshot> workers;
+  worker_fleet::shard_epochs epochs{};
+
+  void Add(const std::string& id, vm_state state = vm_state::kLive) {
+    fleet.SetWorker({id, "127.0.0.1:1", "a", "r", state, {4000, 8000, 0}},
+                    "a/r", 1, nullptr);
+  }
+  void Claim(const std::string& id) {
+    Add(id);
+    auto& worker = workers[id];
+    worker.capacity = {4000, 8000, 0};
+    worker.worker_clock_ms = ClockMs();
+    fleet.OnClaimed(id, worker, clock->Now());
+  }
+  std::int64_t ClockMs() const {
+    return std::chrono::duration_cast<milliseconds>(
+               clock->Now().time_since_epoch())
+        .count();
+  }
+  void Renew(const std::string& id) {
+    const auto order = fleet.PrepareRenewal(id);
+    auto& worker = workers[id];
+    for (const auto& done : order.acknowledged) {
+      std::erase_if(worker.tasks, [&](const auto& task) {
+        return task.spec.task_id == done;
+      });
+    }
+    worker.worker_clock_ms = ClockMs();
+    clock->Advance(milliseconds(1));
+    fleet.OnRenewed(id, order, worker, clock->Now() - milliseconds(1),
+                    clock->Now());
+  }
+  // Carries out the orders; `failure` answers starts instead of the worker.
+  std::vector<worker_order> Serve(const std::string& id,
+                                  std::optional<error> failure = {},
+                                  bool takes_effect = true) {
+    const auto orders = fleet.TakeOrders(id);
+    for (const auto& order : orders) {
+      if (order.what != worker_order::kind::kStart) continue;
+      task_status status;
+      status.spec = order.spec;
+      outcome<task_status> answer;
+      if (takes_effect) workers[id].tasks.push_back(status);
+      if (failure) answer.failure = *failure;
+      if (!failure) answer.value = status;
+      fleet.OnStarted(id, order, answer);
+    }
+    return orders;
+  }
+  wire::task_placementT Place(const std::string& task_id,
+                              wire::place_mode mode = wire::place_mode::start,
+                              std::int64_t cpu = 1000,
+                              priority_class priority = priority_class::kBatch,
+                              std::uint64_t shard_epoch = 1) {
+    wire::place_requestT request;
+    request.mode = mode;
+    request.reservation_id = "r";
+    request.expires_in_ms = 2000;
+    wire::taskT task;
+    task.task_id = task_id;
+    task.job_id = task_id;
+    task.kind = static_cast<std::uint8_t>(task_kind::kBatch);
+    task.priority = static_cast<std::uint8_t>(priority);
+    task.shard = 3;
+    task.shard_epoch = shard_epoch;
+    task.need = std::make_unique<wire::resources>(cpu, 100, 0);
+    request.tasks.push_back(std::make_unique<wire::taskT>(task));
+    const auto response = fleet.Place(request, epochs);
+    if (response.placements.empty()) return {};
+    return *response.placements.front();
+  }
+  wire::inventory_responseT Inventory(std::uint64_t shard_epoch = 1) {
+    wire::inventory_requestT request;
+    request.shard = 3;
+    request.shard_epoch = shard_epoch;
+    std::vector<std::string> names;
+    for (const auto& line : fleet.Workers()) names.push_back(line.worker);
+    return fleet.Inventory(request, {{"a/r", names}}, epochs);
+  }
+  // The state of the only pending event, or -1.
+  int EventState() {
+    const auto events = fleet.PendingEvents();
+    return events.size() == 1 ? events.front().state : -1;
+  }
+  void Accept() {
+    const auto events = fleet.PendingEvents();
+    std::vector<std::string> ids;
+    for (const auto& event : events) ids.push_back(event.spec->task_id);
+    fleet.OnAccepted(events, ids);
+  }
+};
+
+const error kTimeoutError{error_kind::kTimeout, "no reply", ""};
+constexpr int kFailed = static_cast<int>(task_state::kFailed);
+constexpr int kRunningState = static_cast<int>(task_state::kRunning);
+
+// Guards against a task that is placed a second time while the reply to its
+// start is missing, and against an allocation that is given up then.
+BOOST_FIXTURE_TEST_CASE(unknown_start_keeps_the_task, fixture) {
+  Claim("w1");
+  Claim("w2");
+  const auto first = Place("t/0");
+  BOOST_TEST((first.status == wire::place_status::placed));
+  Serve(first.worker, kTimeoutError, false);
+  BOOST_TEST(Place("t/0").worker == first.worker);
+  Renew(first.worker);
+  BOOST_TEST(EventState() == -1);
+  BOOST_TEST(Inventory().tasks.size() == 1u);
+  // Past the expiry of the start it can no longer take effect.
+  clock->Advance(milliseconds(10'500));
+  Renew(first.worker);
+  BOOST_TEST(EventState() == kFailed);
+}
+
+// Guards against a lost start whose task is running and is reported as failed.
+BOOST_FIXTURE_TEST_CASE(unknown_start_is_settled_by_the_list, fixture) {
+  Claim("w1");
+  Place("t/0");
+  Serve("w1", kTimeoutError, true);
+  Renew("w1");
+  BOOST_TEST(EventState() == kRunningState);
+}
+
+// Guards against an end that is acknowledged before its owner committed it,
+// and against one that the worker may forget while a start is on its way.
+BOOST_FIXTURE_TEST_CASE(end_is_acknowledged_after_the_commit, fixture) {
+  Claim("w1");
+  Place("t/0");
+  Serve("w1", kTimeoutError, true);
+  Renew("w1");
+  workers["w1"].tasks.front().state = task_state::kFinished;
+  Renew("w1");
+  Renew("w1");
+  BOOST_TEST(workers["w1"].tasks.size() == 1u);
+  Accept();
+  Renew("w1");
+  BOOST_TEST(workers["w1"].tasks.size() == 1u);
+  clock->Advance(milliseconds(10'500));
+  Renew("w1");
+  Renew("w1");
+  BOOST_TEST(workers["w1"].tasks.empty());
+  BOOST_TEST(Inventory().tasks.empty());
+}
+
+// Guards against a frozen worker whose tasks are reported lost before their
+// lease has certainly expired, or that gets new tasks meanwhile; and against a
+// woken one whose stale task runs on.
+BOOST_FIXTURE_TEST_CASE(frozen_and_woken_worker, fixture) {
+  Claim("w1");
+  Place("t/0");
+  Serve("w1");
+  Renew("w1");
+  Accept();
+  fleet.OnUnreachable("w1");
+  BOOST_TEST((Place("t/1").status == wire::place_status::wait));
+  clock->Advance(milliseconds(10'400));
+  fleet.Sweep();
+  BOOST_TEST(EventState() == -1);
+  clock->Advance(milliseconds(200));
+  fleet.Sweep();
+  BOOST_TEST(fleet.PendingEvents().at(0).message == "lease expired");
+  Renew("w1");
+  const auto orders = Serve("w1");
+  BOOST_TEST(orders.size() == 1u);
+  BOOST_TEST((orders.at(0).what == worker_order::kind::kStop));
+}
+
+// Guards against a deposed job owner that still places, and against a
+// successor whose inventory does not fence it.
+BOOST_FIXTURE_TEST_CASE(shard_epoch_fences, fixture) {
+  Claim("w1");
+  BOOST_TEST(Inventory(2).partitions.at(0)->complete);
+  BOOST_TEST((Place("t/0").status == wire::place_status::refused));
+  BOOST_TEST(Inventory(1).partitions.empty());
+  epochs[3] = 5;
+  const auto below_view =
+      Place("t/0", wire::place_mode::start, 1000, priority_class::kBatch, 4);
+  BOOST_TEST((below_view.status == wire::place_status::refused));
+}
+
+// Guards against an inventory that is called complete while a worker that
+// nobody could claim may still run tasks of an earlier owner.
+BOOST_FIXTURE_TEST_CASE(inventory_waits_for_unclaimed_workers, fixture) {
+  Claim("w1");
+  Add("w2");
+  BOOST_TEST(!Inventory().partitions.at(0)->complete);
+  clock->Advance(milliseconds(20'000));
+  BOOST_TEST(!Inventory().partitions.at(0)->complete);
+  fleet.OnUnreachable("w2");
+  clock->Advance(milliseconds(10'400));
+  BOOST_TEST(!Inventory().partitions.at(0)->complete);
+  clock->Advance(milliseconds(200));
+  BOOST_TEST(Inventory().partitions.at(0)->complete);
+}
+
+// Guards against reservations that outlive their owner, and against a commit
+// that starts a task without one.
+BOOST_FIXTURE_TEST_CASE(reservation_expires, fixture) {
+  Claim("w1");
+  BOOST_TEST((Place("g/0", wire::place_mode::reserve, 4000).status ==
+              wire::place_status::reserved));
+  BOOST_TEST((Place("t/0").status == wire::place_status::wait));
+  clock->Advance(milliseconds(2000));
+  BOOST_TEST((Place("g/0", wire::place_mode::commit, 4000).status ==
+              wire::place_status::refused));
+  BOOST_TEST((Place("t/0").status == wire::place_status::placed));
+}
+
+// Guards against urgent work that starts before its victims have ended, which
+// would overload the VM, or that waits without a bound.
+BOOST_FIXTURE_TEST_CASE(urgent_starts_when_the_victim_ended, fixture) {
+  Claim("w1");
+  Place("b/0", wire::place_mode::start, 4000);
+  Serve("w1");
+  Renew("w1");
+  Accept();
+  BOOST_TEST(
+      (Place("u/0", wire::place_mode::start, 1000, priority_class::kUrgent)
+           .status == wire::place_status::preempting));
+  const auto stops = Serve("w1");
+  BOOST_REQUIRE(stops.size() == 1u);
+  BOOST_TEST((stops[0].mode == stop_mode::kCheckpoint));
+  Renew("w1");
+  clock->Advance(milliseconds(1300));
+  fleet.Sweep();
+  const auto kills = Serve("w1");
+  BOOST_REQUIRE(kills.size() == 1u);
+  BOOST_TEST((kills[0].mode == stop_mode::kKill));
+  workers["w1"].tasks.front().state = task_state::kStopped;
+  Renew("w1");
+  const auto starts = Serve("w1");
+  BOOST_REQUIRE(starts.size() == 1u);
+  BOOST_TEST(starts[0].spec.task_id == "u/0");
+}
+
+// Guards against new work on a leaving VM and batch work that stays there.
+BOOST_FIXTURE_TEST_CASE(leaving_vm_is_vacated, fixture) {
+  Claim("w1");
+  Place("b/0");
+  Serve("w1");
+  Renew("w1");
+  Accept();
+  Place("b/1");
+  Add("w1", vm_state::kLeaving);
+  BOOST_TEST(EventState() == kFailed);
+  const auto orders = Serve("w1");
+  BOOST_REQUIRE(orders.size() == 1u);
+  BOOST_TEST((orders[0].mode == stop_mode::kCheckpoint));
+  BOOST_TEST((Place("b/2").status == wire::place_status::wait));
+}
+
+}  // namespace
+}  // namespace apricotwheel
--- /dev/null
+++ b/tests/workers/worker_lease_test.cc
@@ -0,0 +1,125 @@
+#include "workers/worker_lease.h"
+
+#include <boost/test/data/monomorphic.hpp>
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+
+#include "workers/worker_health.h"
+
+namespace apricotwheel {
+namespace {
+
+namespace data = boost::unit_test::data;
+
+// One renewal: the worker's clock stands at 1'000'000 when the sample leaves
+// it. All other times are milliseconds after that moment.
+struct lease_row {
+  const char* name;
+  int sample_received_at;  // The owner receives the sample.
+  int owner_sends_at;      // The owner sends the renewal.
+  int worker_handles_at;   // The worker reads it.
+  double worker_rate;      // Speed of the worker's clock to the owner's.
+  bool worker_still_runs;  // At `worker_handles_at`, its old lease aside.
+};
+std::ostream& operator<<(std::ostream& out, const lease_row& row) {
+  return out << row.name;
+}
+
+const lease_row kRows[] = {
+    {"prompt", 1, 1000, 1001, 1.0, true},
+    {"late renewal", 1, 1000, 9000, 1.0, true},
+    {"read after the lease", 1, 1000, 12'000, 1.0, false},
+    {"owner paused before the send", 1, 30'000, 30'001, 1.0, true},
+    {"worker paused", 1, 1000, 60'000, 1.0, false},
+    {"slow reply", 3000, 4000, 4001, 1.0, true},
+    {"worker clock slow", 1, 1000, 1001, 0.96, true},
+    {"worker clock fast", 1, 1000, 1001, 1.04, true},
+};
+
+// Guards against a renewal that extends a lease because it was delivered late,
+// and against an owner that places a task again while the worker, paused or
+// with a drifting clock, may still run it.
+BOOST_DATA_TEST_CASE(lease_table, data::make(kRows), row) {
+  const auto clock = runtime_clock::Paused();
+  const auto start = clock->Now();
+  worker_lease lease{worker_lease_options{}};
+  lease.OnSample(1'000'000, start + milliseconds(row.sample_received_at));
+  const auto expiry =
+      lease.ExpiryToSend(start + milliseconds(row.owner_sends_at));
+  lease.OnSent(expiry);
+  const auto worker_clock = [&](double at_ms) {
+    return 1'000'000 + at_ms * row.worker_rate;
+  };
+  BOOST_TEST((worker_clock(row.worker_handles_at) < double(expiry)) ==
+             row.worker_still_runs);
+  const auto certain =
+      std::chrono::duration<double, std::milli>(*lease.CertainExpiry() - start);
+  BOOST_TEST(worker_clock(certain.count()) >= double(expiry));
+}
+
+// Guards against a lost reply that hides a lease the worker has granted.
+BOOST_AUTO_TEST_CASE(lost_reply_counts_as_renewed) {
+  const auto clock = runtime_clock::Paused();
+  worker_lease lease{worker_lease_options{}};
+  lease.OnClaimed(5000, {}, clock->Now());
+  const auto before = *lease.CertainExpiry();
+  clock->Advance(milliseconds(4000));
+  lease.OnSent(lease.ExpiryToSend(clock->Now()));
+  BOOST_TEST((*lease.CertainExpiry() == before + milliseconds(4000)));
+  BOOST_TEST(!lease.AuthorityUntil().has_value());
+}
+
+// Guards against requests that are sent after a successor may have started:
+// authority counts from the send, not from the reply.
+BOOST_AUTO_TEST_CASE(authority_counts_from_the_send) {
+  const auto clock = runtime_clock::Paused();
+  worker_lease lease{worker_lease_options{}};
+  lease.OnClaimed(5000, {}, clock->Now());
+  BOOST_TEST(!lease.HasAuthority(clock->Now()));
+  const auto sent = clock->Now();
+  clock->Advance(milliseconds(900));
+  lease.OnAcknowledged(sent);
+  BOOST_TEST(lease.HasAuthority(clock->Now()));
+  clock->Advance(milliseconds(1349));
+  BOOST_TEST(lease.HasAuthority(clock->Now()));
+  clock->Advance(milliseconds(1));
+  BOOST_TEST(!lease.HasAuthority(clock->Now()));
+}
+
+struct successor_row {
+  std::optional<std::int64_t> age_ms;
+  int waits_ms;
+};
+std::ostream& operator<<(std::ostream& out, const successor_row& row) {
+  return out << row.age_ms.value_or(-1);
+}
+const successor_row kSuccessors[] = {
+    {{}, 0}, {0, 2500}, {900, 1600}, {2500, 0}, {90'000, 0}};
+
+// Guards against a successor that sends requests while its predecessor may.
+BOOST_DATA_TEST_CASE(successor_waits, data::make(kSuccessors), row) {
+  const auto now = runtime_clock::Paused()->Now();
+  worker_lease lease{worker_lease_options{}};
+  lease.OnClaimed(5000, row.age_ms, now);
+  BOOST_TEST((lease.AuthorityFrom() == now + milliseconds(row.waits_ms)));
+}
+
+// Guards against one faulty job that quarantines the workers it visits, and
+// against a faulty worker that leaves its quarantine as if it were healthy.
+BOOST_AUTO_TEST_CASE(quarantine_needs_different_jobs) {
+  const auto clock = runtime_clock::Paused();
+  worker_health health(3, milliseconds(1000));
+  for (int i = 0; i < 9; ++i) health.OnFailure("one", clock->Now());
+  BOOST_TEST(!health.Quarantined(clock->Now()));
+  health.OnFailure("two", clock->Now());
+  health.OnFailure("three", clock->Now());
+  BOOST_TEST(health.Quarantined(clock->Now()));
+  clock->Advance(milliseconds(1000));
+  BOOST_TEST(!health.Quarantined(clock->Now()));
+  health.OnFailure("one", clock->Now());
+  clock->Advance(milliseconds(1500));
+  BOOST_TEST(health.Quarantined(clock->Now()));
+}
+
+}  // namespace
+}  // namespace apricotwheel
