--- a/src/jobs/shard_owner.cc
+++ b/src/jobs/shard_owner.cc
@@ -30,15 +30,19 @@
 }  // namespace
 
 const std::string& shard_owner::task_ref::Team() const {
-  return job ? job->team : service->config.team;
+  static const std::string no_team;
+  if (job != nullptr) return job->team;
+  return service != nullptr ? service->config.team : no_team;
 }
 
 resource_vector shard_owner::task_ref::Need() const {
-  return job ? job->need : service->config.resources;
+  if (job != nullptr) return job->need;
+  return service != nullptr ? service->config.resources : resource_vector{};
 }
 
 priority_class shard_owner::task_ref::Priority() const {
-  return job ? job->priority : service->config.priority;
+  if (job != nullptr) return job->priority;
+  return service != nullptr ? service->config.priority : priority_class::kBatch;
 }
 
 bool shard_owner::task_ref::Unwanted() const {
