Lock the fake cell of the job owner's test

Two of its calls run at once on threads, so one run aborted with a heap corruption. The fake is locked now.

--- a/tests/jobs/shard_owner_test.cc
+++ b/tests/jobs/shard_owner_test.cc
@@ -25,6 +25,7 @@
   std::size_t stop_calls = 0;
   std::string refuses_commit;
   bool lose_place_replies = false;
+  std::mutex mutex;  // The job owner calls several members at once.
   std::unique_ptr<shard_owner> owner;
 
   fixture() {
@@ -109,6 +110,7 @@
 
   outcome<wire::place_responseT> Place(const std::string& member,
                                        const wire::place_requestT& request) {
+    std::lock_guard guard(mutex);
     outcome<wire::place_responseT> answer;
     answer.value.emplace();
     for (const auto& task : request.tasks) {
@@ -140,6 +142,7 @@
   }
 
   outcome<wire::inventory_responseT> Inventory(const std::string& member) {
+    std::lock_guard guard(mutex);
     outcome<wire::inventory_responseT> answer;
     answer.value.emplace();
     auto line = std::make_unique<wire::partition_inventoryT>();
