Send only changed tasks in a renewal

Change: a worker numbers the changes of its task list; a renewal names the version that the owner has and gets the tasks that changed since and the length of the list. The client keeps the list and asks for a whole one if the lengths differ, as after a lost reply or a restarted agent.

Ruled out: fewer renewals, which would lengthen the authority over instances and with it the recovery after a kill.

--- a/scripts/lib/cell.sh
+++ b/scripts/lib/cell.sh
@@ -90,7 +90,7 @@
   for ((d = 1; d <= daemons; ++d)); do
     cat >"$folder/daemon-$d.yaml" <<YAML
 name: daemon-$d
-failure_domain: fd-$(((d - 1) % 3 + 1))
+failure_domain: fd$(((d - 1) % 3))
 http_address: $(http_address "$d")
 peer_address: 127.0.0.1:$((base + 30 + d))
 kv_address: $kv
--- /dev/null
+++ b/src/platform/task_list_cache.h
@@ -0,0 +1,35 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <span>
+#include <string>
+
+#include "platform/worker_client.h"
+
+namespace apricotwheel {
+
+// The last whole task list of one worker, so that a renewal needs to carry only
+// what changed since.
+struct task_list_cache {
+  std::uint64_t epoch = 0;
+  std::uint64_t version = 0;
+  bool valid = false;
+  std::map<std::string, task_status> tasks;
+};
+
+// The version to ask changes after; absent if there is no list of this epoch.
+std::optional<std::uint64_t> KnownVersion(const task_list_cache& cache,
+                                          std::uint64_t epoch);
+
+// Keeps a whole list.
+void Reset(task_list_cache& cache, std::uint64_t epoch,
+           const worker_snapshot& whole);
+
+// Merges a partial list into the cache and completes `partial` from it. Returns
+// false, and forgets the list, if the result has not the announced length.
+bool Apply(task_list_cache& cache, worker_snapshot& partial,
+           std::span<const std::string> acknowledged);
+
+}  // namespace apricotwheel
--- a/src/platform/wire_format.cc
+++ b/src/platform/wire_format.cc
@@ -71,6 +71,9 @@
               {"previous_renewal_age_ms", nullptr},
               {"highest_epoch", snapshot.highest_epoch},
               {"capacity", ToJson(snapshot.capacity)},
+              {"version", snapshot.version},
+              {"partial", snapshot.partial},
+              {"task_count", snapshot.task_count},
               {"tasks", json::array()}};
   if (snapshot.previous_renewal_age_ms) {
     out["previous_renewal_age_ms"] = *snapshot.previous_renewal_age_ms;
@@ -140,6 +143,9 @@
   }
   body.at("highest_epoch").get_to(snapshot.highest_epoch);
   snapshot.capacity = ResourcesFromJson(body.at("capacity"));
+  body.at("version").get_to(snapshot.version);
+  body.at("partial").get_to(snapshot.partial);
+  body.at("task_count").get_to(snapshot.task_count);
   for (const auto& task : body.at("tasks")) {
     snapshot.tasks.push_back(TaskStatusFromJson(task));
   }
--- a/src/platform/worker_client.cc
+++ b/src/platform/worker_client.cc
@@ -1,6 +1,9 @@
 #include "platform/worker_client.h"
 
+#include <mutex>
+
 #include "platform/http_connection.h"
+#include "platform/task_list_cache.h"
 #include "platform/wire_format.h"
 
 namespace apricotwheel {
@@ -45,6 +48,8 @@
   explicit state(ip_endpoint peer) : pool(std::move(peer)) {}
   worker_client_options options;
   http_pool pool;
+  std::mutex cache_mutex;
+  task_list_cache cache;
 
   result<http_reply> Call(const char* target, const json& body) {
     http_call call;
@@ -78,7 +83,10 @@
                                              std::string_view owner) {
   BOOST_LEAF_AUTO(
       reply, state_->Call("/v1/claim", {{"epoch", epoch}, {"owner", owner}}));
-  return ParseReply(reply.body, SnapshotFromJson);
+  BOOST_LEAF_AUTO(snapshot, ParseReply(reply.body, SnapshotFromJson));
+  const std::lock_guard lock(state_->cache_mutex);
+  Reset(state_->cache, epoch, snapshot);
+  return snapshot;
 }
 
 result<worker_snapshot> worker_client::Renew(
@@ -88,8 +96,22 @@
                {"expires_at_ms", expires_at_ms},
                {"acknowledged", json::array()}};
   for (const auto& task : acknowledged) body["acknowledged"].push_back(task);
+  const std::lock_guard lock(state_->cache_mutex);
+  const auto known = KnownVersion(state_->cache, epoch);
+  if (known) body["after"] = *known;
   BOOST_LEAF_AUTO(reply, state_->Call("/v1/renew", body));
-  return ParseReply(reply.body, SnapshotFromJson);
+  BOOST_LEAF_AUTO(snapshot, ParseReply(reply.body, SnapshotFromJson));
+  if (!snapshot.partial) {
+    Reset(state_->cache, epoch, snapshot);
+    return snapshot;
+  }
+  if (Apply(state_->cache, snapshot, acknowledged)) return snapshot;
+  // The lists differ, as after a lost reply to an acknowledgement.
+  body.erase("after");
+  BOOST_LEAF_ASSIGN(reply, state_->Call("/v1/renew", body));
+  BOOST_LEAF_ASSIGN(snapshot, ParseReply(reply.body, SnapshotFromJson));
+  Reset(state_->cache, epoch, snapshot);
+  return snapshot;
 }
 
 result<task_status> worker_client::Start(std::uint64_t epoch,
--- a/src/platform/worker_client.h
+++ b/src/platform/worker_client.h
@@ -55,6 +55,11 @@
   std::uint64_t highest_epoch = 0;
   resource_vector capacity;
   std::vector<task_status> tasks;
+  // Of the task list: it rises with each change of a task. `worker_client`
+  // uses the three fields to ask only for changes; what it returns is whole.
+  std::uint64_t version = 0;
+  bool partial = false;        // Only tasks that changed since a version.
+  std::size_t task_count = 0;  // Of the whole list.
 };
 
 enum class stop_mode { kKill, kCheckpoint };
@@ -77,7 +82,8 @@
   result<worker_snapshot> Claim(std::uint64_t epoch, std::string_view owner);
 
   // Extends all task leases to `expires_at_ms` on the worker's clock and
-  // drops the finished tasks named in `acknowledged` from its list.
+  // drops the finished tasks named in `acknowledged` from its list. The worker
+  // sends only the tasks that changed since the last answer.
   result<worker_snapshot> Renew(std::uint64_t epoch, std::int64_t expires_at_ms,
                                 std::span<const std::string> acknowledged);
 
--- a/testing/worker_agent.cc
+++ b/testing/worker_agent.cc
@@ -10,6 +10,7 @@
 #include <optional>
 #include <vector>
 
+#include "kernel/random.h"
 #include "platform/wire_format.h"
 #include "testing/instance_standin.h"
 #include "testing/json_route.h"
@@ -31,6 +32,7 @@
   std::int64_t lease_ms = 0;
   std::int64_t progress_at_ms = 0;
   std::int64_t cpu_limit = 0;  // 0 for none.
+  std::uint64_t version = 0;   // Of the task list at its last change.
   std::unique_ptr<instance_standin> instance;
 };
 
@@ -54,6 +56,8 @@
   std::optional<std::int64_t> renewed_ms;           // By the current epoch.
   std::optional<std::int64_t> previous_renewed_ms;  // By an earlier one.
   std::map<std::string, hosted_task> tasks;
+  // Starts at random, so that the list of a restarted agent is told apart.
+  std::uint64_t version = SystemRandom().state >> 16;
   std::vector<std::unique_ptr<instance_standin>> ended_instances;
   std::int64_t sampled_ms = 0;
   std::uint64_t capacity_breaches = 0;
@@ -89,6 +93,7 @@
     task.status.state = how;
     task.status.message = message;
     task.status.used = {};
+    task.version = ++version;
     if (task.instance) {
       task.instance->Kill();
       ended_instances.push_back(std::move(task.instance));
@@ -125,7 +130,9 @@
       }
       status.ran_ms += elapsed;
       if (sample) {
-        status.used = Scale(ActualUse(task), faults.report_percent);
+        const auto used = Scale(ActualUse(task), faults.report_percent);
+        if (used != status.used) task.version = ++version;
+        status.used = used;
       }
       if (faults.fail_tasks) {
         End(task, task_state::kFailed, "the worker fails every task");
@@ -159,8 +166,12 @@
     return true;
   }
 
-  worker_snapshot Snapshot() const {
+  // The whole list, or the tasks that changed after a version.
+  worker_snapshot Snapshot(std::optional<std::uint64_t> after = {}) const {
     worker_snapshot snapshot;
+    snapshot.version = version;
+    snapshot.partial = after && *after <= version;
+    snapshot.task_count = tasks.size();
     snapshot.worker_clock_ms = ClockMs();
     snapshot.highest_epoch = epoch->load();
     snapshot.capacity = options.vm.capacity;
@@ -169,6 +180,7 @@
           snapshot.worker_clock_ms - *previous_renewed_ms;
     }
     for (const auto& [id, task] : tasks) {
+      if (snapshot.partial && task.version <= *after) continue;
       snapshot.tasks.push_back(task.status);
       snapshot.tasks.back().age_ms = snapshot.worker_clock_ms - task.started_ms;
     }
@@ -199,7 +211,9 @@
         tasks.erase(it);
       }
     }
-    return {200, ToJson(Snapshot())};
+    std::optional<std::uint64_t> after;
+    if (call.contains("after")) after = call["after"].get<std::uint64_t>();
+    return {200, ToJson(Snapshot(after))};
   }
 
   // Counts a start that needs more than the VM has. Returns whether it fits.
@@ -263,6 +277,7 @@
       task.instance = std::move(*started);
       task.status.address = task.instance->Address();
     }
+    task.version = ++version;
     Log("task_started", task.status);
     const auto answer = ToJson(task.status);
     tasks[spec.task_id] = std::move(task);
