Keep unknown starts, stale VM lists and vanished workers out of inventories

Cause: the fleet treated a start whose reply was cut short as one without effect, although docs/contracts/worker.md says that it may have had one, and reported the task for placement elsewhere. An inventory was complete with a VM list older than a peer's, and before the first list was read. A worker that vanished from the list before it was claimed was forgotten at once. An ended attempt on the worker's list was taken for the end of the next attempt there.

Change: kCorrupt leaves a start unsettled. Inventories are complete only if the own list is at least as new as the lists in peers' gossip and a peer was heard. CanForget asks for a claimed worker or a certainly expired lease. An attempt is not started before the earlier one is acknowledged on that worker.

Fencing by the shard epochs of the own view exists and has a check in shard_epoch_fences; it is unchanged. Unsettled starts were listed already.

--- a/src/workers/worker_fleet.cc
+++ b/src/workers/worker_fleet.cc
@@ -58,8 +58,31 @@
   workers_.erase(found);
 }
 
+bool IsListCurrent(std::uint64_t own_version,
+                   std::span<const peer_summary> summaries, std::size_t peers) {
+  if (summaries.empty()) return peers == 0;
+  return std::all_of(summaries.begin(), summaries.end(),
+                     [&](const auto& summary) {
+                       return summary.gossip.vm_list_version <= own_version;
+                     });
+}
+
+bool worker_fleet::CertainlyExpired(const worker_entry& worker,
+                                    time_point now) const {
+  if (worker.lease.CertainExpiry()) return now >= *worker.lease.CertainExpiry();
+  // An earlier owner may have renewed until this owner took the partition.
+  return worker.first_failure &&
+         now >= std::max(*worker.first_failure, worker.taken_at) +
+                    options_.lease.task_lease + options_.lease.drift_margin;
+}
+
 bool worker_fleet::CanForget(std::string_view worker) const {
   std::lock_guard guard(mutex_);
+  const auto known = workers_.find(worker);
+  if (known != workers_.end() && known->second.now != worker_phase::kReady &&
+      !CertainlyExpired(known->second, options_.clock->Now())) {
+    return false;
+  }
   return std::none_of(tasks_.begin(), tasks_.end(), [&](const auto& entry) {
     return entry.second.worker == worker;
   });
--- a/src/workers/worker_fleet.h
+++ b/src/workers/worker_fleet.h
@@ -46,6 +46,19 @@
   std::int64_t cpu_milli = 0;  // Of a throttle.
 };
 
+// The workers that this daemon should know before its inventory is complete.
+struct expected_workers {
+  // The owned partitions with the workers that the VM list names there.
+  std::map<std::string, std::vector<std::string>> partitions;
+  // False if a newer VM list may name workers that this daemon's list lacks.
+  bool list_is_current = true;
+};
+
+// True if an own VM list of version `own_version` is at least as new as the
+// lists of all peers in `summaries`, and one of `peers` peers was heard.
+bool IsListCurrent(std::uint64_t own_version,
+                   std::span<const peer_summary> summaries, std::size_t peers);
+
 // All owned workers with their tasks, reservations and capacity, under one
 // lock. It makes no calls: sessions carry out its orders and report the
 // results. Thread-safe.
@@ -62,7 +75,8 @@
   void MarkLeaving(std::string_view worker);
   // Forgets a worker without a report: its successor reports its tasks.
   void DropWorker(std::string_view worker, std::uint64_t epoch);
-  // True if a worker that left the VM list holds no task any more.
+  // True if a worker that left the VM list certainly runs no task: it answered
+  // and holds none, or its task lease has certainly expired.
   bool CanForget(std::string_view worker) const;
 
   // Called by the session of the worker.
@@ -87,11 +101,8 @@
                               const shard_epochs& view_epochs);
   wire::stop_responseT StopTasks(const wire::stop_requestT& request,
                                  const shard_epochs& view_epochs);
-  // `expected` lists the owned partitions with the workers that the VM list
-  // names there.
-  using partition_workers = std::map<std::string, std::vector<std::string>>;
   wire::inventory_responseT Inventory(const wire::inventory_requestT& request,
-                                      const partition_workers& expected,
+                                      const expected_workers& expected,
                                       const shard_epochs& view_epochs);
 
   // Ends reservations and pre-emptions that are too old and reports the tasks
@@ -184,6 +195,7 @@
               const shard_epochs& view_epochs);
   std::string StateName(const worker_entry& worker) const;
   void ExpireWorker(worker_entry& worker);
+  bool CertainlyExpired(const worker_entry& worker, time_point now) const;
 
   const worker_fleet_options options_;
   mutable std::mutex mutex_;
--- a/src/workers/worker_fleet_place.cc
+++ b/src/workers/worker_fleet_place.cc
@@ -258,26 +258,21 @@
 }
 
 wire::inventory_responseT worker_fleet::Inventory(
-    const wire::inventory_requestT& request, const partition_workers& expected,
+    const wire::inventory_requestT& request, const expected_workers& expected,
     const shard_epochs& view_epochs) {
   std::lock_guard guard(mutex_);
   wire::inventory_responseT response;
   if (Fenced(request.shard, request.shard_epoch, view_epochs)) return response;
   const auto now = options_.clock->Now();
-  const auto lease = options_.lease.task_lease + options_.lease.drift_margin;
-  for (const auto& [partition, names] : expected) {
+  for (const auto& [partition, names] : expected.partitions) {
     auto line = std::make_unique<wire::partition_inventoryT>();
     line->partition = partition;
     const auto settled = [&](const worker_entry& worker) {
-      if (worker.now == worker_phase::kReady) return true;
-      if (worker.lease.CertainExpiry()) {
-        return now >= *worker.lease.CertainExpiry();
-      }
-      // An earlier owner may have renewed until this owner took the partition.
-      return worker.first_failure &&
-             now >= std::max(*worker.first_failure, worker.taken_at) + lease;
+      return worker.now == worker_phase::kReady ||
+             CertainlyExpired(worker, now);
     };
     line->complete =
+        expected.list_is_current &&
         std::all_of(names.begin(), names.end(), [&](const auto& name) {
           const auto found = workers_.find(name);
           return found != workers_.end() &&
@@ -330,6 +325,8 @@
     worker_order order;
     order.spec = task.spec;
     if (task.now == phase::kStarting && !task.start_sent) {
+      // The worker would answer with the ended attempt and start nothing.
+      if (worker.to_acknowledge.contains(id)) continue;
       order.what = worker_order::kind::kStart;
       order.expires_at_ms = worker.lease.ExpiryToSend(options_.clock->Now());
       worker.lease.OnSent(order.expires_at_ms);
@@ -367,7 +364,8 @@
     Report(task);
     return;
   }
-  if (answer.failure.kind == error_kind::kTimeout) {
+  if (answer.failure.kind == error_kind::kTimeout ||
+      answer.failure.kind == error_kind::kCorrupt) {
     task.unsettled_until_ms = order.expires_at_ms;
     Emit(options_.log, kStartUnknown,
          {Field("task", order.spec.task_id), Field("worker", worker_id)});
--- a/src/workers/worker_fleet_reconcile.cc
+++ b/src/workers/worker_fleet_reconcile.cc
@@ -141,7 +141,8 @@
     }
     return;
   }
-  if (found == tasks_.end()) {
+  const bool known_before = found != tasks_.end();
+  if (!known_before) {
     if (worker.to_acknowledge.contains(id) && !runs) return;
     task_entry adopted;
     adopted.spec = status.spec;
@@ -159,6 +160,12 @@
     if (task.end_accepted) worker.to_acknowledge.insert(id);
     return;
   }
+  if (task.now == phase::kStarting && !task.start_sent && known_before &&
+      !runs && status.state != task_state::kFinished) {
+    // An earlier attempt, which its owner settled before it placed this one.
+    worker.to_acknowledge.insert(id);
+    return;
+  }
   const bool appeared = task.now != phase::kRunning;
   task.status = status;
   task.on_worker_list = true;
--- a/src/workers/worker_manager.cc
+++ b/src/workers/worker_manager.cc
@@ -75,7 +75,7 @@
   thread_group threads;
 
   worker_fleet::shard_epochs ViewEpochs() const;
-  worker_fleet::partition_workers ExpectedWorkers() const;
+  expected_workers ExpectedWorkers() const;
   void Follow();
   void FollowWorkers();
   void FollowWorker(const vm_record& vm, std::uint64_t epoch);
@@ -94,19 +94,29 @@
   return epochs;
 }
 
-worker_fleet::partition_workers worker_manager::state::ExpectedWorkers() const {
-  worker_fleet::partition_workers expected;
+expected_workers worker_manager::state::ExpectedWorkers() const {
+  expected_workers expected;
   const auto view = options.cluster->View();
   if (!view) return expected;
   for (const auto& [name, owner] : view->owners.partitions) {
-    if (owner.owner == options.member_id) expected[name];
+    if (owner.owner == options.member_id) expected.partitions[name];
   }
   const auto vms = options.cluster->Vms();
   if (!vms) return {};
   for (const auto& vm : vms->vms) {
-    const auto partition = expected.find(PartitionOf(vm));
-    if (partition != expected.end()) partition->second.push_back(vm.id);
+    const auto partition = expected.partitions.find(PartitionOf(vm));
+    if (partition == expected.partitions.end()) continue;
+    partition->second.push_back(vm.id);
   }
+  const auto status = options.cluster->Status();
+  const auto peers = std::count_if(
+      view->members.begin(), view->members.end(),
+      [&](const auto& one) { return one.id != options.member_id; });
+  // The age is negative before the first list.
+  expected.list_is_current =
+      status.vm_list_age_ms >= 0 &&
+      IsListCurrent(vms->version, options.cluster->Summaries(),
+                    static_cast<std::size_t>(peers));
   return expected;
 }
 
--- a/tests/workers/worker_fleet_test.cc
+++ b/tests/workers/worker_fleet_test.cc
@@ -15,6 +15,7 @@
   }()};
   std::map<std::string, worker_snapshot> workers;
   worker_fleet::shard_epochs epochs{};
+  bool list_is_current = true;
 
   void Add(const std::string& id, vm_state state = vm_state::kLive) {
     fleet.SetWorker({id, "127.0.0.1:1", "a", "r", state, {4000, 8000, 0}},
@@ -90,7 +91,8 @@
     request.shard_epoch = shard_epoch;
     std::vector<std::string> names;
     for (const auto& line : fleet.Workers()) names.push_back(line.worker);
-    return fleet.Inventory(request, {{"a/r", names}}, epochs);
+    return fleet.Inventory(request, {{{"a/r", names}}, list_is_current},
+                           epochs);
   }
   // The state of the only pending event, or -1.
   int EventState() {
@@ -127,6 +129,47 @@
   BOOST_TEST(EventState() == kFailed);
 }
 
+// Guards against a start whose reply is cut short and that is taken for one
+// without effect, so that its task is placed a second time.
+BOOST_FIXTURE_TEST_CASE(cut_start_reply_keeps_the_task, fixture) {
+  Claim("w1");
+  Place("t/0");
+  Serve("w1", error{error_kind::kCorrupt, "cut short", ""}, true);
+  BOOST_TEST(EventState() == -1);
+  BOOST_TEST(Inventory().tasks.size() == 1u);
+  Renew("w1");
+  BOOST_TEST(EventState() == kRunningState);
+}
+
+// Guards against an ended attempt on the worker's list that is taken for the
+// end of the next attempt there, which did not run, and against a start that
+// the worker answers with the ended attempt.
+BOOST_FIXTURE_TEST_CASE(earlier_attempt_does_not_end_the_next, fixture) {
+  Claim("w1");
+  Place("t/0");
+  Serve("w1");
+  Renew("w1");
+  Accept();
+  fleet.OnUnreachable("w1");
+  clock->Advance(milliseconds(11'000));
+  fleet.Sweep();
+  Accept();
+  // The worker answers again, but its list was not read yet.
+  workers["w1"].tasks.clear();
+  Renew("w1");
+  BOOST_TEST((Place("t/0").status == wire::place_status::placed));
+  task_status earlier;
+  earlier.spec.task_id = "t/0";
+  earlier.state = task_state::kFailed;
+  workers["w1"].tasks.push_back(earlier);
+  Renew("w1");
+  BOOST_TEST(EventState() == -1);
+  BOOST_TEST(Serve("w1").empty());
+  Renew("w1");
+  BOOST_TEST(Serve("w1").size() == 1u);
+  BOOST_TEST(EventState() == kRunningState);
+}
+
 // Guards against a lost start whose task is running and is reported as failed.
 BOOST_FIXTURE_TEST_CASE(unknown_start_is_settled_by_the_list, fixture) {
   Claim("w1");
@@ -208,6 +251,39 @@
   BOOST_TEST(Inventory().partitions.at(0)->complete);
 }
 
+// Guards against a starting daemon that misses a worker because its VM list is
+// older than a peer's, and that calls its inventory complete.
+BOOST_FIXTURE_TEST_CASE(stale_vm_list_gives_no_complete_inventory, fixture) {
+  Claim("w1");
+  list_is_current = false;
+  BOOST_TEST(!Inventory().partitions.at(0)->complete);
+  list_is_current = true;
+  BOOST_TEST(Inventory().partitions.at(0)->complete);
+  std::vector<peer_summary> summaries(2);
+  summaries[0].gossip.vm_list_version = 4;
+  summaries[1].gossip.vm_list_version = 7;
+  BOOST_TEST(!IsListCurrent(6, summaries, 2));
+  BOOST_TEST(IsListCurrent(7, summaries, 2));
+  BOOST_TEST(!IsListCurrent(7, {}, 2));
+  BOOST_TEST(IsListCurrent(7, {}, 0));
+}
+
+// Guards against a worker that vanished from the VM list and is forgotten while
+// the tasks of an earlier owner may run there under their lease.
+BOOST_FIXTURE_TEST_CASE(vanished_worker_is_kept_for_its_lease, fixture) {
+  Add("w1");
+  BOOST_TEST(!fleet.CanForget("w1"));
+  fleet.OnUnreachable("w1");
+  clock->Advance(milliseconds(10'400));
+  BOOST_TEST(!fleet.CanForget("w1"));
+  clock->Advance(milliseconds(200));
+  BOOST_TEST(fleet.CanForget("w1"));
+  Claim("w2");
+  BOOST_TEST(fleet.CanForget("w2"));
+  fleet.OnUnreachable("w2");
+  BOOST_TEST(!fleet.CanForget("w2"));
+}
+
 // Guards against reservations that outlive their owner, and against a commit
 // that starts a task without one.
 BOOST_FIXTURE_TEST_CASE(reservation_expires, fixture) {
