Tell the end of an earlier attempt from that of the present one

Cause: the end of an attempt is reported again after its owner changed. While the job owner does not know the worker of the present attempt (after a take-over, or during a place call), it took the repeated end for the present attempt's and placed the task a second time. A failure whose acceptance was lost was counted again and could end the job as failed. After a take-over the instances of services that no inventory had shown did not count against the team's quota.

Change: such an end is not accepted until an inventory was complete, or if another member was asked to place the task; a failure on a worker that is already among the failed ones has no effect. Configured instances that were not shown count against the quota until an inventory was complete. A place call whose answer was corrupt counts as one with an unknown effect.

Ruled out: accepting the end and waiting for the next inventory, because the task would be pending and placed meanwhile.

--- a/src/jobs/shard_owner.cc
+++ b/src/jobs/shard_owner.cc
@@ -376,6 +376,22 @@
     return true;
   }
   if (other_attempt) return true;
+  if (state != task_state::kFinished && IsActive(task.state) &&
+      task.worker.empty()) {
+    // After a take-over, until an inventory was complete, and while a place
+    // call is under way at another member, the end of an earlier attempt cannot
+    // be told from the end of this one. It is reported again.
+    const bool unknown = !inventory_known_ && task.member.empty();
+    if (unknown || (!task.member.empty() && task.member != member)) {
+      return false;
+    }
+    // A failure that was counted and whose acceptance was lost.
+    if (state == task_state::kFailed &&
+        std::find(task.failed_on.begin(), task.failed_on.end(), event.worker) !=
+            task.failed_on.end()) {
+      return true;
+    }
+  }
   task.worker = event.worker;
   task.ran_ms = std::max(task.ran_ms, event.ran_ms);
   task.had_run = task.had_run || !event.message.starts_with(kNotStarted);
--- a/src/jobs/shard_owner.h
+++ b/src/jobs/shard_owner.h
@@ -160,7 +160,7 @@
   std::condition_variable changed_;
   bool loaded_ = false;
   // False until one inventory was complete since the take-over.
-  bool services_known_ = false;
+  bool inventory_known_ = false;
   std::map<std::string, job_record, std::less<>> jobs_;
   std::map<std::string, service_entry, std::less<>> services_;
   std::set<std::string, std::less<>> pending_;
--- a/src/jobs/shard_owner_inventory.cc
+++ b/src/jobs/shard_owner_inventory.cc
@@ -93,10 +93,15 @@
   for (const auto& shown : answer.tasks) {
     if (!shown->spec) continue;
     const auto& id = shown->spec->task_id;
-    sweep_.shown.insert(id);
     auto ref = Find(id);
     const bool runs =
         static_cast<task_state>(shown->state) == task_state::kRunning;
+    // The end of an attempt that another member has placed again since.
+    if (!runs && ref && ref.task->worker.empty() && !ref.task->member.empty() &&
+        ref.task->member != member) {
+      continue;
+    }
+    sweep_.shown.insert(id);
     if (!ref && runs && id.starts_with(kServicePrefix)) {
       const auto slash = id.rfind('/');
       std::uint32_t index = 0;
@@ -119,7 +124,8 @@
     }
     if (!runs) {
       // Its end arrives as an event, which is repeated until it is accepted.
-      if (ref.task->worker.empty()) {
+      // After a take-over another member may still show that it runs.
+      if (ref.task->worker.empty() && inventory_known_) {
         ref.task->worker = shown->worker;
         ref.task->partition = shown->partition;
       }
@@ -195,7 +201,7 @@
         Field("partitions", cell.view->owners.partitions.size()),
         Field("shown", sweep_.shown.size()), Field("lost", lost.size())});
   sweep_.active = false;
-  services_known_ = true;
+  inventory_known_ = true;
 }
 
 }  // namespace apricotwheel
--- a/src/jobs/shard_owner_place.cc
+++ b/src/jobs/shard_owner_place.cc
@@ -64,8 +64,24 @@
                               const cell_picture& cell) const {
   const auto* config = cell.document->FindTeam(team);
   if (config == nullptr) return true;
+  auto total = need;
   const auto used = used_.find(team);
-  return Fits(used == used_.end() ? need : used->second + need, config->quota);
+  if (used != used_.end()) total = total + used->second;
+  if (!inventory_known_) {
+    // Instances of services that no inventory has shown yet may run.
+    for (const auto& workload : cell.document->workloads) {
+      if (workload.kind != workload_kind::kService || workload.team != team) {
+        continue;
+      }
+      const auto known = services_.find(workload.name);
+      const std::size_t shown =
+          known == services_.end() ? 0 : known->second.instances.size();
+      for (auto i = shown; i < workload.instances; ++i) {
+        total = total + workload.resources;
+      }
+    }
+  }
+  return Fits(total, config->quota);
 }
 
 std::vector<shard_owner::task_ref> shard_owner::Ordered(
@@ -221,7 +237,10 @@
   };
   if (!answer) {
     options_.metrics->Placed(std::string(ToString(answer.failure.kind)));
-    if (answer.failure.kind == error_kind::kTimeout) return;
+    if (answer.failure.kind == error_kind::kTimeout ||
+        answer.failure.kind == error_kind::kCorrupt) {
+      return;
+    }
     for (const auto& task : request.tasks) {
       const auto ref = Find(task->task_id);
       if (ref) ref.task->tried_members.insert(member);
--- a/src/jobs/shard_owner_services.cc
+++ b/src/jobs/shard_owner_services.cc
@@ -21,7 +21,7 @@
   }
   std::lock_guard guard(mutex_);
   // An index that no inventory has shown yet may run somewhere.
-  if (!services_known_) return;
+  if (!inventory_known_) return;
   for (auto& [name, service] : services_) {
     const auto* config = cell.document->FindWorkload(name);
     const bool kept = config != nullptr &&
--- a/tests/jobs/shard_owner_test.cc
+++ b/tests/jobs/shard_owner_test.cc
@@ -1,5 +1,6 @@
 #include "jobs/shard_owner.h"
 
+#include <algorithm>
 #include <boost/test/unit_test.hpp>
 #include <nlohmann/json.hpp>
 #include <thread>
@@ -25,7 +26,8 @@
   std::size_t stop_calls = 0;
   std::string refuses_commit;
   bool lose_place_replies = false;
-  std::mutex mutex;  // The job owner calls several members at once.
+  std::set<std::string> silent;  // Members without an inventory.
+  std::mutex mutex;              // The job owner calls several members at once.
   std::unique_ptr<shard_owner> owner;
 
   fixture() {
@@ -144,6 +146,8 @@
   outcome<wire::inventory_responseT> Inventory(const std::string& member) {
     std::lock_guard guard(mutex);
     outcome<wire::inventory_responseT> answer;
+    answer.failure.kind = error_kind::kTimeout;
+    if (silent.contains(member)) return answer;
     answer.value.emplace();
     auto line = std::make_unique<wire::partition_inventoryT>();
     line->partition = "a/" + member;
@@ -309,6 +313,96 @@
   BOOST_TEST(StateOf(job) == "running");
 }
 
+// Guards against the repeated end of an earlier attempt that makes a new owner
+// place a task that runs elsewhere.
+BOOST_FIXTURE_TEST_CASE(old_end_after_take_over_places_nothing, fixture) {
+  const auto job = Submit("batch", 1);
+  const auto task = job + "/0";
+  Rounds(1);
+  const auto runs_at = running[task];
+  silent = {runs_at};
+  TakeOver(2);
+  auto old_end = Event(task, task_state::kCheckpointed);
+  old_end.worker = "old-w";
+  const std::vector events{old_end};
+  const auto report = [&] {
+    return WithCommits([&] { return owner->OnEvents("m2", events); });
+  };
+  BOOST_TEST(report().empty());
+  Rounds(3, milliseconds(1000));
+  BOOST_TEST(started.size() == 1u);
+  silent.clear();
+  Rounds(3, milliseconds(1000));
+  BOOST_TEST(report().size() == 1u);
+  Rounds(3, milliseconds(1000));
+  BOOST_TEST(started.size() == 1u);
+  BOOST_TEST(StateOf(job) == "running");
+}
+
+// Guards against the end of an earlier attempt that is taken for the end of one
+// whose place call is under way at another member.
+BOOST_FIXTURE_TEST_CASE(old_end_during_a_place_call_is_not_accepted, fixture) {
+  const auto job = Submit("batch", 1);
+  const auto task = job + "/0";
+  lose_place_replies = true;
+  Rounds(1);
+  lose_place_replies = false;
+  auto old_end = Event(task, task_state::kFailed, "bad");
+  old_end.worker = "old-w";
+  const std::vector events{old_end};
+  const std::string other = running[task] == "m1" ? "m2" : "m1";
+  BOOST_TEST(
+      WithCommits([&] { return owner->OnEvents(other, events); }).empty());
+  Rounds(20, milliseconds(1000));
+  BOOST_TEST(started.size() == 1u);
+  BOOST_TEST(StateOf(job) == "running");
+}
+
+// Guards against one failure that is counted several times because the reply
+// to its event was lost, which would end the job.
+BOOST_FIXTURE_TEST_CASE(repeated_failure_counts_once, fixture) {
+  const auto job = Submit("batch", 1);
+  const auto task = job + "/0";
+  Rounds(1);
+  const std::vector events{Event(task, task_state::kFailed, "bad")};
+  const auto member = running[task];
+  running.erase(task);
+  WithCommits([&] { return owner->OnEvents(member, events); });
+  room = {{member, 8}};
+  cell.rooms.erase(
+      std::remove_if(cell.rooms.begin(), cell.rooms.end(),
+                     [&](const auto& one) { return one.member_id != member; }),
+      cell.rooms.end());
+  lose_place_replies = true;
+  Rounds(1, milliseconds(3000));
+  BOOST_TEST(started.size() == 2u);
+  for (int i = 0; i < 3; ++i) {
+    WithCommits([&] { return owner->OnEvents(member, events); });
+    Rounds(1, milliseconds(1000));
+  }
+  BOOST_TEST(started.size() == 2u);
+  BOOST_TEST(StateOf(job) != "failed");
+}
+
+// Guards against a team that exceeds its quota after a take-over, while it is
+// unknown which instances of its services run.
+BOOST_FIXTURE_TEST_CASE(unknown_instances_count_against_quota, fixture) {
+  auto document = std::make_shared<cell_document>(*cell.document);
+  workload_config service;
+  service.name = "service";
+  service.kind = workload_kind::kService;
+  service.team = "red";
+  service.instances = 8;
+  service.resources = {1000, 100, 0};
+  document->workloads.push_back(service);
+  cell.document = document;
+  silent = {"m2"};
+  TakeOver(2);
+  Submit("batch", 4);
+  Rounds(3);
+  BOOST_TEST(started.size() == 2u);
+}
+
 // Guards against cancellations that are not idempotent, that start work
 // afterwards, or that send one stop call for each task.
 BOOST_FIXTURE_TEST_CASE(cancel_is_repeatable_and_batched, fixture) {
