Delay inventories of partitions that a VM vanished from

Cause: a VM that the list dropped before a daemon took its partition is never a worker of that daemon, but a task of the earlier owner may run there until its lease expires. The inventory of the partition was complete meanwhile.

Change: every daemon remembers for a task lease and the drift margin which VMs left its list, and its inventory of their partitions is incomplete until then.

Not covered: a daemon that first reads the list after the VM left it and takes the partition before the lease expired.

--- /dev/null
+++ b/src/workers/vanished_vms.h
@@ -0,0 +1,33 @@
+#pragma once
+
+#include <map>
+#include <set>
+#include <string>
+#include <utility>
+
+#include "kernel/clock.h"
+#include "platform/vm_list_client.h"
+
+namespace apricotwheel {
+
+// VMs that the VM list named and no longer names. A task of an earlier owner
+// may run on one until its lease has expired, and a later owner of the
+// partition never learns of that worker. Not thread-safe.
+class vanished_vms {
+ public:
+  // `lifetime` covers a task lease and the clock drift over it.
+  explicit vanished_vms(duration lifetime) : lifetime_(lifetime) {}
+
+  void Update(const vm_list& list, time_point now);
+
+  // Partitions (`<failure domain>/<rack>`) of the VMs that vanished less than
+  // a lifetime ago.
+  std::set<std::string> Partitions(time_point now) const;
+
+ private:
+  duration lifetime_;
+  std::map<std::string, std::string> listed_;  // VM to partition.
+  std::map<std::string, std::pair<std::string, time_point>> vanished_;
+};
+
+}  // namespace apricotwheel
--- a/src/workers/worker_fleet.h
+++ b/src/workers/worker_fleet.h
@@ -52,6 +52,8 @@
   std::map<std::string, std::vector<std::string>> partitions;
   // False if a newer VM list may name workers that this daemon's list lacks.
   bool list_is_current = true;
+  // Owned partitions of which a worker may run tasks without being named.
+  std::set<std::string> uncertain;
 };
 
 // True if an own VM list of version `own_version` is at least as new as the
--- a/src/workers/worker_fleet_place.cc
+++ b/src/workers/worker_fleet_place.cc
@@ -272,7 +272,7 @@
              CertainlyExpired(worker, now);
     };
     line->complete =
-        expected.list_is_current &&
+        expected.list_is_current && !expected.uncertain.contains(partition) &&
         std::all_of(names.begin(), names.end(), [&](const auto& name) {
           const auto found = workers_.find(name);
           return found != workers_.end() &&
--- a/src/workers/worker_manager.cc
+++ b/src/workers/worker_manager.cc
@@ -8,6 +8,7 @@
 
 #include "kernel/thread_group.h"
 #include "workers/event_courier.h"
+#include "workers/vanished_vms.h"
 #include "workers/worker_fleet.h"
 #include "workers/worker_session.h"
 #include "workers/workers_events.h"
@@ -51,6 +52,8 @@
   explicit state(worker_manager_options initial)
       : options(std::move(initial)),
         fleet(FleetOptions(options)),
+        vanished(options.settings.task_lease +
+                 worker_lease_options{}.drift_margin),
         follow_wake(options.clock),
         courier_wake(options.clock),
         workers_gauge(prometheus::BuildGauge()
@@ -60,6 +63,8 @@
 
   worker_manager_options options;
   worker_fleet fleet;
+  std::mutex vanished_mutex;
+  vanished_vms vanished;
   instances_listener listener;
   task_event_sink sink;
   wake_signal follow_wake;
@@ -75,7 +80,7 @@
   thread_group threads;
 
   worker_fleet::shard_epochs ViewEpochs() const;
-  expected_workers ExpectedWorkers() const;
+  expected_workers ExpectedWorkers();
   void Follow();
   void FollowWorkers();
   void FollowWorker(const vm_record& vm, std::uint64_t epoch);
@@ -94,7 +99,7 @@
   return epochs;
 }
 
-expected_workers worker_manager::state::ExpectedWorkers() const {
+expected_workers worker_manager::state::ExpectedWorkers() {
   expected_workers expected;
   const auto view = options.cluster->View();
   if (!view) return expected;
@@ -112,6 +117,11 @@
   const auto peers = std::count_if(
       view->members.begin(), view->members.end(),
       [&](const auto& one) { return one.id != options.member_id; });
+  {
+    std::lock_guard guard(vanished_mutex);
+    if (status.vm_list_age_ms >= 0) vanished.Update(*vms, options.clock->Now());
+    expected.uncertain = vanished.Partitions(options.clock->Now());
+  }
   // The age is negative before the first list.
   expected.list_is_current =
       status.vm_list_age_ms >= 0 &&
@@ -170,6 +180,10 @@
                entry.second->Wake()->Stopped();
       });
   if (view == seen_view && vms == seen_vms && !waits) return;
+  {
+    std::lock_guard vanished_guard(vanished_mutex);
+    vanished.Update(*vms, options.clock->Now());
+  }
   seen_view = view;
   seen_vms = vms;
   std::map<std::string, const vm_record*> listed;
--- a/tests/workers/worker_fleet_test.cc
+++ b/tests/workers/worker_fleet_test.cc
@@ -2,6 +2,8 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include "workers/vanished_vms.h"
+
 namespace apricotwheel {
 namespace {
 
@@ -16,6 +18,7 @@
   std::map<std::string, worker_snapshot> workers;
   worker_fleet::shard_epochs epochs{};
   bool list_is_current = true;
+  std::set<std::string> uncertain;
 
   void Add(const std::string& id, vm_state state = vm_state::kLive) {
     fleet.SetWorker({id, "127.0.0.1:1", "a", "r", state, {4000, 8000, 0}},
@@ -91,8 +94,8 @@
     request.shard_epoch = shard_epoch;
     std::vector<std::string> names;
     for (const auto& line : fleet.Workers()) names.push_back(line.worker);
-    return fleet.Inventory(request, {{{"a/r", names}}, list_is_current},
-                           epochs);
+    return fleet.Inventory(
+        request, {{{"a/r", names}}, list_is_current, uncertain}, epochs);
   }
   // The state of the only pending event, or -1.
   int EventState() {
@@ -284,6 +287,27 @@
   BOOST_TEST(!fleet.CanForget("w2"));
 }
 
+// Guards against a successor that calls its inventory complete although a VM
+// that the list dropped before it took the partition may still run tasks.
+BOOST_FIXTURE_TEST_CASE(vanished_vm_delays_the_inventory, fixture) {
+  Claim("w1");
+  vanished_vms vanished(milliseconds(10'500));
+  vm_list list;
+  list.vms.push_back({"w1", "", "a", "r", vm_state::kLive, {}});
+  list.vms.push_back({"w2", "", "a", "r", vm_state::kLive, {}});
+  vanished.Update(list, clock->Now());
+  BOOST_TEST(vanished.Partitions(clock->Now()).empty());
+  list.vms.pop_back();
+  vanished.Update(list, clock->Now());
+  clock->Advance(milliseconds(10'400));
+  vanished.Update(list, clock->Now());
+  uncertain = vanished.Partitions(clock->Now());
+  BOOST_TEST(!Inventory().partitions.at(0)->complete);
+  clock->Advance(milliseconds(200));
+  uncertain = vanished.Partitions(clock->Now());
+  BOOST_TEST(Inventory().partitions.at(0)->complete);
+}
+
 // Guards against reservations that outlive their owner, and against a commit
 // that starts a task without one.
 BOOST_FIXTURE_TEST_CASE(reservation_expires, fixture) {
