Use health_tracker in the fleet and index tasks by worker

Change: failures and successes go to placement's health_tracker. A worker in probation takes one task at a time. Each worker entry lists its tasks; tasks with a deadline and instances have their own sets. worker_health.h is removed. The setting quarantine_failures keeps its meaning.

--- a/src/workers/worker_fleet.cc
+++ b/src/workers/worker_fleet.cc
@@ -10,7 +10,9 @@
 worker_fleet::worker_fleet(worker_fleet_options options)
     : options_(std::move(options)),
       cell_(cell_state::Create()),
-      random_{options_.random_seed} {}
+      random_{options_.random_seed} {
+  health_.settings = options_.health;
+}
 
 void worker_fleet::SetWorker(const vm_record& vm, std::string_view partition,
                              std::uint64_t epoch,
@@ -20,8 +22,6 @@
   if (found == workers_.end()) {
     worker_entry fresh;
     fresh.lease = worker_lease(options_.lease);
-    fresh.health =
-        worker_health(options_.quarantine_failures, options_.quarantine);
     fresh.taken_at = options_.clock->Now();
     fresh.partition = partition;
     fresh.epoch = epoch;
@@ -50,9 +50,7 @@
   const auto found = workers_.find(worker);
   if (found == workers_.end() || found->second.epoch != epoch) return;
   std::vector<std::string> dropped;
-  for (const auto& [id, task] : tasks_) {
-    if (task.worker == worker) dropped.push_back(id);
-  }
+  for (const auto& [id, task] : found->second.tasks) dropped.push_back(id);
   for (const auto& id : dropped) EraseTask(id);
   cell_->RemoveWorker(worker);
   workers_.erase(found);
@@ -83,16 +81,21 @@
       !CertainlyExpired(known->second, options_.clock->Now())) {
     return false;
   }
-  return std::none_of(tasks_.begin(), tasks_.end(), [&](const auto& entry) {
-    return entry.second.worker == worker;
-  });
+  return known == workers_.end() || known->second.tasks.empty();
 }
 
 void worker_fleet::UpdateUsable(worker_entry& worker) {
-  const bool usable = worker.now == worker_phase::kReady &&
-                      worker.vm.state == vm_state::kLive &&
-                      !worker.health.Quarantined(options_.clock->Now());
-  cell_->SetUsable(worker.index, usable);
+  const auto health = HealthOf(health_, worker.vm.id, options_.clock->Now());
+  // In probation one task at a time shows whether the worker has recovered.
+  const bool healthy = health == worker_health::kHealthy ||
+                       (health == worker_health::kProbation &&
+                        std::all_of(worker.tasks.begin(), worker.tasks.end(),
+                                    [](const auto& entry) {
+                                      return entry.second->now == phase::kEnded;
+                                    }));
+  cell_->SetUsable(worker.index, healthy &&
+                                     worker.now == worker_phase::kReady &&
+                                     worker.vm.state == vm_state::kLive);
 }
 
 placement_request worker_fleet::RequestOf(const task_entry& task) const {
@@ -134,6 +137,31 @@
   Report(task);
 }
 
+worker_fleet::task_entry& worker_fleet::AddTask(std::string_view task_id,
+                                                task_entry task) {
+  const auto added = tasks_.emplace(task_id, std::move(task)).first;
+  const auto& id = added->first;
+  auto& entry = added->second;
+  if (entry.now == phase::kReserved || entry.now == phase::kAwaitingRoom) {
+    timed_.insert(id);
+  }
+  if (entry.spec.kind == task_kind::kService) instances_.insert(id);
+  const auto worker = workers_.find(entry.worker);
+  if (worker != workers_.end()) {
+    worker->second.tasks[id] = &entry;
+    UpdateUsable(worker->second);
+  }
+  return entry;
+}
+
+void worker_fleet::RemoveTask(task_map::iterator task) {
+  const auto worker = workers_.find(task->second.worker);
+  if (worker != workers_.end()) worker->second.tasks.erase(task->first);
+  timed_.erase(task->first);
+  instances_.erase(task->first);
+  tasks_.erase(task);
+}
+
 void worker_fleet::EraseTask(std::string_view task_id) {
   const auto found = tasks_.find(task_id);
   if (found == tasks_.end()) return;
@@ -143,7 +171,7 @@
   }
   const auto event = events_.find(task_id);
   if (event != events_.end()) events_.erase(event);
-  tasks_.erase(found);
+  RemoveTask(found);
 }
 
 void worker_fleet::AskStop(task_entry& task, stop_mode mode) {
@@ -157,8 +185,8 @@
 }
 
 void worker_fleet::VacateLeaving(worker_entry& worker) {
-  for (auto& [id, task] : tasks_) {
-    if (task.worker != worker.vm.id) continue;
+  for (const auto& [id, entry] : worker.tasks) {
+    auto& task = *entry;
     if (task.now == phase::kStarting && !task.start_sent) {
       End(task, task_state::kFailed, "not started: the worker leaves", false);
     }
@@ -197,7 +225,7 @@
     task->second.end_accepted = true;
     const auto worker = workers_.find(task->second.worker);
     if (!task->second.on_worker_list || worker == workers_.end()) {
-      tasks_.erase(task);
+      RemoveTask(task);
       continue;
     }
     worker->second.to_acknowledge.insert(id);
@@ -219,10 +247,9 @@
   std::lock_guard guard(mutex_);
   std::vector<instance_record> all;
   const auto now = options_.clock->Now();
-  for (const auto& [id, task] : tasks_) {
-    if (task.spec.kind != task_kind::kService || task.now != phase::kRunning) {
-      continue;
-    }
+  for (const auto& id : instances_) {
+    const auto& task = tasks_.find(id)->second;
+    if (task.now != phase::kRunning) continue;
     const auto found = workers_.find(task.worker);
     if (found == workers_.end()) continue;
     const auto& worker = found->second;
@@ -249,14 +276,14 @@
   if (worker.now == worker_phase::kClaiming) return "claiming";
   if (worker.now == worker_phase::kUnresponsive) return "unresponsive";
   if (worker.vm.state == vm_state::kLeaving) return "leaving";
-  if (worker.health.Quarantined(options_.clock->Now())) return "quarantined";
-  return "ready";
+  return HealthOf(health_, worker.vm.id, options_.clock->Now()) ==
+                 worker_health::kQuarantined
+             ? "quarantined"
+             : "ready";
 }
 
 std::vector<worker_status_line> worker_fleet::Workers() const {
   std::lock_guard guard(mutex_);
-  std::map<std::string_view, std::size_t> counts;
-  for (const auto& [id, task] : tasks_) ++counts[task.worker];
   std::vector<worker_status_line> lines;
   for (const auto& [id, worker] : workers_) {
     worker_status_line line;
@@ -266,7 +293,7 @@
     line.state = StateName(worker);
     line.capacity = cell_->Shape(worker.index).capacity;
     line.free = cell_->Free(worker.index);
-    line.tasks = counts[id];
+    line.tasks = worker.tasks.size();
     lines.push_back(std::move(line));
   }
   return lines;
--- a/src/workers/worker_fleet.h
+++ b/src/workers/worker_fleet.h
@@ -14,8 +14,8 @@
 #include <vector>
 
 #include "kernel/random.h"
+#include "placement/health_tracker.h"
 #include "workers/wake_signal.h"
-#include "workers/worker_health.h"
 #include "workers/worker_lease.h"
 #include "workers/worker_manager.h"
 
@@ -23,8 +23,7 @@
 
 struct worker_fleet_options {
   worker_lease_options lease;
-  std::size_t quarantine_failures = 5;
-  duration quarantine = milliseconds(30'000);
+  health_settings health;
   clock_ptr clock;
   log_sink log;
   std::uint64_t random_seed = 1;
@@ -159,10 +158,11 @@
     std::uint64_t epoch = 0;
     worker_phase now = worker_phase::kClaiming;
     worker_lease lease{{}};
-    worker_health health{1, duration(0)};
     time_point taken_at;
     std::optional<time_point> first_failure;
     worker_index index = kNoWorker;
+    // The entries of `tasks_` that belong to this worker.
+    std::map<std::string, task_entry*, std::less<>> tasks;
     std::set<std::string, std::less<>> to_acknowledge;
     std::set<std::string, std::less<>> strays;  // To be killed.
     std::vector<worker_order> throttles;
@@ -175,6 +175,8 @@
   void Report(const task_entry& task);
   void End(task_entry& task, task_state state, std::string_view message,
            bool on_list);
+  task_entry& AddTask(std::string_view task_id, task_entry task);
+  void RemoveTask(task_map::iterator task);
   void EraseTask(std::string_view task_id);
   void UpdateUsable(worker_entry& worker);
   void Reconcile(worker_entry& worker, const worker_snapshot& snapshot,
@@ -205,6 +207,10 @@
   mutable random_source random_;
   worker_map workers_;
   task_map tasks_;
+  std::set<std::string> timed_;      // Tasks that may have a deadline.
+  std::set<std::string> instances_;  // Tasks of services.
+  health_tracker health_;
+  time_point next_forget_ = time_point::min();
   std::map<std::string, wire::running_taskT, std::less<>> events_;
   shard_epochs shard_epochs_{};
   std::function<void()> events_listener_;
--- a/src/workers/worker_fleet_place.cc
+++ b/src/workers/worker_fleet_place.cc
@@ -73,7 +73,8 @@
       break;
     case wire::place_mode::release: {
       std::vector<std::string> released;
-      for (const auto& [id, task] : tasks_) {
+      for (const auto& id : timed_) {
+        const auto& task = tasks_.find(id)->second;
         if (task.now == phase::kReserved &&
             task.reservation == request.reservation_id) {
           released.push_back(id);
@@ -151,7 +152,7 @@
   auto answer = Answer(task.task_id, status);
   answer->worker = entry.worker;
   answer->partition = worker.partition;
-  tasks_.insert_or_assign(task.task_id, std::move(entry));
+  AddTask(task.task_id, std::move(entry));
   if (worker.wake) worker.wake->Wake();
   return answer;
 }
@@ -198,7 +199,7 @@
     auto answer = Answer(id, wire::place_status::reserved);
     answer->worker = entry.worker;
     response.placements.push_back(std::move(answer));
-    tasks_.emplace(id, std::move(entry));
+    AddTask(id, std::move(entry));
   }
 }
 
@@ -320,8 +321,8 @@
     order.spec.task_id = id;
     orders.push_back(std::move(order));
   }
-  for (auto& [id, task] : tasks_) {
-    if (task.worker != worker_id) continue;
+  for (const auto& [id, entry] : worker.tasks) {
+    auto& task = *entry;
     worker_order order;
     order.spec = task.spec;
     if (task.now == phase::kStarting && !task.start_sent) {
--- a/src/workers/worker_fleet_reconcile.cc
+++ b/src/workers/worker_fleet_reconcile.cc
@@ -13,6 +13,7 @@
 // task starts within its bound of 2.4 s.
 constexpr auto kCheckpointLimit = milliseconds(1200);
 constexpr auto kPreemptionLimit = milliseconds(2400);
+constexpr auto kForgetInterval = milliseconds(10'000);
 
 }  // namespace
 
@@ -114,8 +115,9 @@
     ReconcileListed(worker, status, is_claim);
   }
   std::vector<std::string> erased;
-  for (auto& [id, task] : tasks_) {
-    if (task.worker != worker.vm.id || listed.contains(id)) continue;
+  for (const auto& [id, entry] : worker.tasks) {
+    auto& task = *entry;
+    if (listed.contains(id)) continue;
     ReconcileMissing(task, snapshot, sent);
     if (task.now == phase::kEnded && task.end_accepted) erased.push_back(id);
   }
@@ -149,7 +151,8 @@
     adopted.worker = worker.vm.id;
     adopted.adopted = is_claim;
     adopted.now = phase::kStarting;
-    found = tasks_.emplace(id, std::move(adopted)).first;
+    AddTask(id, std::move(adopted));
+    found = tasks_.find(id);
     if (runs) cell_->Adopt(worker.index, RequestOf(found->second));
   }
   auto& task = found->second;
@@ -180,9 +183,9 @@
   const auto job = task.spec.job_id.empty() ? task.spec.workload
                                             : std::string(task.spec.job_id);
   if (status.state == task_state::kFailed) {
-    worker.health.OnFailure(job, options_.clock->Now());
+    RecordFailure(health_, worker.vm.id, job, options_.clock->Now());
   } else if (status.state == task_state::kFinished) {
-    worker.health.OnSuccess();
+    RecordSuccess(health_, worker.vm.id, job, options_.clock->Now());
   }
   End(task, status.state, status.message, true);
 }
@@ -207,10 +210,9 @@
 }
 
 void worker_fleet::StartWaiting(worker_entry& worker) {
-  for (auto& [id, task] : tasks_) {
-    if (task.now != phase::kAwaitingRoom || task.worker != worker.vm.id) {
-      continue;
-    }
+  for (const auto& [id, entry] : worker.tasks) {
+    auto& task = *entry;
+    if (task.now != phase::kAwaitingRoom) continue;
     const bool victims_ended = std::all_of(
         task.victims.begin(), task.victims.end(), [&](const auto& victim) {
           const auto found = tasks_.find(victim);
@@ -232,10 +234,8 @@
 void worker_fleet::LimitOveruse(worker_entry& worker) {
   const auto& capacity = cell_->Shape(worker.index).capacity;
   resource_vector used;
-  for (const auto& [id, task] : tasks_) {
-    if (task.worker == worker.vm.id && task.now == phase::kRunning) {
-      used = used + task.status.used;
-    }
+  for (const auto& [id, task] : worker.tasks) {
+    if (task->now == phase::kRunning) used = used + task->status.used;
   }
   const bool cpu_short = used.cpu_milli > capacity.cpu_milli;
   const bool memory_short = used.memory_mib > capacity.memory_mib;
@@ -243,8 +243,9 @@
   // One task a round: the reported use lags, so the effect of each step must
   // be seen before the next. Batch work goes first.
   task_entry* chosen = nullptr;
-  for (auto& [id, task] : tasks_) {
-    if (task.worker != worker.vm.id || task.now != phase::kRunning) continue;
+  for (const auto& [id, entry] : worker.tasks) {
+    auto& task = *entry;
+    if (task.now != phase::kRunning) continue;
     if (task.stop) {
       if (memory_short) return;
       continue;
@@ -278,9 +279,9 @@
 
 void worker_fleet::ExpireWorker(worker_entry& worker) {
   bool lost_any = false;
-  for (auto& [id, task] : tasks_) {
-    if (task.worker != worker.vm.id || task.now == phase::kEnded) continue;
-    if (task.now == phase::kReserved) continue;
+  for (const auto& [id, entry] : worker.tasks) {
+    auto& task = *entry;
+    if (task.now == phase::kEnded || task.now == phase::kReserved) continue;
     lost_any = true;
     task.unsettled_until_ms.reset();
     End(task, task_state::kFailed,
@@ -289,8 +290,9 @@
   }
   // The worker may never answer again to drop ended tasks from its list.
   std::vector<std::string> settled;
-  for (auto& [id, task] : tasks_) {
-    if (task.worker != worker.vm.id || task.now != phase::kEnded) continue;
+  for (const auto& [id, entry] : worker.tasks) {
+    auto& task = *entry;
+    if (task.now != phase::kEnded) continue;
     task.on_worker_list = false;
     if (task.end_accepted) settled.push_back(id);
   }
@@ -303,6 +305,10 @@
 void worker_fleet::Sweep() {
   std::lock_guard guard(mutex_);
   const auto now = options_.clock->Now();
+  if (now >= next_forget_) {
+    ForgetExpired(health_, now);
+    next_forget_ = now + kForgetInterval;
+  }
   for (auto& [id, worker] : workers_) {
     UpdateUsable(worker);
     const auto expiry = worker.lease.CertainExpiry();
@@ -311,7 +317,14 @@
     }
   }
   std::vector<std::string> dropped;
-  for (auto& [id, task] : tasks_) {
+  for (auto timed = timed_.begin(); timed != timed_.end();) {
+    const auto& id = *timed;
+    auto& task = tasks_.find(id)->second;
+    if (task.now != phase::kReserved && task.now != phase::kAwaitingRoom) {
+      timed = timed_.erase(timed);
+      continue;
+    }
+    ++timed;
     if (task.now == phase::kReserved && now >= task.deadline) {
       dropped.push_back(id);
     }
@@ -335,9 +348,10 @@
   std::lock_guard guard(mutex_);
   const auto worker = workers_.find(worker_id);
   if (worker == workers_.end()) return false;
-  return std::any_of(tasks_.begin(), tasks_.end(), [&](const auto& entry) {
-    const auto& task = entry.second;
-    return task.worker == worker_id && task.now != phase::kEnded &&
+  const auto& tasks = worker->second.tasks;
+  return std::any_of(tasks.begin(), tasks.end(), [&](const auto& entry) {
+    const auto& task = *entry.second;
+    return task.now != phase::kEnded &&
            (task.now == phase::kAwaitingRoom || task.stop);
   });
 }
--- a/src/workers/worker_manager.cc
+++ b/src/workers/worker_manager.cc
@@ -30,7 +30,7 @@
   fleet.lease.task_lease = options.settings.task_lease;
   fleet.lease.dispatch_authority = options.settings.dispatch_authority;
   fleet.lease.authority_margin = options.settings.clock_margin;
-  fleet.quarantine_failures =
+  fleet.health.failed_jobs_to_quarantine =
       static_cast<std::size_t>(options.settings.quarantine_failures);
   fleet.clock = options.clock;
   fleet.log = options.log;
--- a/tests/workers/worker_fleet_test.cc
+++ b/tests/workers/worker_fleet_test.cc
@@ -348,6 +348,27 @@
   BOOST_TEST(starts[0].spec.task_id == "u/0");
 }
 
+// Guards against a worker that fails the tasks of several jobs and gets more of
+// them, and against one that gets many tasks at once in its probation.
+BOOST_FIXTURE_TEST_CASE(failing_worker_is_quarantined, fixture) {
+  Claim("w1");
+  for (const std::string id : {"a/0", "b/0", "c/0"}) {
+    BOOST_TEST((Place(id).status == wire::place_status::placed));
+    Serve("w1");
+    workers["w1"].tasks.back().state = task_state::kFailed;
+    Renew("w1");
+    Accept();
+    Renew("w1");
+  }
+  BOOST_TEST(fleet.Workers().at(0).state == "quarantined");
+  BOOST_TEST((Place("d/0").status == wire::place_status::wait));
+  clock->Advance(milliseconds(61'000));
+  Renew("w1");
+  fleet.Sweep();
+  BOOST_TEST((Place("d/0").status == wire::place_status::placed));
+  BOOST_TEST((Place("e/0").status == wire::place_status::wait));
+}
+
 // Guards against new work on a leaving VM and batch work that stays there.
 BOOST_FIXTURE_TEST_CASE(leaving_vm_is_vacated, fixture) {
   Claim("w1");
