Use team_queue in the job owner

Cause: each round sorted all pending tasks by a rule of the job owner, so that a round cost as much as the queue is long, aged batch work only up to the class of services, and let each task back off on its own. Gangs were chosen apart from single tasks and without regard to the team's share.

Change: pending tasks and gangs are entries of placement's team_queue, which orders by class with ageing and by dominant share over weight, holds the exact quotas and backs off per size. A round takes single tasks up to the next gang in that order, then places the gang. A task whose own back-off runs waits in an ordered set. What the team uses is kept in the queue. Why adds the queue's reasons. A team that left the document starts nothing more; before, its quota was without a limit.

Ruled out: the queue's default back-off of up to 5 s, because urgent tasks must start within 2.4 s; the job owner uses 50 to 500 ms, and an urgent task tries the next member at once.

--- a/src/jobs/shard_owner.cc
+++ b/src/jobs/shard_owner.cc
@@ -16,6 +16,11 @@
 constexpr auto kBusyRound = milliseconds(20);
 constexpr auto kIdleRound = milliseconds(250);
 constexpr auto kCommitRetry = milliseconds(200);
+// Room is published with a lag, and urgent tasks must start within 2.4 s, so a
+// size that does not fit is tried again sooner than by default.
+constexpr auto kQueueBackoff = milliseconds(50);
+constexpr auto kQueueBackoffLimit = milliseconds(500);
+constexpr std::size_t kGangsPerRound = 4;
 constexpr auto kDropInterval = milliseconds(30'000);
 constexpr std::size_t kGroupSize = 256;
 constexpr std::string_view kServicePrefix = "service/";
@@ -55,7 +60,10 @@
               options_.clock, options_.log}),
       random_{options_.random_seed},
       round_wake_(options_.clock),
-      commit_wake_(options_.clock) {}
+      commit_wake_(options_.clock) {
+  queue_.settings.backoff_base = kQueueBackoff;
+  queue_.settings.backoff_limit = kQueueBackoffLimit;
+}
 
 shard_owner::~shard_owner() { Stop(); }
 
@@ -153,8 +161,9 @@
   TakeInventory(cell);
   KeepServices(cell);
   SendStops(cell);
-  PlacePending(cell);
-  PlaceGangs(cell);
+  for (std::size_t gangs = 0; gangs < kGangsPerRound; ++gangs) {
+    if (!PlacePending(cell)) break;
+  }
 }
 
 void shard_owner::PromoteCommitted(std::string_view job_id) {
@@ -162,7 +171,8 @@
   if (found == jobs_.end() || found->second.committed) return;
   found->second.committed = true;
   for (const auto& task : found->second.tasks) {
-    if (task.state == attempt_state::kPending) pending_.insert(task.task_id);
+    if (task.state != attempt_state::kPending) continue;
+    SetState(Find(task.task_id), attempt_state::kPending);
   }
   round_wake_.Wake();
 }
@@ -208,22 +218,33 @@
   const bool was_active = IsActive(task.state);
   task.state = state;
   task.changed_at = options_.clock->Now();
-  if (state == attempt_state::kPending) {
-    pending_.insert(task.task_id);
-  } else {
+  const bool taken = queue_.taken.contains(task.task_id);
+  if (state != attempt_state::kPending) {
     pending_.erase(task.task_id);
+    if (ref.IsGang()) {
+      RemoveEntry(queue_, ref.job->job_id);
+    } else if (!taken) {
+      RemoveEntry(queue_, task.task_id);
+    }
   }
   if (IsActive(state) && !was_active) {
     task.charged = ref.Need();
-    used_[ref.Team()] = used_[ref.Team()] + task.charged;
+    // A taken entry is charged already.
+    if (!taken) Charge(queue_, ref.Team(), task.charged);
     ++active_;
   } else if (!IsActive(state) && was_active) {
-    used_[ref.Team()] = used_[ref.Team()] - task.charged;
+    ConfirmStarted(queue_, task.task_id);
+    Refund(queue_, ref.Team(), task.charged);
+    EndBackoff(queue_, task.charged, task.changed_at);
     task.charged = {};
     --active_;
     stopping_.erase(task.task_id);
     task.stopping = false;
   }
+  if (state == attempt_state::kPending) {
+    pending_.insert(task.task_id);
+    QueueTask(ref);
+  }
 }
 
 void shard_owner::StageJob(job_record& job) {
@@ -259,11 +280,11 @@
     Finish(ref, attempt_state::kStopped);
     return;
   }
-  SetState(ref, attempt_state::kPending);
   ref.task->reason = reason;
   ref.task->worker.clear();
   ref.task->partition.clear();
   ref.task->ready_at = options_.clock->Now() + delay;
+  SetState(ref, attempt_state::kPending);
   if (ref.job->restarting) SettleGang(*ref.job);
 }
 
@@ -286,7 +307,10 @@
   const bool failed = std::any_of(
       job.tasks.begin(), job.tasks.end(),
       [](const auto& task) { return task.state == attempt_state::kFailed; });
-  if (!failed) return;
+  if (!failed) {
+    QueueGang(job);
+    return;
+  }
   for (auto& task : job.tasks) {
     if (HasEnded(task.state)) continue;
     task.message = "stopped: another task of the gang failed";
@@ -335,6 +359,7 @@
                              const wire::running_taskT& event) {
   auto& task = *ref.task;
   const auto now = options_.clock->Now();
+  ConfirmStarted(queue_, task.task_id);
   if (task.state != attempt_state::kRunning) {
     SetState(ref, attempt_state::kRunning);
     if (!task.had_run) {
--- a/src/jobs/shard_owner.h
+++ b/src/jobs/shard_owner.h
@@ -19,6 +19,7 @@
 #include "jobs/job_store.h"
 #include "kernel/random.h"
 #include "kernel/thread_group.h"
+#include "placement/team_queue.h"
 #include "workers/wake_signal.h"
 
 namespace apricotwheel {
@@ -121,16 +122,22 @@
   std::optional<job_reply> Refusal(const job_record& job,
                                    const cell_picture& cell) const;
 
+  // shard_owner_queue.cc
+  void QueueTask(const task_ref& ref);
+  void QueueGang(const job_record& job);
+  void QueueDelayed();
+  void BackOff(const task_ref& ref);
+  void FollowTeams(const cell_picture& cell);
+  std::vector<std::string> ExplainQueue(const task_ref& ref) const;
+
   // shard_owner_place.cc
-  void PlacePending(const cell_picture& cell);
-  std::vector<task_ref> Ordered(const cell_picture& cell);
-  bool WithinQuota(const std::string& team, const resource_vector& need,
-                   const cell_picture& cell) const;
+  // Places single tasks in the queue's order up to the next gang, then that
+  // gang. Returns false if there was none.
+  bool PlacePending(const cell_picture& cell);
   std::string ChooseMember(const task_ref& ref, std::vector<member_room>& rooms,
                            std::size_t& speculative) const;
   void OnPlaced(const std::string& member, const wire::place_requestT& request,
                 const outcome<wire::place_responseT>& answer);
-  void PlaceGangs(const cell_picture& cell);
   void PlaceGang(const std::string& job_id, const cell_picture& cell);
   bool CommitGang(const std::string& job_id, const std::string& reservation,
                   const std::map<std::string, std::vector<std::string>>& parts);
@@ -164,11 +171,18 @@
   std::map<std::string, job_record, std::less<>> jobs_;
   std::map<std::string, service_entry, std::less<>> services_;
   std::set<std::string, std::less<>> pending_;
+  // Single tasks by task id and gangs by job id, with what the teams use.
+  team_queue queue_;
+  // Tasks that are queued again after a back-off of their own.
+  std::set<std::pair<time_point, std::string>> delayed_;
+  std::shared_ptr<const cell_document> seen_document_;
+  std::shared_ptr<const vm_list> seen_vms_;
+  // Charged for service instances that no inventory has shown yet, by team.
+  std::map<std::string, resource_vector, std::less<>> assumed_;
   std::set<std::string, std::less<>> uncommitted_;  // Jobs.
   std::set<std::string, std::less<>> stopping_;     // Tasks.
   // Tasks that run without a job or after their end, by member.
   std::map<std::string, std::set<std::string>> orphans_;
-  std::map<std::string, resource_vector, std::less<>> used_;
   std::size_t active_ = 0;
   inventory_sweep sweep_;
   std::map<std::string, ownership, std::less<>> seen_partitions_;
--- a/src/jobs/shard_owner_api.cc
+++ b/src/jobs/shard_owner_api.cc
@@ -180,6 +180,7 @@
   std::vector<std::string> reasons;
   std::string state;
   std::optional<wire::taskT> example;
+  std::vector<std::string> queue_lines;
   {
     std::lock_guard guard(mutex_);
     const auto found = jobs_.find(job_id);
@@ -200,12 +201,17 @@
         continue;
       }
       ++counts[task.reason.empty() ? "waits for its turn" : task.reason];
-      if (!example) example = ToWireTask({&task, &job, nullptr});
+      if (!example) {
+        const task_ref ref{&task, &job, nullptr};
+        example = ToWireTask(ref);
+        queue_lines = ExplainQueue(ref);
+      }
     }
     for (const auto& [reason, count] : counts) {
       reasons.push_back(std::to_string(count) + " task(s): " + reason);
     }
   }
+  reasons.insert(reasons.end(), queue_lines.begin(), queue_lines.end());
   if (example && options_.cell.explain) {
     for (auto& line : options_.cell.explain(*example)) {
       reasons.push_back(std::move(line));
--- a/src/jobs/shard_owner_gang.cc
+++ b/src/jobs/shard_owner_gang.cc
@@ -7,12 +7,9 @@
 
 namespace {
 
-constexpr std::size_t kGangsPerRound = 4;
 constexpr auto kReservation = milliseconds(2000);
 // Left for the commit calls before the first reservation expires.
 constexpr auto kCommitReserve = milliseconds(500);
-constexpr auto kRetryBase = milliseconds(200);
-constexpr auto kRetryLimit = milliseconds(2000);
 
 }  // namespace
 
@@ -31,41 +28,6 @@
   return request;
 }
 
-void shard_owner::PlaceGangs(const cell_picture& cell) {
-  if (!cell.document || cell.rooms.empty()) return;
-  std::vector<std::string> ready;
-  {
-    std::lock_guard guard(mutex_);
-    const auto now = options_.clock->Now();
-    std::set<std::string> seen;
-    std::vector<const job_record*> candidates;
-    for (const auto& id : pending_) {
-      const auto ref = Find(id);
-      if (!ref || !ref.IsGang() || !seen.insert(ref.job->job_id).second) {
-        continue;
-      }
-      const bool whole = std::all_of(
-          ref.job->tasks.begin(), ref.job->tasks.end(), [&](const auto& task) {
-            return HasEnded(task.state) ||
-                   (task.state == attempt_state::kPending &&
-                    task.ready_at <= now);
-          });
-      if (whole && !ref.job->restarting) candidates.push_back(ref.job);
-    }
-    std::stable_sort(candidates.begin(), candidates.end(),
-                     [](const auto* left, const auto* right) {
-                       return left->priority != right->priority
-                                  ? left->priority < right->priority
-                                  : left->tasks.front().queued_at <
-                                        right->tasks.front().queued_at;
-                     });
-    for (const auto* job : candidates) {
-      if (ready.size() < kGangsPerRound) ready.push_back(job->job_id);
-    }
-  }
-  for (const auto& id : ready) PlaceGang(id, cell);
-}
-
 void shard_owner::PlaceGang(const std::string& job_id,
                             const cell_picture& cell) {
   const auto reservation = job_id + "#" + RandomHex(4);
@@ -74,18 +36,9 @@
     std::lock_guard guard(mutex_);
     const auto job = jobs_.find(job_id);
     if (job == jobs_.end() || job->second.cancelled) return;
-    resource_vector need;
     for (const auto& task : job->second.tasks) {
       if (task.state != attempt_state::kPending) continue;
       remaining.push_back(task.task_id);
-      need = need + job->second.need;
-    }
-    if (!WithinQuota(job->second.team, need, cell)) {
-      for (auto& task : job->second.tasks) {
-        task.reason = "the quota of team " + job->second.team + " is in use";
-        task.ready_at = options_.clock->Now() + kRetryBase;
-      }
-      return;
     }
   }
   const auto deadline = options_.clock->Now() + kReservation - kCommitReserve;
@@ -118,12 +71,11 @@
   std::lock_guard guard(mutex_);
   const auto job = jobs_.find(job_id);
   if (job == jobs_.end()) return;
-  const auto delay = BackoffWithJitter(random_, 1, kRetryBase, kRetryLimit);
+  ReturnUnplaced(queue_, job_id, options_.clock->Now(), random_);
   for (auto& task : job->second.tasks) {
     if (task.state != attempt_state::kPending) continue;
     task.reason =
         std::to_string(remaining.size()) + " task(s) of the gang find no room";
-    task.ready_at = options_.clock->Now() + delay;
   }
 }
 
@@ -135,6 +87,12 @@
     std::lock_guard guard(mutex_);
     const auto job = jobs_.find(job_id);
     if (job == jobs_.end() || job->second.cancelled) return false;
+    const auto taken = queue_.taken.find(job_id);
+    if (taken == queue_.taken.end()) return false;
+    // From now on each task is charged on its own.
+    const auto charged = TotalNeed(taken->second);
+    ConfirmStarted(queue_, job_id);
+    Refund(queue_, job->second.team, charged);
     for (const auto& [member, ids] : parts) {
       if (ids.empty()) continue;
       requests[member] =
--- a/src/jobs/shard_owner_place.cc
+++ b/src/jobs/shard_owner_place.cc
@@ -1,6 +1,5 @@
 // Placement of pending tasks.
 #include <algorithm>
-#include <tuple>
 
 #include "jobs/shard_owner.h"
 
@@ -12,22 +11,7 @@
 // Calls per round for tasks that no published hole can hold: room may have
 // appeared since, and urgent tasks may pre-empt.
 constexpr std::size_t kSpeculativePerRound = 16;
-constexpr auto kUrgentRetry = milliseconds(50);
 constexpr auto kRetry = milliseconds(200);
-// A batch task that waited this long is ordered with the services.
-constexpr auto kAgeing = milliseconds(30'000);
-
-double DominantShare(const resource_vector& used, const team_config& team) {
-  const auto share = [](std::int64_t amount, std::int64_t quota) {
-    return quota > 0 ? static_cast<double>(amount) / static_cast<double>(quota)
-                     : 0.0;
-  };
-  const double dominant =
-      std::max({share(used.cpu_milli, team.quota.cpu_milli),
-                share(used.memory_mib, team.quota.memory_mib),
-                share(used.accelerators, team.quota.accelerators)});
-  return dominant / static_cast<double>(std::max<std::int64_t>(team.weight, 1));
-}
 
 }  // namespace
 
@@ -59,63 +43,6 @@
   return task;
 }
 
-bool shard_owner::WithinQuota(const std::string& team,
-                              const resource_vector& need,
-                              const cell_picture& cell) const {
-  const auto* config = cell.document->FindTeam(team);
-  if (config == nullptr) return true;
-  auto total = need;
-  const auto used = used_.find(team);
-  if (used != used_.end()) total = total + used->second;
-  if (!inventory_known_) {
-    // Instances of services that no inventory has shown yet may run.
-    for (const auto& workload : cell.document->workloads) {
-      if (workload.kind != workload_kind::kService || workload.team != team) {
-        continue;
-      }
-      const auto known = services_.find(workload.name);
-      const std::size_t shown =
-          known == services_.end() ? 0 : known->second.instances.size();
-      for (auto i = shown; i < workload.instances; ++i) {
-        total = total + workload.resources;
-      }
-    }
-  }
-  return Fits(total, config->quota);
-}
-
-std::vector<shard_owner::task_ref> shard_owner::Ordered(
-    const cell_picture& cell) {
-  const auto now = options_.clock->Now();
-  struct ranked {
-    int rank;
-    double share;
-    time_point queued_at;
-    task_ref ref;
-  };
-  std::vector<ranked> ready;
-  for (const auto& id : pending_) {
-    const auto ref = Find(id);
-    if (!ref || ref.IsGang() || ref.task->ready_at > now) continue;
-    int rank = static_cast<int>(ref.Priority());
-    if (now - ref.task->queued_at >= kAgeing) rank = std::min(rank, 1);
-    const auto* team = cell.document->FindTeam(ref.Team());
-    const auto used = used_.find(ref.Team());
-    const double share = team == nullptr || used == used_.end()
-                             ? 0.0
-                             : DominantShare(used->second, *team);
-    ready.push_back({rank, share, ref.task->queued_at, ref});
-  }
-  std::stable_sort(ready.begin(), ready.end(),
-                   [](const ranked& left, const ranked& right) {
-                     return std::tie(left.rank, left.share, left.queued_at) <
-                            std::tie(right.rank, right.share, right.queued_at);
-                   });
-  std::vector<task_ref> ordered;
-  for (const auto& entry : ready) ordered.push_back(entry.ref);
-  return ordered;
-}
-
 std::string shard_owner::ChooseMember(const task_ref& ref,
                                       std::vector<member_room>& rooms,
                                       std::size_t& speculative) const {
@@ -163,28 +90,37 @@
   return {};
 }
 
-void shard_owner::PlacePending(const cell_picture& cell) {
-  if (!cell.document || cell.rooms.empty()) return;
+bool shard_owner::PlacePending(const cell_picture& cell) {
+  if (!cell.document || cell.rooms.empty()) return false;
   std::map<std::string, wire::place_requestT> requests;
+  std::string gang;
   {
     std::lock_guard guard(mutex_);
+    FollowTeams(cell);
+    QueueDelayed();
     auto rooms = cell.rooms;
     std::size_t speculative = 0;
     std::size_t taken = 0;
     const auto now = options_.clock->Now();
-    for (const auto& ref : Ordered(cell)) {
-      if (taken == kTasksPerRound) break;
-      if (!WithinQuota(ref.Team(), ref.Need(), cell)) {
-        ref.task->reason = "the quota of team " + ref.Team() + " is in use";
+    while (taken < kTasksPerRound) {
+      const auto entry = TakeNext(queue_, now);
+      if (!entry) break;
+      if (jobs_.contains(entry->id)) {
+        gang = entry->id;
+        break;
+      }
+      const auto ref = Find(entry->id);
+      if (!ref || ref.task->state != attempt_state::kPending ||
+          ref.Need() != entry->need) {
+        RemoveEntry(queue_, entry->id);
+        if (ref && ref.task->state == attempt_state::kPending) QueueTask(ref);
         continue;
       }
       const auto member = ChooseMember(ref, rooms, speculative);
       if (member.empty()) {
         ref.task->tried_members.clear();
         ref.task->reason = "no worker has room";
-        ref.task->ready_at =
-            now +
-            (ref.Priority() == priority_class::kUrgent ? kUrgentRetry : kRetry);
+        ReturnUnplaced(queue_, entry->id, now, random_);
         continue;
       }
       ++taken;
@@ -210,6 +146,9 @@
     }
   }
   threads.JoinAll();
+  if (gang.empty()) return false;
+  PlaceGang(gang, cell);
+  return true;
 }
 
 void shard_owner::OnPlaced(const std::string& member,
@@ -224,16 +163,13 @@
         ref.task->member != member) {
       return;
     }
-    const auto service = ref.service;
-    const auto retry_at = service ? service->retry_at : time_point::min();
-    if (service != nullptr && !ref.task->stopping) {
-      SetState(ref, attempt_state::kPending);
-      ref.task->reason = reason;
-      ref.task->ready_at = options_.clock->Now() + delay;
-      service->retry_at = retry_at;
-    } else {
+    if (ref.Unwanted() || ref.IsGang()) {
       Requeue(ref, reason, delay);
+      return;
     }
+    ref.task->reason = reason;
+    ref.task->ready_at = options_.clock->Now() + delay;
+    SetState(ref, attempt_state::kPending);
   };
   if (!answer) {
     options_.metrics->Placed(std::string(ToString(answer.failure.kind)));
@@ -257,6 +193,7 @@
       case wire::place_status::preempting:
       case wire::place_status::reserved:
         ref.task->tried_members.clear();
+        ConfirmStarted(queue_, placement->task_id);
         if (ref.task->state == attempt_state::kPlaced &&
             ref.task->worker.empty()) {
           ref.task->worker = placement->worker;
@@ -266,6 +203,7 @@
       case wire::place_status::wait:
       case wire::place_status::impossible:
         ref.task->tried_members.insert(member);
+        BackOff(ref);
         retry(placement->task_id, placement->reason, duration(0));
         break;
       case wire::place_status::refused:
--- /dev/null
+++ b/src/jobs/shard_owner_queue.cc
@@ -0,0 +1,113 @@
+// The queue of pending tasks and gangs, and what the teams may use.
+#include <algorithm>
+
+#include "jobs/shard_owner.h"
+
+namespace apricotwheel {
+
+void shard_owner::QueueTask(const task_ref& ref) {
+  if (ref.job != nullptr && !ref.job->committed) return;
+  if (ref.task->ready_at > options_.clock->Now()) {
+    delayed_.emplace(ref.task->ready_at, ref.task->task_id);
+    return;
+  }
+  if (ref.IsGang()) {
+    QueueGang(*ref.job);
+    return;
+  }
+  queue_entry entry;
+  entry.id = ref.task->task_id;
+  entry.team = ref.Team();
+  entry.priority = ref.Priority();
+  entry.need = ref.Need();
+  entry.enqueued = ref.task->queued_at;
+  const auto& excluded = ref.job ? ref.task->failed_on : ref.service->failed_on;
+  for (const auto& worker : excluded) entry.constraint_tag += worker + " ";
+  // Instances of a service spread over the workers of each other.
+  if (ref.service != nullptr) entry.constraint_tag += ref.service->config.name;
+  Enqueue(queue_, std::move(entry));
+}
+
+void shard_owner::QueueGang(const job_record& job) {
+  if (job.restarting || job.cancelled || !job.committed) return;
+  const auto now = options_.clock->Now();
+  queue_entry entry;
+  entry.parts = 0;
+  for (const auto& task : job.tasks) {
+    if (HasEnded(task.state)) continue;
+    if (task.state != attempt_state::kPending || task.ready_at > now) return;
+    if (entry.parts++ == 0) entry.enqueued = task.queued_at;
+  }
+  if (entry.parts == 0) return;
+  entry.id = job.job_id;
+  entry.team = job.team;
+  entry.priority = job.priority;
+  entry.need = job.need;
+  Enqueue(queue_, std::move(entry));
+}
+
+void shard_owner::QueueDelayed() {
+  const auto now = options_.clock->Now();
+  while (!delayed_.empty() && delayed_.begin()->first <= now) {
+    const auto ref = Find(delayed_.begin()->second);
+    delayed_.erase(delayed_.begin());
+    if (ref && ref.task->state == attempt_state::kPending) QueueTask(ref);
+  }
+}
+
+void shard_owner::BackOff(const task_ref& ref) {
+  const auto& id = ref.task->task_id;
+  if (!queue_.taken.contains(id)) return;
+  const auto now = options_.clock->Now();
+  ReturnUnplaced(queue_, id, now, random_);
+  ref.task->charged = {};
+  // Urgent tasks try the next member at once.
+  if (ref.Priority() == priority_class::kUrgent) {
+    EndBackoff(queue_, ref.Need(), now);
+  }
+}
+
+void shard_owner::FollowTeams(const cell_picture& cell) {
+  if (cell.document != seen_document_) {
+    seen_document_ = cell.document;
+    // A team that left the document starts nothing more.
+    for (auto& [name, account] : queue_.teams) {
+      SetTeam(queue_, name, {}, account.weight);
+    }
+    for (const auto& team : cell.document->teams) {
+      if (ShardOf(team.name) != options_.shard) continue;
+      SetTeam(queue_, team.name, team.quota, team.weight);
+    }
+  }
+  if (cell.vms != seen_vms_ && cell.vms) {
+    seen_vms_ = cell.vms;
+    queue_.cell_capacity = {};
+    for (const auto& vm : cell.vms->vms) {
+      queue_.cell_capacity = queue_.cell_capacity + vm.capacity;
+    }
+  }
+  for (const auto& [team, amount] : assumed_) Refund(queue_, team, amount);
+  assumed_.clear();
+  if (inventory_known_) return;
+  for (const auto& workload : cell.document->workloads) {
+    if (workload.kind != workload_kind::kService ||
+        ShardOf(workload.team) != options_.shard) {
+      continue;
+    }
+    const auto known = services_.find(workload.name);
+    const std::size_t shown =
+        known == services_.end() ? 0 : known->second.instances.size();
+    auto& amount = assumed_[workload.team];
+    for (auto i = shown; i < workload.instances; ++i) {
+      amount = amount + workload.resources;
+    }
+  }
+  for (const auto& [team, amount] : assumed_) Charge(queue_, team, amount);
+}
+
+std::vector<std::string> shard_owner::ExplainQueue(const task_ref& ref) const {
+  return ExplainWait(queue_, ref.IsGang() ? ref.job->job_id : ref.task->task_id,
+                     options_.clock->Now());
+}
+
+}  // namespace apricotwheel
--- a/tests/jobs/shard_owner_test.cc
+++ b/tests/jobs/shard_owner_test.cc
@@ -244,6 +244,51 @@
   BOOST_TEST(started.size() == 10u);
 }
 
+// Guards against a stream of small tasks of one team that waits behind another
+// team's tasks that do not fit, and against batch work before urgent work.
+BOOST_FIXTURE_TEST_CASE(order_by_class_and_without_blocking, fixture) {
+  auto document = std::make_shared<cell_document>(*cell.document);
+  workload_config large = document->workloads.front();
+  large.name = "large";
+  large.resources = {9000, 100, 0};
+  document->workloads.push_back(large);
+  workload_config urgent = document->workloads.front();
+  urgent.name = "urgent";
+  urgent.priority = priority_class::kUrgent;
+  document->workloads.push_back(urgent);
+  cell.document = document;
+  room = {{"m1", 0}, {"m2", 0}};
+  Submit("large", 1);
+  const auto batch = Submit("batch", 3);
+  const auto first = Submit("urgent", 1);
+  Rounds(2);
+  BOOST_TEST(started.empty());
+  room = {{"m1", 8}, {"m2", 8}};
+  // No published room holds the large one.
+  for (auto& one : cell.rooms) {
+    one.holes = {{8000, 8000, 0}};
+    one.largest = {8000, 8000, 0};
+  }
+  Rounds(4, milliseconds(1000));
+  BOOST_REQUIRE(started.size() == 4u);
+  BOOST_TEST(started.front() == first + "/0");
+  BOOST_TEST(StateOf(batch) == "pending");
+  const auto why = json::parse(owner->Why(batch).body);
+  BOOST_TEST(why["reasons"].size() >= 1u);
+}
+
+// Guards against a job that waits for its team's quota without saying so.
+BOOST_FIXTURE_TEST_CASE(why_names_the_quota, fixture) {
+  room = {{"m1", 20}, {"m2", 20}};
+  Submit("batch", 10);
+  Rounds(2);
+  const auto waiting = Submit("batch", 1);
+  Rounds(1);
+  const std::string why = owner->Why(waiting).body;
+  BOOST_TEST(why.find("quota: cpu_milli: need 1000, team red uses 10000 of "
+                      "10000") != std::string::npos);
+}
+
 // Guards against a job that is retried for ever, and against a worker's fault
 // that is counted against the job.
 BOOST_FIXTURE_TEST_CASE(job_fails_after_three_attempts, fixture) {
