Stage a job's record once for all its events of a message

Cause: each end of a task encoded and staged the whole record of its job, twice. A job of 1000 tasks thus encoded two million tasks as JSON.

Change: OnEvents stages each job once, after the last event. The code for events moved to shard_owner_events.cc.

--- a/src/jobs/job_store.cc
+++ b/src/jobs/job_store.cc
@@ -316,6 +316,11 @@
   return dropped;
 }
 
+std::uint64_t job_store::LastVersion() const {
+  std::lock_guard guard(mutex_);
+  return last_version_;
+}
+
 std::size_t job_store::StagedCount() const {
   std::lock_guard guard(mutex_);
   return staged_;
--- a/src/jobs/job_store.h
+++ b/src/jobs/job_store.h
@@ -61,6 +61,7 @@
   std::vector<std::string> DropOld();
 
   std::size_t StagedCount() const;
+  std::uint64_t LastVersion() const;
   bool Fenced() const;
 
  private:
--- a/src/jobs/shard_owner.cc
+++ b/src/jobs/shard_owner.cc
@@ -12,7 +12,6 @@
 constexpr std::uint32_t kAttempts = 3;
 constexpr auto kRetryBase = milliseconds(200);
 constexpr auto kRetryLimit = milliseconds(10'000);
-constexpr auto kEventCommitLimit = milliseconds(1500);
 constexpr auto kBusyRound = milliseconds(20);
 constexpr auto kIdleRound = milliseconds(250);
 constexpr auto kCommitRetry = milliseconds(200);
@@ -248,6 +247,10 @@
 }
 
 void shard_owner::StageJob(job_record& job) {
+  if (batching_) {
+    batch_.insert(job.job_id);
+    return;
+  }
   if (HasEnded(job) && job.ended_at_ms == 0) job.ended_at_ms = WallClockMs();
   job.version = store_.Stage(job);
   commit_wake_.Wake();
@@ -378,109 +381,6 @@
   changed_.notify_all();
 }
 
-bool shard_owner::Apply(
-    const std::string& member, const wire::running_taskT& event,
-    std::vector<std::pair<std::string, std::string>>& to_commit) {
-  const auto& id = event.spec->task_id;
-  const auto state = static_cast<task_state>(event.state);
-  auto ref = Find(id);
-  if (!ref || HasEnded(ref.task->state)) {
-    if (state == task_state::kRunning) orphans_[member].insert(id);
-    if (ref && ref.job != nullptr) to_commit.emplace_back(id, ref.job->job_id);
-    return !ref || ref.job == nullptr;
-  }
-  auto& task = *ref.task;
-  // An attempt on another worker was settled when this one was placed.
-  const bool other_attempt = IsActive(task.state) && !task.worker.empty() &&
-                             task.worker != event.worker;
-  if (state == task_state::kRunning) {
-    if (other_attempt && task.state == attempt_state::kRunning) return true;
-    // It was believed not to run. An inventory tells whether the event is old.
-    if (task.state == attempt_state::kPending) sweep_.wanted = true;
-    SetRunning(ref, member, event);
-    return true;
-  }
-  if (other_attempt) return true;
-  if (state != task_state::kFinished && IsActive(task.state) &&
-      task.worker.empty()) {
-    // After a take-over, until an inventory was complete, and while a place
-    // call is under way at another member, the end of an earlier attempt cannot
-    // be told from the end of this one. It is reported again.
-    const bool unknown = !inventory_known_ && task.member.empty();
-    if (unknown || (!task.member.empty() && task.member != member)) {
-      return false;
-    }
-    // A failure that was counted and whose acceptance was lost.
-    if (state == task_state::kFailed &&
-        std::find(task.failed_on.begin(), task.failed_on.end(), event.worker) !=
-            task.failed_on.end()) {
-      return true;
-    }
-  }
-  task.worker = event.worker;
-  task.ran_ms = std::max(task.ran_ms, event.ran_ms);
-  task.had_run = task.had_run || !event.message.starts_with(kNotStarted);
-  const bool not_started = event.message.starts_with(kNotStarted);
-  const auto job = ref.job;
-  if (job != nullptr && state != task_state::kFinished &&
-      task.state == attempt_state::kPending) {
-    return true;  // Reported again after it was put back.
-  }
-  switch (state) {
-    case task_state::kFinished:
-      Finish(ref, attempt_state::kFinished);
-      break;
-    case task_state::kFailed:
-      OnAttemptFailed(ref, event.message);
-      break;
-    case task_state::kCheckpointed:
-      task.checkpoint = event.checkpoint;
-      if (ref.IsGang() && !job->restarting) RestartGang(*job, "pre-empted");
-      Requeue(ref, "checkpointed", duration(0));
-      break;
-    case task_state::kStopped:
-      if (ref.IsGang() && !job->restarting) RestartGang(*job, "stopped");
-      Requeue(ref, "stopped", duration(0));
-      break;
-    case task_state::kRunning:
-      break;
-  }
-  if (job == nullptr || not_started) return true;
-  StageJob(*job);
-  to_commit.emplace_back(id, job->job_id);
-  return false;
-}
-
-std::vector<std::string> shard_owner::OnEvents(
-    const std::string& member, std::span<const wire::running_taskT> events) {
-  std::vector<std::string> accepted;
-  std::vector<std::pair<std::string, std::string>> to_commit;
-  std::map<std::string, std::uint64_t> versions;
-  {
-    std::lock_guard guard(mutex_);
-    // Before the records are read, nothing is known about any task.
-    if (!loaded_) return accepted;
-    for (const auto& event : events) {
-      if (!event.spec) continue;
-      if (Apply(member, event, to_commit)) {
-        accepted.push_back(event.spec->task_id);
-      }
-    }
-    for (const auto& [id, job] : to_commit) {
-      versions[job] = jobs_.find(job)->second.version;
-    }
-  }
-  round_wake_.Wake();
-  const auto deadline = options_.clock->Now() + kEventCommitLimit;
-  for (const auto& [id, job] : to_commit) {
-    if (store_.WaitCommitted(job, versions[job], deadline) ==
-        commit_state::kCommitted) {
-      accepted.push_back(id);
-    }
-  }
-  return accepted;
-}
-
 std::size_t shard_owner::PendingTasks() const {
   std::lock_guard guard(mutex_);
   return pending_.size();
--- a/src/jobs/shard_owner.h
+++ b/src/jobs/shard_owner.h
@@ -69,6 +69,8 @@
   std::uint64_t Epoch() const { return options_.epoch; }
   std::size_t PendingTasks() const;
   std::size_t ActiveTasks() const;
+  // How often a record was staged for a commit so far.
+  std::uint64_t StagedRecords() const { return store_.LastVersion(); }
 
  private:
   struct service_entry {
@@ -110,13 +112,15 @@
   void StageJob(job_record& job);
   void SetRunning(const task_ref& ref, const std::string& member,
                   const wire::running_taskT& event);
-  bool Apply(const std::string& member, const wire::running_taskT& event,
-             std::vector<std::pair<std::string, std::string>>& to_commit);
   bool Load();
   void PromoteCommitted(std::string_view job_id);
   void PromoteAllCommitted();
   wire::taskT ToWireTask(const task_ref& ref) const;
 
+  // shard_owner_events.cc
+  bool Apply(const std::string& member, const wire::running_taskT& event,
+             std::vector<std::pair<std::string, std::string>>& to_commit);
+
   // shard_owner_api.cc
   job_reply SubmitJob(job_record job);
   std::optional<job_reply> Refusal(const job_record& job,
@@ -184,6 +188,8 @@
   // Tasks that run without a job or after their end, by member.
   std::map<std::string, std::set<std::string>> orphans_;
   std::size_t active_ = 0;
+  bool batching_ = false;  // `StageJob` only collects the jobs in `batch_`.
+  std::set<std::string, std::less<>> batch_;
   inventory_sweep sweep_;
   std::map<std::string, ownership, std::less<>> seen_partitions_;
   random_source random_;
--- a/tests/jobs/shard_owner_test.cc
+++ b/tests/jobs/shard_owner_test.cc
@@ -448,6 +448,26 @@
   BOOST_TEST(started.size() == 2u);
 }
 
+// Guards against a record that is encoded and staged again for each of its
+// events, which made the cost of a job's ends grow with the square of its size.
+BOOST_FIXTURE_TEST_CASE(events_of_a_job_are_staged_once, fixture) {
+  const auto job = Submit("batch", 8);
+  Rounds(1);
+  BOOST_REQUIRE(started.size() == 8u);
+  std::map<std::string, std::vector<wire::running_taskT>> ends;
+  for (const auto& id : started) {
+    ends[running[id]].push_back(Event(id, task_state::kFinished));
+  }
+  const auto before = owner->StagedRecords();
+  for (const auto& [member, events] : ends) {
+    const auto accepted =
+        WithCommits([&] { return owner->OnEvents(member, events); });
+    BOOST_TEST(accepted.size() == events.size());
+  }
+  BOOST_TEST(owner->StagedRecords() - before <= ends.size());
+  BOOST_TEST(StateOf(job) == "finished");
+}
+
 // Guards against cancellations that are not idempotent, that start work
 // afterwards, or that send one stop call for each task.
 BOOST_FIXTURE_TEST_CASE(cancel_is_repeatable_and_batched, fixture) {
