--- a/src/jobs/shard_owner.cc
+++ b/src/jobs/shard_owner.cc
@@ -12,10 +12,14 @@
 constexpr std::uint32_t kAttempts = 3;
 constexpr auto kRetryBase = milliseconds(200);
 constexpr auto kRetryLimit = milliseconds(10'000);
-constexpr auto kEventCommitLimit = milliseconds(1500);
 constexpr auto kBusyRound = milliseconds(20);
 constexpr auto kIdleRound = milliseconds(250);
 constexpr auto kCommitRetry = milliseconds(200);
+// Room is published with a lag, and urgent tasks must start within 2.4 s, so a
+// size that does not fit is tried again sooner than by default.
+constexpr auto kQueueBackoff = milliseconds(50);
+constexpr auto kQueueBackoffLimit = milliseconds(500);
+constexpr std::size_t kGangsPerRound = 4;
 constexpr auto kDropInterval = milliseconds(30'000);
 constexpr std::size_t kGroupSize = 256;
 constexpr std::string_view kServicePrefix = "service/";
@@ -55,7 +59,10 @@
               options_.clock, options_.log}),
       random_{options_.random_seed},
       round_wake_(options_.clock),
-      commit_wake_(options_.clock) {}
+      commit_wake_(options_.clock) {
+  queue_.settings.backoff_base = kQueueBackoff;
+  queue_.settings.backoff_limit = kQueueBackoffLimit;
+}
 
 shard_owner::~shard_owner() { Stop(); }
 
@@ -153,8 +160,9 @@
   TakeInventory(cell);
   KeepServices(cell);
   SendStops(cell);
-  PlacePending(cell);
-  PlaceGangs(cell);
+  for (std::size_t gangs = 0; gangs < kGangsPerRound; ++gangs) {
+    if (!PlacePending(cell)) break;
+  }
 }
 
 void shard_owner::PromoteCommitted(std::string_view job_id) {
@@ -162,7 +170,8 @@
   if (found == jobs_.end() || found->second.committed) return;
   found->second.committed = true;
   for (const auto& task : found->second.tasks) {
-    if (task.state == attempt_state::kPending) pending_.insert(task.task_id);
+    if (task.state != attempt_state::kPending) continue;
+    SetState(Find(task.task_id), attempt_state::kPending);
   }
   round_wake_.Wake();
 }
@@ -208,25 +217,40 @@
   const bool was_active = IsActive(task.state);
   task.state = state;
   task.changed_at = options_.clock->Now();
-  if (state == attempt_state::kPending) {
-    pending_.insert(task.task_id);
-  } else {
+  const bool taken = queue_.taken.contains(task.task_id);
+  if (state != attempt_state::kPending) {
     pending_.erase(task.task_id);
+    if (ref.IsGang()) {
+      RemoveEntry(queue_, ref.job->job_id);
+    } else if (!taken) {
+      RemoveEntry(queue_, task.task_id);
+    }
   }
   if (IsActive(state) && !was_active) {
     task.charged = ref.Need();
-    used_[ref.Team()] = used_[ref.Team()] + task.charged;
+    // A taken entry is charged already.
+    if (!taken) Charge(queue_, ref.Team(), task.charged);
     ++active_;
   } else if (!IsActive(state) && was_active) {
-    used_[ref.Team()] = used_[ref.Team()] - task.charged;
+    ConfirmStarted(queue_, task.task_id);
+    Refund(queue_, ref.Team(), task.charged);
+    EndBackoff(queue_, task.charged, task.changed_at);
     task.charged = {};
     --active_;
     stopping_.erase(task.task_id);
     task.stopping = false;
   }
+  if (state == attempt_state::kPending) {
+    pending_.insert(task.task_id);
+    QueueTask(ref);
+  }
 }
 
 void shard_owner::StageJob(job_record& job) {
+  if (batching_) {
+    batch_.insert(job.job_id);
+    return;
+  }
   if (HasEnded(job) && job.ended_at_ms == 0) job.ended_at_ms = WallClockMs();
   job.version = store_.Stage(job);
   commit_wake_.Wake();
@@ -259,11 +283,11 @@
     Finish(ref, attempt_state::kStopped);
     return;
   }
-  SetState(ref, attempt_state::kPending);
   ref.task->reason = reason;
   ref.task->worker.clear();
   ref.task->partition.clear();
   ref.task->ready_at = options_.clock->Now() + delay;
+  SetState(ref, attempt_state::kPending);
   if (ref.job->restarting) SettleGang(*ref.job);
 }
 
@@ -286,7 +310,10 @@
   const bool failed = std::any_of(
       job.tasks.begin(), job.tasks.end(),
       [](const auto& task) { return task.state == attempt_state::kFailed; });
-  if (!failed) return;
+  if (!failed) {
+    QueueGang(job);
+    return;
+  }
   for (auto& task : job.tasks) {
     if (HasEnded(task.state)) continue;
     task.message = "stopped: another task of the gang failed";
@@ -335,6 +362,7 @@
                              const wire::running_taskT& event) {
   auto& task = *ref.task;
   const auto now = options_.clock->Now();
+  ConfirmStarted(queue_, task.task_id);
   if (task.state != attempt_state::kRunning) {
     SetState(ref, attempt_state::kRunning);
     if (!task.had_run) {
@@ -353,93 +381,6 @@
   changed_.notify_all();
 }
 
-bool shard_owner::Apply(
-    const std::string& member, const wire::running_taskT& event,
-    std::vector<std::pair<std::string, std::string>>& to_commit) {
-  const auto& id = event.spec->task_id;
-  const auto state = static_cast<task_state>(event.state);
-  auto ref = Find(id);
-  if (!ref || HasEnded(ref.task->state)) {
-    if (state == task_state::kRunning) orphans_[member].insert(id);
-    if (ref && ref.job != nullptr) to_commit.emplace_back(id, ref.job->job_id);
-    return !ref || ref.job == nullptr;
-  }
-  auto& task = *ref.task;
-  // An attempt on another worker was settled when this one was placed.
-  const bool other_attempt = IsActive(task.state) && !task.worker.empty() &&
-                             task.worker != event.worker;
-  if (state == task_state::kRunning) {
-    if (other_attempt && task.state == attempt_state::kRunning) return true;
-    // It was believed not to run. An inventory tells whether the event is old.
-    if (task.state == attempt_state::kPending) sweep_.wanted = true;
-    SetRunning(ref, member, event);
-    return true;
-  }
-  if (other_attempt) return true;
-  task.worker = event.worker;
-  task.ran_ms = std::max(task.ran_ms, event.ran_ms);
-  task.had_run = task.had_run || !event.message.starts_with(kNotStarted);
-  const bool not_started = event.message.starts_with(kNotStarted);
-  const auto job = ref.job;
-  if (job != nullptr && state != task_state::kFinished &&
-      task.state == attempt_state::kPending) {
-    return true;  // Reported again after it was put back.
-  }
-  switch (state) {
-    case task_state::kFinished:
-      Finish(ref, attempt_state::kFinished);
-      break;
-    case task_state::kFailed:
-      OnAttemptFailed(ref, event.message);
-      break;
-    case task_state::kCheckpointed:
-      task.checkpoint = event.checkpoint;
-      if (ref.IsGang() && !job->restarting) RestartGang(*job, "pre-empted");
-      Requeue(ref, "checkpointed", duration(0));
-      break;
-    case task_state::kStopped:
-      if (ref.IsGang() && !job->restarting) RestartGang(*job, "stopped");
-      Requeue(ref, "stopped", duration(0));
-      break;
-    case task_state::kRunning:
-      break;
-  }
-  if (job == nullptr || not_started) return true;
-  StageJob(*job);
-  to_commit.emplace_back(id, job->job_id);
-  return false;
-}
-
-std::vector<std::string> shard_owner::OnEvents(
-    const std::string& member, std::span<const wire::running_taskT> events) {
-  std::vector<std::string> accepted;
-  std::vector<std::pair<std::string, std::string>> to_commit;
-  std::map<std::string, std::uint64_t> versions;
-  {
-    std::lock_guard guard(mutex_);
-    // Before the records are read, nothing is known about any task.
-    if (!loaded_) return accepted;
-    for (const auto& event : events) {
-      if (!event.spec) continue;
-      if (Apply(member, event, to_commit)) {
-        accepted.push_back(event.spec->task_id);
-      }
-    }
-    for (const auto& [id, job] : to_commit) {
-      versions[job] = jobs_.find(job)->second.version;
-    }
-  }
-  round_wake_.Wake();
-  const auto deadline = options_.clock->Now() + kEventCommitLimit;
-  for (const auto& [id, job] : to_commit) {
-    if (store_.WaitCommitted(job, versions[job], deadline) ==
-        commit_state::kCommitted) {
-      accepted.push_back(id);
-    }
-  }
-  return accepted;
-}
-
 std::size_t shard_owner::PendingTasks() const {
   std::lock_guard guard(mutex_);
   return pending_.size();
--- a/src/jobs/shard_owner.h
+++ b/src/jobs/shard_owner.h
@@ -19,6 +19,7 @@
 #include "jobs/job_store.h"
 #include "kernel/random.h"
 #include "kernel/thread_group.h"
+#include "placement/team_queue.h"
 #include "workers/wake_signal.h"
 
 namespace apricotwheel {
@@ -68,6 +69,8 @@
   std::uint64_t Epoch() const { return options_.epoch; }
   std::size_t PendingTasks() const;
   std::size_t ActiveTasks() const;
+  // How often a record was staged for a commit so far.
+  std::uint64_t StagedRecords() const { return store_.LastVersion(); }
 
  private:
   struct service_entry {
@@ -109,28 +112,36 @@
   void StageJob(job_record& job);
   void SetRunning(const task_ref& ref, const std::string& member,
                   const wire::running_taskT& event);
-  bool Apply(const std::string& member, const wire::running_taskT& event,
-             std::vector<std::pair<std::string, std::string>>& to_commit);
   bool Load();
   void PromoteCommitted(std::string_view job_id);
   void PromoteAllCommitted();
   wire::taskT ToWireTask(const task_ref& ref) const;
 
+  // shard_owner_events.cc
+  bool Apply(const std::string& member, const wire::running_taskT& event,
+             std::vector<std::pair<std::string, std::string>>& to_commit);
+
   // shard_owner_api.cc
   job_reply SubmitJob(job_record job);
   std::optional<job_reply> Refusal(const job_record& job,
                                    const cell_picture& cell) const;
 
+  // shard_owner_queue.cc
+  void QueueTask(const task_ref& ref);
+  void QueueGang(const job_record& job);
+  void QueueDelayed();
+  void BackOff(const task_ref& ref);
+  void FollowTeams(const cell_picture& cell);
+  std::vector<std::string> ExplainQueue(const task_ref& ref) const;
+
   // shard_owner_place.cc
-  void PlacePending(const cell_picture& cell);
-  std::vector<task_ref> Ordered(const cell_picture& cell);
-  bool WithinQuota(const std::string& team, const resource_vector& need,
-                   const cell_picture& cell) const;
+  // Places single tasks in the queue's order up to the next gang, then that
+  // gang. Returns false if there was none.
+  bool PlacePending(const cell_picture& cell);
   std::string ChooseMember(const task_ref& ref, std::vector<member_room>& rooms,
                            std::size_t& speculative) const;
   void OnPlaced(const std::string& member, const wire::place_requestT& request,
                 const outcome<wire::place_responseT>& answer);
-  void PlaceGangs(const cell_picture& cell);
   void PlaceGang(const std::string& job_id, const cell_picture& cell);
   bool CommitGang(const std::string& job_id, const std::string& reservation,
                   const std::map<std::string, std::vector<std::string>>& parts);
@@ -160,16 +171,25 @@
   std::condition_variable changed_;
   bool loaded_ = false;
   // False until one inventory was complete since the take-over.
-  bool services_known_ = false;
+  bool inventory_known_ = false;
   std::map<std::string, job_record, std::less<>> jobs_;
   std::map<std::string, service_entry, std::less<>> services_;
   std::set<std::string, std::less<>> pending_;
+  // Single tasks by task id and gangs by job id, with what the teams use.
+  team_queue queue_;
+  // Tasks that are queued again after a back-off of their own.
+  std::set<std::pair<time_point, std::string>> delayed_;
+  std::shared_ptr<const cell_document> seen_document_;
+  std::shared_ptr<const vm_list> seen_vms_;
+  // Charged for service instances that no inventory has shown yet, by team.
+  std::map<std::string, resource_vector, std::less<>> assumed_;
   std::set<std::string, std::less<>> uncommitted_;  // Jobs.
   std::set<std::string, std::less<>> stopping_;     // Tasks.
   // Tasks that run without a job or after their end, by member.
   std::map<std::string, std::set<std::string>> orphans_;
-  std::map<std::string, resource_vector, std::less<>> used_;
   std::size_t active_ = 0;
+  bool batching_ = false;  // `StageJob` only collects the jobs in `batch_`.
+  std::set<std::string, std::less<>> batch_;
   inventory_sweep sweep_;
   std::map<std::string, ownership, std::less<>> seen_partitions_;
   random_source random_;
--- a/src/workers/worker_fleet.h
+++ b/src/workers/worker_fleet.h
@@ -14,8 +14,8 @@
 #include <vector>
 
 #include "kernel/random.h"
+#include "placement/health_tracker.h"
 #include "workers/wake_signal.h"
-#include "workers/worker_health.h"
 #include "workers/worker_lease.h"
 #include "workers/worker_manager.h"
 
@@ -23,8 +23,7 @@
 
 struct worker_fleet_options {
   worker_lease_options lease;
-  std::size_t quarantine_failures = 5;
-  duration quarantine = milliseconds(30'000);
+  health_settings health;
   clock_ptr clock;
   log_sink log;
   std::uint64_t random_seed = 1;
@@ -46,6 +45,21 @@
   std::int64_t cpu_milli = 0;  // Of a throttle.
 };
 
+// The workers that this daemon should know before its inventory is complete.
+struct expected_workers {
+  // The owned partitions with the workers that the VM list names there.
+  std::map<std::string, std::vector<std::string>> partitions;
+  // False if a newer VM list may name workers that this daemon's list lacks.
+  bool list_is_current = true;
+  // Owned partitions of which a worker may run tasks without being named.
+  std::set<std::string> uncertain;
+};
+
+// True if an own VM list of version `own_version` is at least as new as the
+// lists of all peers in `summaries`, and one of `peers` peers was heard.
+bool IsListCurrent(std::uint64_t own_version,
+                   std::span<const peer_summary> summaries, std::size_t peers);
+
 // All owned workers with their tasks, reservations and capacity, under one
 // lock. It makes no calls: sessions carry out its orders and report the
 // results. Thread-safe.
@@ -62,7 +76,8 @@
   void MarkLeaving(std::string_view worker);
   // Forgets a worker without a report: its successor reports its tasks.
   void DropWorker(std::string_view worker, std::uint64_t epoch);
-  // True if a worker that left the VM list holds no task any more.
+  // True if a worker that left the VM list certainly runs no task: it answered
+  // and holds none, or its task lease has certainly expired.
   bool CanForget(std::string_view worker) const;
 
   // Called by the session of the worker.
@@ -87,11 +102,8 @@
                               const shard_epochs& view_epochs);
   wire::stop_responseT StopTasks(const wire::stop_requestT& request,
                                  const shard_epochs& view_epochs);
-  // `expected` lists the owned partitions with the workers that the VM list
-  // names there.
-  using partition_workers = std::map<std::string, std::vector<std::string>>;
   wire::inventory_responseT Inventory(const wire::inventory_requestT& request,
-                                      const partition_workers& expected,
+                                      const expected_workers& expected,
                                       const shard_epochs& view_epochs);
 
   // Ends reservations and pre-emptions that are too old and reports the tasks
@@ -146,10 +158,11 @@
     std::uint64_t epoch = 0;
     worker_phase now = worker_phase::kClaiming;
     worker_lease lease{{}};
-    worker_health health{1, duration(0)};
     time_point taken_at;
     std::optional<time_point> first_failure;
     worker_index index = kNoWorker;
+    // The entries of `tasks_` that belong to this worker.
+    std::map<std::string, task_entry*, std::less<>> tasks;
     std::set<std::string, std::less<>> to_acknowledge;
     std::set<std::string, std::less<>> strays;  // To be killed.
     std::vector<worker_order> throttles;
@@ -162,6 +175,8 @@
   void Report(const task_entry& task);
   void End(task_entry& task, task_state state, std::string_view message,
            bool on_list);
+  task_entry& AddTask(std::string_view task_id, task_entry task);
+  void RemoveTask(task_map::iterator task);
   void EraseTask(std::string_view task_id);
   void UpdateUsable(worker_entry& worker);
   void Reconcile(worker_entry& worker, const worker_snapshot& snapshot,
@@ -184,6 +199,7 @@
               const shard_epochs& view_epochs);
   std::string StateName(const worker_entry& worker) const;
   void ExpireWorker(worker_entry& worker);
+  bool CertainlyExpired(const worker_entry& worker, time_point now) const;
 
   const worker_fleet_options options_;
   mutable std::mutex mutex_;
@@ -191,6 +207,10 @@
   mutable random_source random_;
   worker_map workers_;
   task_map tasks_;
+  std::set<std::string> timed_;      // Tasks that may have a deadline.
+  std::set<std::string> instances_;  // Tasks of services.
+  health_tracker health_;
+  time_point next_forget_ = time_point::min();
   std::map<std::string, wire::running_taskT, std::less<>> events_;
   shard_epochs shard_epochs_{};
   std::function<void()> events_listener_;
--- a/tests/workers/worker_fleet_test.cc
+++ b/tests/workers/worker_fleet_test.cc
@@ -2,6 +2,8 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include "workers/vanished_vms.h"
+
 namespace apricotwheel {
 namespace {
 
@@ -15,6 +17,8 @@
   }()};
   std::map<std::string, worker_snapshot> workers;
   worker_fleet::shard_epochs epochs{};
+  bool list_is_current = true;
+  std::set<std::string> uncertain;
 
   void Add(const std::string& id, vm_state state = vm_state::kLive) {
     fleet.SetWorker({id, "127.0.0.1:1", "a", "r", state, {4000, 8000, 0}},
@@ -90,7 +94,8 @@
     request.shard_epoch = shard_epoch;
     std::vector<std::string> names;
     for (const auto& line : fleet.Workers()) names.push_back(line.worker);
-    return fleet.Inventory(request, {{"a/r", names}}, epochs);
+    return fleet.Inventory(
+        request, {{{"a/r", names}}, list_is_current, uncertain}, epochs);
   }
   // The state of the only pending event, or -1.
   int EventState() {
@@ -127,6 +132,47 @@
   BOOST_TEST(EventState() == kFailed);
 }
 
+// Guards against a start whose reply is cut short and that is taken for one
+// without effect, so that its task is placed a second time.
+BOOST_FIXTURE_TEST_CASE(cut_start_reply_keeps_the_task, fixture) {
+  Claim("w1");
+  Place("t/0");
+  Serve("w1", error{error_kind::kCorrupt, "cut short", ""}, true);
+  BOOST_TEST(EventState() == -1);
+  BOOST_TEST(Inventory().tasks.size() == 1u);
+  Renew("w1");
+  BOOST_TEST(EventState() == kRunningState);
+}
+
+// Guards against an ended attempt on the worker's list that is taken for the
+// end of the next attempt there, which did not run, and against a start that
+// the worker answers with the ended attempt.
+BOOST_FIXTURE_TEST_CASE(earlier_attempt_does_not_end_the_next, fixture) {
+  Claim("w1");
+  Place("t/0");
+  Serve("w1");
+  Renew("w1");
+  Accept();
+  fleet.OnUnreachable("w1");
+  clock->Advance(milliseconds(11'000));
+  fleet.Sweep();
+  Accept();
+  // The worker answers again, but its list was not read yet.
+  workers["w1"].tasks.clear();
+  Renew("w1");
+  BOOST_TEST((Place("t/0").status == wire::place_status::placed));
+  task_status earlier;
+  earlier.spec.task_id = "t/0";
+  earlier.state = task_state::kFailed;
+  workers["w1"].tasks.push_back(earlier);
+  Renew("w1");
+  BOOST_TEST(EventState() == -1);
+  BOOST_TEST(Serve("w1").empty());
+  Renew("w1");
+  BOOST_TEST(Serve("w1").size() == 1u);
+  BOOST_TEST(EventState() == kRunningState);
+}
+
 // Guards against a lost start whose task is running and is reported as failed.
 BOOST_FIXTURE_TEST_CASE(unknown_start_is_settled_by_the_list, fixture) {
   Claim("w1");
@@ -208,6 +254,60 @@
   BOOST_TEST(Inventory().partitions.at(0)->complete);
 }
 
+// Guards against a starting daemon that misses a worker because its VM list is
+// older than a peer's, and that calls its inventory complete.
+BOOST_FIXTURE_TEST_CASE(stale_vm_list_gives_no_complete_inventory, fixture) {
+  Claim("w1");
+  list_is_current = false;
+  BOOST_TEST(!Inventory().partitions.at(0)->complete);
+  list_is_current = true;
+  BOOST_TEST(Inventory().partitions.at(0)->complete);
+  std::vector<peer_summary> summaries(2);
+  summaries[0].gossip.vm_list_version = 4;
+  summaries[1].gossip.vm_list_version = 7;
+  BOOST_TEST(!IsListCurrent(6, summaries, 2));
+  BOOST_TEST(IsListCurrent(7, summaries, 2));
+  BOOST_TEST(!IsListCurrent(7, {}, 2));
+  BOOST_TEST(IsListCurrent(7, {}, 0));
+}
+
+// Guards against a worker that vanished from the VM list and is forgotten while
+// the tasks of an earlier owner may run there under their lease.
+BOOST_FIXTURE_TEST_CASE(vanished_worker_is_kept_for_its_lease, fixture) {
+  Add("w1");
+  BOOST_TEST(!fleet.CanForget("w1"));
+  fleet.OnUnreachable("w1");
+  clock->Advance(milliseconds(10'400));
+  BOOST_TEST(!fleet.CanForget("w1"));
+  clock->Advance(milliseconds(200));
+  BOOST_TEST(fleet.CanForget("w1"));
+  Claim("w2");
+  BOOST_TEST(fleet.CanForget("w2"));
+  fleet.OnUnreachable("w2");
+  BOOST_TEST(!fleet.CanForget("w2"));
+}
+
+// Guards against a successor that calls its inventory complete although a VM
+// that the list dropped before it took the partition may still run tasks.
+BOOST_FIXTURE_TEST_CASE(vanished_vm_delays_the_inventory, fixture) {
+  Claim("w1");
+  vanished_vms vanished(milliseconds(10'500));
+  vm_list list;
+  list.vms.push_back({"w1", "", "a", "r", vm_state::kLive, {}});
+  list.vms.push_back({"w2", "", "a", "r", vm_state::kLive, {}});
+  vanished.Update(list, clock->Now());
+  BOOST_TEST(vanished.Partitions(clock->Now()).empty());
+  list.vms.pop_back();
+  vanished.Update(list, clock->Now());
+  clock->Advance(milliseconds(10'400));
+  vanished.Update(list, clock->Now());
+  uncertain = vanished.Partitions(clock->Now());
+  BOOST_TEST(!Inventory().partitions.at(0)->complete);
+  clock->Advance(milliseconds(200));
+  uncertain = vanished.Partitions(clock->Now());
+  BOOST_TEST(Inventory().partitions.at(0)->complete);
+}
+
 // Guards against reservations that outlive their owner, and against a commit
 // that starts a task without one.
 BOOST_FIXTURE_TEST_CASE(reservation_expires, fixture) {
@@ -248,6 +348,27 @@
   BOOST_TEST(starts[0].spec.task_id == "u/0");
 }
 
+// Guards against a worker that fails the tasks of several jobs and gets more of
+// them, and against one that gets many tasks at once in its probation.
+BOOST_FIXTURE_TEST_CASE(failing_worker_is_quarantined, fixture) {
+  Claim("w1");
+  for (const std::string id : {"a/0", "b/0", "c/0"}) {
+    BOOST_TEST((Place(id).status == wire::place_status::placed));
+    Serve("w1");
+    workers["w1"].tasks.back().state = task_state::kFailed;
+    Renew("w1");
+    Accept();
+    Renew("w1");
+  }
+  BOOST_TEST(fleet.Workers().at(0).state == "quarantined");
+  BOOST_TEST((Place("d/0").status == wire::place_status::wait));
+  clock->Advance(milliseconds(61'000));
+  Renew("w1");
+  fleet.Sweep();
+  BOOST_TEST((Place("d/0").status == wire::place_status::placed));
+  BOOST_TEST((Place("e/0").status == wire::place_status::wait));
+}
+
 // Guards against new work on a leaving VM and batch work that stays there.
 BOOST_FIXTURE_TEST_CASE(leaving_vm_is_vacated, fixture) {
   Claim("w1");
