--- a/src/config/fields.cc
+++ b/src/config/fields.cc
@@ -174,6 +174,54 @@
                      "write ip:port, for example 10.0.0.5:7100");
 }
 
+bool ReadAddressList(const yaml_node& node, std::string_view key,
+                     std::vector<std::string>& target, fault_list& faults) {
+  std::vector<yaml_node> items = node.items;
+  if (node.kind == node_kind::kScalar) {
+    std::string_view rest = node.scalar;
+    while (true) {
+      const auto comma = rest.find(',');
+      auto part = rest.substr(0, comma);
+      part.remove_prefix(std::min(part.find_first_not_of(' '), part.size()));
+      part = part.substr(0, part.find_last_not_of(' ') + 1);
+      yaml_node item;
+      item.kind = node_kind::kScalar;
+      item.line = node.line;
+      item.scalar = part;
+      items.push_back(std::move(item));
+      if (comma == std::string_view::npos) break;
+      rest.remove_prefix(comma + 1);
+    }
+  } else if (node.kind != node_kind::kSequence) {
+    faults.Add(node.line, key, "a list of addresses is expected",
+               "write [ip:port, ip:port], [] if it is empty");
+    return false;
+  }
+  std::vector<std::string> addresses;
+  bool is_valid = true;
+  for (const auto& item : items) {
+    std::string address;
+    if (!ReadAddress(item, key, address, faults)) {
+      is_valid = false;
+    } else if (std::find(addresses.begin(), addresses.end(), address) !=
+               addresses.end()) {
+      faults.Add(item.line, key, Quoted(address) + " is listed twice",
+                 "write each address once");
+      is_valid = false;
+    } else {
+      addresses.push_back(std::move(address));
+    }
+  }
+  if (items.size() > kMaxAddresses) {
+    faults.Add(node.line, key,
+               std::to_string(items.size()) + " addresses are listed",
+               "write at most " + std::to_string(kMaxAddresses));
+    is_valid = false;
+  }
+  if (is_valid) target = std::move(addresses);
+  return is_valid;
+}
+
 bool ReadChoice(const yaml_node& node, std::string_view key,
                 std::span<const std::string_view> choices, std::size_t& target,
                 fault_list& faults) {
--- a/src/config/fields.h
+++ b/src/config/fields.h
@@ -50,6 +50,11 @@
               fault_list& faults);
 bool ReadAddress(const yaml_node& node, std::string_view key,
                  std::string& target, fault_list& faults);
+// A YAML list of addresses, or one text of addresses separated by commas; each
+// address once, at most `kMaxAddresses`.
+inline constexpr std::size_t kMaxAddresses = 32;
+bool ReadAddressList(const yaml_node& node, std::string_view key,
+                     std::vector<std::string>& target, fault_list& faults);
 // Stores the index of the value in `choices`.
 bool ReadChoice(const yaml_node& node, std::string_view key,
                 std::span<const std::string_view> choices, std::size_t& target,
--- a/src/config/settings.cc
+++ b/src/config/settings.cc
@@ -12,10 +12,19 @@
 using text_member = std::string daemon_settings::*;
 using number_member = std::int64_t daemon_settings::*;
 using duration_member = duration daemon_settings::*;
+using list_member = std::vector<std::string> daemon_settings::*;
 using setting_member =
-    std::variant<text_member, number_member, duration_member>;
+    std::variant<text_member, number_member, duration_member, list_member>;
 
-enum class setting_type { kName, kAddress, kPath, kChoice, kNumber, kDuration };
+enum class setting_type {
+  kName,
+  kAddress,
+  kAddressList,
+  kPath,
+  kChoice,
+  kNumber,
+  kDuration
+};
 
 // One setting. Its default is the initial value of the member.
 struct setting_row {
@@ -39,7 +48,7 @@
 using s = daemon_settings;
 
 // clang-format off
-constexpr std::array<setting_row, 28> kSettings = {{
+constexpr std::array<setting_row, 29> kSettings = {{
     {"name", kName, "", &s::name, true, 0, 0,
      "name of this daemon, unique in the cell"},
     {"failure_domain", kName, "", &s::failure_domain, true, 0, 0,
@@ -54,6 +63,8 @@
      "address of the VM list"},
     {"peer_key_file", setting_type::kPath, "", &s::peer_key_file, true, 0, 0,
      "file with the shared key of all daemons, 32 bytes or more"},
+    {"seed_peers", setting_type::kAddressList, "", &s::seed_peers, false, 0, 0,
+     "peer addresses of other daemons, asked for the document while the key-value service cannot be reached"},
     {"lease_ttl_ms", kDuration, "ms", &s::lease_ttl, false, 500, 60'000,
      "time until the key-value lease of a dead daemon expires"},
     {"lease_renew_interval_ms", kDuration, "ms", &s::lease_renew_interval, false, 50, 20'000,
@@ -115,6 +126,10 @@
     settings.** span = milliseconds(count);
     return;
   }
+  if (const auto* list = std::get_if<list_member>(&row.member)) {
+    ReadAddressList(node, row.key, settings.**list, faults);
+    return;
+  }
   std::string& text = settings.*std::get<text_member>(row.member);
   switch (row.type) {
     case setting_type::kName:
@@ -218,6 +233,8 @@
       return "name";
     case setting_type::kAddress:
       return "ip:port";
+    case setting_type::kAddressList:
+      return "list of ip:port";
     case setting_type::kPath:
       return "path";
     case setting_type::kChoice:
@@ -236,6 +253,7 @@
   if (const auto* span = std::get_if<duration_member>(&row.member)) {
     return std::to_string(ToMs(defaults.**span));
   }
+  if (std::holds_alternative<list_member>(row.member)) return "none";
   return defaults.*std::get<text_member>(row.member);
 }
 
--- a/src/config/settings.h
+++ b/src/config/settings.h
@@ -23,6 +23,9 @@
   std::string kv_address;       // ip:port of the key-value service.
   std::string vm_list_address;  // ip:port of the VM list.
   std::string peer_key_file;    // Shared key of all daemons, 32 bytes or more.
+  // Peer addresses of other daemons, asked for the document while the
+  // key-value service cannot be reached.
+  std::vector<std::string> seed_peers;
 
   duration lease_ttl = milliseconds(3000);
   duration lease_renew_interval = milliseconds(1000);
--- a/tests/config/settings_test.cc
+++ b/tests/config/settings_test.cc
@@ -35,6 +35,13 @@
       {kBase + "lease_ttl_ms: [3000]\n", 8, "lease_ttl_ms"},
       {kBase + "retry_budget_percent: 101\n", 8, "retry_budget_percent"},
       {kBase + "log_level: loud\n", 8, "log_level"},
+      {kBase + "seed_peers: 127.0.0.1:1, host:2\n", 8, "seed_peers"},
+      {kBase + "seed_peers: 127.0.0.1:1,\n", 8, "seed_peers"},
+      {kBase + "seed_peers:\n  - 127.0.0.1:1\n  - 127.0.0.1:0\n", 10,
+       "seed_peers"},
+      {kBase + "seed_peers: [127.0.0.1:1, 127.0.0.1:1]\n", 8, "seed_peers"},
+      {kBase + "seed_peers: {a: 127.0.0.1:1}\n", 8, "seed_peers"},
+      {kBase + "seed_peers: [[127.0.0.1:1]]\n", 8, "seed_peers"},
       {kBase + "lease_renew_interval_ms: 2000\n", 8, "lease_renew_interval_ms"},
       {kBase + "worker_renew_interval_ms: 2000\n", 8,
        "worker_renew_interval_ms"},
@@ -86,6 +93,20 @@
   BOOST_TEST((check.settings->task_lease == daemon_settings().task_lease));
 }
 
+// Guards against a list of addresses that is read in only one of its forms.
+BOOST_AUTO_TEST_CASE(seed_peers_are_a_list_or_a_text) {
+  const std::vector<std::string> expected = {"127.0.0.1:1", "[::1]:2"};
+  for (const auto* value : {"[127.0.0.1:1, '[::1]:2']", "127.0.0.1:1 , [::1]:2",
+                            "\n  - 127.0.0.1:1\n  - '[::1]:2'"}) {
+    const auto check =
+        CheckSettings("f", kBase + "seed_peers: " + value + "\n");
+    BOOST_REQUIRE_MESSAGE(bool(check.settings), value);
+    BOOST_TEST(check.settings->seed_peers == expected);
+  }
+  const auto none = CheckSettings("f", kBase + "seed_peers: []\n");
+  BOOST_TEST((none.settings && none.settings->seed_peers.empty()));
+}
+
 // Guards against a settings page that differs from the code.
 BOOST_AUTO_TEST_CASE(operations_page_has_the_settings_table) {
   const auto page = ReadAll(SOURCE_FOLDER "/docs/operations.md");
