--- a/src/peer/handshake.cc
+++ b/src/peer/handshake.cc
@@ -75,10 +75,9 @@
   return proof;
 }
 
-result<void> AuthenticateClient(connection& link, std::string_view key,
-                                std::string_view client_id,
-                                std::string_view server_id,
-                                time_point deadline) {
+result<std::string> AuthenticateClient(connection& link, std::string_view key,
+                                       std::string_view client_id,
+                                       time_point deadline) {
   BOOST_LEAF_AUTO(own, RandomChallenge());
   BOOST_LEAF_CHECK(Send(link, own, deadline));
   BOOST_LEAF_AUTO(other,
@@ -94,13 +93,7 @@
                     HandshakeProof(key, kServerRole, own, other, client_id))) {
     return FailProof("the listening side does not hold the key");
   }
-  if (IdAfterProof(answer) != server_id) {
-    return Fail(error_kind::kUnavailable,
-                "the address belongs to " + IdAfterProof(answer) + ", not to " +
-                    std::string(server_id),
-                "wait until the member list is up to date");
-  }
-  return {};
+  return IdAfterProof(answer);
 }
 
 result<std::string> AuthenticateServer(connection& link, std::string_view key,
--- a/src/peer/handshake.h
+++ b/src/peer/handshake.h
@@ -22,13 +22,12 @@
                            byte_view server_challenge,
                            std::string_view client_id);
 
-// Proves the key to the listening side and checks its proof. The server's last
-// frame also names its member id, which must be `server_id`: an address may
-// meanwhile belong to a daemon that was started later.
-result<void> AuthenticateClient(connection& link, std::string_view key,
-                                std::string_view client_id,
-                                std::string_view server_id,
-                                time_point deadline);
+// Proves the key to the listening side and checks its proof. Returns the
+// server's member id, which its last frame names: an address may meanwhile
+// belong to a daemon that was started later.
+result<std::string> AuthenticateClient(connection& link, std::string_view key,
+                                       std::string_view client_id,
+                                       time_point deadline);
 
 // The listening side. Returns the member id of the client.
 result<std::string> AuthenticateServer(connection& link, std::string_view key,
--- a/src/peer/peer_link.cc
+++ b/src/peer/peer_link.cc
@@ -25,6 +25,26 @@
 
 }  // namespace
 
+result<open_connection> OpenConnection(const node_context& context,
+                                       std::string_view address,
+                                       time_point deadline) {
+  const auto& options = context.options;
+  BOOST_LEAF_AUTO(socket, ConnectSocket(address, *options.clock, deadline));
+  auto link = std::make_shared<connection>(socket, kMaxHandshakeFrameBytes,
+                                           options.clock, context.traffic);
+  auto server_id = Attempt([&] {
+    return AuthenticateClient(*link, options.key, options.member_id, deadline);
+  });
+  if (!server_id) {
+    if (server_id.failure.kind == error_kind::kCorrupt) {
+      ReportRejected(context, server_id.failure);
+    }
+    return Fail(server_id.failure);
+  }
+  link->SetMaxFrameBytes(options.max_frame_bytes);
+  return open_connection{std::move(link), std::move(*server_id)};
+}
+
 struct peer_link::pending_call {
   connection_ptr link;
   std::condition_variable changed;
@@ -166,22 +186,14 @@
 }
 
 result<peer_link::connection_ptr> peer_link::Open(time_point deadline) {
-  const auto& options = context_->options;
-  BOOST_LEAF_AUTO(socket, ConnectSocket(address_, *options.clock, deadline));
-  auto link = std::make_shared<connection>(socket, kMaxHandshakeFrameBytes,
-                                           options.clock, context_->traffic);
-  const auto authenticated = Attempt([&] {
-    return AuthenticateClient(*link, options.key, options.member_id, member_id_,
-                              deadline);
-  });
-  if (!authenticated) {
-    if (authenticated.failure.kind == error_kind::kCorrupt) {
-      ReportRejected(*context_, authenticated.failure);
-    }
-    return Fail(authenticated.failure);
+  BOOST_LEAF_AUTO(opened, OpenConnection(*context_, address_, deadline));
+  if (opened.member_id != member_id_) {
+    return Fail(
+        error_kind::kUnavailable,
+        "the address belongs to " + opened.member_id + ", not to " + member_id_,
+        "wait until the member list is up to date");
   }
-  link->SetMaxFrameBytes(options.max_frame_bytes);
-  return link;
+  return std::move(opened.link);
 }
 
 void peer_link::Read(const connection_ptr& link) {
--- a/src/peer/peer_link.h
+++ b/src/peer/peer_link.h
@@ -6,12 +6,24 @@
 #include <memory>
 #include <mutex>
 #include <string>
+#include <string_view>
 
 #include "kernel/random.h"
 #include "peer/node_context.h"
 
 namespace apricotwheel {
 
+struct open_connection {
+  std::shared_ptr<connection> link;
+  std::string member_id;  // Of the listening side.
+};
+
+// Connects to `ip:port` and authenticates both sides. Counts and logs a peer
+// that does not hold the key.
+result<open_connection> OpenConnection(const node_context& context,
+                                       std::string_view address,
+                                       time_point deadline);
+
 // The outgoing side to one peer: at most one connection, opened on demand,
 // with calls multiplexed by correlation id.
 class peer_link : public std::enable_shared_from_this<peer_link> {
--- a/src/peer/peer_node.cc
+++ b/src/peer/peer_node.cc
@@ -4,6 +4,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <map>
 #include <mutex>
 #include <set>
@@ -158,6 +159,59 @@
   return link->Call(request, timeout);
 }
 
+result<peer_answer> peer_node::CallAddress(std::string_view address,
+                                           const wire_message& request,
+                                           duration timeout) {
+  constexpr std::uint64_t kCorrelationId = 1;  // The only call on its link.
+  const auto& context = *state_->context;
+  const auto& options = context.options;
+  const auto now = options.clock->Now();
+  const auto deadline = now + timeout;
+  if (context.stopping) {
+    return Fail(error_kind::kUnavailable, "this daemon is stopping",
+                "send to another daemon");
+  }
+  auto opened = Attempt([&] {
+    return OpenConnection(context, address,
+                          std::min(deadline, now + options.connect_timeout));
+  });
+  if (!opened) {
+    return Fail(error_kind::kUnavailable,
+                "no request reached " + std::string(address) + ": " +
+                    opened.failure.message,
+                opened.failure.remedy);
+  }
+  auto& link = *opened->link;
+  const auto payload = EncodeMessage(request, kCorrelationId, false);
+  if (link.WriteFrame(payload, deadline) != write_outcome::kSent) {
+    return Fail(error_kind::kUnavailable,
+                "no request reached " + std::string(address) +
+                    ": the frame was not sent completely",
+                "retry, or send to another daemon");
+  }
+  byte_buffer received;
+  auto reply = Attempt([&]() -> result<wire_message> {
+    BOOST_LEAF_AUTO(has_frame, link.ReadFrame(received, deadline));
+    if (has_frame) return DecodeMessage(received);
+    return Fail(error_kind::kTimeout, "the link ended before the reply",
+                "read the state back");
+  });
+  if (!reply && reply.failure.kind == error_kind::kCorrupt) {
+    ReportInvalidFrame(context, reply.failure);
+  }
+  if (!reply || !reply->is_response ||
+      reply->correlation_id != kCorrelationId) {
+    return Fail(
+        error_kind::kTimeout,
+        "no reply from " + std::string(address) + ": " + reply.failure.message,
+        "the request may have taken effect: read the state back");
+  }
+  if (const auto* failure = reply->body.Asfailure()) {
+    return Fail(ToError(*failure));
+  }
+  return peer_answer{std::move(opened->member_id), std::move(*reply)};
+}
+
 void peer_node::Post(std::string_view member_id, const wire_message& message) {
   if (state_->context->stopping) return;
   if (const auto link = state_->FindLink(member_id)) link->Post(message);
--- a/src/peer/peer_node.h
+++ b/src/peer/peer_node.h
@@ -33,6 +33,11 @@
   metrics_ptr metrics;
 };
 
+struct peer_answer {
+  std::string member_id;  // Of the daemon that answered, by the handshake.
+  wire_message message;
+};
+
 // Links to all other daemons: one outgoing connection for each peer that this
 // daemon calls, one reader thread for each connection. Thread-safe.
 class peer_node {
@@ -56,6 +61,12 @@
   result<wire_message> Call(std::string_view member_id,
                             const wire_message& request, duration timeout);
 
+  // Sends one request over a connection of its own to `ip:port`, for a daemon
+  // whose member id is not known, and closes it. Fails like `Call`.
+  result<peer_answer> CallAddress(std::string_view address,
+                                  const wire_message& request,
+                                  duration timeout);
+
   // Sends a one-way message; drops it if the peer cannot be reached.
   void Post(std::string_view member_id, const wire_message& message);
 
--- a/tests/peer/peer_node_test.cc
+++ b/tests/peer/peer_node_test.cc
@@ -52,6 +52,40 @@
   BOOST_TEST(right->BytesSent() > 0U);
 }
 
+// Guards against a call by address that does not learn who answered, and
+// against one that fails with the wrong kind.
+BOOST_FIXTURE_TEST_CASE(an_address_is_called_without_an_id, pair_fixture) {
+  const auto ask = [](peer_node& node, const std::string& address,
+                      duration timeout) {
+    return Attempt(
+        [&] { return node.CallAddress(address, JobRequest("x"), timeout); });
+  };
+  const auto address = right->ListenAddress();
+  const auto answer = ask(*left, address, milliseconds(5000));
+  BOOST_REQUIRE(bool(answer));
+  BOOST_TEST(answer->member_id == "right.1");
+  BOOST_TEST(answer->message.body.Asjob_response()->body == "left.1:x");
+
+  const auto stranger = StartNode(
+      "stranger.1", [](auto& options) { options.key = std::string(32, 'w'); });
+  BOOST_TEST((ask(*stranger, address, milliseconds(1000)).failure.kind ==
+              error_kind::kUnavailable));
+  right->Handle(wire::body::job_request, [](const auto&, const auto&) {
+    std::this_thread::sleep_for(milliseconds(300));
+    return MakeMessage(wire::job_responseT{});
+  });
+  BOOST_TEST((ask(*left, address, milliseconds(100)).failure.kind ==
+              error_kind::kTimeout));
+  right->Handle(wire::body::job_request, [](const auto&, const auto&) {
+    return MakeFailure({error_kind::kStaleEpoch, "old", "claim again"});
+  });
+  BOOST_TEST((ask(*left, address, milliseconds(5000)).failure.kind ==
+              error_kind::kStaleEpoch));
+  right->Stop();
+  BOOST_TEST((ask(*left, address, milliseconds(1000)).failure.kind ==
+              error_kind::kUnavailable));
+}
+
 // Guards against errors that lose their kind on the way, and against calls to
 // unknown peers or unhandled types that hang.
 BOOST_FIXTURE_TEST_CASE(failures_keep_their_kind, pair_fixture) {
--- a/tests/peer/raw_peer.h
+++ b/tests/peer/raw_peer.h
@@ -74,10 +74,10 @@
 
 // Proves the key to a node as `client.1`.
 inline bool Authenticate(connection& link, const std::string& server_id) {
-  return static_cast<bool>(Attempt([&] {
-    return AuthenticateClient(link, kTestKey, "client.1", server_id,
-                              SoonEnough());
-  }));
+  const auto proven = Attempt([&] {
+    return AuthenticateClient(link, kTestKey, "client.1", SoonEnough());
+  });
+  return proven && *proven == server_id;
 }
 
 inline std::unique_ptr<connection> RawClient(const std::string& address,
