Ask the seed peers for the document while the key-value service is down

A daemon that started in an outage knew no peer and stayed without a document. All seeds are asked before one document is used, so that a lagging seed does not win over a newer one. Readiness tells why no document is known.

--- a/src/cluster/cluster_core.cc
+++ b/src/cluster/cluster_core.cc
@@ -51,7 +51,8 @@
       watch_signal_(clock_),
       vm_signal_(clock_),
       planner_signal_(clock_),
-      gossip_signal_(clock_) {}
+      gossip_signal_(clock_),
+      seed_signal_(clock_) {}
 
 result<void> cluster_core::Start() {
   documents_.OnDocument([this](const active_document_ptr& next) {
@@ -64,12 +65,15 @@
   BOOST_LEAF_CHECK(threads_.Spawn("cluster-vms", [this] { RunVmList(); }));
   BOOST_LEAF_CHECK(threads_.Spawn("cluster-plan", [this] { RunPlanner(); }));
   BOOST_LEAF_CHECK(threads_.Spawn("cluster-gossip", [this] { RunGossip(); }));
+  if (!options_.settings.seed_peers.empty()) {
+    BOOST_LEAF_CHECK(threads_.Spawn("cluster-seeds", [this] { RunSeeds(); }));
+  }
   return {};
 }
 
 void cluster_core::Stop() {
   for (auto* signal : {&lease_signal_, &watch_signal_, &vm_signal_,
-                       &planner_signal_, &gossip_signal_}) {
+                       &planner_signal_, &gossip_signal_, &seed_signal_}) {
     signal->RequestStop();
   }
   threads_.JoinAll();
@@ -132,6 +136,7 @@
   status.holds_lease = lease_.IsHeld();
   status.document_revision = documents_.Revision();
   status.document_fault = documents_.Fault();
+  status.document_wait = DocumentWait();
   status.vm_list_version = vms_.Version();
   status.vm_list_age_ms = vms_.AgeMs();
   std::lock_guard guard(mutex_);
--- a/src/cluster/cluster_core.h
+++ b/src/cluster/cluster_core.h
@@ -55,6 +55,7 @@
   void RunVmList();
   void RunPlanner();
   void RunGossip();
+  void RunSeeds();
 
   // cluster_watch.cc
   bool ListAll(std::uint64_t& revision);
@@ -80,6 +81,10 @@
   void FetchDocument(const std::string& sender);
   void ForgetSilentPeers();
 
+  // cluster_seeds.cc
+  void AskSeeds();
+  std::string DocumentWait() const;
+
   cluster_manager_options options_;
   const clock_ptr clock_;
   document_follower documents_;
@@ -100,6 +105,7 @@
   time_point settled_at_{};
   bool is_listed_ = false;
   bool kv_reachable_ = true;
+  std::string seed_report_;  // Why the last round brought no document.
 
   std::mutex publish_mutex_;         // Orders views and the listener's calls.
   std::shared_mutex handler_mutex_;  // Shared by running peer handlers.
@@ -113,6 +119,7 @@
   stop_signal vm_signal_;
   stop_signal planner_signal_;
   stop_signal gossip_signal_;
+  stop_signal seed_signal_;
   thread_group threads_;
 };
 
--- a/src/cluster/cluster_events.h
+++ b/src/cluster/cluster_events.h
@@ -23,4 +23,7 @@
 inline constexpr log_event_kind kVmListFailed{1408, "cluster_vm_list_failed",
                                               severity::kWarning};
 
+inline constexpr log_event_kind kSeedsUnanswered{
+    1409, "cluster_seeds_without_document", severity::kWarning};
+
 }  // namespace apricotwheel::cluster_events
--- a/src/cluster/cluster_gossip.cc
+++ b/src/cluster/cluster_gossip.cc
@@ -28,20 +28,24 @@
         self->ReceiveGossip(sender, *request.body.Asgossip());
         return MakeMessage(wire::acknowledgementT{});
       });
-  options_.peers->Handle(wire::body::document_request,
-                         [weak](const std::string&, const wire_message&) {
-                           const auto self = weak.lock();
-                           if (!self) return FailStopped();
-                           const auto current = self->documents_.Current();
-                           if (!current) {
-                             return MakeFailure({error_kind::kNotFound,
-                                                 "this daemon has no document",
-                                                 "ask another daemon"});
-                           }
-                           wire::document_responseT reply;
-                           reply.envelope = EncodeEnvelope(current->envelope);
-                           return MakeMessage(std::move(reply));
-                         });
+  options_.peers->Handle(
+      wire::body::document_request,
+      [weak](const std::string&, const wire_message& request) {
+        const auto self = weak.lock();
+        if (!self) return FailStopped();
+        const auto current = self->documents_.Current();
+        if (!current) {
+          return MakeFailure({error_kind::kNotFound,
+                              "this daemon has no document",
+                              "ask another daemon"});
+        }
+        wire::document_responseT reply;
+        const auto known = request.body.Asdocument_request()->known_revision;
+        if (current->envelope.revision > known) {
+          reply.envelope = EncodeEnvelope(current->envelope);
+        }
+        return MakeMessage(std::move(reply));
+      });
 }
 
 void cluster_core::RunGossip() {
@@ -81,11 +85,14 @@
 
 void cluster_core::FetchDocument(const std::string& sender) {
   if (is_fetching_.exchange(true)) return;
+  wire::document_requestT request;
+  request.known_revision = documents_.Revision();
   const auto reply = Attempt([&] {
-    return options_.peers->Call(sender, MakeMessage(wire::document_requestT{}),
+    return options_.peers->Call(sender, MakeMessage(std::move(request)),
                                 kFetchTimeout);
   });
-  if (reply && reply->body.Asdocument_response() != nullptr) {
+  if (reply && reply->body.Asdocument_response() != nullptr &&
+      !reply->body.Asdocument_response()->envelope.empty()) {
     documents_.Offer(reply->body.Asdocument_response()->envelope);
   }
   is_fetching_ = false;
--- a/src/cluster/cluster_manager.h
+++ b/src/cluster/cluster_manager.h
@@ -41,6 +41,7 @@
   bool kv_reachable = false;
   std::uint64_t document_revision = 0;
   std::string document_fault;  // Why a newer stored document is not in force.
+  std::string document_wait;   // Why no document is in force; else empty.
   std::uint64_t vm_list_version = 0;
   std::int64_t vm_list_age_ms = 0;
 };
@@ -76,7 +77,7 @@
   void OnDocument(document_listener listener);
   void SetGossipSource(gossip_source source);
 
-  // Starts the threads: lease, watch, VM list, gossip.
+  // Starts the threads: lease, watch, VM list, planner, gossip, seeds.
   result<void> Start();
 
   cluster_view_ptr View() const;
--- /dev/null
+++ b/src/cluster/cluster_seeds.cc
@@ -0,0 +1,107 @@
+#include <algorithm>
+#include <utility>
+
+#include "cluster/cluster_core.h"
+#include "cluster/cluster_events.h"
+
+namespace apricotwheel {
+
+namespace {
+
+// Bounds how long a stop waits for a round.
+constexpr auto kSeedTimeout = milliseconds(800);
+constexpr auto kSeedInterval = milliseconds(1000);
+// With a document in force a round only finds a newer one, which gossip finds
+// as well if the seed is a known member.
+constexpr auto kSeedRefreshInterval = milliseconds(3000);
+
+}  // namespace
+
+void cluster_core::RunSeeds() {
+  while (!seed_signal_.StopRequested()) {
+    bool is_cut_off = false;
+    {
+      std::lock_guard guard(mutex_);
+      is_cut_off = !is_listed_ || !kv_reachable_;
+    }
+    if (is_cut_off) AskSeeds();
+    const bool has_document = documents_.Current() != nullptr;
+    if (seed_signal_.WaitFor(has_document ? kSeedRefreshInterval
+                                          : kSeedInterval)) {
+      return;
+    }
+  }
+}
+
+// Puts the newest of the seeds' documents into force. All seeds are asked
+// before the first document is used, so that a lagging one does not make the
+// daemon ready with an older document than another reachable seed has.
+void cluster_core::AskSeeds() {
+  wire::document_requestT request;
+  request.known_revision = documents_.Revision();
+  const auto message = MakeMessage(std::move(request));
+  std::mutex round_mutex;
+  std::vector<document_envelope> found;
+  std::string failures;
+  thread_group round;
+  for (const auto& address : options_.settings.seed_peers) {
+    if (address == options_.settings.peer_address) continue;
+    const auto ask = [&, address] {
+      auto envelope = Attempt([&]() -> result<document_envelope> {
+        BOOST_LEAF_AUTO(answer, options_.peers->CallAddress(address, message,
+                                                            kSeedTimeout));
+        if (answer.member_id == options_.member_id) return document_envelope{};
+        const auto* reply = answer.message.body.Asdocument_response();
+        if (reply == nullptr) {
+          return Fail(error_kind::kCorrupt, "the reply has a wrong type",
+                      "run the same release on all daemons");
+        }
+        if (reply->envelope.empty()) return document_envelope{};
+        return DecodeEnvelope(reply->envelope);
+      });
+      std::lock_guard guard(round_mutex);
+      if (envelope) {
+        if (envelope->revision > 0) found.push_back(std::move(*envelope));
+      } else {
+        failures += (failures.empty() ? "" : "; ") + address + ": " +
+                    envelope.failure.message;
+      }
+    };
+    if (!Attempt([&] { return round.Spawn("cluster-seed", ask); })) ask();
+  }
+  round.JoinAll();
+  // An invalid newest document leaves the next one to be used.
+  std::sort(found.begin(), found.end(),
+            [](const auto& left, const auto& right) {
+              return left.revision > right.revision;
+            });
+  for (const auto& envelope : found) documents_.Offer(EncodeEnvelope(envelope));
+  if (documents_.Current()) return;
+  bool is_first = false;
+  {
+    std::lock_guard guard(mutex_);
+    is_first = seed_report_.empty();
+    seed_report_ = failures.empty() ? "no other seed peer is named" : failures;
+  }
+  if (is_first) {
+    Emit(options_.log, cluster_events::kSeedsUnanswered,
+         {Field("reason", failures)});
+  }
+}
+
+std::string cluster_core::DocumentWait() const {
+  if (documents_.Current()) return "";
+  std::lock_guard guard(mutex_);
+  if (is_listed_ && kv_reachable_) {
+    return "the key-value service holds no valid document";
+  }
+  if (options_.settings.seed_peers.empty()) {
+    return "the key-value service cannot be reached and the setting seed_peers "
+           "names no other daemon";
+  }
+  return "the key-value service cannot be reached and no seed peer gave a "
+         "document: " +
+         (seed_report_.empty() ? "not asked yet" : seed_report_);
+}
+
+}  // namespace apricotwheel
--- a/src/cluster/cluster_watch.cc
+++ b/src/cluster/cluster_watch.cc
@@ -181,6 +181,7 @@
       settled_at_ = clock_->Now() + options_.settings.lease_ttl;
     }
   }
+  if (!reachable) seed_signal_.Wake();
   Emit(options_.log,
        reachable ? cluster_events::kServiceBack : cluster_events::kServiceLost);
 }
--- a/src/cluster/gossip_board.h
+++ b/src/cluster/gossip_board.h
@@ -33,9 +33,10 @@
 };
 
 // Turns a stream of own summaries into messages: complete if the content has
-// changed and in every eighth round, else only revisions. A peer that missed a
-// complete message thus has it 2 s later with the default interval, within the
-// 5 s in which leaving VMs must be known everywhere.
+// changed and in every ninth round, else only revisions. A peer that missed a
+// complete message has the next one at most 9 intervals later (2.25 s with the
+// default interval), within the 5 s in which leaving VMs must be known
+// everywhere.
 class gossip_composer {
  public:
   // `content` has every field but `sequence`.
--- a/src/daemon/status_api.cc
+++ b/src/daemon/status_api.cc
@@ -147,7 +147,9 @@
              [shared](const httplib::Request&, httplib::Response& reply) {
                const std::string reason = NotReadyReason(*shared);
                ReplyJson(reply, reason.empty() ? 200 : 503,
-                         {{"ready", reason.empty()}, {"reason", reason}});
+                         {{"ready", reason.empty()},
+                          {"reason", reason},
+                          {"detail", shared->cluster->Status().document_wait}});
              });
   server.Get("/metrics", [shared, process](const httplib::Request&,
                                            httplib::Response& reply) {
