Bound a stop that meets open watches and half-sent requests

A watch call or a half-sent request delayed a stop by up to 3.5 s and 30 s. A settled write now also keeps its deadline: its single calls each had the whole call time-out.

--- a/src/platform/http_connection.cc
+++ b/src/platform/http_connection.cc
@@ -87,11 +87,18 @@
 }
 
 void http_connection::Close() {
+  const std::lock_guard lock(socket_mutex_);
   if (socket_ >= 0) close(socket_);
   socket_ = -1;
   buffer_.clear();
 }
 
+void http_connection::Interrupt() {
+  const std::lock_guard lock(socket_mutex_);
+  is_interrupted_ = true;
+  if (socket_ >= 0) shutdown(socket_, SHUT_RDWR);
+}
+
 result<void> http_connection::Connect(time_point deadline) {
   sockaddr_in address{};
   address.sin_family = AF_INET;
@@ -101,7 +108,11 @@
                 "give an address as ip:port");
   }
   const std::string peer = peer_.ip + ":" + std::to_string(peer_.port);
-  socket_ = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+  {
+    const std::lock_guard lock(socket_mutex_);
+    if (is_interrupted_) return Unavailable("the call was interrupted");
+    socket_ = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+  }
   if (socket_ < 0) return Unavailable("no socket for " + peer);
   const int on = 1;
   setsockopt(socket_, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
@@ -286,21 +297,31 @@
   std::unique_ptr<http_connection> connection;
   {
     const std::lock_guard lock(mutex_);
+    if (is_interrupted_) return Unavailable("calls were interrupted for good");
     if (!idle_.empty()) {
       connection = std::move(idle_.back());
       idle_.pop_back();
+    } else {
+      connection = std::make_unique<http_connection>(peer_);
     }
+    active_.insert(connection.get());
   }
-  if (!connection) connection = std::make_unique<http_connection>(peer_);
+  // Errors pass through unchanged, so the result is only inspected here.
+  auto reply = connection->Exchange(call, connect_timeout, timeout);
+  const std::lock_guard lock(mutex_);
+  active_.erase(connection.get());
   // After a failure the connection is closed and not kept.
-  BOOST_LEAF_AUTO(reply, connection->Exchange(call, connect_timeout, timeout));
-  if (connection->IsOpen()) {
-    const std::lock_guard lock(mutex_);
-    if (idle_.size() < kMaxIdleConnections) {
-      idle_.push_back(std::move(connection));
-    }
+  if (reply && connection->IsOpen() && !is_interrupted_ &&
+      idle_.size() < kMaxIdleConnections) {
+    idle_.push_back(std::move(connection));
   }
   return reply;
 }
 
+void http_pool::Interrupt() {
+  const std::lock_guard lock(mutex_);
+  is_interrupted_ = true;
+  for (auto* connection : active_) connection->Interrupt();
+}
+
 }  // namespace apricotwheel
--- a/src/platform/http_connection.h
+++ b/src/platform/http_connection.h
@@ -3,6 +3,7 @@
 #include <cstddef>
 #include <memory>
 #include <mutex>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -51,6 +52,10 @@
   bool IsOpen() const { return socket_ >= 0; }
   void Close();
 
+  // Ends the exchange that runs in another thread, as if the peer had closed
+  // the connection. The connection cannot be used again.
+  void Interrupt();
+
  private:
   result<void> Connect(time_point deadline);
   result<void> SendAll(std::string_view data, time_point deadline);
@@ -61,7 +66,9 @@
   result<http_reply> ReadReply(const http_call& call, time_point deadline);
 
   ip_endpoint peer_;
+  std::mutex socket_mutex_;  // Held to change `socket_` or to interrupt it.
   int socket_ = -1;
+  bool is_interrupted_ = false;  // Guarded by socket_mutex_.
   std::string buffer_;
   bool reply_began_ = false;
 };
@@ -73,9 +80,14 @@
   result<http_reply> Call(const http_call& call, duration connect_timeout,
                           duration timeout);
 
+  // Ends the running calls and refuses later ones as `unavailable`.
+  void Interrupt();
+
  private:
   ip_endpoint peer_;
   std::mutex mutex_;
+  std::set<http_connection*> active_;
+  bool is_interrupted_ = false;
   std::vector<std::unique_ptr<http_connection>> idle_;
 };
 
--- a/src/platform/http_listener.cc
+++ b/src/platform/http_listener.cc
@@ -8,6 +8,7 @@
 #include <algorithm>
 #include <cerrno>
 #include <charconv>
+#include <condition_variable>
 #include <limits>
 #include <map>
 #include <mutex>
@@ -25,6 +26,8 @@
 constexpr std::size_t kMaxRefusals = 32;
 constexpr auto kRefusalReadTimeout = milliseconds(500);
 constexpr auto kIoTimeout = std::chrono::seconds(30);
+// Time that a stop gives to callers that have sent a part of a request.
+constexpr auto kStopReadTime = milliseconds(1000);
 
 thread_local int current_socket = -1;
 
@@ -100,6 +103,7 @@
   http_listener_options options;
   std::mutex mutex;
   std::map<int, bool> idle_by_socket;
+  std::condition_variable connection_closed;
   bool stopping = false;
 
   // Wakes the threads that wait for a next request.
@@ -111,6 +115,17 @@
     }
   }
 
+  // Ends the requests that are still not complete `kStopReadTime` after the
+  // stop began. A request that is being handled keeps its way back.
+  void EndHalfSent() {
+    std::unique_lock lock(mutex);
+    runtime_clock::Running()->WaitFor(lock, connection_closed, kStopReadTime,
+                                      [&] { return idle_by_socket.empty(); });
+    for (const auto& [socket, idle] : idle_by_socket) {
+      shutdown(socket, SHUT_RD);
+    }
+  }
+
  private:
   bool process_and_close_socket(socket_t socket) override {
     bool admitted = false;
@@ -126,6 +141,7 @@
     Serve(socket);
     const std::lock_guard lock(mutex);
     idle_by_socket.erase(socket);
+    connection_closed.notify_all();
     shutdown(socket, SHUT_RDWR);
     close(socket);
     return true;
@@ -306,6 +322,7 @@
     state_->started = false;
     state_->server.stop();
     state_->server.CloseIdle();
+    state_->server.EndHalfSent();
     state_->threads.JoinAll();
     state_->socket = -1;
   }
--- a/src/platform/http_listener.h
+++ b/src/platform/http_listener.h
@@ -37,7 +37,9 @@
 
   // Serves in the background until `Stop`.
   result<void> Start();
-  // Stops listening and waits for the open connections to end.
+  // Stops listening and waits for the open connections to end. Requests that
+  // are handled are answered; a request whose last byte has not come a second
+  // after the call is dropped.
   void Stop();
 
   std::size_t OpenConnections() const;
--- a/src/platform/kv_client.cc
+++ b/src/platform/kv_client.cc
@@ -53,13 +53,18 @@
 }  // namespace
 
 struct kv_client::state {
-  explicit state(ip_endpoint peer) : pool(std::move(peer)) {}
+  explicit state(const ip_endpoint& peer) : pool(peer), watch_pool(peer) {}
   kv_client_options options;
   http_pool pool;
+  http_pool watch_pool;
   std::atomic<std::uint64_t> calls = 0;
 
-  result<http_reply> Call(const char* target, const json& body,
-                          duration timeout) {
+  result<http_reply> Call(http_pool& connections, const char* target,
+                          const json& body, duration timeout) {
+    if (timeout <= duration::zero()) {
+      return Fail(error_kind::kUnavailable, "no time is left for the call",
+                  "allow more time");
+    }
     http_call call;
     call.target = target;
     try {
@@ -69,12 +74,16 @@
                   "encode binary values as text");
     }
     ++calls;
-    BOOST_LEAF_AUTO(reply, pool.Call(call, options.connect_timeout, timeout));
+    BOOST_LEAF_AUTO(reply,
+                    connections.Call(call, options.connect_timeout, timeout));
     BOOST_LEAF_CHECK(CheckStatus(reply));
     return reply;
   }
-  result<http_reply> Call(const char* target, const json& body) {
-    return Call(target, body, options.call_timeout);
+  result<http_reply> Call(const char* target, const json& body,
+                          std::optional<duration> timeout = {}) {
+    return Call(
+        pool, target, body,
+        std::min(timeout.value_or(options.call_timeout), options.call_timeout));
   }
 };
 
@@ -90,8 +99,9 @@
   return std::unique_ptr<kv_client>(new kv_client(std::move(initial)));
 }
 
-result<std::optional<kv_entry>> kv_client::Get(std::string_view key) {
-  BOOST_LEAF_AUTO(reply, state_->Call("/v1/get", {{"key", key}}));
+result<std::optional<kv_entry>> kv_client::Get(
+    std::string_view key, std::optional<duration> timeout) {
+  BOOST_LEAF_AUTO(reply, state_->Call("/v1/get", {{"key", key}}, timeout));
   return ParseReply(reply.body, [](const json& answer) {
     std::optional<kv_entry> entry;
     if (!answer.at("entry").is_null())
@@ -123,7 +133,7 @@
     body["expected_revision"] = *options.expected_revision;
   }
   if (!options.lease_id.empty()) body["lease_id"] = options.lease_id;
-  BOOST_LEAF_AUTO(reply, state_->Call("/v1/put", body));
+  BOOST_LEAF_AUTO(reply, state_->Call("/v1/put", body, options.timeout));
   return ParseReply(reply.body, [](const json& answer) {
     return answer.at("revision").get<std::uint64_t>();
   });
@@ -134,8 +144,10 @@
                                             std::uint64_t expected_revision,
                                             runtime_clock& clock,
                                             time_point deadline) {
-  const kv_put_options options{expected_revision, {}};
-  const auto written = Attempt([&] { return Put(key, value, options); });
+  const auto put = [&] {
+    return Put(key, value, {expected_revision, {}, deadline - clock.Now()});
+  };
+  const auto written = Attempt(put);
   if (written) return *written.value;
   // A cut-short or malformed reply leaves the effect as unknown as none does.
   if (written.failure.kind != error_kind::kTimeout &&
@@ -143,7 +155,7 @@
     return Fail(written.failure);
   }
   while (clock.Now() < deadline) {
-    const auto read = Attempt([&] { return Get(key); });
+    const auto read = Attempt([&] { return Get(key, deadline - clock.Now()); });
     if (read) {
       const auto& entry = *read.value;
       const std::uint64_t current = entry ? entry->revision : 0;
@@ -156,7 +168,7 @@
       }
       // Not applied yet, but the service may still hold the write. Any second
       // write with the same expected revision settles it: at most one wins.
-      const auto again = Attempt([&] { return Put(key, value, options); });
+      const auto again = Attempt(put);
       if (again) return *again.value;
     }
     clock.SleepUntil(std::min(deadline, clock.Now() + kSettlePause));
@@ -166,10 +178,11 @@
 }
 
 result<void> kv_client::Remove(std::string_view key,
-                               std::optional<std::uint64_t> expected_revision) {
+                               std::optional<std::uint64_t> expected_revision,
+                               std::optional<duration> timeout) {
   json body = {{"key", key}};
   if (expected_revision) body["expected_revision"] = *expected_revision;
-  BOOST_LEAF_CHECK(state_->Call("/v1/remove", body));
+  BOOST_LEAF_CHECK(state_->Call("/v1/remove", body, timeout));
   return {};
 }
 
@@ -180,7 +193,8 @@
       {"prefix", prefix},
       {"revision", revision},
       {"wait_ms", std::chrono::duration_cast<milliseconds>(wait).count()}};
-  BOOST_LEAF_AUTO(reply, state_->Call("/v1/watch", body, wait + kWatchGrace));
+  BOOST_LEAF_AUTO(reply, state_->Call(state_->watch_pool, "/v1/watch", body,
+                                      wait + kWatchGrace));
   return ParseReply(reply.body, [](const json& answer) {
     kv_watch_result seen;
     answer.at("revision").get_to(seen.revision);
@@ -193,6 +207,8 @@
   });
 }
 
+void kv_client::InterruptWatches() { state_->watch_pool.Interrupt(); }
+
 result<std::string> kv_client::GrantLease(duration time_to_live) {
   const auto span = std::chrono::duration_cast<milliseconds>(time_to_live);
   BOOST_LEAF_AUTO(reply,
@@ -207,8 +223,10 @@
   return {};
 }
 
-result<void> kv_client::RevokeLease(std::string_view lease_id) {
-  BOOST_LEAF_CHECK(state_->Call("/v1/lease/revoke", {{"lease_id", lease_id}}));
+result<void> kv_client::RevokeLease(std::string_view lease_id,
+                                    std::optional<duration> timeout) {
+  BOOST_LEAF_CHECK(
+      state_->Call("/v1/lease/revoke", {{"lease_id", lease_id}}, timeout));
   return {};
 }
 
--- a/src/platform/kv_client.h
+++ b/src/platform/kv_client.h
@@ -43,6 +43,8 @@
   // absent writes without a check.
   std::optional<std::uint64_t> expected_revision;
   std::string lease_id;  // The entry is deleted when this lease ends.
+  // Used instead of `call_timeout` if it is shorter.
+  std::optional<duration> timeout = {};
 };
 
 // HTTP client of the platform's key-value service, safe for many threads.
@@ -52,7 +54,9 @@
   static result<std::unique_ptr<kv_client>> Create(kv_client_options options);
   ~kv_client();
 
-  result<std::optional<kv_entry>> Get(std::string_view key);
+  // A `timeout` is used instead of `call_timeout` if it is shorter.
+  result<std::optional<kv_entry>> Get(std::string_view key,
+                                      std::optional<duration> timeout = {});
   result<std::vector<kv_entry>> List(std::string_view prefix);
 
   // Returns the new revision. Fails with `conflict` if the expected revision
@@ -62,22 +66,28 @@
 
   // Like `put` with an expected revision, but settles a lost reply by reading
   // the entry back: success if it holds `value`, `conflict` if it holds other
-  // data. Values must differ between writers. Fails with `timeout` only if the
-  // entry cannot be read before `deadline`.
+  // data. Values must differ between writers. Ends by `deadline`, and fails
+  // with `timeout` only if the entry cannot be read before it.
   result<std::uint64_t> PutSettled(std::string_view key, std::string_view value,
                                    std::uint64_t expected_revision,
                                    runtime_clock& clock, time_point deadline);
 
   result<void> Remove(std::string_view key,
-                      std::optional<std::uint64_t> expected_revision = {});
+                      std::optional<std::uint64_t> expected_revision = {},
+                      std::optional<duration> timeout = {});
 
   // Waits up to `wait` for events on keys with `prefix` after `revision`.
   result<kv_watch_result> Watch(std::string_view prefix, std::uint64_t revision,
                                 duration wait);
 
+  // Ends the running watch calls and refuses later ones, so that a stop does
+  // not wait for them.
+  void InterruptWatches();
+
   result<std::string> GrantLease(duration time_to_live);
   result<void> RenewLease(std::string_view lease_id);
-  result<void> RevokeLease(std::string_view lease_id);
+  result<void> RevokeLease(std::string_view lease_id,
+                           std::optional<duration> timeout = {});
 
   // Calls made so far, by this client.
   std::uint64_t Calls() const;
