--- a/src/cluster/cluster_core.cc
+++ b/src/cluster/cluster_core.cc
@@ -76,6 +76,7 @@
                        &planner_signal_, &gossip_signal_, &seed_signal_}) {
     signal->RequestStop();
   }
+  options_.kv->InterruptWatches();
   threads_.JoinAll();
   // Running handlers may call the listeners, whose targets end after this.
   std::unique_lock guard(handler_mutex_);
--- a/src/cluster/cluster_core.h
+++ b/src/cluster/cluster_core.h
@@ -71,7 +71,7 @@
                                            bool without_self);
   result<void> WriteAssignment(const assignment& next, std::uint64_t expected,
                                time_point deadline);
-  result<void> RefreshAssignment();
+  result<void> RefreshAssignment(std::optional<duration> timeout = {});
   bool IsSettling() const;
   bool HasOlderVmList() const;
 
--- a/src/cluster/cluster_manager.h
+++ b/src/cluster/cluster_manager.h
@@ -104,6 +104,8 @@
   result<void> HandOver(time_point deadline,
                         const handover_step& before_commit);
 
+  // Ends within the longest single call to the services. The watches of the
+  // key-value client that the manager was given remain interrupted.
   void Stop();
 
  private:
--- a/src/cluster/cluster_planner.cc
+++ b/src/cluster/cluster_planner.cc
@@ -124,8 +124,8 @@
   return {};
 }
 
-result<void> cluster_core::RefreshAssignment() {
-  BOOST_LEAF_AUTO(entry, options_.kv->Get(kAssignmentKey));
+result<void> cluster_core::RefreshAssignment(std::optional<duration> timeout) {
+  BOOST_LEAF_AUTO(entry, options_.kv->Get(kAssignmentKey, timeout));
   if (entry) {
     ApplyAssignment(*entry);
     Publish();
@@ -155,14 +155,15 @@
       });
       if (written) continue;
       if (written.failure.kind == error_kind::kConflict) {
-        const auto read = Attempt([&] { return RefreshAssignment(); });
+        const auto read = Attempt(
+            [&] { return RefreshAssignment(deadline - clock_->Now()); });
         if (read) continue;
       }
     }
     clock_->SleepUntil(
         std::min<time_point>(deadline, clock_->Now() + kRetryWait));
   }
-  lease_.Resign();
+  lease_.Resign(deadline);
   if (!handed_over) return Fail(handed_over.failure);
   return {};
 }
--- a/src/cluster/cluster_watch.cc
+++ b/src/cluster/cluster_watch.cc
@@ -10,8 +10,8 @@
 
 namespace {
 
-// Bounds how long a stop waits for the thread; a watch that ends without an
-// event costs one call.
+// A watch that ends without an event costs one call. A dead connection is
+// noticed when this and the client's grace have passed.
 constexpr auto kWatchWait = milliseconds(2000);
 constexpr auto kRetryBase = milliseconds(100);
 constexpr auto kRetryLimit = milliseconds(1000);
--- a/src/cluster/member_lease.cc
+++ b/src/cluster/member_lease.cc
@@ -29,6 +29,7 @@
   const bool is_due =
       lease_id_.empty() || now - last_renewal_ >= renew_interval_;
   if (is_due && !Renew()) return renew_interval_ / kRetriesPerInterval;
+  if (resigned_) return renew_interval_;
   if (record_due_.exchange(false) && !WriteRecord()) {
     record_due_ = true;
     return renew_interval_ / kRetriesPerInterval;
@@ -42,6 +43,7 @@
   const auto sent_at = clock_->Now();
   const auto extend = [&] {
     last_renewal_ = sent_at;
+    if (resigned_) return;
     valid_until_ =
         (sent_at + time_to_live_ - margin_).time_since_epoch().count();
   };
@@ -86,7 +88,7 @@
 }
 
 bool member_lease::IsHeld() const {
-  return record_written_ &&
+  return record_written_ && !resigned_ &&
          clock_->Now().time_since_epoch().count() < valid_until_;
 }
 
@@ -101,14 +103,16 @@
   record_due_ = true;
 }
 
-void member_lease::Resign() {
-  std::lock_guard guard(call_mutex_);
-  if (resigned_) return;
-  resigned_ = true;
+void member_lease::Resign(time_point deadline) {
+  if (resigned_.exchange(true)) return;
+  // A tick may be waiting for a service that hangs.
+  std::unique_lock guard(call_mutex_, deadline - clock_->Now());
   valid_until_ = 0;
-  // If a call fails, the record disappears when the lease expires.
-  Attempt([&] { return kv_->Remove(Key()); });
-  if (!lease_id_.empty()) Attempt([&] { return kv_->RevokeLease(lease_id_); });
+  if (!guard) return;
+  Attempt([&] { return kv_->Remove(Key(), {}, deadline - clock_->Now()); });
+  if (lease_id_.empty()) return;
+  Attempt(
+      [&] { return kv_->RevokeLease(lease_id_, deadline - clock_->Now()); });
 }
 
 }  // namespace apricotwheel
--- a/src/cluster/member_lease.h
+++ b/src/cluster/member_lease.h
@@ -35,8 +35,9 @@
   bool IsLeaving() const { return leaving_; }
   // The record was deleted by the write `revision`.
   void RecordDeleted(std::uint64_t revision);
-  // Ends the lease and removes the record; later ticks do nothing.
-  void Resign();
+  // Ends the lease and removes the record; later ticks do nothing. Returns by
+  // `deadline`; what is then left disappears when the lease expires.
+  void Resign(time_point deadline);
 
  private:
   bool Renew();
@@ -49,10 +50,11 @@
   const duration margin_;
   const log_sink log_;
   member record_;
-  std::mutex call_mutex_;  // Held over a tick; keeps it apart from `Resign`.
-  std::string lease_id_;   // Guarded by call_mutex_.
+  std::timed_mutex
+      call_mutex_;        // Held over a tick; keeps it apart from `Resign`.
+  std::string lease_id_;  // Guarded by call_mutex_.
   time_point last_renewal_{};
-  bool resigned_ = false;
+  std::atomic<bool> resigned_ = false;
   std::atomic<bool> leaving_ = false;
   std::atomic<bool> record_due_ = true;  // To be written at the next tick.
   std::atomic<bool> record_written_ = false;
--- /dev/null
+++ b/tests/cluster/vm_tracker_test.cc
@@ -0,0 +1,98 @@
+#include "cluster/vm_tracker.h"
+
+#include <httplib.h>
+
+#include <boost/test/unit_test.hpp>
+
+#include "tests/cluster/test_cell.h"
+
+namespace apricotwheel {
+namespace {
+
+vm_list ListOf(std::uint64_t version, const std::vector<std::string>& racks) {
+  vm_list list;
+  list.version = version;
+  for (const auto& rack : racks) {
+    list.vms.push_back(
+        {"vm-" + rack, "127.0.0.1:1", "fd", rack, vm_state::kLive, {}});
+  }
+  return list;
+}
+
+bool IsLeaving(const vm_tracker& tracker, const std::string& id) {
+  const auto merged = tracker.Merged();
+  for (const auto& vm : merged->vms) {
+    if (vm.id == id) return vm.state == vm_state::kLeaving;
+  }
+  return false;
+}
+
+// Guards against a partition that is dropped because one list omits its rack,
+// is kept for ever, or is dropped without a list that confirms its absence.
+BOOST_AUTO_TEST_CASE(a_partition_is_dropped_after_ten_seconds_of_absence) {
+  const auto clock = runtime_clock::Paused();
+  vm_tracker tracker(clock);
+  assignment owners;
+  owners.partitions["fd/a"] = {"d0.1", 3};
+  owners.partitions["fd/b"] = {"d0.1", 3};
+  const std::vector<std::string> both = {"fd/a", "fd/b"};
+  const std::vector<std::string> only_a = {"fd/a"};
+  const auto names = [&] { return tracker.Partitions(owners).value(); };
+  BOOST_TEST(!tracker.Partitions(owners));
+  tracker.Update(ListOf(1, {"a", "b"}));
+  BOOST_TEST(names() == both);
+  tracker.Update(ListOf(2, {"a"}));
+  BOOST_TEST(names() == both);
+  clock->Advance(milliseconds(9900));
+  tracker.Update(ListOf(2, {"a"}));
+  BOOST_TEST(names() == both);
+  tracker.Update(ListOf(3, {"a", "b"}));  // Starts the wait again.
+  BOOST_TEST(names() == both);
+  tracker.Update(ListOf(4, {"a"}));
+  BOOST_TEST(names() == both);
+  clock->Advance(milliseconds(30'000));
+  BOOST_TEST(names() == both);  // The list has not been read since.
+  tracker.Update(ListOf(4, {"a"}));
+  BOOST_TEST(names() == only_a);
+  tracker.Update(ListOf(5, {"a", "b"}));
+  BOOST_TEST(names() == both);
+}
+
+// Guards against marks that are lost with the daemon that sent them while the
+// own list is still older, and against marks that outlast a newer list.
+BOOST_AUTO_TEST_CASE(marks_of_a_dead_peer_last_until_the_list_is_as_new) {
+  vm_tracker tracker(runtime_clock::Paused());
+  tracker.Update(ListOf(1, {"a", "b"}));
+  tracker.SetPeerMarks("d1.1", {"vm-b"}, 5);
+  tracker.ForgetPeer("d1.1");
+  BOOST_TEST(IsLeaving(tracker, "vm-b"));
+  tracker.Update(ListOf(4, {"a", "b"}));
+  BOOST_TEST(IsLeaving(tracker, "vm-b"));
+  tracker.Update(ListOf(6, {"a", "b"}));
+  BOOST_TEST(!IsLeaving(tracker, "vm-b"));
+}
+
+// Guards against new work for a VM that only another daemon's list names as
+// leaving: from one daemon whose list lags throughout, and after the daemons
+// with the newer list are gone.
+BOOST_FIXTURE_TEST_CASE(a_lagging_list_does_not_hide_a_leaving_vm,
+                        cell_fixture) {
+  httplib::Client admin("http://" + list->Address());
+  const auto sent_at = runtime_clock::Running()->Now();
+  BOOST_REQUIRE(admin.Post("/admin/leaving", R"({"id":"vm7"})", "text/plain"));
+  for (const auto& one : daemons) {
+    BOOST_TEST(Eventually([&] { return one->SeesLeaving("vm7"); }));
+  }
+  BOOST_TEST((runtime_clock::Running()->Now() - sent_at < milliseconds(5000)));
+  BOOST_TEST(daemons[1]->manager->Status().vm_list_version == 1U);
+  daemons.pop_back();
+  daemons.erase(daemons.begin());
+  for (int i = 0; i < 120; ++i) {  // Past the 10 s after which links end.
+    std::this_thread::sleep_for(milliseconds(100));
+    BOOST_REQUIRE(daemons[0]->SeesLeaving("vm7"));
+  }
+  BOOST_TEST(daemons[0]->manager->View()->members.size() == 1U);
+}
+
+}  // namespace
+}  // namespace apricotwheel
