--- a/src/cluster/cluster_gossip.cc
+++ b/src/cluster/cluster_gossip.cc
@@ -88,8 +88,7 @@
   wire::document_requestT request;
   request.known_revision = documents_.Revision();
   const auto reply = Attempt([&] {
-    return options_.peers->Call(sender, MakeMessage(std::move(request)),
-                                kFetchTimeout);
+    return options_.peers->Call(sender, MakeMessage(request), kFetchTimeout);
   });
   if (reply && reply->body.Asdocument_response() != nullptr &&
       !reply->body.Asdocument_response()->envelope.empty()) {
--- a/src/cluster/cluster_seeds.cc
+++ b/src/cluster/cluster_seeds.cc
@@ -39,7 +39,7 @@
 void cluster_core::AskSeeds() {
   wire::document_requestT request;
   request.known_revision = documents_.Revision();
-  const auto message = MakeMessage(std::move(request));
+  const auto message = MakeMessage(request);
   std::mutex round_mutex;
   std::vector<document_envelope> found;
   std::string failures;
@@ -47,25 +47,23 @@
   for (const auto& address : options_.settings.seed_peers) {
     if (address == options_.settings.peer_address) continue;
     const auto ask = [&, address] {
-      auto envelope = Attempt([&]() -> result<document_envelope> {
-        BOOST_LEAF_AUTO(answer, options_.peers->CallAddress(address, message,
-                                                            kSeedTimeout));
-        if (answer.member_id == options_.member_id) return document_envelope{};
-        const auto* reply = answer.message.body.Asdocument_response();
-        if (reply == nullptr) {
-          return Fail(error_kind::kCorrupt, "the reply has a wrong type",
-                      "run the same release on all daemons");
-        }
-        if (reply->envelope.empty()) return document_envelope{};
-        return DecodeEnvelope(reply->envelope);
+      const auto answer = Attempt([&] {
+        return options_.peers->CallAddress(address, message, kSeedTimeout);
       });
       std::lock_guard guard(round_mutex);
-      if (envelope) {
-        if (envelope->revision > 0) found.push_back(std::move(*envelope));
-      } else {
-        failures += (failures.empty() ? "" : "; ") + address + ": " +
-                    envelope.failure.message;
+      const auto report = [&](const std::string& reason) {
+        if (!failures.empty()) failures += "; ";
+        failures.append(address).append(": ").append(reason);
+      };
+      if (!answer) return report(answer.failure.message);
+      const auto* reply = answer->message.body.Asdocument_response();
+      if (reply == nullptr) return report("the reply has a wrong type");
+      if (answer->member_id == options_.member_id || reply->envelope.empty()) {
+        return;
       }
+      auto envelope = Attempt([&] { return DecodeEnvelope(reply->envelope); });
+      if (!envelope) return report(envelope.failure.message);
+      found.push_back(std::move(*envelope));
     };
     if (!Attempt([&] { return round.Spawn("cluster-seed", ask); })) ask();
   }
--- a/src/peer/peer_node.cc
+++ b/src/peer/peer_node.cc
@@ -190,12 +190,15 @@
                 "retry, or send to another daemon");
   }
   byte_buffer received;
-  auto reply = Attempt([&]() -> result<wire_message> {
-    BOOST_LEAF_AUTO(has_frame, link.ReadFrame(received, deadline));
-    if (has_frame) return DecodeMessage(received);
-    return Fail(error_kind::kTimeout, "the link ended before the reply",
-                "read the state back");
-  });
+  const auto has_frame =
+      Attempt([&] { return link.ReadFrame(received, deadline); });
+  if (!has_frame || !*has_frame) {
+    return Fail(error_kind::kTimeout,
+                "no reply from " + std::string(address) + ": " +
+                    (has_frame ? "the link ended" : has_frame.failure.message),
+                "the request may have taken effect: read the state back");
+  }
+  auto reply = Attempt([&] { return DecodeMessage(received); });
   if (!reply && reply.failure.kind == error_kind::kCorrupt) {
     ReportInvalidFrame(context, reply.failure);
   }
--- a/src/platform/http_connection.cc
+++ b/src/platform/http_connection.cc
@@ -292,30 +292,44 @@
   return reply;
 }
 
-result<http_reply> http_pool::Call(const http_call& call,
-                                   duration connect_timeout, duration timeout) {
+std::unique_ptr<http_connection> http_pool::Borrow() {
+  const std::lock_guard lock(mutex_);
+  if (is_interrupted_) return nullptr;
   std::unique_ptr<http_connection> connection;
-  {
-    const std::lock_guard lock(mutex_);
-    if (is_interrupted_) return Unavailable("calls were interrupted for good");
-    if (!idle_.empty()) {
-      connection = std::move(idle_.back());
-      idle_.pop_back();
-    } else {
-      connection = std::make_unique<http_connection>(peer_);
-    }
-    active_.insert(connection.get());
+  if (!idle_.empty()) {
+    connection = std::move(idle_.back());
+    idle_.pop_back();
+  } else {
+    connection = std::make_unique<http_connection>(peer_);
   }
-  // Errors pass through unchanged, so the result is only inspected here.
-  auto reply = connection->Exchange(call, connect_timeout, timeout);
+  active_.insert(connection.get());
+  return connection;
+}
+
+void http_pool::GiveBack(std::unique_ptr<http_connection> connection) {
   const std::lock_guard lock(mutex_);
   active_.erase(connection.get());
   // After a failure the connection is closed and not kept.
-  if (reply && connection->IsOpen() && !is_interrupted_ &&
+  if (connection->IsOpen() && !is_interrupted_ &&
       idle_.size() < kMaxIdleConnections) {
     idle_.push_back(std::move(connection));
   }
-  return reply;
+}
+
+result<http_reply> http_pool::Call(const http_call& call,
+                                   duration connect_timeout, duration timeout) {
+  struct loan {
+    http_pool* pool;
+    std::unique_ptr<http_connection> connection;
+    ~loan() {
+      if (connection) pool->GiveBack(std::move(connection));
+    }
+  };
+  const loan borrowed{this, Borrow()};
+  if (!borrowed.connection) {
+    return Unavailable("calls were interrupted for good");
+  }
+  return borrowed.connection->Exchange(call, connect_timeout, timeout);
 }
 
 void http_pool::Interrupt() {
--- a/src/platform/http_connection.h
+++ b/src/platform/http_connection.h
@@ -84,6 +84,10 @@
   void Interrupt();
 
  private:
+  // Null after an interrupt.
+  std::unique_ptr<http_connection> Borrow();
+  void GiveBack(std::unique_ptr<http_connection> connection);
+
   ip_endpoint peer_;
   std::mutex mutex_;
   std::set<http_connection*> active_;
--- a/src/platform/kv_client.cc
+++ b/src/platform/kv_client.cc
@@ -59,8 +59,9 @@
   http_pool watch_pool;
   std::atomic<std::uint64_t> calls = 0;
 
-  result<http_reply> Call(http_pool& connections, const char* target,
-                          const json& body, duration timeout) {
+  // Returns the body of the reply.
+  result<std::string> Call(http_pool& connections, const char* target,
+                           const json& body, duration timeout) {
     if (timeout <= duration::zero()) {
       return Fail(error_kind::kUnavailable, "no time is left for the call",
                   "allow more time");
@@ -77,10 +78,10 @@
     BOOST_LEAF_AUTO(reply,
                     connections.Call(call, options.connect_timeout, timeout));
     BOOST_LEAF_CHECK(CheckStatus(reply));
-    return reply;
+    return std::move(reply.body);
   }
-  result<http_reply> Call(const char* target, const json& body,
-                          std::optional<duration> timeout = {}) {
+  result<std::string> Call(const char* target, const json& body,
+                           std::optional<duration> timeout = {}) {
     return Call(
         pool, target, body,
         std::min(timeout.value_or(options.call_timeout), options.call_timeout));
@@ -102,7 +103,7 @@
 result<std::optional<kv_entry>> kv_client::Get(
     std::string_view key, std::optional<duration> timeout) {
   BOOST_LEAF_AUTO(reply, state_->Call("/v1/get", {{"key", key}}, timeout));
-  return ParseReply(reply.body, [](const json& answer) {
+  return ParseReply(reply, [](const json& answer) {
     std::optional<kv_entry> entry;
     if (!answer.at("entry").is_null())
       entry = EntryFromJson(answer.at("entry"));
@@ -112,7 +113,7 @@
 
 result<std::vector<kv_entry>> kv_client::List(std::string_view prefix) {
   BOOST_LEAF_AUTO(reply, state_->Call("/v1/list", {{"prefix", prefix}}));
-  return ParseReply(reply.body, [](const json& answer) {
+  return ParseReply(reply, [](const json& answer) {
     std::vector<kv_entry> entries;
     for (const auto& entry : answer.at("entries")) {
       entries.push_back(EntryFromJson(entry));
@@ -134,7 +135,7 @@
   }
   if (!options.lease_id.empty()) body["lease_id"] = options.lease_id;
   BOOST_LEAF_AUTO(reply, state_->Call("/v1/put", body, options.timeout));
-  return ParseReply(reply.body, [](const json& answer) {
+  return ParseReply(reply, [](const json& answer) {
     return answer.at("revision").get<std::uint64_t>();
   });
 }
@@ -195,7 +196,7 @@
       {"wait_ms", std::chrono::duration_cast<milliseconds>(wait).count()}};
   BOOST_LEAF_AUTO(reply, state_->Call(state_->watch_pool, "/v1/watch", body,
                                       wait + kWatchGrace));
-  return ParseReply(reply.body, [](const json& answer) {
+  return ParseReply(reply, [](const json& answer) {
     kv_watch_result seen;
     answer.at("revision").get_to(seen.revision);
     answer.at("history_lost").get_to(seen.history_lost);
@@ -213,7 +214,7 @@
   const auto span = std::chrono::duration_cast<milliseconds>(time_to_live);
   BOOST_LEAF_AUTO(reply,
                   state_->Call("/v1/lease/grant", {{"ttl_ms", span.count()}}));
-  return ParseReply(reply.body, [](const json& answer) {
+  return ParseReply(reply, [](const json& answer) {
     return answer.at("lease_id").get<std::string>();
   });
 }
