--- a/src/peer/node_context.h
+++ b/src/peer/node_context.h
@@ -3,6 +3,7 @@
 #include <array>
 #include <atomic>
 #include <memory>
+#include <mutex>
 
 #include "kernel/metrics.h"
 #include "peer/connection.h"
@@ -17,7 +18,10 @@
 
   peer_node_options options;
   std::shared_ptr<peer_traffic> traffic = std::make_shared<peer_traffic>();
-  std::array<peer_handler, static_cast<std::size_t>(wire::body::MAX) + 1>
+  // Peers may connect while the handlers are being set.
+  std::mutex handler_mutex;
+  std::array<std::shared_ptr<const peer_handler>,
+             static_cast<std::size_t>(wire::body::MAX) + 1>
       handlers;
   prometheus::Counter* rejected_connections;
   prometheus::Counter* invalid_frames;
--- a/src/peer/peer_node.cc
+++ b/src/peer/peer_node.cc
@@ -28,10 +28,13 @@
 // Replies that the reader thread itself writes must not delay it.
 constexpr auto kRefusalTimeout = milliseconds(50);
 
-wire_message RunHandler(const node_context& context, const std::string& sender,
+wire_message RunHandler(node_context& context, const std::string& sender,
                         const wire_message& request) {
-  const auto& handler =
-      context.handlers[static_cast<std::size_t>(request.body.type)];
+  std::shared_ptr<const peer_handler> handler;
+  {
+    std::lock_guard guard(context.handler_mutex);
+    handler = context.handlers[static_cast<std::size_t>(request.body.type)];
+  }
   if (!handler) {
     return MakeFailure(
         {error_kind::kUnavailable,
@@ -39,7 +42,7 @@
          "run the same release on all daemons"});
   }
   try {
-    return handler(sender, request);
+    return (*handler)(sender, request);
   } catch (const std::exception& failure) {
     return MakeFailure(
         {error_kind::kInternal, failure.what(), "report this as a bug"});
@@ -118,8 +121,9 @@
 }
 
 void peer_node::Handle(wire::body type, peer_handler handler) {
-  state_->context->handlers[static_cast<std::size_t>(type)] =
-      std::move(handler);
+  auto next = std::make_shared<const peer_handler>(std::move(handler));
+  std::lock_guard guard(state_->context->handler_mutex);
+  state_->context->handlers[static_cast<std::size_t>(type)] = std::move(next);
 }
 
 void peer_node::SetAddress(std::string_view member_id,
--- a/src/peer/peer_node.h
+++ b/src/peer/peer_node.h
@@ -45,9 +45,8 @@
   static result<std::unique_ptr<peer_node>> Start(peer_node_options options);
   ~peer_node();
 
-  // Sets the handler of a message type. All handlers are set before the first
-  // call to `SetAddress`; a message without a handler is answered with a
-  // `failure`.
+  // Sets the handler of a message type, at any time; a message without a
+  // handler is answered with a `failure`.
   void Handle(wire::body type, peer_handler handler);
 
   // Names the address of a peer; an empty address forgets the peer and closes
