--- a/tests/cluster/cluster_manager_test.cc
+++ b/tests/cluster/cluster_manager_test.cc
@@ -70,7 +70,8 @@
   auto& leaving = *daemons[2]->manager;
   leaving.AnnounceLeaving();
   BOOST_TEST(Eventually([&] {
-    const auto* record = daemons[0]->manager->View()->FindMember("d2.1");
+    const auto view = daemons[0]->manager->View();
+    const auto* record = view->FindMember("d2.1");
     return record != nullptr && record->leaving;
   }));
   int steps = 0;
