--- a/src/peer/peer_node.cc
+++ b/src/peer/peer_node.cc
@@ -4,6 +4,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <map>
 #include <mutex>
 #include <set>
@@ -27,10 +28,13 @@
 // Replies that the reader thread itself writes must not delay it.
 constexpr auto kRefusalTimeout = milliseconds(50);
 
-wire_message RunHandler(const node_context& context, const std::string& sender,
+wire_message RunHandler(node_context& context, const std::string& sender,
                         const wire_message& request) {
-  const auto& handler =
-      context.handlers[static_cast<std::size_t>(request.body.type)];
+  std::shared_ptr<const peer_handler> handler;
+  {
+    std::lock_guard guard(context.handler_mutex);
+    handler = context.handlers[static_cast<std::size_t>(request.body.type)];
+  }
   if (!handler) {
     return MakeFailure(
         {error_kind::kUnavailable,
@@ -38,7 +42,7 @@
          "run the same release on all daemons"});
   }
   try {
-    return handler(sender, request);
+    return (*handler)(sender, request);
   } catch (const std::exception& failure) {
     return MakeFailure(
         {error_kind::kInternal, failure.what(), "report this as a bug"});
@@ -117,8 +121,9 @@
 }
 
 void peer_node::Handle(wire::body type, peer_handler handler) {
-  state_->context->handlers[static_cast<std::size_t>(type)] =
-      std::move(handler);
+  auto next = std::make_shared<const peer_handler>(std::move(handler));
+  std::lock_guard guard(state_->context->handler_mutex);
+  state_->context->handlers[static_cast<std::size_t>(type)] = std::move(next);
 }
 
 void peer_node::SetAddress(std::string_view member_id,
@@ -158,6 +163,62 @@
   return link->Call(request, timeout);
 }
 
+result<peer_answer> peer_node::CallAddress(std::string_view address,
+                                           const wire_message& request,
+                                           duration timeout) {
+  constexpr std::uint64_t kCorrelationId = 1;  // The only call on its link.
+  const auto& context = *state_->context;
+  const auto& options = context.options;
+  const auto now = options.clock->Now();
+  const auto deadline = now + timeout;
+  if (context.stopping) {
+    return Fail(error_kind::kUnavailable, "this daemon is stopping",
+                "send to another daemon");
+  }
+  auto opened = Attempt([&] {
+    return OpenConnection(context, address,
+                          std::min(deadline, now + options.connect_timeout));
+  });
+  if (!opened) {
+    return Fail(error_kind::kUnavailable,
+                "no request reached " + std::string(address) + ": " +
+                    opened.failure.message,
+                opened.failure.remedy);
+  }
+  auto& link = *opened->link;
+  const auto payload = EncodeMessage(request, kCorrelationId, false);
+  if (link.WriteFrame(payload, deadline) != write_outcome::kSent) {
+    return Fail(error_kind::kUnavailable,
+                "no request reached " + std::string(address) +
+                    ": the frame was not sent completely",
+                "retry, or send to another daemon");
+  }
+  byte_buffer received;
+  const auto has_frame =
+      Attempt([&] { return link.ReadFrame(received, deadline); });
+  if (!has_frame || !*has_frame) {
+    return Fail(error_kind::kTimeout,
+                "no reply from " + std::string(address) + ": " +
+                    (has_frame ? "the link ended" : has_frame.failure.message),
+                "the request may have taken effect: read the state back");
+  }
+  auto reply = Attempt([&] { return DecodeMessage(received); });
+  if (!reply && reply.failure.kind == error_kind::kCorrupt) {
+    ReportInvalidFrame(context, reply.failure);
+  }
+  if (!reply || !reply->is_response ||
+      reply->correlation_id != kCorrelationId) {
+    return Fail(
+        error_kind::kTimeout,
+        "no reply from " + std::string(address) + ": " + reply.failure.message,
+        "the request may have taken effect: read the state back");
+  }
+  if (const auto* failure = reply->body.Asfailure()) {
+    return Fail(ToError(*failure));
+  }
+  return peer_answer{std::move(opened->member_id), std::move(*reply)};
+}
+
 void peer_node::Post(std::string_view member_id, const wire_message& message) {
   if (state_->context->stopping) return;
   if (const auto link = state_->FindLink(member_id)) link->Post(message);
--- a/src/peer/peer_node.h
+++ b/src/peer/peer_node.h
@@ -33,6 +33,11 @@
   metrics_ptr metrics;
 };
 
+struct peer_answer {
+  std::string member_id;  // Of the daemon that answered, by the handshake.
+  wire_message message;
+};
+
 // Links to all other daemons: one outgoing connection for each peer that this
 // daemon calls, one reader thread for each connection. Thread-safe.
 class peer_node {
@@ -40,9 +45,8 @@
   static result<std::unique_ptr<peer_node>> Start(peer_node_options options);
   ~peer_node();
 
-  // Sets the handler of a message type. All handlers are set before the first
-  // call to `SetAddress`; a message without a handler is answered with a
-  // `failure`.
+  // Sets the handler of a message type, at any time; a message without a
+  // handler is answered with a `failure`.
   void Handle(wire::body type, peer_handler handler);
 
   // Names the address of a peer; an empty address forgets the peer and closes
@@ -56,6 +60,12 @@
   result<wire_message> Call(std::string_view member_id,
                             const wire_message& request, duration timeout);
 
+  // Sends one request over a connection of its own to `ip:port`, for a daemon
+  // whose member id is not known, and closes it. Fails like `Call`.
+  result<peer_answer> CallAddress(std::string_view address,
+                                  const wire_message& request,
+                                  duration timeout);
+
   // Sends a one-way message; drops it if the peer cannot be reached.
   void Post(std::string_view member_id, const wire_message& message);
 
