Model queued requests that move between owners

Cause: with gossip each 100 ms an entry sends to owners whose slots are taken, while others have free ones. Change: in the model each owner tells the others its free slots less queued requests while that is at most 1, and returns its newest queued request to the entry if a peer is better by 3 or more. Fault found: daemon 8 owns no rack, its score of 0 beat the negative ones, and requests queued there were never served nor counted.

--- a/bench/request_bench.cc
+++ b/bench/request_bench.cc
@@ -4,28 +4,11 @@
 #include <queue>
 
 #include "bench/bench_report.h"
+#include "bench/request_model.h"
 
 namespace apricotwheel::bench {
 namespace {
 
-struct request_input {
-  double arrival = 0;
-  double service = 0;
-  std::size_t entry = 0;     // Daemon that the balancer chose.
-  std::size_t instance = 0;  // For random choice.
-};
-
-struct request_setup {
-  std::size_t instances = 0;
-  std::size_t slots = 0;
-  std::size_t daemons = 0;
-  std::size_t rack_size = 0;
-  double one_way = 0;
-  double gossip = 0;
-  int handover_limit = 0;
-  bool offers = false;
-};
-
 // Waiting times with one first-come first-served queue over `servers` slots.
 std::vector<double> SharedQueue(const std::vector<request_input>& requests,
                                 std::size_t servers) {
@@ -73,6 +56,7 @@
     for (std::size_t i = 0; i < setup.instances; ++i) {
       free_[(i / setup.rack_size) % setup.daemons] += setup.slots;
     }
+    total_ = free_;
     Gossip();
   }
 
@@ -111,7 +95,9 @@
     bool operator>(const event& other) const { return at > other.at; }
   };
 
+  // A daemon without instances can serve nothing and is never chosen.
   double Score(std::size_t daemon) const {
+    if (total_[daemon] == 0) return -1e9;
     return static_cast<double>(free_[daemon]) -
            static_cast<double>(queues_[daemon].size());
   }
@@ -233,6 +219,7 @@
 
   request_setup setup_;
   std::vector<std::size_t> free_;
+  std::vector<std::size_t> total_;  // Slots by daemon.
   std::vector<std::deque<event>> queues_;
   std::vector<std::vector<double>> view_;
   std::vector<std::vector<bool>> queuing_;  // Who told whom to queue requests.
@@ -300,6 +287,23 @@
              static_cast<double>(with_offers.ControlMessages()) /
                  static_cast<double>(requests.size()),
              "messages");
+    for (const bool through_entry : {true, false}) {
+      balance_rule rule;
+      rule.through_entry = through_entry;
+      rule.max_moves = through_entry ? 1 : 3;
+      auto balanced = RunBalanced(requests, setup, rule);
+      const std::string kind = through_entry ? "moves" : "direct-moves";
+      const double moved =
+          line(kind + "-gossip-" + gossip.dump(), balanced.waits);
+      out.Line(kind + "_p99_over_shared_queue." + deployment + ".gossip-" +
+                   gossip.dump(),
+               moved / shared, "ratio");
+      out.Line(kind + "_messages_per_request." + deployment + ".gossip-" +
+                   gossip.dump(),
+               static_cast<double>(balanced.control_messages + balanced.moves) /
+                   static_cast<double>(requests.size()),
+               "messages");
+    }
   }
   waits = RandomChoice(requests, setup);
   const double random_choice = line("random-instance", waits);
