Answer not_run for a key only if no attempt can have run

A repeat of a key that is refused because its owner is not reached, stopping, without a lease or past its hand-over was answered not_run, although the first attempt may have run. It is now unknown. During a stop a keyed request still goes to the owner of its key, which knows.

--- a/src/dispatch/dispatch_outcome.cc
+++ b/src/dispatch/dispatch_outcome.cc
@@ -113,13 +113,13 @@
 }
 
 send_proof ProofOfPeerCall(error_kind kind) {
-  // The dispatcher's peer handlers never reply with a failure, so `overloaded`
-  // and `shutting_down` come from the link and no handler saw the request.
+  // No peer handler of the dispatcher replies with a failure, and the peer node
+  // sends `overloaded` only in place of a handler call. It never sends
+  // `shutting_down`, so that kind proves nothing.
   switch (kind) {
     case error_kind::kUnavailable:
     case error_kind::kNotFound:
     case error_kind::kOverloaded:
-    case error_kind::kShuttingDown:
       return send_proof::kNotRun;
     default:
       return send_proof::kMayHaveRun;
--- a/src/dispatch/key_registry.cc
+++ b/src/dispatch/key_registry.cc
@@ -99,7 +99,7 @@
 std::optional<service_response> key_registry::RefuseTicket(
     const shard_state& shard, const ticket& used) const {
   // The view here may be older than the ticket.
-  if (used.epoch > shard.epoch) return MakeNotRun(reason::kOwnershipUncertain);
+  if (used.epoch > shard.epoch) return MakeUnknown(reason::kOwnershipUncertain);
   duration clock_offset{0};
   if (used.epoch < shard.epoch) {
     const auto accepted = shard.accepted_epochs.find(used.epoch);
@@ -122,7 +122,8 @@
 
 std::optional<service_response> key_registry::RefuseKey(
     const shard_state& shard) const {
-  if (!options_.holds_lease()) return MakeNotRun(reason::kOwnershipUncertain);
+  // A successor could exist and have run an earlier attempt.
+  if (!options_.holds_lease()) return MakeUnknown(reason::kOwnershipUncertain);
   if (!HistoryComplete(shard)) return MakeUnknown(reason::kKeyHistoryLost);
   return std::nullopt;
 }
@@ -135,13 +136,13 @@
   const std::uint64_t digest = DigestOf(request);
   std::unique_lock lock(mutex_);
   shard_state& shard = shards_[*number];
-  if (!shard.owned || shard.handed_over) {
-    return MakeNotRun(reason::kOwnershipUncertain);
-  }
+  if (!shard.owned) return MakeUnknown(reason::kOwnershipUncertain);
   const auto known = shard.records.find(name);
   if (known != shard.records.end()) {
     return Repeat(lock, known->second, digest, deadline);
   }
+  // The successor may have run it since.
+  if (shard.handed_over) return MakeUnknown(reason::kOwnershipUncertain);
   const auto refusal = request.ticket.empty()
                            ? RefuseKey(shard)
                            : RefuseTicket(shard, *DecodeTicket(request.ticket));
--- a/src/dispatch/key_registry.h
+++ b/src/dispatch/key_registry.h
@@ -59,6 +59,8 @@
 
   using runner = std::function<service_response()>;
   // Calls `run` if the request was not seen before, and records its response.
+  // Answers `not_run` only if no attempt with this key or ticket can have been
+  // sent by this or another owner, else `unknown`.
   // Waits for the first one until `deadline` if the request is a repeat.
   service_response RunOnce(const service_request& request, time_point deadline,
                            const runner& run);
--- a/src/dispatch/request_flow.cc
+++ b/src/dispatch/request_flow.cc
@@ -56,9 +56,13 @@
 }
 
 service_response request_flow::Enter(const service_request& request) {
-  if (refusing_) return MakeNotRun(reason::kShuttingDown);
+  // The key's owner may know an earlier attempt, so it decides during a stop.
+  if (refusing_ && !IsKeyed(request)) return MakeNotRun(reason::kShuttingDown);
   const auto document = options_.document();
-  if (!document) return MakeNotRun(reason::kNoDocument);
+  if (!document) {
+    return IsKeyed(request) ? MakeUnknown(reason::kNoDocument)
+                            : MakeNotRun(reason::kNoDocument);
+  }
   const workload_config* workload = document->FindWorkload(request.service);
   if (workload == nullptr || workload->kind != workload_kind::kService) {
     return MakeNotRun(reason::kUnknownService);
@@ -110,7 +114,7 @@
   const auto shard = ShardOfRequest(staged.request);
   if (!shard) return MakeNotRun(reason::kInvalid);
   const ownership owned = options_.shard_owner(*shard);
-  if (owned.owner.empty()) return MakeNotRun(reason::kOwnershipUncertain);
+  if (owned.owner.empty()) return MakeUnknown(reason::kOwnershipUncertain);
   if (owned.owner == options_.member_id) return RunKeyed(staged);
   return CallPeer(owned.owner, staged, wire::dispatch_stage::key_owner);
 }
@@ -180,7 +184,11 @@
                                         const staged_request& staged,
                                         wire::dispatch_stage stage) {
   const time_point now = options_.clock->Now();
-  if (now >= staged.deadline) return MakeNotRun(reason::kDeadline);
+  const bool to_key_owner = stage == wire::dispatch_stage::key_owner;
+  if (now >= staged.deadline) {
+    return to_key_owner ? MakeUnknown(reason::kDeadline)
+                        : MakeNotRun(reason::kDeadline);
+  }
   const auto answered =
       options_.call(owner, MakeMessage(ToWire(staged, stage, now)),
                     staged.deadline - now + kAnswerGrace);
@@ -190,9 +198,9 @@
     return MakeUnknown(reason::kOwnerLost);
   }
   if (ProofOfPeerCall(answered.failure.kind) == send_proof::kNotRun) {
-    return MakeNotRun(stage == wire::dispatch_stage::key_owner
-                          ? reason::kOwnershipUncertain
-                          : reason::kNoInstance);
+    // This attempt did not run, but only the key's owner knows of earlier ones.
+    return to_key_owner ? MakeUnknown(reason::kOwnershipUncertain)
+                        : MakeNotRun(reason::kNoInstance);
   }
   return MakeUnknown(options_.clock->Now() >= staged.deadline
                          ? reason::kDeadline
--- a/tests/dispatch/flow_test.cc
+++ b/tests/dispatch/flow_test.cc
@@ -22,7 +22,10 @@
       {error_kind::kNotFound, false, "not_run", reason::kNoInstance},
       {error_kind::kTimeout, false, "unknown", reason::kOwnerLost},
       {error_kind::kCorrupt, false, "unknown", reason::kOwnerLost},
-      {error_kind::kUnavailable, true, "not_run", reason::kOwnershipUncertain},
+      {error_kind::kOverloaded, false, "not_run", reason::kNoInstance},
+      {error_kind::kShuttingDown, false, "unknown", reason::kOwnerLost},
+      // An earlier attempt with the key may have run.
+      {error_kind::kUnavailable, true, "unknown", reason::kOwnershipUncertain},
       {error_kind::kTimeout, true, "unknown", reason::kOwnerLost},
   };
   for (const failure_case& fault : cases) {
@@ -226,6 +229,36 @@
   BOOST_TEST(test.flow.Handle(request).status == 200);
 }
 
+// Guards against `not_run` for a repeated key whose first attempt may have run:
+// after a hand-over, without a lease, without an owner, during a stop.
+BOOST_AUTO_TEST_CASE(refused_repeats_are_not_claimed_not_run) {
+  flow_fixture test;
+  auto request = test.Request("POST");
+  request.idempotency_key = "k";
+  test.run_here = [] { return MakeUnknown(reason::kInstanceFailed); };
+  BOOST_TEST(test.flow.Handle(request).reason == reason::kInstanceFailed);
+  test.flow.RefuseNew();
+  BOOST_TEST(test.flow.Handle(request).reason == reason::kInstanceFailed);
+  auto fresh = request;
+  while (ShardOf(fresh.idempotency_key) != ShardOf("k") ||
+         fresh.idempotency_key == "k") {
+    fresh.idempotency_key += "f";
+  }
+  // No attempt was sent here and no successor exists yet.
+  BOOST_TEST(ToString(test.flow.Handle(fresh).outcome) == "not_run");
+  test.holds_lease = false;
+  BOOST_TEST(ToString(test.flow.Handle(fresh).outcome) == "unknown");
+  test.holds_lease = true;
+  BOOST_TEST(test.flow.Keys().TakeHandover(ShardOf("k"), 1 << 20).has_value());
+  BOOST_TEST(test.flow.Handle(request).reason == reason::kInstanceFailed);
+  BOOST_TEST(ToString(test.flow.Handle(fresh).outcome) == "unknown");
+  test.shard.owner = "";
+  BOOST_TEST(ToString(test.flow.Handle(request).outcome) == "unknown");
+  test.shard.owner = "peer.1";
+  BOOST_TEST(ToString(test.flow.Handle(request).outcome) == "unknown");
+  BOOST_TEST(test.runs.load() == 1);
+}
+
 // Guards against a ticket that runs under a later epoch, after its record was
 // dropped, or twice; and against a malformed one.
 BOOST_AUTO_TEST_CASE(tickets_run_once_under_their_epoch) {
