--- a/tests/dispatch/lane_test.cc
+++ b/tests/dispatch/lane_test.cc
@@ -128,7 +128,9 @@
   test.SetRecord(record);
   std::atomic<bool> release = false;
   test.upstream.answer = [&](const instance_request&) {
-    while (!release) std::this_thread::sleep_for(milliseconds(1));
+    for (int step = 0; step < 3000 && !release; ++step) {
+      std::this_thread::sleep_for(milliseconds(1));
+    }
     outcome<instance_response> answered;
     answered.value = instance_response{200, {}, ""};
     return answered;
@@ -142,9 +144,13 @@
       responses[index] = test.lane.Run(staged);
     });
     const auto queued = static_cast<std::int64_t>(index);
-    while (test.lane.Capacity().queued < queued || test.upstream.runs == 0) {
+    const auto queues = [&] {
+      return test.lane.Capacity().queued == queued && test.upstream.runs > 0;
+    };
+    for (int step = 0; step < 1000 && !queues(); ++step) {
       std::this_thread::sleep_for(milliseconds(1));
     }
+    BOOST_TEST(queues());
     test.clock->Advance(milliseconds(1));
   };
   start(0, true);  // Runs.
