--- a/src/dispatch/dispatcher.cc
+++ b/src/dispatch/dispatcher.cc
@@ -187,14 +187,15 @@
 }
 
 void dispatcher::state::ReadUsage() {
-  for (const auto& [service, lane] : Lanes()) {
+  for (const auto& entry : Lanes()) {
+    const auto lane = entry.second;
     lane->Tick();
     while (auto read = lane->StartUsageRead()) {
       // A read can block on an instance that does not answer, so each has its
       // own thread.
       const auto spawned = Attempt([&] {
-        return threads.Spawn(
-            "usage", [lane = lane, due = *read] { lane->RunUsageRead(due); });
+        return threads.Spawn("usage",
+                             [lane, due = *read] { lane->RunUsageRead(due); });
       });
       if (!spawned) lane->RunUsageRead(std::move(*read));
     }
--- a/tests/dispatch/flow_test.cc
+++ b/tests/dispatch/flow_test.cc
@@ -71,6 +71,41 @@
   BOOST_TEST(ToString(response.outcome) == "unknown");
 }
 
+// Guards against a second send, after `unknown` and with budget left, of a
+// request that may not be repeated; and against one past the budget.
+BOOST_AUTO_TEST_CASE(unknown_is_retried_only_if_allowed) {
+  struct retry_case {
+    std::string method;
+    bool keyed;
+    int earlier;  // Requests that fill the budget, a tenth each.
+    int runs;
+  };
+  const retry_case cases[] = {{"GET", false, 20, 3},
+                              {"GET", false, 0, 1},
+                              {"POST", false, 20, 1},
+                              {"GET", true, 20, 1}};
+  for (const retry_case& each : cases) {
+    flow_fixture test;
+    test.run_here = [] {
+      service_response response;
+      response.outcome = request_outcome::kCompleted;
+      return response;
+    };
+    for (int earlier = 0; earlier < each.earlier; ++earlier) {
+      test.flow.Handle(test.Request("POST"));
+    }
+    test.runs = 0;
+    test.run_here = [] { return MakeUnknown(reason::kInstanceFailed); };
+    auto request = test.Request(each.method);
+    if (each.keyed) request.idempotency_key = "k";
+    const auto response = test.flow.Handle(request);
+    BOOST_TEST_CONTEXT(each.method << each.keyed << each.earlier) {
+      BOOST_TEST(ToString(response.outcome) == "unknown");
+      BOOST_TEST(test.runs.load() == each.runs);
+    }
+  }
+}
+
 // Guards against retries past the budget, and none within it.
 BOOST_AUTO_TEST_CASE(retry_budget_is_a_share_of_requests) {
   retry_budget budget(10);
--- a/tests/dispatch/lane_test.cc
+++ b/tests/dispatch/lane_test.cc
@@ -213,6 +213,38 @@
   BOOST_TEST(pool.Instances()[0]->own_connections == 0);
 }
 
+// Guards against a request without the epoch by which an instance refuses a
+// former owner.
+BOOST_AUTO_TEST_CASE(requests_carry_the_epoch_of_the_partition) {
+  lane_fixture test;
+  auto record = MakeRecord("a");
+  record.epoch = 7;
+  test.SetRecord(record);
+  std::uint64_t sent = 0;
+  test.upstream.answer = [&](const instance_request& request) {
+    sent = request.epoch;
+    outcome<instance_response> answered;
+    answered.value = instance_response{200, {}, ""};
+    return answered;
+  };
+  BOOST_TEST(test.lane.Run(test.Request()).status == 200);
+  BOOST_TEST(sent == 7);
+}
+
+// Guards against an instance that gets requests while its breaker is open.
+BOOST_AUTO_TEST_CASE(open_breaker_takes_the_slots) {
+  lane_fixture test;
+  test.SetRecord(MakeRecord("a"));
+  test.upstream.answer = [](const instance_request&) {
+    return Failed<instance_response>(error_kind::kCorrupt);
+  };
+  for (int failure = 0; failure < 5; ++failure) test.lane.Run(test.Request());
+  test.ReadUsage();  // Frees the slots of the `unknown` requests.
+  BOOST_TEST(test.lane.Capacity().free_slots == 0);
+  test.clock->Advance(milliseconds(400));  // Past the back-off.
+  BOOST_TEST(test.lane.Capacity().free_slots == 1);
+}
+
 // Guards against use of slots that a predecessor's requests still hold.
 BOOST_AUTO_TEST_CASE(foreign_use_counts_until_it_is_zero) {
   lane_fixture test;
