--- a/src/dispatch/request_flow.cc
+++ b/src/dispatch/request_flow.cc
@@ -1,6 +1,7 @@
 #include "dispatch/request_flow.h"
 
 #include <set>
+#include <utility>
 
 #include "dispatch/dispatch_outcome.h"
 
@@ -55,9 +56,13 @@
 }
 
 service_response request_flow::Enter(const service_request& request) {
-  if (refusing_) return MakeNotRun(reason::kShuttingDown);
+  // The key's owner may know an earlier attempt, so it decides during a stop.
+  if (refusing_ && !IsKeyed(request)) return MakeNotRun(reason::kShuttingDown);
   const auto document = options_.document();
-  if (!document) return MakeNotRun(reason::kNoDocument);
+  if (!document) {
+    return IsKeyed(request) ? MakeUnknown(reason::kNoDocument)
+                            : MakeNotRun(reason::kNoDocument);
+  }
   const workload_config* workload = document->FindWorkload(request.service);
   if (workload == nullptr || workload->kind != workload_kind::kService) {
     return MakeNotRun(reason::kUnknownService);
@@ -82,6 +87,7 @@
       request.repeatable.value_or(IsRepeatableMethod(request.method));
   staged.deadline = options_.clock->Now() + span;
   staged.correlation_id = RandomHex(12);
+  staged.movable = true;
   return IsKeyed(request) ? ToKeyOwner(staged) : Forward(staged);
 }
 
@@ -108,7 +114,7 @@
   const auto shard = ShardOfRequest(staged.request);
   if (!shard) return MakeNotRun(reason::kInvalid);
   const ownership owned = options_.shard_owner(*shard);
-  if (owned.owner.empty()) return MakeNotRun(reason::kOwnershipUncertain);
+  if (owned.owner.empty()) return MakeUnknown(reason::kOwnershipUncertain);
   if (owned.owner == options_.member_id) return RunKeyed(staged);
   return CallPeer(owned.owner, staged, wire::dispatch_stage::key_owner);
 }
@@ -124,9 +130,10 @@
   });
 }
 
-service_response request_flow::Forward(const staged_request& staged) {
+service_response request_flow::Forward(staged_request staged) {
   budget_.CountRequest();
   std::set<std::string, std::less<>> excluded;
+  std::string moved_from;  // Takes the request if no other owner does.
   std::optional<service_response> unknown;
   service_response last = MakeNotRun(reason::kNoInstance);
   for (int unknowns = 0;;) {
@@ -135,15 +142,22 @@
       break;
     }
     const auto summaries = options_.summaries();
-    const auto owner = router_.Pick(
-        staged.request.service,
-        options_.own_capacity_of(staged.request.service), summaries, excluded);
+    auto owner = router_.Pick(staged.request.service,
+                              options_.own_capacity_of(staged.request.service),
+                              summaries, excluded);
+    if (!owner && !moved_from.empty()) owner = std::exchange(moved_from, {});
     if (!owner) break;
+    const time_point sent_at = options_.clock->Now();
     last = Attempt(*owner, staged);
     if (last.outcome == request_outcome::kCompleted) return last;
     if (last.outcome == request_outcome::kNotRun) {
       if (!RetryableElsewhere(last)) break;
       excluded.insert(*owner);
+      if (last.reason == reason::kNoSlot) {
+        moved_from = *owner;
+        staged.movable = false;
+        staged.waited += options_.clock->Now() - sent_at;
+      }
       options_.metrics->CountRetry(staged.request.service, "not_run");
       continue;
     }
@@ -170,7 +184,11 @@
                                         const staged_request& staged,
                                         wire::dispatch_stage stage) {
   const time_point now = options_.clock->Now();
-  if (now >= staged.deadline) return MakeNotRun(reason::kDeadline);
+  const bool to_key_owner = stage == wire::dispatch_stage::key_owner;
+  if (now >= staged.deadline) {
+    return to_key_owner ? MakeUnknown(reason::kDeadline)
+                        : MakeNotRun(reason::kDeadline);
+  }
   const auto answered =
       options_.call(owner, MakeMessage(ToWire(staged, stage, now)),
                     staged.deadline - now + kAnswerGrace);
@@ -180,9 +198,9 @@
     return MakeUnknown(reason::kOwnerLost);
   }
   if (ProofOfPeerCall(answered.failure.kind) == send_proof::kNotRun) {
-    return MakeNotRun(stage == wire::dispatch_stage::key_owner
-                          ? reason::kOwnershipUncertain
-                          : reason::kNoInstance);
+    // This attempt did not run, but only the key's owner knows of earlier ones.
+    return to_key_owner ? MakeUnknown(reason::kOwnershipUncertain)
+                        : MakeNotRun(reason::kNoInstance);
   }
   return MakeUnknown(options_.clock->Now() >= staged.deadline
                          ? reason::kDeadline
