--- a/testing/instance_standin.cc
+++ b/testing/instance_standin.cc
@@ -124,6 +124,15 @@
     max_in_use = std::max(max_in_use, in_use);
     if (!id.empty()) ++runs[id];
     if (!key.empty()) ++runs[key];
+    if (options.events) {
+      // Survives the instance, so that a test can sum the runs of a request.
+      options.events->Append({{"event", "request_run"},
+                              {"worker", options.worker_id},
+                              {"task", options.task_id},
+                              {"correlation_id", id},
+                              {"key", key},
+                              {"target", request.target}});
+    }
     const auto asked = request.get_param_value("service_ms");
     const auto service = milliseconds(
         asked.empty() ? faults.service_ms
--- /dev/null
+++ b/tests/faults_requests/fault_cell.cc
@@ -0,0 +1,95 @@
+#include "tests/faults_requests/fault_cell.h"
+
+#include <filesystem>
+#include <set>
+#include <stdexcept>
+
+namespace apricotwheel::testing {
+
+namespace {
+
+constexpr int kStartMs = 60'000;
+
+}  // namespace
+
+std::string FaultDocument(int mark) {
+  return "# " + std::to_string(mark) + R"(
+version: 1
+cell: faults
+teams:
+  - name: web
+    weight: 1
+    quota: {cpu_milli: 200000, memory_mib: 400000}
+workloads:
+  - name: echo
+    kind: service
+    team: web
+    policy: waiting-first
+    instances: 12
+    resources: {cpu_milli: 6000, memory_mib: 8192}
+    slots: 8
+    connections: 64
+    queue_limit: 512
+    deadline_ms: 3000
+)";
+}
+
+std::unique_ptr<process_cell> StartFaultCell(
+    const fault_cell_options& options) {
+  process_cell_options cell;
+  cell.folder = std::string(APRICOTWHEEL_WORK_FOLDER) + "/" + options.name;
+  std::filesystem::remove_all(cell.folder);
+  cell.daemon = APRICOTWHEEL_DAEMON_PATH;
+  cell.standin = APRICOTWHEEL_STANDIN_PATH;
+  cell.document = FaultDocument();
+  cell.daemons = options.daemons;
+  // Two VMs to a rack give six partitions, so that each daemon owns some.
+  cell.groups = {"vm:12:8000:16384:0:2"};
+  cell.base_port = options.base_port;
+  cell.relay_kv = options.relay_kv;
+  cell.settings = {{"key_retention_ms", "30000"}};
+  auto started = Attempt([&] { return process_cell::Start(cell); });
+  if (!started) throw std::runtime_error(Describe(started.failure));
+  if (!(*started)->WaitForInstances(kFaultInstances, kStartMs)) {
+    throw std::runtime_error("the cell did not start; read " + cell.folder);
+  }
+  return std::move(*started);
+}
+
+bool PostAdmin(const std::string& address, const std::string& path,
+               const nlohmann::json& body) {
+  return Call(address, {"POST", path, body.dump(), {}, 5000}).status == 200;
+}
+
+std::size_t SetInstanceFaults(const process_cell& cell,
+                              const nlohmann::json& faults) {
+  std::set<std::string> addresses;
+  for (std::size_t index = 0; index < cell.DaemonCount(); ++index) {
+    const nlohmann::json status = cell.Status(index);
+    if (!status.contains("instances")) continue;
+    for (const auto& instance : status["instances"]) {
+      addresses.insert(instance["address"].get<std::string>());
+    }
+  }
+  std::size_t reached = 0;
+  for (const std::string& address : addresses) {
+    if (PostAdmin(address, "/admin/faults", faults)) ++reached;
+  }
+  return reached;
+}
+
+std::size_t LargestInstanceOwner(const process_cell& cell) {
+  std::size_t best = 0;
+  std::size_t most = 0;
+  for (std::size_t index = 0; index < cell.DaemonCount(); ++index) {
+    const nlohmann::json status = cell.Status(index);
+    if (!status.contains("instances")) continue;
+    if (status["instances"].size() > most) {
+      most = status["instances"].size();
+      best = index;
+    }
+  }
+  return best;
+}
+
+}  // namespace apricotwheel::testing
--- /dev/null
+++ b/tests/faults_requests/frozen_daemon_test.cc
@@ -0,0 +1,34 @@
+#include <boost/test/unit_test.hpp>
+
+#include "tests/faults_requests/fault_cell.h"
+#include "tests/faults_requests/fault_rows.h"
+
+namespace apricotwheel::testing {
+namespace {
+
+constexpr int kBasePort = 8000;
+// Longer than the daemon lease, so that the daemon wakes up as a former owner.
+constexpr int kFrozenMs = 5000;
+const std::vector<request_kind> kTickets = {request_kind::kTicket};
+const std::vector<request_kind> kDirect = {request_kind::kPlain,
+                                           request_kind::kRepeatable};
+
+const std::vector<fault_row> kRows = {
+    {"entry frozen", FreezeDaemon, ResumeDaemon, kFrozenMs,
+     entry_choice::kVictim},
+    {"key owner frozen", FreezeDaemon, ResumeDaemon, kFrozenMs,
+     entry_choice::kOthers, true, kTickets},
+    {"instance owner frozen", FreezeDaemon, ResumeDaemon, kFrozenMs,
+     entry_choice::kOthers, false, kDirect, true},
+    {"any frozen for a short time", FreezeDaemon, ResumeDaemon, 1000},
+};
+
+// Guards against a former owner that wakes up and sends a request again, or
+// delivers a response to the wrong caller.
+BOOST_AUTO_TEST_CASE(RequestsKeepTheirGuaranteesWhenADaemonIsFrozen) {
+  const auto cell = StartFaultCell({"frozen_daemon", kBasePort});
+  RunFaultRows(*cell, kRows);
+}
+
+}  // namespace
+}  // namespace apricotwheel::testing
--- /dev/null
+++ b/tests/faults_requests/killed_daemon_test.cc
@@ -0,0 +1,49 @@
+#include <boost/test/unit_test.hpp>
+
+#include "tests/faults_requests/fault_cell.h"
+#include "tests/faults_requests/fault_rows.h"
+
+namespace apricotwheel::testing {
+namespace {
+
+constexpr int kBasePort = 7600;
+// Longer than the daemon lease, so that successors take over.
+constexpr int kTakeOverMs = 4000;
+const std::vector<request_kind> kTickets = {request_kind::kTicket};
+const std::vector<request_kind> kDirect = {request_kind::kPlain,
+                                           request_kind::kRepeatable};
+
+const std::vector<fault_row> kRows = {
+    {"entry killed",
+     KillDaemon,
+     RestartDaemon,
+     kTakeOverMs,
+     entry_choice::kVictim,
+     false,
+     {},
+     false,
+     1},
+    {"key owner killed", KillDaemon, RestartDaemon, kTakeOverMs,
+     entry_choice::kOthers, true, kTickets, false, 1},
+    {"instance owner killed", KillDaemon, RestartDaemon, kTakeOverMs,
+     entry_choice::kOthers, false, kDirect, true, 1},
+    {"any killed, restarted at once",
+     KillDaemon,
+     RestartDaemon,
+     0,
+     entry_choice::kAny,
+     false,
+     {},
+     false,
+     1},
+};
+
+// Guards against a second run, a false `not_run` and a foreign or truncated
+// response when a daemon dies with requests in flight.
+BOOST_AUTO_TEST_CASE(RequestsKeepTheirGuaranteesWhenADaemonIsKilled) {
+  const auto cell = StartFaultCell({"killed_daemon", kBasePort});
+  RunFaultRows(*cell, kRows);
+}
+
+}  // namespace
+}  // namespace apricotwheel::testing
