--- /dev/null
+++ b/tests/faults_requests/document_race_test.cc
@@ -0,0 +1,251 @@
+#include <algorithm>
+#include <boost/test/unit_test.hpp>
+#include <fstream>
+#include <iostream>
+#include <random>
+#include <sstream>
+
+#include "config/document.h"
+#include "platform/kv_client.h"
+#include "tests/faults_requests/document_observer.h"
+#include "tests/faults_requests/fault_cell.h"
+#include "tests/faults_requests/fault_report.h"
+
+namespace apricotwheel::testing {
+namespace {
+
+constexpr int kBasePort = 8800;
+constexpr int kOperators = 3;
+constexpr int kOperatorMs = 30'000;
+constexpr int kConvergeMs = 60'000;
+constexpr int kKilled = 128 + 9;
+constexpr std::uint64_t kKillPercent = 25;
+constexpr std::uint64_t kMaxKillDelayMs = 40;
+
+// One run of `apricotwheelctl apply`.
+struct operator_run {
+  std::string author;
+  std::string output_file;
+  std::unique_ptr<child_process> process;
+  int exit_code = -1;
+};
+
+class operators {
+ public:
+  operators(process_cell& cell, std::string folder, std::uint64_t seed)
+      : cell_(cell), folder_(std::move(folder)), random_(seed) {}
+
+  // Several operators with different documents at once; some are killed.
+  void Race(int count, bool kill_some) {
+    const std::size_t first = runs.size();
+    for (int index = 0; index < count; ++index) Begin();
+    for (std::size_t index = first; kill_some && index < runs.size(); ++index) {
+      if (random_() % 100 >= kKillPercent) continue;
+      const auto delay = static_cast<int>(random_() % kMaxKillDelayMs);
+      cell_.Clock().SleepFor(milliseconds(delay));
+      runs[index].process->Kill();
+    }
+    for (std::size_t index = first; index < runs.size(); ++index) {
+      const auto code = runs[index].process->Wait(kOperatorMs);
+      BOOST_TEST(code.has_value(), "an operator's call did not end");
+      runs[index].exit_code = code.value_or(-1);
+    }
+  }
+
+  std::vector<operator_run> runs;
+
+ private:
+  void Begin() {
+    operator_run run;
+    const std::string number = std::to_string(runs.size() + 1);
+    run.author = "operator-" + number;
+    run.output_file = folder_ + "/" + run.author + ".log";
+    const std::string document = folder_ + "/" + run.author + ".yaml";
+    std::ofstream(document) << FaultDocument(static_cast<int>(runs.size()) + 1);
+    auto started = Attempt([&] {
+      return child_process::Start(
+          {{APRICOTWHEEL_CTL_PATH, "apply", document, "--kv", cell_.KvAddress(),
+            "--author", run.author, "--timeout_ms", "2000"},
+           run.output_file});
+    });
+    BOOST_REQUIRE(started);
+    run.process = std::move(*started);
+    runs.push_back(std::move(run));
+  }
+
+  process_cell& cell_;
+  const std::string folder_;
+  std::mt19937_64 random_;
+};
+
+void SetKvFaults(process_cell& cell, const nlohmann::json& faults) {
+  BOOST_TEST(PostAdmin(cell.KvAddress(), "/admin/faults", faults));
+}
+
+void Restart(process_cell& cell, std::size_t index) {
+  cell.Daemon(index).Kill();
+  BOOST_REQUIRE(Attempt([&] { return cell.RestartDaemon(index); }));
+}
+
+// One fault while operators race. `victim` is any daemon.
+struct document_fault {
+  const char* name;
+  void (*inject)(process_cell& cell, std::size_t victim);
+  void (*heal)(process_cell& cell, std::size_t victim);
+  int hold_ms;
+};
+
+void Nothing(process_cell&, std::size_t) {}
+
+const document_fault kFaults[] = {
+    {"none", Nothing, Nothing, 0},
+    {"replies lost",
+     [](process_cell& cell, std::size_t) {
+       SetKvFaults(cell, {{"lose_replies", 4}});
+     },
+     [](process_cell& cell, std::size_t) {
+       SetKvFaults(cell, nlohmann::json::object());
+     },
+     0},
+    {"daemon restarted", Restart, Nothing, 0},
+    {"service slow",
+     [](process_cell& cell, std::size_t) {
+       SetKvFaults(cell, {{"slow_ms", 300}});
+     },
+     [](process_cell& cell, std::size_t) {
+       SetKvFaults(cell, nlohmann::json::object());
+     },
+     1000},
+    {"service down, daemon restarted",
+     [](process_cell& cell, std::size_t victim) {
+       SetKvFaults(cell, {{"outage", "close"}});
+       Restart(cell, victim);
+     },
+     [](process_cell& cell, std::size_t) {
+       SetKvFaults(cell, nlohmann::json::object());
+     },
+     2500},
+    {"service hangs, daemon restarted",
+     [](process_cell& cell, std::size_t victim) {
+       SetKvFaults(cell, {{"outage", "hang"}});
+       Restart(cell, victim);
+     },
+     [](process_cell& cell, std::size_t) {
+       SetKvFaults(cell, nlohmann::json::object());
+     },
+     2000},
+    // Longer than the 5 s of the guarantee, so that only the other daemons can
+    // have brought the document.
+    {"daemon cut from the service",
+     [](process_cell& cell, std::size_t victim) {
+       cell.KvRelay(victim).SetMode(relay_mode::kDropBoth);
+     },
+     [](process_cell& cell, std::size_t victim) {
+       cell.KvRelay(victim).SetMode(relay_mode::kPass);
+     },
+     7000},
+};
+
+std::uint64_t RevisionInForce(const process_cell& cell, std::size_t index) {
+  const nlohmann::json status = cell.Status(index);
+  if (!status.contains("document")) return 0;
+  return status["document"].value("revision", std::uint64_t{0});
+}
+
+// Every revision has exactly one audit entry, and the exit codes of the
+// operators agree with it. Returns the violations.
+std::vector<std::string> CheckAudit(kv_client& kv, std::uint64_t last,
+                                    const std::vector<operator_run>& runs) {
+  std::vector<std::string> violations;
+  const auto entries = Attempt([&] { return kv.List(kAuditPrefix); });
+  BOOST_REQUIRE(entries);
+  std::map<std::string, int> by_author;
+  std::map<std::uint64_t, int> by_revision;
+  for (const kv_entry& entry : *entries) {
+    const auto audit = nlohmann::json::parse(entry.value, nullptr, false);
+    BOOST_REQUIRE(audit.is_object());
+    ++by_author[audit.value("author", "")];
+    ++by_revision[audit.value("revision", std::uint64_t{0})];
+  }
+  for (std::uint64_t revision = 1; revision <= last; ++revision) {
+    if (by_revision[revision] == 1) continue;
+    violations.push_back("revision " + std::to_string(revision) + " has " +
+                         std::to_string(by_revision[revision]) +
+                         " audit entries");
+  }
+  if (entries->size() != last) violations.emplace_back("superfluous entries");
+  for (const operator_run& run : runs) {
+    const int count = by_author[run.author];
+    // After a kill and with code 5 the change may or may not have been made.
+    const bool open = run.exit_code == kKilled || run.exit_code == 5;
+    const bool right = run.exit_code == 0 ? count == 1 : count == 0;
+    if (count > 1 || (!open && !right)) {
+      violations.push_back(run.author + " ended with " +
+                           std::to_string(run.exit_code) + " and has " +
+                           std::to_string(count) + " entries");
+    }
+  }
+  return violations;
+}
+
+// Guards against a document that reverts, gets lost or reaches only a part of
+// the daemons, and against a change that the audit trail does not show.
+BOOST_AUTO_TEST_CASE(DocumentsNeverRevert) {
+  std::mt19937_64 random(TestSeed());
+  const auto cell =
+      StartFaultCell({"document_race", kBasePort, 3, /*relay_kv=*/true});
+  operators racing(*cell,
+                   std::string(APRICOTWHEEL_WORK_FOLDER) + "/document_race",
+                   random());
+  document_observer observers(*cell, 3);
+  for (const document_fault& fault : kFaults) {
+    const std::size_t victim = random() % cell->DaemonCount();
+    racing.Race(kOperators, true);
+    fault.inject(*cell, victim);
+    racing.Race(kOperators, true);
+    cell->Clock().SleepFor(milliseconds(fault.hold_ms));
+    fault.heal(*cell, victim);
+    racing.Race(kOperators, true);
+    std::cout << fault.name << ": done" << std::endl;
+  }
+  // One whole call writes the audit entry that a killed one may have left out.
+  racing.Race(1, false);
+  BOOST_TEST(racing.runs.back().exit_code == 0);
+
+  auto kv = Attempt([&] { return kv_client::Create({cell->KvAddress()}); });
+  BOOST_REQUIRE(kv);
+  const auto stored = Attempt([&] { return (*kv)->Get(kDocumentKey); });
+  BOOST_REQUIRE(stored);
+  BOOST_REQUIRE(stored->has_value());
+  const auto envelope =
+      Attempt([&] { return DecodeEnvelope((*stored)->value); });
+  BOOST_REQUIRE(envelope);
+  const std::uint64_t last = envelope->revision;
+  BOOST_TEST(envelope->author == racing.runs.back().author);
+  for (std::size_t index = 0; index < cell->DaemonCount(); ++index) {
+    BOOST_TEST(cell->WaitUntil(
+        kConvergeMs, [&] { return RevisionInForce(*cell, index) == last; }));
+  }
+  const observer_report seen = observers.Stop();
+  const auto audit = CheckAudit(**kv, last, racing.runs);
+  for (const auto* violations : {&seen.reverted, &seen.late, &audit}) {
+    for (const std::string& violation : *violations) {
+      BOOST_TEST_MESSAGE("guarantee 8: " << violation);
+    }
+    BOOST_TEST(violations->size() == 0U);
+  }
+  std::map<int, int> codes;
+  for (const operator_run& run : racing.runs) ++codes[run.exit_code];
+  for (const auto& [code, count] : codes) {
+    std::cout << "exit code " << code << ": " << count << "\n";
+  }
+  std::cout << "revisions " << last << ", longest lag "
+            << seen.longest_lag.count() << " ms" << std::endl;
+  // Enough must have been accepted for the observers to see changes.
+  BOOST_TEST(codes[0] > 10);
+  ReportGuarantee(8, seen.observations,
+                  seen.reverted.size() + seen.late.size() + audit.size());
+}
+
+}  // namespace
+}  // namespace apricotwheel::testing
--- a/tests/faults_requests/fault_rows.cc
+++ b/tests/faults_requests/fault_rows.cc
@@ -68,8 +68,11 @@
     const run_report seen = CheckRuns(records, ReadRuns(cell.JournalPath()));
     std::cout << row.name << ": " << records.size() << " requests, "
               << seen.complete_trials << " completed, " << seen.not_run
-              << " not_run and " << seen.unknown << " unknown attempts"
-              << std::endl;
+              << " not_run and " << seen.unknown << " unknown attempts;";
+    for (const auto& [reason, count] : seen.reasons) {
+      std::cout << " " << reason << " " << count;
+    }
+    std::cout << std::endl;
     BOOST_TEST(seen.complete_trials >= kRequestsBefore / 2,
                row.name << ": the cell did not serve");
     if (row.kills > 0) {
--- a/tests/faults_requests/run_checks.cc
+++ b/tests/faults_requests/run_checks.cc
@@ -53,6 +53,7 @@
     bool all_not_run = true;
     for (const request_attempt& attempt : record.attempts) {
       if (attempt.outcome == "unknown") ++report.unknown;
+      if (!attempt.reason.empty()) ++report.reasons[attempt.reason];
       if (attempt.outcome == "not_run") {
         ++report.not_run;
       } else {
--- a/tests/faults_requests/run_checks.h
+++ b/tests/faults_requests/run_checks.h
@@ -19,6 +19,7 @@
   // Requests whose first attempt was lost in flight. Refusals of later requests
   // because of a lost key history are left out.
   std::uint64_t lost_in_flight = 0;
+  std::map<std::string, std::uint64_t> reasons;  // Of all such attempts.
   std::vector<std::string> run_twice;
   std::vector<std::string> ran_despite_not_run;
   std::vector<std::string> wrong_responses;
