--- a/testing/instance_standin.cc
+++ b/testing/instance_standin.cc
@@ -124,6 +124,15 @@
     max_in_use = std::max(max_in_use, in_use);
     if (!id.empty()) ++runs[id];
     if (!key.empty()) ++runs[key];
+    if (options.events) {
+      // Survives the instance, so that a test can sum the runs of a request.
+      options.events->Append({{"event", "request_run"},
+                              {"worker", options.worker_id},
+                              {"task", options.task_id},
+                              {"correlation_id", id},
+                              {"key", key},
+                              {"target", request.target}});
+    }
     const auto asked = request.get_param_value("service_ms");
     const auto service = milliseconds(
         asked.empty() ? faults.service_ms
@@ -150,12 +159,17 @@
     const std::string head =
         "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n" +
         std::string(kCorrelationHeader) + ": " + id + "\r\n";
-    const std::string& body = response.body;
-    const auto half = std::string_view{body}.substr(0, body.size() / 2);
     if (Take(faults.wrong_correlation)) {
+      // The body is another request's too, so that a caller can tell.
+      response.set_content(json{{"correlation_id", "other-" + id},
+                                {"digest", RequestDigest("other", "")}}
+                               .dump(),
+                           "application/json");
       response.headers.erase(kCorrelationHeader);
       response.set_header(kCorrelationHeader, "other-" + id);
     }
+    const std::string& body = response.body;
+    const auto half = std::string_view{body}.substr(0, body.size() / 2);
     if (Take(faults.answer_twice)) {
       SendRaw(head + "Content-Length: " + std::to_string(body.size()) +
               "\r\n\r\n" + body);
