Limit the time that a failed task avoids a worker

Cause: the workers on which a task had failed were excluded for as long as the job lived. A gang that needs one of them waited for ever, also after the worker worked again, so an accepted job never ended.

Ruled out: quarantine of the worker (it ends with time) and the team's quota (not in use). Only the excluded worker had room for the third task.

--- a/src/jobs/shard_owner_place.cc
+++ b/src/jobs/shard_owner_place.cc
@@ -16,6 +16,9 @@
 constexpr auto kRetry = milliseconds(200);
 // A batch task that waited this long is ordered with the services.
 constexpr auto kAgeing = milliseconds(30'000);
+// Workers on which a task failed are avoided for this long. A gang that needs
+// one of them would wait for ever otherwise.
+constexpr auto kExclusionLimit = milliseconds(10'000);
 
 double DominantShare(const resource_vector& used, const team_config& team) {
   const auto share = [](std::int64_t amount, std::int64_t quota) {
@@ -54,8 +57,13 @@
   auto task = ToWire(spec);
   task.policy = ref.job ? ref.job->policy : ref.service->config.policy;
   task.spread = ref.job ? ref.job->spread : ref.service->config.spread;
-  task.excluded_workers =
-      ref.job ? ref.task->failed_on : ref.service->failed_on;
+  const bool excludes =
+      ref.job == nullptr ||
+      options_.clock->Now() - ref.task->changed_at < kExclusionLimit;
+  if (excludes) {
+    task.excluded_workers =
+        ref.job ? ref.task->failed_on : ref.service->failed_on;
+  }
   return task;
 }
 
