--- a/testing/cell/process_cell.cc
+++ b/testing/cell/process_cell.cc
@@ -17,14 +17,16 @@
 namespace {
 
 // Ports of one cell: 0 key-value service, 1 VM list, 2.. daemons' HTTP, 20..
-// daemons' peer links, 40.. relays, 60.. workers. Ports below 32768 are not
+// daemons' peer links, 40.. relays to the key-value service, 50.. relays to the
+// VM list, 60.. workers. Ports below 32768 are not
 // given to outgoing connections.
 constexpr int kPortsPerCell = 400;
 constexpr int kFirstPort = 10'000;
 constexpr int kCells = 55;
 constexpr int kHttpPort = 2;
 constexpr int kPeerPort = 20;
-constexpr int kRelayPort = 40;
+constexpr int kKvRelayPort = 40;
+constexpr int kVmListRelayPort = 50;
 constexpr int kWorkerPort = 60;
 constexpr int kStandinStartMs = 10'000;
 constexpr std::size_t kKeyBytes = 32;
@@ -59,10 +61,17 @@
     request.set_header(name, value);
   }
   const auto response = client.send(request);
-  if (!response) return {};
-  return {response->status, response->get_header_value("Apricotwheel-Outcome"),
+  if (!response) {
+    http_answer none;
+    none.connected = response.error() != httplib::Error::Connection;
+    return none;
+  }
+  return {response->status,
+          response->get_header_value("Apricotwheel-Outcome"),
           response->get_header_value("Apricotwheel-Reason"),
-          response->get_header_value("Apricotwheel-Worker"), response->body};
+          response->get_header_value("Apricotwheel-Worker"),
+          response->body,
+          true};
 }
 
 process_cell::process_cell(process_cell_options options)
@@ -77,7 +86,8 @@
 process_cell::~process_cell() {
   // Daemons first, so that they do not log the loss of the stand-ins.
   daemons_.clear();
-  relays_.clear();
+  kv_relays_.clear();
+  vm_list_relays_.clear();
 }
 
 std::string process_cell::Loopback(int offset) const {
@@ -103,10 +113,17 @@
   for (std::size_t index = 0; index < cell->daemons_.size(); ++index) {
     if (cell->options_.relay_kv) {
       BOOST_LEAF_AUTO(
-          relay,
-          tcp_relay::Start(cell->Loopback(kRelayPort + static_cast<int>(index)),
-                           cell->kv_address_));
-      cell->relays_.push_back(std::move(relay));
+          relay, tcp_relay::Start(
+                     cell->Loopback(kKvRelayPort + static_cast<int>(index)),
+                     cell->kv_address_));
+      cell->kv_relays_.push_back(std::move(relay));
+    }
+    if (cell->options_.relay_vm_list) {
+      BOOST_LEAF_AUTO(
+          relay, tcp_relay::Start(
+                     cell->Loopback(kVmListRelayPort + static_cast<int>(index)),
+                     cell->vm_list_address_));
+      cell->vm_list_relays_.push_back(std::move(relay));
     }
     BOOST_LEAF_CHECK(cell->StartDaemon(index));
   }
@@ -170,8 +187,10 @@
       {"http_address", DaemonAddress(index)},
       {"peer_address", Loopback(kPeerPort + static_cast<int>(index))},
       {"kv_address",
-       options_.relay_kv ? relays_.at(index)->Address() : kv_address_},
-      {"vm_list_address", vm_list_address_},
+       options_.relay_kv ? kv_relays_.at(index)->Address() : kv_address_},
+      {"vm_list_address", options_.relay_vm_list
+                              ? vm_list_relays_.at(index)->Address()
+                              : vm_list_address_},
       {"peer_key_file", options_.folder + "/peer.key"}};
   for (const auto& [key, value] : options_.settings) values[key] = value;
   std::string text;
--- a/testing/cell/process_cell.h
+++ b/testing/cell/process_cell.h
@@ -25,6 +25,7 @@
   int base_port = 0;  // 0: derived from the process id.
   std::map<std::string, std::string> settings;  // Overrides of all daemons.
   bool relay_kv = false;  // Each daemon reaches the service through a relay.
+  bool relay_vm_list = false;  // The same for the VM list.
 };
 
 // One HTTP answer; status 0 if there was none.
@@ -34,6 +35,7 @@
   std::string reason;
   std::string worker;
   std::string body;
+  bool connected = true;  // False if no connection could be opened.
 };
 
 struct http_call {
@@ -63,7 +65,10 @@
   child_process& Kv() { return *kv_; }
   child_process& VmList() { return *vm_list_; }
   child_process& Workers() { return *workers_; }
-  tcp_relay& KvRelay(std::size_t daemon) { return *relays_.at(daemon); }
+  tcp_relay& KvRelay(std::size_t daemon) { return *kv_relays_.at(daemon); }
+  tcp_relay& VmListRelay(std::size_t daemon) {
+    return *vm_list_relays_.at(daemon);
+  }
 
   std::string DaemonAddress(std::size_t index) const;
   const std::string& KvAddress() const { return kv_address_; }
@@ -111,7 +116,8 @@
   std::unique_ptr<child_process> kv_;
   std::unique_ptr<child_process> vm_list_;
   std::unique_ptr<child_process> workers_;
-  std::vector<std::unique_ptr<tcp_relay>> relays_;
+  std::vector<std::unique_ptr<tcp_relay>> kv_relays_;
+  std::vector<std::unique_ptr<tcp_relay>> vm_list_relays_;
   std::vector<std::unique_ptr<child_process>> daemons_;
 };
 
--- /dev/null
+++ b/tests/faults/daemon_faults_test.cc
@@ -0,0 +1,25 @@
+// Guards guarantees 1 and 2 against faults of daemons and of their links to the
+// key-value service.
+#include <array>
+#include <boost/test/unit_test.hpp>
+
+#include "tests/faults/fault_cases.h"
+
+namespace apricotwheel::testing {
+
+constexpr int kBasePort = 28'000;
+
+BOOST_AUTO_TEST_CASE(SurvivesFaultsOfDaemons) {
+  const std::array<fault_case, 7> cases = {{
+      {&kDaemonKilled, nullptr, 0, false},
+      {&kDaemonFrozen, nullptr, 3500, false},
+      {&kKvRequestsCut, nullptr, 3500, false},
+      {&kKvRepliesCut, nullptr, 3500, false},
+      {&kKvCut, nullptr, 3500, false},
+      {&kReplacedInTurn, nullptr, 0, false},
+      {&kReplacedAtOnce, nullptr, 0, false},
+  }};
+  RunFaultCases("daemon", kBasePort, cases);
+}
+
+}  // namespace apricotwheel::testing
--- /dev/null
+++ b/tests/faults/fault_cases.h
@@ -0,0 +1,54 @@
+#pragma once
+
+#include <functional>
+#include <span>
+#include <string>
+
+#include "tests/faults/fault_rig.h"
+
+namespace apricotwheel::testing {
+
+// The daemon and the worker that a case disturbs, chosen by the seed.
+struct fault_target {
+  std::size_t daemon = 0;
+  std::size_t other_daemon = 0;
+  std::string worker;
+};
+
+// One fault: how it begins and how it ends.
+struct fault {
+  const char* name;
+  void (*begin)(fault_rig& rig, const fault_target& target);
+  void (*end)(fault_rig& rig, const fault_target& target);
+};
+
+// One row of the table that drives a test. The second fault, if there is one,
+// begins while the first one lasts.
+struct fault_case {
+  const fault* first;
+  const fault* second;  // May be null.
+  int hold_ms;
+  bool jobs_may_fail;
+};
+
+extern const fault kDaemonKilled;
+extern const fault kDaemonFrozen;
+extern const fault kKvRequestsCut;
+extern const fault kKvRepliesCut;
+extern const fault kKvCut;
+extern const fault kKvDown;
+extern const fault kKvSlow;
+extern const fault kKvLosesReplies;
+extern const fault kVmListStale;
+extern const fault kWorkerFrozen;
+extern const fault kWorkerFailsTasks;
+extern const fault kWorkerUnderReports;
+extern const fault kReplacedInTurn;
+extern const fault kReplacedAtOnce;
+
+// Runs each case under load, checks guarantees 1 and 2 and the recovery, and
+// reports the counts and the recovery figures.
+void RunFaultCases(const std::string& name, int base_port,
+                   std::span<const fault_case> cases);
+
+}  // namespace apricotwheel::testing
--- /dev/null
+++ b/tests/faults/fault_rig.cc
@@ -0,0 +1,331 @@
+#include "tests/faults/fault_rig.h"
+
+#include <time.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <cstdlib>
+#include <fstream>
+#include <iostream>
+
+#include "kernel/clock.h"
+
+namespace apricotwheel::testing {
+
+namespace {
+
+constexpr int kRequesters = 16;
+constexpr int kSubmitters = 2;
+constexpr std::size_t kDaemons = 3;
+constexpr std::size_t kInstances = 6;
+constexpr auto kSubmitPause = milliseconds(350);
+constexpr int kSubmitAttempts = 30;
+
+const std::map<std::string, std::string> kShortTimes = {
+    {"lease_ttl_ms", "1500"},
+    {"lease_renew_interval_ms", "500"},
+    {"worker_renew_interval_ms", "400"},
+    {"task_lease_ms", "5000"},
+    {"dispatch_authority_ms", "1500"},
+    {"clock_margin_ms", "250"},
+    {"vm_list_interval_ms", "500"}};
+
+std::uint64_t ReadSeed() {
+  const char* text = std::getenv("APRICOTWHEEL_SEED");
+  if (text != nullptr) return std::strtoull(text, nullptr, 10);
+  random_source source = SystemRandom();
+  return NextBelow(source, 1'000'000);
+}
+
+bool IsFinal(const std::string& state) {
+  return state == "finished" || state == "failed" || state == "cancelled";
+}
+
+}  // namespace
+
+std::int64_t NowMs() {
+  timespec now{};
+  clock_gettime(CLOCK_MONOTONIC, &now);
+  return std::int64_t{now.tv_sec} * 1000 + now.tv_nsec / 1'000'000;
+}
+
+std::string RigDocument(const std::string& drained) {
+  return R"(version: 1
+cell: faults
+teams:
+  - name: web
+    weight: 2
+    quota: {cpu_milli: 400000, memory_mib: 1600000, accelerators: 64}
+  - name: science
+    weight: 1
+    quota: {cpu_milli: 400000, memory_mib: 1600000, accelerators: 64}
+workloads:
+  - name: front
+    kind: service
+    team: web
+    policy: waiting-first
+    instances: 4
+    resources: {cpu_milli: 10000, memory_mib: 32768}
+    slots: 4
+    connections: 64
+    queue_limit: 256
+    deadline_ms: 4000
+  - name: model
+    kind: service
+    team: science
+    policy: waiting-first
+    instances: 2
+    resources: {cpu_milli: 32000, memory_mib: 131072, accelerators: 4}
+    slots: 8
+    connections: 64
+    queue_limit: 256
+    deadline_ms: 4000
+  - name: batch
+    kind: batch
+    team: web
+    policy: waiting-first
+    instances: 4
+    resources: {cpu_milli: 5000, memory_mib: 8192}
+    run_ms: 700
+  - name: gang
+    kind: gang
+    team: science
+    policy: waiting-first
+    instances: 3
+    resources: {cpu_milli: 16000, memory_mib: 65536, accelerators: 3}
+    run_ms: 700
+drain: [)" +
+         drained + "]\n";
+}
+
+void Report(const std::string& name, std::int64_t value,
+            const std::string& unit) {
+  const std::string line =
+      name + " " + std::to_string(value) + " " + unit + "\n";
+  std::cout << line << std::flush;
+  const char* path = std::getenv("APRICOTWHEEL_REPORT");
+  if (path == nullptr) return;
+  std::ofstream(path, std::ios::app) << line;
+}
+
+std::unique_ptr<fault_rig> fault_rig::Start(const std::string& name,
+                                            int base_port) {
+  std::unique_ptr<fault_rig> rig(new fault_rig);
+  const std::uint64_t seed = ReadSeed();
+  rig->random_.state = seed;
+  process_cell_options options;
+  options.folder = "faults-" + name + "." + std::to_string(getpid());
+  std::cout << "seed " << seed << ", logs in " << options.folder << "\n";
+  options.daemon = APRICOTWHEEL_DAEMON;
+  options.standin = APRICOTWHEEL_STANDIN;
+  options.document = RigDocument();
+  options.daemons = kDaemons;
+  options.groups = {"small:9:16000:65536:0:3", "large:3:64000:262144:8:1"};
+  options.base_port = base_port;
+  options.settings = kShortTimes;
+  options.relay_kv = true;
+  options.relay_vm_list = true;
+  auto started = Attempt([&] { return process_cell::Start(options); });
+  if (!started) {
+    std::cerr << Describe(started.failure) << "\n";
+    return nullptr;
+  }
+  rig->cell_ = std::move(*started);
+  return rig;
+}
+
+fault_rig::~fault_rig() { StopLoad(); }
+
+bool fault_rig::WaitForServices(int timeout_ms) {
+  return cell_->WaitForInstances(kInstances, timeout_ms);
+}
+
+void fault_rig::StartLoad() {
+  running_ = true;
+  submitting_ = true;
+  ++runs_;
+  for (int index = 0; index < kRequesters + kSubmitters; ++index) {
+    const std::uint64_t seed = NextU64(random_);
+    threads_.emplace_back([this, seed, index] {
+      if (index < kRequesters) {
+        SendRequests(seed);
+      } else {
+        SubmitJobs(seed);
+      }
+    });
+  }
+}
+
+void fault_rig::StopLoad() {
+  running_ = false;
+  submitting_ = false;
+  for (auto& thread : threads_) thread.join();
+  threads_.clear();
+}
+
+void fault_rig::SendRequests(std::uint64_t seed) {
+  random_source random{seed};
+  while (running_) {
+    const std::string service = NextBelow(random, 3) == 0 ? "model" : "front";
+    http_call call;
+    call.method = NextBelow(random, 2) == 0 ? "GET" : "POST";
+    call.path = "/v1/services/" + service +
+                "/x?service_ms=" + std::to_string(5 + NextBelow(random, 60));
+    call.timeout_ms = 5000;
+    const auto answer =
+        Call(cell_->DaemonAddress(NextBelow(random, kDaemons)), call);
+    if (answer.outcome == "completed") {
+      ++counts_.completed;
+    } else if (answer.outcome == "not_run") {
+      ++counts_.not_run;
+    } else if (answer.outcome == "unknown") {
+      ++counts_.unknown;
+    } else {
+      ++counts_.no_answer;
+    }
+    cell_->Clock().SleepFor(milliseconds(5));
+  }
+}
+
+void fault_rig::SubmitJobs(std::uint64_t seed) {
+  random_source random{seed};
+  for (int number = 0; submitting_; ++number) {
+    const bool gang = NextBelow(random, 3) == 0;
+    const nlohmann::json body = {
+        {"workload", gang ? "gang" : "batch"},
+        {"request_id", std::to_string(seed) + "-" + std::to_string(number)}};
+    // A submission without an answer is repeated under the same request id.
+    for (int attempt = 0; running_ && attempt < kSubmitAttempts; ++attempt) {
+      const auto answer =
+          Call(cell_->DaemonAddress(NextBelow(random, kDaemons)),
+               {"POST", "/v1/jobs", body.dump(), {}, 5000});
+      if (answer.status == 200 || answer.status == 201) {
+        const auto reply = nlohmann::json::parse(answer.body, nullptr, false);
+        const std::lock_guard lock(mutex_);
+        jobs_.push_back({reply.value("job_id", ""), NowMs(), "", 0});
+        break;
+      }
+      cell_->Clock().SleepFor(kSubmitPause);
+    }
+    cell_->Clock().SleepFor(kSubmitPause);
+  }
+}
+
+std::vector<accepted_job> fault_rig::Jobs() {
+  const std::lock_guard lock(mutex_);
+  return jobs_;
+}
+
+bool fault_rig::WaitForJobs(int timeout_ms) {
+  return cell_->WaitUntil(timeout_ms, [&] {
+    std::size_t open = 0;
+    const auto all = Jobs();
+    for (std::size_t index = 0; index < all.size(); ++index) {
+      if (IsFinal(all[index].end_state)) continue;
+      std::string state;
+      for (std::size_t daemon = 0; daemon < kDaemons && state.empty();
+           ++daemon) {
+        const auto answer =
+            Call(cell_->DaemonAddress(daemon),
+                 {"GET", "/v1/jobs/" + all[index].id, "", {}, 3000});
+        if (answer.status != 200) continue;
+        state = nlohmann::json::parse(answer.body, nullptr, false)
+                    .value("state", "");
+      }
+      const std::lock_guard lock(mutex_);
+      jobs_[index].end_state = state;
+      jobs_[index].ended_at_ms = NowMs();
+      if (!IsFinal(state)) ++open;
+    }
+    return open == 0;
+  });
+}
+
+std::int64_t fault_rig::WaitForAcceptedAfter(std::int64_t since_ms,
+                                             int timeout_ms) {
+  std::int64_t found = -1;
+  cell_->WaitUntil(timeout_ms, [&] {
+    for (const auto& job : Jobs()) {
+      if (job.accepted_at_ms < since_ms) continue;
+      found = job.accepted_at_ms - since_ms;
+      return true;
+    }
+    return false;
+  });
+  return found;
+}
+
+std::vector<std::string> fault_rig::WorkersOf(std::size_t daemon) {
+  std::vector<std::string> names;
+  const auto status = cell_->Status(daemon);
+  if (!status.contains("workers")) return names;
+  for (const auto& line : status["workers"]) names.push_back(line["worker"]);
+  return names;
+}
+
+http_answer fault_rig::AdminWorker(const std::string& worker,
+                                   const std::string& faults) {
+  for (const auto& vm : cell_->CellFile()["vms"]) {
+    if (vm["id"] != worker) continue;
+    return Call(vm["address"].get<std::string>(),
+                {"POST", "/admin/faults", faults, {}, 5000});
+  }
+  return {};
+}
+
+http_answer fault_rig::AdminKv(const std::string& faults) {
+  return Call(cell_->KvAddress(), {"POST", "/admin/faults", faults, {}, 5000});
+}
+
+http_answer fault_rig::AdminVmList(const std::string& path,
+                                   const std::string& body) {
+  return Call(cell_->VmListAddress(), {"POST", path, body, {}, 5000});
+}
+
+std::vector<std::string> fault_rig::NewBreaches() {
+  auto all = CheckJournal(ReadJournal(cell_->JournalPath())).breaches;
+  all.erase(all.begin(), all.begin() + static_cast<long>(breaches_seen_));
+  breaches_seen_ += all.size();
+  return all;
+}
+
+std::vector<std::string> fault_rig::NewOverlaps() {
+  const auto entries = ReadJournal(cell_->JournalPath());
+  auto all = CheckJournal(entries).overlaps;
+  all.erase(all.begin(), all.begin() + static_cast<long>(overlaps_seen_));
+  overlaps_seen_ += all.size();
+  // A task of a job that was reported as ended must not start again.
+  for (const auto& job : Jobs()) {
+    if (!IsFinal(job.end_state)) continue;
+    for (const auto& entry : entries) {
+      if (entry.event == "task_started" && entry.at_ms > job.ended_at_ms &&
+          entry.task_id.starts_with(job.id + "/")) {
+        all.push_back(entry.task_id + " started after its job ended");
+      }
+    }
+  }
+  return all;
+}
+
+std::string fault_rig::ServiceDifference() {
+  std::map<std::string, int> running;
+  for (const auto& entry : ReadJournal(cell_->JournalPath())) {
+    if (!entry.task_id.starts_with("service/")) continue;
+    if (entry.event == "task_started") ++running[entry.task_id];
+    if (entry.event == "task_ended") --running[entry.task_id];
+  }
+  std::string text;
+  std::size_t total = 0;
+  for (const auto& [task, count] : running) {
+    total += static_cast<std::size_t>(count);
+    if (count < 0 || count > 1)
+      text += task + " runs on " + std::to_string(count) + " places; ";
+  }
+  if (total != kInstances) {
+    text += std::to_string(total) + " service tasks run instead of " +
+            std::to_string(kInstances);
+  }
+  return text;
+}
+
+}  // namespace apricotwheel::testing
--- /dev/null
+++ b/tests/faults/planned_stop_test.cc
@@ -0,0 +1,184 @@
+// Guards guarantee 7: a planned stop that interrupts requests, is not announced
+// by readiness, leaves work behind or does not end.
+#include <array>
+#include <boost/test/unit_test.hpp>
+#include <iostream>
+#include <thread>
+
+#include "tests/faults/fault_rig.h"
+
+namespace apricotwheel::testing {
+
+namespace {
+
+constexpr int kBasePort = 29'200;
+constexpr int kStartMs = 30'000;
+constexpr int kRecoverMs = 40'000;
+constexpr int kStopMs = 20'000;
+constexpr int kHeld = 8;
+constexpr int kHeldPolls = 4;
+constexpr int kProbes = 4;
+
+// One planned stop. Requests of `service_ms` are in flight when the signal
+// arrives; the cell was disturbed before they were sent.
+struct stop_case {
+  const char* name;
+  std::size_t daemon;
+  int service_ms;
+  void (*disturb)(fault_rig& rig, std::size_t daemon);
+};
+
+void Nothing(fault_rig& /*rig*/, std::size_t /*daemon*/) {}
+
+std::string Describe(const http_answer& answer) {
+  return "status " + std::to_string(answer.status) + " outcome '" +
+         answer.outcome + "' reason '" + answer.reason + "' " +
+         (answer.connected ? "" : "not connected");
+}
+
+// What a caller of the stopping daemon saw, in order.
+struct probe_result {
+  std::vector<http_answer> answers;
+};
+
+// Returns the violations of one stop.
+std::vector<std::string> StopOnce(fault_rig& rig, const stop_case& row) {
+  std::vector<std::string> violations;
+  auto& cell = rig.Cell();
+  const std::string address = cell.DaemonAddress(row.daemon);
+  std::array<http_answer, kHeld> held;
+  std::array<probe_result, kProbes> probes;
+  std::atomic<bool> stopped = false;
+  std::vector<std::thread> threads;
+  row.disturb(rig, row.daemon);
+  for (int index = 0; index < kHeld; ++index) {
+    threads.emplace_back([&, index] {
+      held[static_cast<std::size_t>(index)] =
+          Call(address, {"POST",
+                         "/v1/services/front/held?service_ms=" +
+                             std::to_string(row.service_ms),
+                         "",
+                         {{"Apricotwheel-Deadline-Ms", "15000"}},
+                         20'000});
+    });
+  }
+  // Requests of the load last for less than the time between these polls.
+  int polls = 0;
+  const bool in_flight = cell.WaitUntil(kStartMs, [&] {
+    const bool enough = cell.Status(row.daemon).value("in_flight", 0) >= kHeld;
+    polls = enough ? polls + 1 : 0;
+    return polls == kHeldPolls;
+  });
+  if (!in_flight) violations.emplace_back("the requests were not in flight");
+  for (auto& probe : probes) {
+    threads.emplace_back([&] {
+      while (!stopped) {
+        probe.answers.push_back(Call(
+            address,
+            {"POST", "/v1/services/front/new?service_ms=10", "", {}, 10'000}));
+        cell.Clock().SleepFor(milliseconds(10));
+      }
+    });
+  }
+  cell.Daemon(row.daemon).Terminate();
+  http_answer ready;
+  cell.WaitUntil(kStopMs, [&] {
+    ready = Call(address, {"GET", "/readyz", "", {}, 2000});
+    return ready.status != 200;
+  });
+  if (ready.status != 503) {
+    violations.push_back("readiness: " + Describe(ready));
+  }
+  const auto code = cell.Daemon(row.daemon).Wait(kStopMs);
+  stopped = true;
+  for (auto& thread : threads) thread.join();
+  if (code != 0) {
+    violations.push_back("exit code " +
+                         (code ? std::to_string(*code) : "none"));
+  }
+  for (const auto& answer : held) {
+    if (answer.outcome != "completed") {
+      violations.push_back("request in flight: " + Describe(answer));
+    }
+  }
+  std::size_t served = 0;
+  std::size_t refused = 0;
+  std::size_t closed = 0;
+  for (const auto& probe : probes) {
+    for (const auto& answer : probe.answers) {
+      if (answer.outcome == "completed") {
+        ++served;
+      } else if (answer.outcome == "not_run") {
+        ++refused;
+      } else if (!answer.connected) {
+        ++closed;
+      } else {
+        violations.push_back("new request: " + Describe(answer));
+      }
+    }
+  }
+  if (served == 0) violations.emplace_back("no new request was served");
+  std::cout << row.name << ": " << served << " new requests served, " << refused
+            << " not_run, " << closed << " not connected\n";
+  return violations;
+}
+
+}  // namespace
+
+BOOST_AUTO_TEST_CASE(PlannedStopInterruptsNothing) {
+  const auto rig = fault_rig::Start("stop", kBasePort);
+  BOOST_REQUIRE(rig);
+  BOOST_REQUIRE(rig->WaitForServices(kStartMs));
+  const std::array<stop_case, 4> cases = {{
+      {"short requests", 0, 900, Nothing},
+      {"requests longer than the readiness grace", 1, 2500, Nothing},
+      {"another daemon was killed just before", 2, 2500,
+       [](fault_rig& r, std::size_t daemon) {
+         r.Cell().Daemon((daemon + 1) % r.Cell().DaemonCount()).Kill();
+       }},
+      {"key-value service slow", 1, 1500,
+       [](fault_rig& r, std::size_t /*daemon*/) {
+         r.AdminKv(R"({"slow_ms": 200})");
+       }},
+  }};
+  std::int64_t violated = 0;
+  for (const auto& row : cases) {
+    BOOST_TEST_CONTEXT(row.name) {
+      rig->StartLoad();
+      rig->Cell().Clock().SleepFor(milliseconds(300 + rig->Below(300)));
+      const auto violations = StopOnce(*rig, row);
+      for (const auto& line : violations) BOOST_ERROR("guarantee 7: " << line);
+      if (!violations.empty()) ++violated;
+      rig->AdminKv("{}");
+      rig->StopSubmitting();
+      // The other daemons take over before the stopped one returns.
+      for (std::size_t index = 0; index < rig->Cell().DaemonCount(); ++index) {
+        if (index == row.daemon || rig->Cell().Daemon(index).IsRunning()) {
+          continue;
+        }
+        BOOST_CHECK(Attempt([&] { return rig->Cell().RestartDaemon(index); }));
+      }
+      BOOST_CHECK(rig->WaitForServices(kRecoverMs));
+      BOOST_CHECK(rig->WaitForJobs(kRecoverMs));
+      rig->StopLoad();
+      for (const auto& job : rig->Jobs()) {
+        BOOST_CHECK_EQUAL(job.end_state, "finished");
+      }
+      for (const auto& line : rig->NewBreaches()) BOOST_ERROR(line);
+      for (const auto& line : rig->NewOverlaps()) BOOST_ERROR(line);
+      BOOST_REQUIRE(
+          Attempt([&] { return rig->Cell().RestartDaemon(row.daemon); }));
+      BOOST_REQUIRE(rig->Cell().WaitUntil(kRecoverMs, [&] {
+        return Call(rig->Cell().DaemonAddress(row.daemon),
+                    {"GET", "/readyz", "", {}, 2000})
+                   .status == 200;
+      }));
+      BOOST_REQUIRE(rig->WaitForServices(kRecoverMs));
+    }
+  }
+  Report("guarantee_7_trials", static_cast<std::int64_t>(cases.size()),
+         "stops");
+  Report("guarantee_7_violations", violated, "stops");
+}
+
+}  // namespace apricotwheel::testing
