--- a/tests/faults/leaving_test.cc
+++ b/tests/faults/leaving_test.cc
@@ -74,6 +74,7 @@
       std::atomic<int> observed = 0;
       std::atomic<bool> done = false;
       std::vector<std::thread> callers;
+      callers.reserve(kCallers);
       for (int index = 0; index < kCallers; ++index) {
         callers.emplace_back([&, index] {
           while (!done) {
