--- a/tests/faults/planned_stop_test.cc
+++ b/tests/faults/planned_stop_test.cc
@@ -50,6 +50,7 @@
   std::array<probe_result, kProbes> probes;
   std::atomic<bool> stopped = false;
   std::vector<std::thread> threads;
+  threads.reserve(kHeld + kProbes);
   row.disturb(rig, row.daemon);
   for (int index = 0; index < kHeld; ++index) {
     threads.emplace_back([&, index] {
