--- a/tests/faults/leaving_test.cc
+++ b/tests/faults/leaving_test.cc
@@ -34,7 +34,7 @@
   if (!status.contains("instances")) return "";
   for (const auto& instance : status["instances"]) {
     // Gangs need all large VMs, so a small one leaves.
-    const std::string worker = instance["worker"];
+    std::string worker = instance["worker"];
     if (instance["service"] == service && worker.starts_with("small")) {
       return worker;
     }
