--- a/src/jobs/shard_owner_place.cc
+++ b/src/jobs/shard_owner_place.cc
@@ -12,6 +12,9 @@
 // appeared since, and urgent tasks may pre-empt.
 constexpr std::size_t kSpeculativePerRound = 16;
 constexpr auto kRetry = milliseconds(200);
+// Workers on which a task failed are avoided for this long. A gang that needs
+// one of them would wait for ever otherwise.
+constexpr auto kExclusionLimit = milliseconds(10'000);
 
 }  // namespace
 
@@ -38,8 +41,13 @@
   auto task = ToWire(spec);
   task.policy = ref.job ? ref.job->policy : ref.service->config.policy;
   task.spread = ref.job ? ref.job->spread : ref.service->config.spread;
-  task.excluded_workers =
-      ref.job ? ref.task->failed_on : ref.service->failed_on;
+  const bool excludes =
+      ref.job == nullptr ||
+      options_.clock->Now() - ref.task->changed_at < kExclusionLimit;
+  if (excludes) {
+    task.excluded_workers =
+        ref.job ? ref.task->failed_on : ref.service->failed_on;
+  }
   return task;
 }
 
