Remove acknowledged tasks from the index of their worker

Cause: a renewal that acknowledged an end, and a worker that stopped answering, still worked on the map of all tasks. The worker's index kept a pointer to the freed entry, and the daemon crashed in TakeOrders when the worker got its next order.

Change: RemoveTask is the only place that erases a task.

--- a/src/workers/worker_fleet_reconcile.cc
+++ b/src/workers/worker_fleet_reconcile.cc
@@ -78,7 +78,7 @@
     const auto task = tasks_.find(id);
     if (task != tasks_.end() && task->second.worker == worker_id &&
         task->second.end_accepted) {
-      tasks_.erase(task);
+      RemoveTask(task);
     }
   }
   Reconcile(worker, snapshot, sent, false);
@@ -96,9 +96,9 @@
   if (worker.now != worker_phase::kReady) return;
   worker.now = worker_phase::kUnresponsive;
   UpdateUsable(worker);
-  for (auto& [id, task] : tasks_) {
-    if (task.worker == worker_id && task.now == phase::kStarting &&
-        !task.start_sent) {
+  for (const auto& [id, entry] : worker.tasks) {
+    auto& task = *entry;
+    if (task.now == phase::kStarting && !task.start_sent) {
       End(task, task_state::kFailed, "not started: the worker does not answer",
           false);
     }
--- a/tests/workers/worker_fleet_test.cc
+++ b/tests/workers/worker_fleet_test.cc
@@ -369,6 +369,22 @@
   BOOST_TEST((Place("e/0").status == wire::place_status::wait));
 }
 
+// Guards against an index entry that outlives its task after a renewal
+// acknowledged the task's end; the next orders would read freed memory.
+BOOST_FIXTURE_TEST_CASE(acknowledged_task_leaves_the_index, fixture) {
+  Claim("w1");
+  Place("t/0");
+  Serve("w1");
+  Renew("w1");
+  workers["w1"].tasks.front().state = task_state::kFinished;
+  Renew("w1");
+  Accept();
+  BOOST_TEST(fleet.Workers().at(0).tasks == 1u);
+  Renew("w1");
+  BOOST_TEST(fleet.Workers().at(0).tasks == 0u);
+  BOOST_TEST(fleet.CanForget("w1"));
+}
+
 // Guards against new work on a leaving VM and batch work that stays there.
 BOOST_FIXTURE_TEST_CASE(leaving_vm_is_vacated, fixture) {
   Claim("w1");
--- a/tests/workers/worker_lease_test.cc
+++ b/tests/workers/worker_lease_test.cc
@@ -4,7 +4,7 @@
 #include <boost/test/data/test_case.hpp>
 #include <boost/test/unit_test.hpp>
 
-#include "workers/worker_health.h"
+#include "placement/health_tracker.h"
 
 namespace apricotwheel {
 namespace {
@@ -108,17 +108,23 @@
 // against a faulty worker that leaves its quarantine as if it were healthy.
 BOOST_AUTO_TEST_CASE(quarantine_needs_different_jobs) {
   const auto clock = runtime_clock::Paused();
-  worker_health health(3, milliseconds(1000));
-  for (int i = 0; i < 9; ++i) health.OnFailure("one", clock->Now());
-  BOOST_TEST(!health.Quarantined(clock->Now()));
-  health.OnFailure("two", clock->Now());
-  health.OnFailure("three", clock->Now());
-  BOOST_TEST(health.Quarantined(clock->Now()));
+  health_tracker tracker;
+  tracker.settings.failed_jobs_to_quarantine = 3;
+  tracker.settings.quarantine_base = milliseconds(1000);
+  const auto fail = [&](const char* job) {
+    RecordFailure(tracker, "w1", job, clock->Now());
+  };
+  const auto health = [&] { return HealthOf(tracker, "w1", clock->Now()); };
+  for (int i = 0; i < 9; ++i) fail("one");
+  BOOST_TEST((health() == worker_health::kHealthy));
+  fail("two");
+  fail("three");
+  BOOST_TEST((health() == worker_health::kQuarantined));
   clock->Advance(milliseconds(1000));
-  BOOST_TEST(!health.Quarantined(clock->Now()));
-  health.OnFailure("one", clock->Now());
+  BOOST_TEST((health() == worker_health::kProbation));
+  fail("one");
   clock->Advance(milliseconds(1500));
-  BOOST_TEST(health.Quarantined(clock->Now()));
+  BOOST_TEST((health() == worker_health::kQuarantined));
 }
 
 }  // namespace
