Reserve room in a segment for the states of its tasks

Cause: a segment took new records until 64 KiB, but the records of jobs with many tasks grow about thirtyfold as the tasks end. Twenty jobs of 1000 tasks grew over the 1 MB of a value, and the shard could commit nothing more.

Change: a record counts with 160 bytes for each task beyond the first.

--- a/src/jobs/job_store.cc
+++ b/src/jobs/job_store.cc
@@ -13,6 +13,9 @@
 using nlohmann::json;
 
 constexpr int kLoadAttempts = 5;
+// What the states of a task add to a record until its job has ended. A segment
+// that grew over the 1 MB of a value could never be written again.
+constexpr std::size_t kTaskGrowth = 160;
 
 std::string Digits(std::uint64_t number, std::size_t width) {
   auto text = std::to_string(number);
@@ -157,7 +160,11 @@
   auto& entry = slots_[job.job_id];
   const auto version = ++last_version_;
   if (entry.segment == 0) {
-    if (segments_[open_segment_].bytes + encoded.size() >
+    // The fixed part of a record is larger than the growth by one task.
+    entry.reserved =
+        (std::max<std::size_t>(job.tasks.size(), 1) - 1) * kTaskGrowth;
+    if (segments_[open_segment_].bytes + segments_[open_segment_].reserved +
+                encoded.size() + entry.reserved >
             options_.segment_bytes &&
         !segments_[open_segment_].jobs.empty()) {
       // Written before the new segment is created: if another owner took the
@@ -168,6 +175,7 @@
     }
     entry.segment = open_segment_;
     segments_[open_segment_].jobs.push_back(job.job_id);
+    segments_[open_segment_].reserved += entry.reserved;
   }
   auto& target = segments_[entry.segment];
   target.bytes += encoded.size() - entry.encoded.size();
@@ -251,6 +259,7 @@
     if (no_effect && !entry.attempted && entry.committed == 0 &&
         entry.version == version) {
       target.bytes -= entry.encoded.size();
+      target.reserved -= entry.reserved;
       std::erase(target.jobs, id);
       slots_.erase(found);
     }
--- a/src/jobs/job_store.h
+++ b/src/jobs/job_store.h
@@ -68,6 +68,7 @@
   struct slot {
     std::uint64_t segment = 0;
     std::string encoded;
+    std::size_t reserved = 0;  // For the growth of the record.
     std::uint64_t version = 0;
     std::uint64_t committed = 0;
     bool attempted = false;  // A write of it may have taken effect.
@@ -77,6 +78,7 @@
   struct segment {
     std::uint64_t revision = 0;
     std::size_t bytes = 0;
+    std::size_t reserved = 0;
     bool dirty = false;
     std::vector<std::string> jobs;
   };
--- a/tests/jobs/job_store_test.cc
+++ b/tests/jobs/job_store_test.cc
@@ -57,6 +57,31 @@
   BOOST_TEST(Load(*Store(2)) == 3u);
 }
 
+// Guards against a segment that grows over the largest value as its tasks end;
+// the shard could then commit nothing more.
+BOOST_FIXTURE_TEST_CASE(segment_stays_below_the_value_limit, fixture) {
+  job_store store({7, 1, "m1", CallsOf(client.get(), clock), clock, {}});
+  BOOST_TEST(Load(store) == 0u);
+  std::vector<job_record> jobs;
+  for (int i = 0; i < 20; ++i) {
+    jobs.push_back(Job("j" + std::to_string(i)));
+    jobs.back().tasks.resize(1000);
+    store.Stage(jobs.back());
+  }
+  BOOST_TEST(Flush(store));
+  for (auto& job : jobs) {
+    for (auto& task : job.tasks) {
+      task.state = attempt_state::kFinished;
+      task.worker = "some-larger-worker-name";
+      task.ran_ms = 100'000;
+      task.waited_ms = 100'000;
+      task.had_run = true;
+    }
+    store.Stage(job);
+  }
+  BOOST_TEST(Flush(store));
+}
+
 // Guards against a lost reply that is taken for a lost record, or that makes
 // the owner lose its next compare-and-swap.
 BOOST_FIXTURE_TEST_CASE(lost_reply_is_settled, fixture) {
--- a/tests/jobs/shard_owner_test.cc
+++ b/tests/jobs/shard_owner_test.cc
@@ -257,6 +257,8 @@
   urgent.priority = priority_class::kUrgent;
   document->workloads.push_back(urgent);
   cell.document = document;
+  // One member, so that starts are in the order of the queue.
+  cell.rooms.pop_back();
   room = {{"m1", 0}, {"m2", 0}};
   Submit("large", 1);
   const auto batch = Submit("batch", 3);
