--- a/ctl/daemon_client.cc
+++ b/ctl/daemon_client.cc
@@ -85,8 +85,10 @@
 
 result<daemon_answer> CallForSuccess(const command_context& context,
                                      const daemon_call& call) {
-  BOOST_LEAF_AUTO(answer, CallDaemon(context, context.daemon, call));
-  if (answer.status > 299) return Fail(ErrorOf(answer, call.has_effect));
+  auto answer = CallDaemon(context, context.daemon, call);
+  if (answer && answer->status > 299) {
+    return Fail(ErrorOf(*answer, call.has_effect));
+  }
   return answer;
 }
 
--- a/ctl/files.cc
+++ b/ctl/files.cc
@@ -37,6 +37,7 @@
 void PrintTable(std::ostream& out, const std::vector<std::string>& heading,
                 const std::vector<std::vector<std::string>>& rows) {
   std::vector<std::size_t> widths;
+  widths.reserve(heading.size());
   for (const auto& title : heading) widths.push_back(title.size());
   for (const auto& row : rows) {
     for (std::size_t at = 0; at < row.size(); ++at) {
--- a/ctl/status.cc
+++ b/ctl/status.cc
@@ -20,6 +20,7 @@
   if (found != status.end()) {
     for (const auto& entry : *found) {
       std::vector<std::string> row;
+      row.reserve(columns.size());
       for (const auto& column : columns) row.push_back(TextOf(entry, column));
       rows.push_back(std::move(row));
     }
--- a/src/daemon/service_api.cc
+++ b/src/daemon/service_api.cc
@@ -46,7 +46,7 @@
 }
 
 std::string Header(const httplib::Request& http, std::string_view name) {
-  return http.get_header_value(std::string(name).c_str());
+  return http.get_header_value(std::string(name));
 }
 
 boost::leaf::error_id BadHeader(std::string_view name, std::string_view value,
--- a/src/jobs/shard_owner_inventory.cc
+++ b/src/jobs/shard_owner_inventory.cc
@@ -157,8 +157,8 @@
     const bool vacant =
         owner.owner.empty() && cell.vms != nullptr &&
         std::none_of(cell.vms->vms.begin(), cell.vms->vms.end(),
-                     [&, partition = std::string_view(name)](const auto& vm) {
-                       return vm.failure_domain + "/" + vm.rack == partition;
+                     [&rack = name](const auto& vm) {
+                       return vm.failure_domain + "/" + vm.rack == rack;
                      });
     if (!vacant || now < sweep_.started + options_.task_lease + kDriftMargin) {
       return false;
--- a/src/workers/worker_session.cc
+++ b/src/workers/worker_session.cc
@@ -125,21 +125,21 @@
       const auto answer =
           options_.calls.start(options_.epoch, order.spec, order.expires_at_ms);
       options_.fleet->OnStarted(options_.worker, order, answer);
-      succeeded = bool(answer);
+      succeeded = static_cast<bool>(answer);
       failure = answer.failure;
       break;
     }
     case worker_order::kind::kStop: {
       const auto answer =
           options_.calls.stop(options_.epoch, order.spec.task_id, order.mode);
-      succeeded = bool(answer);
+      succeeded = static_cast<bool>(answer);
       failure = answer.failure;
       break;
     }
     case worker_order::kind::kThrottle: {
       const auto answer = options_.calls.throttle(
           options_.epoch, order.spec.task_id, order.cpu_milli);
-      succeeded = bool(answer);
+      succeeded = static_cast<bool>(answer);
       failure = answer.failure;
       break;
     }
--- a/testing/worker_agent.cc
+++ b/testing/worker_agent.cc
@@ -332,7 +332,7 @@
                 if (!Admit(call)) {
                   return json_answer{409, {{"highest_epoch", epoch->load()}}};
                 }
-                const auto answer = (this->*apply)(call);
+                auto answer = (this->*apply)(call);
                 if (faults.delay_ms > 0) {
                   options.clock->WaitFor(held, changed,
                                          milliseconds(faults.delay_ms),
