--- a/src/workers/worker_fleet_place.cc
+++ b/src/workers/worker_fleet_place.cc
@@ -272,13 +272,15 @@
       return worker.now == worker_phase::kReady ||
              CertainlyExpired(worker, now);
     };
-    line->complete =
-        expected.list_is_current && !expected.uncertain.contains(partition) &&
-        std::all_of(names.begin(), names.end(), [&](const auto& name) {
-          const auto found = workers_.find(name);
-          return found != workers_.end() &&
-                 found->second.partition == partition && settled(found->second);
-        });
+    line->complete = expected.list_is_current &&
+                     !expected.uncertain.contains(partition) &&
+                     std::all_of(names.begin(), names.end(),
+                                 [&, &rack = partition](const auto& name) {
+                                   const auto found = workers_.find(name);
+                                   return found != workers_.end() &&
+                                          found->second.partition == rack &&
+                                          settled(found->second);
+                                 });
     for (const auto& [id, worker] : workers_) {
       if (worker.partition == partition && !settled(worker)) {
         line->complete = false;
--- a/src/workers/worker_session.cc
+++ b/src/workers/worker_session.cc
@@ -65,7 +65,7 @@
 
 bool worker_session::Claim() {
   const auto answer = options_.calls.claim(options_.epoch, options_.member_id);
-  answered_ = bool(answer);
+  answered_ = static_cast<bool>(answer);
   if (!answer) {
     if (answer.failure.kind == error_kind::kStaleEpoch) return false;
     options_.fleet->OnUnreachable(options_.worker);
@@ -82,7 +82,7 @@
   const auto sent = options_.clock->Now();
   const auto answer = options_.calls.renew(options_.epoch, order.expires_at_ms,
                                            order.acknowledged);
-  answered_ = bool(answer);
+  answered_ = static_cast<bool>(answer);
   if (answer) {
     options_.fleet->OnRenewed(options_.worker, order, *answer, sent,
                               options_.clock->Now());
