--- a/src/workers/worker_fleet_place.cc
+++ b/src/workers/worker_fleet_place.cc
@@ -163,7 +163,9 @@
                         std::min<duration>(milliseconds(request.expires_in_ms),
                                            kLongestReservation);
   std::vector<task_entry> entries;
+  entries.reserve(request.tasks.size());
   std::vector<placement_request> needs;
+  needs.reserve(request.tasks.size());
   for (const auto& task : request.tasks) entries.push_back(MakeEntry(*task));
   for (const auto& entry : entries) needs.push_back(RequestOf(entry));
   auto chosen = cell_->DecideGang(needs, random_);
