Do not stop an instance that reports itself before the first inventory

Cause: after a take-over the owner of a shard knows its service instances only from inventories. A running instance that reported itself earlier was taken for one without a service and stopped. In the run of kv_outage_test ten of twelve instances ended 'stopped by the owner' within 5 ms, 20 ms after their workers had been claimed again, and were started anew.

Change: until an inventory was complete, the event of an unknown instance is neither acted on nor accepted; the worker's owner reports it again.

Before: early_report_of_an_instance_stops_nothing failed with the instance in the list of stops. After: shard_owner_test, 16 cases, passes.

--- a/src/jobs/shard_owner.cc
+++ b/src/jobs/shard_owner.cc
@@ -22,7 +22,6 @@
 constexpr std::size_t kGangsPerRound = 4;
 constexpr auto kDropInterval = milliseconds(30'000);
 constexpr std::size_t kGroupSize = 256;
-constexpr std::string_view kServicePrefix = "service/";
 constexpr std::string_view kNotStarted = "not started";
 
 // The failure is the worker's, not the task's.
--- a/src/jobs/shard_owner.h
+++ b/src/jobs/shard_owner.h
@@ -24,6 +24,9 @@
 
 namespace apricotwheel {
 
+// Task ids of service instances: `service/<name>/<index>`.
+inline constexpr std::string_view kServicePrefix = "service/";
+
 struct shard_owner_options {
   std::uint32_t shard = 0;
   std::uint64_t epoch = 0;
--- a/src/jobs/shard_owner_events.cc
+++ b/src/jobs/shard_owner_events.cc
@@ -19,6 +19,9 @@
   const auto& id = event.spec->task_id;
   const auto state = static_cast<task_state>(event.state);
   auto ref = Find(id);
+  // Instances are learned from inventories only. Until one was complete, an
+  // unknown instance may be wanted; its event is reported again.
+  if (!ref && !inventory_known_ && id.starts_with(kServicePrefix)) return false;
   if (!ref || HasEnded(ref.task->state)) {
     if (state == task_state::kRunning) orphans_[member].insert(id);
     if (ref && ref.job != nullptr) to_commit.emplace_back(id, ref.job->job_id);
--- a/src/jobs/shard_owner_inventory.cc
+++ b/src/jobs/shard_owner_inventory.cc
@@ -17,7 +17,6 @@
 // be shown; calls time out and handlers end well within this time.
 constexpr auto kCallInFlight = milliseconds(3000);
 constexpr auto kDriftMargin = milliseconds(500);
-constexpr std::string_view kServicePrefix = "service/";
 
 }  // namespace
 
--- a/src/jobs/shard_owner_services.cc
+++ b/src/jobs/shard_owner_services.cc
@@ -63,8 +63,8 @@
        ++index) {
     if (service.instances.contains(index)) continue;
     auto& task = service.instances[index];
-    task.task_id =
-        "service/" + service.config.name + "/" + std::to_string(index);
+    task.task_id = std::string(kServicePrefix) + service.config.name + "/" +
+                   std::to_string(index);
     task.queued_at = now;
     SetState({&task, nullptr, &service}, attempt_state::kPending);
     ++staying;
--- a/tests/jobs/shard_owner_test.cc
+++ b/tests/jobs/shard_owner_test.cc
@@ -166,6 +166,11 @@
     wire::running_taskT event;
     event.spec = std::make_unique<wire::taskT>();
     event.spec->task_id = id;
+    if (id.starts_with(kServicePrefix)) {
+      event.spec->workload = "service";
+      event.spec->team = "red";
+    }
+    event.spec->need = std::make_unique<wire::resources>(1000, 100, 0);
     event.state = static_cast<std::uint8_t>(state);
     event.worker = running[id] + "-w";
     event.partition = "a/" + running[id];
@@ -450,6 +455,31 @@
   BOOST_TEST(started.size() == 2u);
 }
 
+// Guards against the stop of a running service instance that reports itself to
+// a new owner before an inventory has shown it.
+BOOST_FIXTURE_TEST_CASE(early_report_of_an_instance_stops_nothing, fixture) {
+  auto document = std::make_shared<cell_document>(*cell.document);
+  workload_config service;
+  service.name = "service";
+  service.kind = workload_kind::kService;
+  service.team = "red";
+  service.resources = {1000, 100, 0};
+  document->workloads.push_back(service);
+  cell.document = document;
+  running["service/service/0"] = "m1";
+  silent = {"m1", "m2"};
+  TakeOver(2);
+  BOOST_TEST(!Deliver("service/service/0", task_state::kRunning));
+  Rounds(1);
+  BOOST_TEST(stopped.empty());
+  silent.clear();
+  Rounds(3);
+  BOOST_TEST(Deliver("service/service/0", task_state::kRunning));
+  Rounds(1);
+  BOOST_TEST(stopped.empty());
+  BOOST_TEST(started.empty());
+}
+
 // Guards against a record that is encoded and staged again for each of its
 // events, which made the cost of a job's ends grow with the square of its size.
 BOOST_FIXTURE_TEST_CASE(events_of_a_job_are_staged_once, fixture) {
