--- a/ctl/apply.cc
+++ b/ctl/apply.cc
@@ -77,16 +77,11 @@
   if (arguments.size() != 1) {
     return Usage(context, "one file is expected", "write apply FILE");
   }
-  const auto text = Attempt([&] { return ReadFile(arguments[0]); });
-  if (!text) return Report(context, text.failure);
-  const auto check = CheckText(arguments[0], *text);
-  if (!check.document) {
-    PrintFaults(context, check.faults);
-    return kInvalidInput;
-  }
+  const auto file = ReadDocument(context, arguments[0]);
+  if (!file.document) return file.exit_code;
   auto store = Attempt([&] { return document_store::Create(context); });
   if (!store) return Report(context, store.failure);
-  return Apply(context, **store, *text, *check.document);
+  return Apply(context, **store, file.text, *file.document);
 }
 
 }  // namespace apricotwheel::ctl
--- a/ctl/files.cc
+++ b/ctl/files.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <fstream>
 #include <sstream>
+#include <utility>
 
 #ifdef APRICOTWHEEL_HAS_POLICIES
 #include "placement/cell_state.h"
@@ -34,6 +35,25 @@
   for (const auto& fault : faults) context.err << Describe(fault) << "\n";
 }
 
+checked_file ReadDocument(const command_context& context,
+                          const std::string& path) {
+  checked_file file;
+  auto text = Attempt([&] { return ReadFile(path); });
+  if (!text) {
+    file.exit_code = Report(context, text.failure);
+    return file;
+  }
+  const auto check = CheckText(path, *text);
+  if (!check.document) {
+    PrintFaults(context, check.faults);
+    file.exit_code = kInvalidInput;
+    return file;
+  }
+  file.text = std::move(*text);
+  file.document = check.document;
+  return file;
+}
+
 void PrintTable(std::ostream& out, const std::vector<std::string>& heading,
                 const std::vector<std::vector<std::string>>& rows) {
   std::vector<std::size_t> widths;
--- a/ctl/show.cc
+++ b/ctl/show.cc
@@ -44,13 +44,8 @@
   if (arguments.size() != 1) {
     return Usage(context, "one file is expected", "write diff FILE");
   }
-  const auto text = Attempt([&] { return ReadFile(arguments[0]); });
-  if (!text) return Report(context, text.failure);
-  const auto check = CheckText(arguments[0], *text);
-  if (!check.document) {
-    PrintFaults(context, check.faults);
-    return kInvalidInput;
-  }
+  const auto file = ReadDocument(context, arguments[0]);
+  if (!file.document) return file.exit_code;
   auto store = Attempt([&] { return document_store::Create(context); });
   if (!store) return Report(context, store.failure);
   const auto stored = Attempt([&] { return (*store)->Read(); });
@@ -62,7 +57,7 @@
     PrintFaults(context, before.faults);
     return kFailed;
   }
-  const auto changes = DiffDocuments(*before.document, *check.document);
+  const auto changes = DiffDocuments(*before.document, *file.document);
   if (context.json) {
     context.out << Dump(
         {{"revision", envelope.revision}, {"changes", changes}});
--- a/src/workers/worker_session.cc
+++ b/src/workers/worker_session.cc
@@ -18,6 +18,12 @@
          failure.kind == error_kind::kUnavailable;
 }
 
+template <class T>
+std::optional<error> FailureOf(const outcome<T>& answer) {
+  if (answer) return std::nullopt;
+  return answer.failure;
+}
+
 }  // namespace
 
 void worker_session::Stop(bool release) {
@@ -117,36 +123,29 @@
   return true;
 }
 
-bool worker_session::Execute(const worker_order& order) {
-  error failure;
-  bool succeeded = false;
+std::optional<error> worker_session::Send(const worker_order& order) {
+  const auto& id = order.spec.task_id;
   switch (order.what) {
     case worker_order::kind::kStart: {
       const auto answer =
           options_.calls.start(options_.epoch, order.spec, order.expires_at_ms);
       options_.fleet->OnStarted(options_.worker, order, answer);
-      succeeded = static_cast<bool>(answer);
-      failure = answer.failure;
-      break;
-    }
-    case worker_order::kind::kStop: {
-      const auto answer =
-          options_.calls.stop(options_.epoch, order.spec.task_id, order.mode);
-      succeeded = static_cast<bool>(answer);
-      failure = answer.failure;
-      break;
-    }
-    case worker_order::kind::kThrottle: {
-      const auto answer = options_.calls.throttle(
-          options_.epoch, order.spec.task_id, order.cpu_milli);
-      succeeded = static_cast<bool>(answer);
-      failure = answer.failure;
-      break;
+      return FailureOf(answer);
     }
+    case worker_order::kind::kStop:
+      return FailureOf(options_.calls.stop(options_.epoch, id, order.mode));
+    case worker_order::kind::kThrottle:
+      return FailureOf(
+          options_.calls.throttle(options_.epoch, id, order.cpu_milli));
   }
-  if (succeeded) return true;
-  if (failure.kind == error_kind::kStaleEpoch) return false;
-  if (NoAnswer(failure)) {
+  return std::nullopt;
+}
+
+bool worker_session::Execute(const worker_order& order) {
+  const auto failure = Send(order);
+  if (!failure) return true;
+  if (failure->kind == error_kind::kStaleEpoch) return false;
+  if (NoAnswer(*failure)) {
     answered_ = false;
     options_.fleet->OnUnreachable(options_.worker);
     next_renewal_ = options_.clock->Now() + kRetryInterval;
--- a/src/workers/worker_session.h
+++ b/src/workers/worker_session.h
@@ -3,6 +3,7 @@
 #include <atomic>
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <string>
 
 #include "workers/worker_calls.h"
@@ -44,6 +45,8 @@
   bool Claim();
   bool Renew();
   bool CarryOut();
+  // Makes one call; returns its error, or nothing if it succeeded.
+  std::optional<error> Send(const worker_order& order);
   bool Execute(const worker_order& order);
   bool RenewalDue() const;
 
