--- a/tests/faults_requests/fault_report.cc
+++ b/testing/cell/fault_report.cc
@@ -1,10 +1,9 @@
-#include "tests/faults_requests/fault_report.h"
+#include "testing/cell/fault_report.h"
 
 #include <cstdlib>
 #include <fstream>
 #include <iostream>
 #include <random>
-#include <sstream>
 
 namespace apricotwheel::testing {
 
@@ -20,21 +19,21 @@
   return seed;
 }
 
-void Report(const std::string& name, double value) {
-  std::ostringstream line;
-  line << name << " " << value << "\n";
-  std::cout << line.str() << std::flush;
+void Report(const std::string& name, std::int64_t value,
+            const std::string& unit) {
+  const std::string line =
+      name + " " + std::to_string(value) + " " + unit + "\n";
+  std::cout << line << std::flush;
   const char* path = std::getenv("APRICOTWHEEL_REPORT");
   if (path == nullptr) return;
-  std::ofstream file(path, std::ios::app);
-  file << line.str();
+  std::ofstream(path, std::ios::app) << line;
 }
 
 void ReportGuarantee(int guarantee, std::uint64_t trials,
-                     std::uint64_t violations) {
+                     std::uint64_t violations, const std::string& unit) {
   const std::string prefix = "guarantee_" + std::to_string(guarantee);
-  Report(prefix + "_trials", static_cast<double>(trials));
-  Report(prefix + "_violations", static_cast<double>(violations));
+  Report(prefix + "_trials", static_cast<std::int64_t>(trials), unit);
+  Report(prefix + "_violations", static_cast<std::int64_t>(violations), unit);
 }
 
 }  // namespace apricotwheel::testing
--- a/tests/faults/fault_cases.cc
+++ b/tests/faults/fault_cases.cc
@@ -308,10 +308,8 @@
   for (const fault_case& row : cases) {
     if (IsSelected(row)) RunCase(*rig, row, totals);
   }
-  Report("guarantee_1_trials", totals.trials, "cases");
-  Report("guarantee_1_violations", totals.breaches, "cases");
-  Report("guarantee_2_trials", totals.trials, "cases");
-  Report("guarantee_2_violations", totals.overlaps, "cases");
+  ReportGuarantee(1, totals.trials, totals.breaches, "cases");
+  ReportGuarantee(2, totals.trials, totals.overlaps, "cases");
 }
 
 }  // namespace apricotwheel::testing
--- a/tests/faults/fault_rig.cc
+++ b/tests/faults/fault_rig.cc
@@ -30,13 +30,6 @@
     {"clock_margin_ms", "250"},
     {"vm_list_interval_ms", "500"}};
 
-std::uint64_t ReadSeed() {
-  const char* text = std::getenv("APRICOTWHEEL_SEED");
-  if (text != nullptr) return std::strtoull(text, nullptr, 10);
-  random_source source = SystemRandom();
-  return NextBelow(source, 1'000'000);
-}
-
 bool IsFinal(const std::string& state) {
   return state == "finished" || state == "failed" || state == "cancelled";
 }
@@ -100,24 +93,13 @@
          drained + "]\n";
 }
 
-void Report(const std::string& name, std::int64_t value,
-            const std::string& unit) {
-  const std::string line =
-      name + " " + std::to_string(value) + " " + unit + "\n";
-  std::cout << line << std::flush;
-  const char* path = std::getenv("APRICOTWHEEL_REPORT");
-  if (path == nullptr) return;
-  std::ofstream(path, std::ios::app) << line;
-}
-
 std::unique_ptr<fault_rig> fault_rig::Start(const std::string& name,
                                             int base_port) {
   std::unique_ptr<fault_rig> rig(new fault_rig);
-  const std::uint64_t seed = ReadSeed();
-  rig->random_.state = seed;
+  rig->random_.state = TestSeed();
   process_cell_options options;
   options.folder = "faults-" + name + "." + std::to_string(getpid());
-  std::cout << "seed " << seed << ", logs in " << options.folder << "\n";
+  std::cout << "logs in " << options.folder << "\n";
   // Another daemon shows that the tests fail with a mechanism switched off.
   const char* other = std::getenv("APRICOTWHEEL_DAEMON");
   options.daemon = other != nullptr ? other : APRICOTWHEEL_DAEMON;
--- a/tests/faults/fault_rig.h
+++ b/tests/faults/fault_rig.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "kernel/random.h"
+#include "testing/cell/fault_report.h"
 #include "testing/cell/process_cell.h"
 #include "testing/cell/task_journal.h"
 
@@ -91,9 +92,4 @@
 // Text of the operators' document of the rig's cell.
 std::string RigDocument(const std::string& drained = "");
 
-// Appends `name value unit` to the file that APRICOTWHEEL_REPORT names and
-// prints the line.
-void Report(const std::string& name, std::int64_t value,
-            const std::string& unit);
-
 }  // namespace apricotwheel::testing
--- a/tests/faults/leaving_test.cc
+++ b/tests/faults/leaving_test.cc
@@ -143,8 +143,7 @@
       for (const auto& line : rig->NewOverlaps()) BOOST_ERROR(line);
     }
   }
-  Report("guarantee_6_trials", static_cast<std::int64_t>(cases.size()), "VMs");
-  Report("guarantee_6_violations", violated, "VMs");
+  ReportGuarantee(6, cases.size(), violated, "VMs");
 }
 
 }  // namespace apricotwheel::testing
--- a/tests/faults/planned_stop_test.cc
+++ b/tests/faults/planned_stop_test.cc
@@ -178,9 +178,7 @@
       BOOST_REQUIRE(rig->WaitForServices(kRecoverMs));
     }
   }
-  Report("guarantee_7_trials", static_cast<std::int64_t>(cases.size()),
-         "stops");
-  Report("guarantee_7_violations", violated, "stops");
+  ReportGuarantee(7, cases.size(), violated, "stops");
 }
 
 }  // namespace apricotwheel::testing
--- a/tests/faults_requests/document_race_test.cc
+++ b/tests/faults_requests/document_race_test.cc
@@ -8,9 +8,9 @@
 
 #include "config/document.h"
 #include "platform/kv_client.h"
+#include "testing/cell/fault_report.h"
 #include "tests/faults_requests/document_observer.h"
 #include "tests/faults_requests/fault_cell.h"
-#include "tests/faults_requests/fault_report.h"
 
 namespace apricotwheel::testing {
 namespace {
--- a/tests/faults_requests/fault_rows.cc
+++ b/tests/faults_requests/fault_rows.cc
@@ -4,8 +4,8 @@
 #include <iostream>
 #include <random>
 
+#include "testing/cell/fault_report.h"
 #include "tests/faults_requests/fault_cell.h"
-#include "tests/faults_requests/fault_report.h"
 
 namespace apricotwheel::testing {
 
@@ -93,7 +93,7 @@
   ReportGuarantee(3, report.complete_trials, report.wrong_responses.size());
   if (kills > 0) {
     Report("unknown_per_kill",
-           static_cast<double>(unknown_of_kills) / static_cast<double>(kills));
+           static_cast<std::int64_t>(unknown_of_kills / kills), "requests");
   }
 }
 
