Ask the other members for the document while the service cannot be reached

Cause: members send gossip to those of the view, and a daemon whose record has expired is not in it. Cut from the key-value service for longer than its lease, it learned no further revision from its peers. Only daemons with seed_peers asked for one by themselves, every 3 s.

Change: such a daemon asks the members of its last view beside the seeds, each second.

Ruled out: load on the machine (the lag was 7198, 7127 and 7238 ms, the length of the cut) and a lower revision (none was seen).

--- a/src/cluster/cluster_core.cc
+++ b/src/cluster/cluster_core.cc
@@ -65,9 +65,7 @@
   BOOST_LEAF_CHECK(threads_.Spawn("cluster-vms", [this] { RunVmList(); }));
   BOOST_LEAF_CHECK(threads_.Spawn("cluster-plan", [this] { RunPlanner(); }));
   BOOST_LEAF_CHECK(threads_.Spawn("cluster-gossip", [this] { RunGossip(); }));
-  if (!options_.settings.seed_peers.empty()) {
-    BOOST_LEAF_CHECK(threads_.Spawn("cluster-seeds", [this] { RunSeeds(); }));
-  }
+  BOOST_LEAF_CHECK(threads_.Spawn("cluster-seeds", [this] { RunSeeds(); }));
   return {};
 }
 
--- a/src/cluster/cluster_core.h
+++ b/src/cluster/cluster_core.h
@@ -82,6 +82,7 @@
   void ForgetSilentPeers();
 
   // cluster_seeds.cc
+  std::set<std::string> PeersToAsk() const;
   void AskSeeds();
   std::string DocumentWait() const;
 
--- a/src/cluster/cluster_seeds.cc
+++ b/src/cluster/cluster_seeds.cc
@@ -1,4 +1,6 @@
 #include <algorithm>
+#include <set>
+#include <string>
 #include <utility>
 
 #include "cluster/cluster_core.h"
@@ -11,12 +13,21 @@
 // Bounds how long a stop waits for a round.
 constexpr auto kSeedTimeout = milliseconds(800);
 constexpr auto kSeedInterval = milliseconds(1000);
-// With a document in force a round only finds a newer one, which gossip finds
-// as well if the seed is a known member.
-constexpr auto kSeedRefreshInterval = milliseconds(3000);
 
 }  // namespace
 
+// The other members stop sending gossip to a daemon whose record has expired,
+// so it asks them, by the last view, beside the seeds of the settings.
+std::set<std::string> cluster_core::PeersToAsk() const {
+  std::set<std::string> addresses(options_.settings.seed_peers.begin(),
+                                  options_.settings.seed_peers.end());
+  for (const member& one : View()->members) {
+    if (one.id != options_.member_id) addresses.insert(one.peer_address);
+  }
+  addresses.erase(options_.settings.peer_address);
+  return addresses;
+}
+
 void cluster_core::RunSeeds() {
   while (!seed_signal_.StopRequested()) {
     bool is_cut_off = false;
@@ -25,11 +36,7 @@
       is_cut_off = !is_listed_ || !kv_reachable_;
     }
     if (is_cut_off) AskSeeds();
-    const bool has_document = documents_.Current() != nullptr;
-    if (seed_signal_.WaitFor(has_document ? kSeedRefreshInterval
-                                          : kSeedInterval)) {
-      return;
-    }
+    if (seed_signal_.WaitFor(kSeedInterval)) return;
   }
 }
 
@@ -44,8 +51,7 @@
   std::vector<document_envelope> found;
   std::string failures;
   thread_group round;
-  for (const auto& address : options_.settings.seed_peers) {
-    if (address == options_.settings.peer_address) continue;
+  for (const auto& address : PeersToAsk()) {
     const auto ask = [&, address] {
       const auto answer = Attempt([&] {
         return options_.peers->CallAddress(address, message, kSeedTimeout);
