Refuse ends of a later owner's tasks and wake idle threads less often

An owner of a shard that does not know yet that it was succeeded accepted the end of a task whose job it did not know, so that the worker dropped the result. It now leaves events of a higher shard epoch to the successor.

The fault tests of one machine run one at a time, since two cells at once slowed each other down.

--- a/cmake/packages.cmake
+++ b/cmake/packages.cmake
@@ -41,5 +41,10 @@
     target_include_directories(${target} PRIVATE ${PROJECT_SOURCE_DIR})
     add_test(NAME ${prefix}/${stem} COMMAND ${target})
     set_tests_properties(${prefix}/${stem} PROPERTIES TIMEOUT 300)
+    # Two cells of processes at once slow each other down past the time in which
+    # a cell of the stated size settles.
+    if(prefix MATCHES "^faults")
+      set_tests_properties(${prefix}/${stem} PROPERTIES RESOURCE_LOCK cell)
+    endif()
   endforeach()
 endfunction()
--- a/src/dispatch/dispatcher.cc
+++ b/src/dispatch/dispatcher.cc
@@ -14,7 +14,9 @@
 
 // How often slots that become free with time are noticed: authority that
 // starts, back-offs that end, usage reports that are due.
-constexpr duration kTickInterval = milliseconds(25);
+constexpr duration kTickInterval = milliseconds(50);
+// Changes wake the publishing thread; this only bounds a stop.
+constexpr duration kPublishWait = milliseconds(500);
 constexpr duration kSlowTickInterval = std::chrono::seconds(1);
 constexpr duration kHandoverTimeout = std::chrono::seconds(2);
 
@@ -150,7 +152,7 @@
   while (!stop.StopRequested()) {
     {
       std::unique_lock lock(change_mutex);
-      options.clock->WaitFor(lock, change, kTickInterval,
+      options.clock->WaitFor(lock, change, kPublishWait,
                              [this] { return change_due; });
       change_due = false;
     }
--- a/src/jobs/job_manager.cc
+++ b/src/jobs/job_manager.cc
@@ -15,7 +15,7 @@
 
 namespace {
 
-constexpr auto kFollowInterval = milliseconds(50);
+constexpr auto kFollowInterval = milliseconds(100);
 constexpr auto kPlaceTimeout = milliseconds(1000);
 // Longer than the commit limit of the receiving owner.
 constexpr auto kJobCallTimeout = milliseconds(6000);
--- a/src/jobs/shard_owner.cc
+++ b/src/jobs/shard_owner.cc
@@ -13,7 +13,7 @@
 constexpr auto kRetryBase = milliseconds(200);
 constexpr auto kRetryLimit = milliseconds(10'000);
 constexpr auto kBusyRound = milliseconds(20);
-constexpr auto kIdleRound = milliseconds(250);
+constexpr auto kIdleRound = milliseconds(500);
 constexpr auto kCommitRetry = milliseconds(200);
 // Room is published with a lag, and urgent tasks must start within 2.4 s, so a
 // size that does not fit is tried again sooner than by default.
--- a/src/jobs/shard_owner_events.cc
+++ b/src/jobs/shard_owner_events.cc
@@ -18,6 +18,9 @@
     std::vector<std::pair<std::string, std::string>>& to_commit) {
   const auto& id = event.spec->task_id;
   const auto state = static_cast<task_state>(event.state);
+  // A later owner started it and alone knows its job; accepting its end here
+  // would lose the result.
+  if (event.spec->shard_epoch > options_.epoch) return false;
   auto ref = Find(id);
   // Instances are learned from inventories only. Until one was complete, an
   // unknown instance may be wanted; its event is reported again.
--- a/tests/jobs/shard_owner_test.cc
+++ b/tests/jobs/shard_owner_test.cc
@@ -480,6 +480,15 @@
   BOOST_TEST(started.empty());
 }
 
+// Guards against an owner that does not know yet that it was succeeded and
+// accepts the end of a task of its successor, which loses the result.
+BOOST_FIXTURE_TEST_CASE(end_of_a_later_owners_task_is_not_accepted, fixture) {
+  std::vector events{Event("job/0", task_state::kFinished)};
+  BOOST_TEST(owner->OnEvents("m1", events).size() == 1u);
+  events[0].spec->shard_epoch = 2;
+  BOOST_TEST(owner->OnEvents("m1", events).empty());
+}
+
 // Guards against a record that is encoded and staged again for each of its
 // events, which made the cost of a job's ends grow with the square of its size.
 BOOST_FIXTURE_TEST_CASE(events_of_a_job_are_staged_once, fixture) {
