--- a/src/cluster/cluster_seeds.cc
+++ b/src/cluster/cluster_seeds.cc
@@ -87,7 +87,7 @@
     is_first = seed_report_.empty();
     seed_report_ = failures.empty() ? "no other seed peer is named" : failures;
   }
-  if (is_first) {
+  if (is_first && !failures.empty()) {
     Emit(options_.log, cluster_events::kSeedsUnanswered,
          {Field("reason", failures)});
   }
