Serialise call bodies in one place and drop an unused proof

The key-value client and the worker client each turned a JSON body into text with the same check for UTF-8; both call ToBody of wire_format now. ProofOfSend had no caller: the instance owner's stage decides from the end of the slot lease. Behaviour is unchanged.

--- a/src/dispatch/dispatch_outcome.cc
+++ b/src/dispatch/dispatch_outcome.cc
@@ -101,17 +101,6 @@
   return response.outcome == request_outcome::kNotRun && response.status == 503;
 }
 
-send_proof ProofOfSend(error_kind kind) {
-  switch (kind) {
-    case error_kind::kUnavailable:
-    case error_kind::kStaleEpoch:
-    case error_kind::kCapacity:
-      return send_proof::kNotRun;
-    default:
-      return send_proof::kMayHaveRun;
-  }
-}
-
 send_proof ProofOfPeerCall(error_kind kind) {
   // No peer handler of the dispatcher replies with a failure, and the peer node
   // sends `overloaded` only in place of a handler call. It never sends
--- a/src/dispatch/dispatch_outcome.h
+++ b/src/dispatch/dispatch_outcome.h
@@ -39,7 +39,6 @@
 
 // What a failed call proves about the request that it carried.
 enum class send_proof { kNotRun, kMayHaveRun };
-send_proof ProofOfSend(error_kind kind);      // instance_client::Send.
 send_proof ProofOfPeerCall(error_kind kind);  // peer_node::Call.
 
 // True for the methods that may run twice by their definition.
--- a/src/platform/kv_client.cc
+++ b/src/platform/kv_client.cc
@@ -68,12 +68,7 @@
     }
     http_call call;
     call.target = target;
-    try {
-      call.body = body.dump();
-    } catch (const json::exception&) {
-      return Fail(error_kind::kInvalidArgument, "text is not valid UTF-8",
-                  "encode binary values as text");
-    }
+    BOOST_LEAF_ASSIGN(call.body, ToBody(body));
     ++calls;
     BOOST_LEAF_AUTO(reply,
                     connections.Call(call, options.connect_timeout, timeout));
--- a/src/platform/wire_format.cc
+++ b/src/platform/wire_format.cc
@@ -168,4 +168,13 @@
   return list;
 }
 
+result<std::string> ToBody(const json& body) {
+  try {
+    return body.dump();
+  } catch (const json::exception&) {
+    return Fail(error_kind::kInvalidArgument, "text is not valid UTF-8",
+                "encode binary values as text");
+  }
+}
+
 }  // namespace apricotwheel
--- a/src/platform/wire_format.h
+++ b/src/platform/wire_format.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <nlohmann/json.hpp>
+#include <string>
 #include <string_view>
 
 #include "kernel/error.h"
@@ -24,6 +25,10 @@
 worker_snapshot SnapshotFromJson(const nlohmann::json& json);
 vm_list VmListFromJson(const nlohmann::json& json);
 
+// The text of a call's body. Fails with `invalid_argument` if a value is not
+// valid UTF-8.
+result<std::string> ToBody(const nlohmann::json& json);
+
 // Parses a reply with `read` and turns any JSON fault into `corrupt`.
 template <class Read>
 auto ParseReply(std::string_view body, Read read)
--- a/src/platform/worker_client.cc
+++ b/src/platform/worker_client.cc
@@ -54,12 +54,7 @@
   result<http_reply> Call(const char* target, const json& body) {
     http_call call;
     call.target = target;
-    try {
-      call.body = body.dump();
-    } catch (const json::exception&) {
-      return Fail(error_kind::kInvalidArgument, "text is not valid UTF-8",
-                  "encode binary values as text");
-    }
+    BOOST_LEAF_ASSIGN(call.body, ToBody(body));
     const duration timeout = options.call_timeout;
     BOOST_LEAF_AUTO(reply, pool.Call(call, timeout, timeout));
     BOOST_LEAF_CHECK(CheckStatus(reply));
