--- a/ctl/document_store.h
+++ b/ctl/document_store.h
@@ -5,9 +5,9 @@
 #include <string>
 #include <vector>
 
+#include "clients/kv_client.h"
 #include "config/document.h"
 #include "ctl/command.h"
-#include "platform/kv_client.h"
 
 namespace apricotwheel::ctl {
 
--- a/src/platform/http_connection.cc
+++ b/src/clients/http_connection.cc
@@ -1,4 +1,4 @@
-#include "platform/http_connection.h"
+#include "clients/http_connection.h"
 
 #include <arpa/inet.h>
 #include <netinet/in.h>
--- a/src/platform/http_connection.h
+++ b/src/clients/http_connection.h
@@ -8,10 +8,10 @@
 #include <string_view>
 #include <vector>
 
+#include "clients/http_listener.h"
+#include "clients/instance_client.h"
 #include "kernel/clock.h"
 #include "kernel/error.h"
-#include "platform/http_listener.h"
-#include "platform/instance_client.h"
 
 namespace apricotwheel {
 
--- a/src/platform/http_listener.cc
+++ b/src/clients/http_listener.cc
@@ -1,4 +1,4 @@
-#include "platform/http_listener.h"
+#include "clients/http_listener.h"
 
 #include <arpa/inet.h>
 #include <poll.h>
--- a/src/platform/instance_client.cc
+++ b/src/clients/instance_client.cc
@@ -1,7 +1,7 @@
-#include "platform/instance_client.h"
+#include "clients/instance_client.h"
 
-#include "platform/http_connection.h"
-#include "platform/wire_format.h"
+#include "clients/http_connection.h"
+#include "clients/wire_format.h"
 
 namespace apricotwheel {
 
--- a/src/platform/kv_client.cc
+++ b/src/clients/kv_client.cc
@@ -1,11 +1,11 @@
-#include "platform/kv_client.h"
+#include "clients/kv_client.h"
 
 #include <algorithm>
 #include <atomic>
 #include <nlohmann/json.hpp>
 
-#include "platform/http_connection.h"
-#include "platform/wire_format.h"
+#include "clients/http_connection.h"
+#include "clients/wire_format.h"
 
 namespace apricotwheel {
 
@@ -50,14 +50,14 @@
   }
 }
 
-}  // namespace
-
-struct kv_client::state {
-  explicit state(const ip_endpoint& peer) : pool(peer), watch_pool(peer) {}
-  kv_client_options options;
+// The built-in protocol over two pools of connections, so that waiting watches
+// do not hold up calls.
+struct http_kv {
+  explicit http_kv(const ip_endpoint& peer) : pool(peer), watch_pool(peer) {}
+  duration connect_timeout{};
+  duration call_timeout{};
   http_pool pool;
   http_pool watch_pool;
-  std::atomic<std::uint64_t> calls = 0;
 
   // Returns the body of the reply.
   result<std::string> Call(http_pool& connections, const char* target,
@@ -69,17 +69,141 @@
     http_call call;
     call.target = target;
     BOOST_LEAF_ASSIGN(call.body, ToBody(body));
-    ++calls;
-    BOOST_LEAF_AUTO(reply,
-                    connections.Call(call, options.connect_timeout, timeout));
+    BOOST_LEAF_AUTO(reply, connections.Call(call, connect_timeout, timeout));
     BOOST_LEAF_CHECK(CheckStatus(reply));
     return std::move(reply.body);
   }
-  result<std::string> Call(const char* target, const json& body,
-                           std::optional<duration> timeout = {}) {
-    return Call(
-        pool, target, body,
-        std::min(timeout.value_or(options.call_timeout), options.call_timeout));
+  result<std::string> Call(const char* target, const json& body) {
+    return Call(pool, target, body, call_timeout);
+  }
+};
+
+result<std::optional<kv_entry>> Get(http_kv& service, std::string_view key,
+                                    duration timeout) {
+  BOOST_LEAF_AUTO(
+      reply, service.Call(service.pool, "/v1/get", {{"key", key}}, timeout));
+  return ParseReply(reply, [](const json& answer) {
+    std::optional<kv_entry> entry;
+    if (!answer.at("entry").is_null())
+      entry = EntryFromJson(answer.at("entry"));
+    return entry;
+  });
+}
+
+result<kv_listing> List(http_kv& service, std::string_view prefix) {
+  BOOST_LEAF_AUTO(reply, service.Call("/v1/list", {{"prefix", prefix}}));
+  return ParseReply(reply, [](const json& answer) {
+    kv_listing listing;
+    for (const auto& entry : answer.at("entries")) {
+      listing.entries.push_back(EntryFromJson(entry));
+      listing.revision =
+          std::max(listing.revision, listing.entries.back().revision);
+    }
+    return listing;
+  });
+}
+
+result<std::uint64_t> Commit(http_kv& service, const kv_transaction& writes,
+                             duration timeout) {
+  if (writes.puts.size() + writes.removals.size() != 1 ||
+      writes.conditions.size() > 1) {
+    return Fail(error_kind::kInvalidArgument,
+                "the service takes one write at a time",
+                "split the transaction or use another service adapter");
+  }
+  const bool is_put = !writes.puts.empty();
+  json body = {{"key", is_put ? writes.puts[0].key : writes.removals[0]}};
+  if (!writes.conditions.empty()) {
+    body["expected_revision"] = writes.conditions[0].revision;
+  }
+  if (is_put) body["value"] = writes.puts[0].value;
+  if (is_put && !writes.puts[0].lease_id.empty()) {
+    body["lease_id"] = writes.puts[0].lease_id;
+  }
+  BOOST_LEAF_AUTO(
+      reply, service.Call(service.pool, is_put ? "/v1/put" : "/v1/remove", body,
+                          timeout));
+  if (!is_put) return std::uint64_t{0};
+  return ParseReply(reply, [](const json& answer) {
+    return answer.at("revision").get<std::uint64_t>();
+  });
+}
+
+result<kv_watch_result> Watch(http_kv& service, std::string_view prefix,
+                              std::uint64_t revision, duration wait) {
+  const json body = {
+      {"prefix", prefix},
+      {"revision", revision},
+      {"wait_ms", std::chrono::duration_cast<milliseconds>(wait).count()}};
+  BOOST_LEAF_AUTO(reply, service.Call(service.watch_pool, "/v1/watch", body,
+                                      wait + kWatchGrace));
+  return ParseReply(reply, [](const json& answer) {
+    kv_watch_result seen;
+    answer.at("revision").get_to(seen.revision);
+    answer.at("history_lost").get_to(seen.history_lost);
+    for (const auto& event : answer.at("events")) {
+      seen.events.push_back(
+          {EntryFromJson(event), event.at("deleted").get<bool>()});
+    }
+    return seen;
+  });
+}
+
+result<std::string> GrantLease(http_kv& service, duration time_to_live) {
+  const auto span = std::chrono::duration_cast<milliseconds>(time_to_live);
+  BOOST_LEAF_AUTO(reply,
+                  service.Call("/v1/lease/grant", {{"ttl_ms", span.count()}}));
+  return ParseReply(reply, [](const json& answer) {
+    return answer.at("lease_id").get<std::string>();
+  });
+}
+
+// Any reply without an error is a success.
+result<void> LeaseCall(http_kv& service, const char* target,
+                       std::string_view lease_id, duration timeout) {
+  BOOST_LEAF_CHECK(
+      service.Call(service.pool, target, {{"lease_id", lease_id}}, timeout));
+  return {};
+}
+
+kv_protocol HttpProtocol(const std::shared_ptr<http_kv>& service) {
+  kv_protocol calls;
+  calls.get = [service](std::string_view key, duration timeout) {
+    return Get(*service, key, timeout);
+  };
+  calls.list = [service](std::string_view prefix) {
+    return List(*service, prefix);
+  };
+  calls.commit = [service](const kv_transaction& writes, duration timeout) {
+    return Commit(*service, writes, timeout);
+  };
+  calls.watch = [service](std::string_view prefix, std::uint64_t revision,
+                          duration wait) {
+    return Watch(*service, prefix, revision, wait);
+  };
+  calls.interrupt_watches = [service] { service->watch_pool.Interrupt(); };
+  calls.grant_lease = [service](duration time_to_live) {
+    return GrantLease(*service, time_to_live);
+  };
+  calls.renew_lease = [service](std::string_view lease_id) {
+    return LeaseCall(*service, "/v1/lease/renew", lease_id,
+                     service->call_timeout);
+  };
+  calls.revoke_lease = [service](std::string_view lease_id, duration timeout) {
+    return LeaseCall(*service, "/v1/lease/revoke", lease_id, timeout);
+  };
+  return calls;
+}
+
+}  // namespace
+
+struct kv_client::state {
+  kv_protocol protocol;
+  duration call_timeout{};
+  std::atomic<std::uint64_t> calls = 0;
+
+  duration Bounded(std::optional<duration> timeout) const {
+    return std::min(timeout.value_or(call_timeout), call_timeout);
   }
 };
 
@@ -90,31 +214,40 @@
 result<std::unique_ptr<kv_client>> kv_client::Create(
     kv_client_options options) {
   BOOST_LEAF_AUTO(peer, ParseEndpoint(options.address));
-  auto initial = std::make_unique<state>(peer);
-  initial->options = std::move(options);
+  const auto service = std::make_shared<http_kv>(peer);
+  service->connect_timeout = options.connect_timeout;
+  service->call_timeout = options.call_timeout;
+  return Create(HttpProtocol(service), options.call_timeout);
+}
+
+std::unique_ptr<kv_client> kv_client::Create(kv_protocol protocol,
+                                             duration call_timeout) {
+  auto initial = std::make_unique<state>();
+  initial->protocol = std::move(protocol);
+  initial->call_timeout = call_timeout;
   return std::unique_ptr<kv_client>(new kv_client(std::move(initial)));
 }
 
 result<std::optional<kv_entry>> kv_client::Get(
     std::string_view key, std::optional<duration> timeout) {
-  BOOST_LEAF_AUTO(reply, state_->Call("/v1/get", {{"key", key}}, timeout));
-  return ParseReply(reply, [](const json& answer) {
-    std::optional<kv_entry> entry;
-    if (!answer.at("entry").is_null())
-      entry = EntryFromJson(answer.at("entry"));
-    return entry;
-  });
+  ++state_->calls;
+  return state_->protocol.get(key, state_->Bounded(timeout));
 }
 
 result<std::vector<kv_entry>> kv_client::List(std::string_view prefix) {
-  BOOST_LEAF_AUTO(reply, state_->Call("/v1/list", {{"prefix", prefix}}));
-  return ParseReply(reply, [](const json& answer) {
-    std::vector<kv_entry> entries;
-    for (const auto& entry : answer.at("entries")) {
-      entries.push_back(EntryFromJson(entry));
-    }
-    return entries;
-  });
+  BOOST_LEAF_AUTO(listing, ListAt(prefix));
+  return std::move(listing.entries);
+}
+
+result<kv_listing> kv_client::ListAt(std::string_view prefix) {
+  ++state_->calls;
+  return state_->protocol.list(prefix);
+}
+
+result<std::uint64_t> kv_client::Commit(const kv_transaction& writes,
+                                        std::optional<duration> timeout) {
+  ++state_->calls;
+  return state_->protocol.commit(writes, state_->Bounded(timeout));
 }
 
 result<std::uint64_t> kv_client::Put(std::string_view key,
@@ -124,15 +257,13 @@
     return Fail(error_kind::kInvalidArgument, "the value is over 1 MB",
                 "split it over several keys");
   }
-  json body = {{"key", key}, {"value", value}};
+  kv_transaction writes;
+  writes.puts.push_back(
+      {std::string(key), std::string(value), options.lease_id});
   if (options.expected_revision) {
-    body["expected_revision"] = *options.expected_revision;
+    writes.conditions.push_back({std::string(key), *options.expected_revision});
   }
-  if (!options.lease_id.empty()) body["lease_id"] = options.lease_id;
-  BOOST_LEAF_AUTO(reply, state_->Call("/v1/put", body, options.timeout));
-  return ParseReply(reply, [](const json& answer) {
-    return answer.at("revision").get<std::uint64_t>();
-  });
+  return Commit(writes, options.timeout);
 }
 
 result<std::uint64_t> kv_client::PutSettled(std::string_view key,
@@ -176,54 +307,38 @@
 result<void> kv_client::Remove(std::string_view key,
                                std::optional<std::uint64_t> expected_revision,
                                std::optional<duration> timeout) {
-  json body = {{"key", key}};
-  if (expected_revision) body["expected_revision"] = *expected_revision;
-  BOOST_LEAF_CHECK(state_->Call("/v1/remove", body, timeout));
+  kv_transaction writes;
+  writes.removals.emplace_back(key);
+  if (expected_revision) {
+    writes.conditions.push_back({std::string(key), *expected_revision});
+  }
+  BOOST_LEAF_CHECK(Commit(writes, timeout));
   return {};
 }
 
 result<kv_watch_result> kv_client::Watch(std::string_view prefix,
                                          std::uint64_t revision,
                                          duration wait) {
-  const json body = {
-      {"prefix", prefix},
-      {"revision", revision},
-      {"wait_ms", std::chrono::duration_cast<milliseconds>(wait).count()}};
-  BOOST_LEAF_AUTO(reply, state_->Call(state_->watch_pool, "/v1/watch", body,
-                                      wait + kWatchGrace));
-  return ParseReply(reply, [](const json& answer) {
-    kv_watch_result seen;
-    answer.at("revision").get_to(seen.revision);
-    answer.at("history_lost").get_to(seen.history_lost);
-    for (const auto& event : answer.at("events")) {
-      seen.events.push_back(
-          {EntryFromJson(event), event.at("deleted").get<bool>()});
-    }
-    return seen;
-  });
+  ++state_->calls;
+  return state_->protocol.watch(prefix, revision, wait);
 }
 
-void kv_client::InterruptWatches() { state_->watch_pool.Interrupt(); }
+void kv_client::InterruptWatches() { state_->protocol.interrupt_watches(); }
 
 result<std::string> kv_client::GrantLease(duration time_to_live) {
-  const auto span = std::chrono::duration_cast<milliseconds>(time_to_live);
-  BOOST_LEAF_AUTO(reply,
-                  state_->Call("/v1/lease/grant", {{"ttl_ms", span.count()}}));
-  return ParseReply(reply, [](const json& answer) {
-    return answer.at("lease_id").get<std::string>();
-  });
+  ++state_->calls;
+  return state_->protocol.grant_lease(time_to_live);
 }
 
 result<void> kv_client::RenewLease(std::string_view lease_id) {
-  BOOST_LEAF_CHECK(state_->Call("/v1/lease/renew", {{"lease_id", lease_id}}));
-  return {};
+  ++state_->calls;
+  return state_->protocol.renew_lease(lease_id);
 }
 
 result<void> kv_client::RevokeLease(std::string_view lease_id,
                                     std::optional<duration> timeout) {
-  BOOST_LEAF_CHECK(
-      state_->Call("/v1/lease/revoke", {{"lease_id", lease_id}}, timeout));
-  return {};
+  ++state_->calls;
+  return state_->protocol.revoke_lease(lease_id, state_->Bounded(timeout));
 }
 
 std::uint64_t kv_client::Calls() const { return state_->calls.load(); }
--- a/src/platform/kv_client.h
+++ b/src/clients/kv_client.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
@@ -32,6 +33,52 @@
   std::vector<kv_event> events;
 };
 
+struct kv_listing {
+  std::vector<kv_entry> entries;
+  // A watch from here misses no change that the listing lacks.
+  std::uint64_t revision = 0;
+};
+
+struct kv_condition {
+  std::string key;
+  std::uint64_t revision = 0;  // 0: no such key.
+};
+
+struct kv_write {
+  std::string key;
+  std::string value;
+  std::string lease_id;  // The entry is deleted when this lease ends.
+};
+
+// Writes that take effect together, or not at all if a condition fails.
+struct kv_transaction {
+  std::vector<kv_condition> conditions;
+  std::vector<kv_write> puts;
+  std::vector<std::string> removals;
+};
+
+// The calls of one kind of key-value service. All may be called from many
+// threads.
+struct kv_protocol {
+  std::function<result<std::optional<kv_entry>>(std::string_view key,
+                                                duration timeout)>
+      get;
+  std::function<result<kv_listing>(std::string_view prefix)> list;
+  // Returns the revision of the writes. Fails with `conflict` if a condition
+  // does not hold and with `not_found` if a lease has ended.
+  std::function<result<std::uint64_t>(const kv_transaction& writes,
+                                      duration timeout)>
+      commit;
+  std::function<result<kv_watch_result>(std::string_view prefix,
+                                        std::uint64_t revision, duration wait)>
+      watch;
+  std::function<void()> interrupt_watches;
+  std::function<result<std::string>(duration time_to_live)> grant_lease;
+  std::function<result<void>(std::string_view lease_id)> renew_lease;
+  std::function<result<void>(std::string_view lease_id, duration timeout)>
+      revoke_lease;
+};
+
 struct kv_client_options {
   std::string address;  // ip:port
   duration connect_timeout = milliseconds(500);
@@ -47,17 +94,25 @@
   std::optional<duration> timeout = {};
 };
 
-// HTTP client of the platform's key-value service, safe for many threads.
-// The protocol is in docs/contracts/key-value-service.md.
+// Client of the platform's key-value service, safe for many threads. The
+// protocol of a client that is created with an address is in
+// docs/contracts/key-value-service.md; it carries one write at a time.
 class kv_client {
  public:
   static result<std::unique_ptr<kv_client>> Create(kv_client_options options);
+  static std::unique_ptr<kv_client> Create(kv_protocol protocol,
+                                           duration call_timeout);
   ~kv_client();
 
   // A `timeout` is used instead of `call_timeout` if it is shorter.
   result<std::optional<kv_entry>> Get(std::string_view key,
                                       std::optional<duration> timeout = {});
   result<std::vector<kv_entry>> List(std::string_view prefix);
+  result<kv_listing> ListAt(std::string_view prefix);
+
+  // See `kv_protocol::commit`. Fails with `timeout` if the effect is unknown.
+  result<std::uint64_t> Commit(const kv_transaction& writes,
+                               std::optional<duration> timeout = {});
 
   // Returns the new revision. Fails with `conflict` if the expected revision
   // is not the current one and with `timeout` if the effect is unknown.
--- a/src/platform/task_list_cache.cc
+++ b/src/clients/task_list_cache.cc
@@ -1,4 +1,4 @@
-#include "platform/task_list_cache.h"
+#include "clients/task_list_cache.h"
 
 #include <utility>
 
--- a/src/platform/task_list_cache.h
+++ b/src/clients/task_list_cache.h
@@ -6,7 +6,7 @@
 #include <span>
 #include <string>
 
-#include "platform/worker_client.h"
+#include "clients/worker_client.h"
 
 namespace apricotwheel {
 
--- a/src/platform/vm_list_client.cc
+++ b/src/clients/vm_list_client.cc
@@ -1,7 +1,7 @@
-#include "platform/vm_list_client.h"
+#include "clients/vm_list_client.h"
 
-#include "platform/http_connection.h"
-#include "platform/wire_format.h"
+#include "clients/http_connection.h"
+#include "clients/wire_format.h"
 
 namespace apricotwheel {
 
--- a/src/platform/wire_format.cc
+++ b/src/clients/wire_format.cc
@@ -1,4 +1,4 @@
-#include "platform/wire_format.h"
+#include "clients/wire_format.h"
 
 #include <array>
 
--- a/src/platform/wire_format.h
+++ b/src/clients/wire_format.h
@@ -4,9 +4,9 @@
 #include <string>
 #include <string_view>
 
+#include "clients/vm_list_client.h"
+#include "clients/worker_client.h"
 #include "kernel/error.h"
-#include "platform/vm_list_client.h"
-#include "platform/worker_client.h"
 
 namespace apricotwheel {
 
--- a/src/platform/worker_client.cc
+++ b/src/clients/worker_client.cc
@@ -1,10 +1,10 @@
-#include "platform/worker_client.h"
+#include "clients/worker_client.h"
 
 #include <mutex>
 
-#include "platform/http_connection.h"
-#include "platform/task_list_cache.h"
-#include "platform/wire_format.h"
+#include "clients/http_connection.h"
+#include "clients/task_list_cache.h"
+#include "clients/wire_format.h"
 
 namespace apricotwheel {
 
--- a/src/cluster/cluster_manager.h
+++ b/src/cluster/cluster_manager.h
@@ -9,6 +9,8 @@
 #include <string_view>
 #include <vector>
 
+#include "clients/kv_client.h"
+#include "clients/vm_list_client.h"
 #include "cluster/cluster_view.h"
 #include "config/document.h"
 #include "config/settings.h"
@@ -17,8 +19,6 @@
 #include "kernel/log.h"
 #include "kernel/metrics.h"
 #include "peer/peer_node.h"
-#include "platform/kv_client.h"
-#include "platform/vm_list_client.h"
 
 namespace apricotwheel {
 
--- a/src/cluster/member_lease.cc
+++ b/src/cluster/member_lease.cc
@@ -57,7 +57,7 @@
       return true;
     }
     if (renewed.failure.kind != error_kind::kNotFound) return false;
-    lease_id_.clear();
+    SetLeaseId({});
     record_written_ = false;
     record_due_ = true;
     valid_until_ = 0;
@@ -67,7 +67,7 @@
   }
   const auto granted = Attempt([&] { return kv_->GrantLease(time_to_live_); });
   if (!granted) return false;
-  lease_id_ = *granted;
+  SetLeaseId(*granted);
   extend();
   Emit(log_, cluster_events::kLeaseTaken, {Field("member", record_.id)});
   return true;
@@ -90,6 +90,16 @@
   return false;
 }
 
+std::string member_lease::LeaseId() const {
+  const std::lock_guard lock(lease_id_mutex_);
+  return lease_id_;
+}
+
+void member_lease::SetLeaseId(std::string id) {
+  const std::lock_guard lock(lease_id_mutex_);
+  lease_id_ = std::move(id);
+}
+
 bool member_lease::IsHeld() const {
   return record_written_ && !resigned_ &&
          clock_->Now().time_since_epoch().count() < valid_until_;
--- a/src/cluster/member_lease.h
+++ b/src/cluster/member_lease.h
@@ -4,11 +4,11 @@
 #include <mutex>
 #include <string>
 
+#include "clients/kv_client.h"
 #include "cluster/cluster_view.h"
 #include "config/settings.h"
 #include "kernel/clock.h"
 #include "kernel/log.h"
-#include "platform/kv_client.h"
 
 namespace apricotwheel {
 
@@ -30,6 +30,8 @@
   // True while the lease is certainly valid and the record is written under it.
   bool IsHeld() const;
   std::string Key() const { return std::string(kMembersPrefix) + record_.id; }
+  // Empty while there is none. Keys of other managers may be written under it.
+  std::string LeaseId() const;
 
   void MarkLeaving();
   bool IsLeaving() const { return leaving_; }
@@ -42,6 +44,7 @@
  private:
   bool Renew();
   bool WriteRecord();
+  void SetLeaseId(std::string id);
 
   kv_client* const kv_;
   const clock_ptr clock_;
@@ -51,7 +54,8 @@
   const log_sink log_;
   member record_;
   std::mutex call_mutex_;  // Held over a tick; keeps it apart from `Resign`.
-  std::string lease_id_;   // Guarded by call_mutex_.
+  mutable std::mutex lease_id_mutex_;
+  std::string lease_id_;  // Changed with both mutexes held.
   time_point last_renewal_{};
   std::atomic<bool> resigned_ = false;
   std::atomic<bool> leaving_ = false;
--- a/src/cluster/vm_tracker.h
+++ b/src/cluster/vm_tracker.h
@@ -9,9 +9,9 @@
 #include <string>
 #include <vector>
 
+#include "clients/vm_list_client.h"
 #include "cluster/cluster_view.h"
 #include "kernel/clock.h"
-#include "platform/vm_list_client.h"
 
 namespace apricotwheel {
 
--- a/src/config/settings.cc
+++ b/src/config/settings.cc
@@ -48,7 +48,7 @@
 using s = daemon_settings;
 
 // clang-format off
-constexpr std::array<setting_row, 29> kSettings = {{
+constexpr std::array<setting_row, 33> kSettings = {{
     {"name", kName, "", &s::name, true, 0, 0,
      "name of this daemon, unique in the cell"},
     {"failure_domain", kName, "", &s::failure_domain, true, 0, 0,
@@ -59,10 +59,18 @@
      "address for other daemons"},
     {"kv_address", kAddress, "", &s::kv_address, true, 0, 0,
      "address of the key-value service"},
-    {"vm_list_address", kAddress, "", &s::vm_list_address, true, 0, 0,
-     "address of the VM list"},
-    {"peer_key_file", setting_type::kPath, "", &s::peer_key_file, true, 0, 0,
-     "file with the shared key of all daemons, 32 bytes or more"},
+    {"vm_list_address", kAddress, "", &s::vm_list_address, false, 0, 0,
+     "address of the VM list; required without a service_adapter"},
+    {"peer_key_file", setting_type::kPath, "", &s::peer_key_file, false, 0, 0,
+     "file with the shared key of all daemons, 32 bytes or more; required without a service_adapter, which keeps the key in the key-value service"},
+    {"service_adapter", kName, "", &s::service_adapter, false, 0, 0,
+     "plug-in for the services of a platform; the daemon then schedules the job graphs of its queues"},
+    {"caller_address", kAddress, "", &s::caller_address, false, 0, 0,
+     "address for callers of queues; required with a service_adapter"},
+    {"readiness_address", kAddress, "", &s::readiness_address, false, 0, 0,
+     "address for the balancer's probes; required with a service_adapter"},
+    {"advisor_address", kAddress, "", &s::advisor_address, false, 0, 0,
+     "address of the policy advisor of queues that have one"},
     {"seed_peers", setting_type::kAddressList, "", &s::seed_peers, false, 0, 0,
      "peer addresses of other daemons, asked for the document while the key-value service cannot be reached"},
     {"lease_ttl_ms", kDuration, "ms", &s::lease_ttl, false, 500, 60'000,
@@ -159,7 +167,7 @@
 };
 
 // clang-format off
-constexpr std::array<cross_check, 9> kCrossChecks = {{
+constexpr std::array<cross_check, 13> kCrossChecks = {{
     {"lease_renew_interval_ms",
      [](const daemon_settings& v) { return 2 * v.lease_renew_interval <= v.lease_ttl; },
      "one lost renewal would end the lease",
@@ -196,6 +204,22 @@
      [](const daemon_settings& v) { return v.peer_address.empty() || v.peer_address != v.http_address; },
      "the address is also the http_address",
      "use two ports"},
+    {"vm_list_address",
+     [](const daemon_settings& v) { return !v.service_adapter.empty() || !v.vm_list_address.empty(); },
+     "required and missing",
+     "add the key"},
+    {"peer_key_file",
+     [](const daemon_settings& v) { return !v.service_adapter.empty() || !v.peer_key_file.empty(); },
+     "required and missing",
+     "add the key"},
+    {"caller_address",
+     [](const daemon_settings& v) { return v.service_adapter.empty() || !v.caller_address.empty(); },
+     "a service_adapter needs an address for callers",
+     "add the key"},
+    {"readiness_address",
+     [](const daemon_settings& v) { return v.service_adapter.empty() || !v.readiness_address.empty(); },
+     "a service_adapter needs an address for the balancer's probes",
+     "add the key"},
 }};
 // clang-format on
 
@@ -302,7 +326,9 @@
   }
   settings_check check = CheckSettings(path, text.str());
   if (!check.settings) return check;
-  CheckKeyFile(path, 0, *check.settings, check.faults);
+  if (check.settings->service_adapter.empty()) {
+    CheckKeyFile(path, 0, *check.settings, check.faults);
+  }
   if (!check.faults.empty()) check.settings.reset();
   return check;
 }
--- a/src/config/settings.h
+++ b/src/config/settings.h
@@ -23,6 +23,12 @@
   std::string kv_address;       // ip:port of the key-value service.
   std::string vm_list_address;  // ip:port of the VM list.
   std::string peer_key_file;    // Shared key of all daemons, 32 bytes or more.
+  // Plug-in that connects the daemon to the services of a platform. If it is
+  // set, the daemon schedules the job graphs of that platform's queues.
+  std::string service_adapter;
+  std::string caller_address;     // ip:port for callers of queues.
+  std::string readiness_address;  // ip:port for the balancer's probes.
+  std::string advisor_address;    // ip:port of the policy advisor.
   // Peer addresses of other daemons, asked for the document while the
   // key-value service cannot be reached.
   std::vector<std::string> seed_peers;
--- a/src/daemon/daemon.h
+++ b/src/daemon/daemon.h
@@ -3,6 +3,9 @@
 #include <atomic>
 #include <memory>
 
+#include "clients/http_listener.h"
+#include "clients/kv_client.h"
+#include "clients/vm_list_client.h"
 #include "cluster/cluster_manager.h"
 #include "config/settings.h"
 #include "dispatch/dispatcher.h"
@@ -12,9 +15,6 @@
 #include "kernel/log.h"
 #include "kernel/metrics.h"
 #include "peer/peer_node.h"
-#include "platform/http_listener.h"
-#include "platform/kv_client.h"
-#include "platform/vm_list_client.h"
 #include "workers/worker_manager.h"
 
 namespace apricotwheel {
--- a/src/daemon/daemon_events.h
+++ b/src/daemon/daemon_events.h
@@ -16,5 +16,7 @@
                                                 severity::kWarning};
 inline constexpr log_event_kind kDaemonStopped{1907, "daemon_stopped",
                                                severity::kInfo};
+inline constexpr log_event_kind kStartDelayed{1908, "start_delayed",
+                                              severity::kWarning};
 
 }  // namespace apricotwheel
--- a/src/daemon/main.cc
+++ b/src/daemon/main.cc
@@ -8,6 +8,7 @@
 #include "config/settings.h"
 #include "daemon/daemon.h"
 #include "daemon/logging.h"
+#include "daemon/pool_daemon.h"
 
 DEFINE_string(settings, "", "path of the YAML settings file");
 DEFINE_bool(check, false, "check the settings file and exit");
@@ -38,6 +39,21 @@
   }
 }
 
+// Runs a daemon of the given kind until a stop signal.
+template <class Daemon>
+int Serve(const daemon_settings& settings, const sigset_t& signals,
+          const log_sink& log) {
+  auto process = Attempt(
+      [&] { return Daemon::Start(settings, runtime_clock::Running(), log); });
+  if (!process) {
+    std::cerr << Describe(process.failure) << "\n";
+    return kExitFailed;
+  }
+  WaitForStopSignal(signals);
+  (*process)->DrainAndStop();
+  return kExitOk;
+}
+
 int Run(const std::string& path) {
   const settings_check checked = LoadSettings(path);
   if (!checked.settings) {
@@ -52,17 +68,9 @@
   }
   const sigset_t signals = BlockStopSignals();
   const log_sink log = StartLogging(checked.settings->log_level);
-  auto process = Attempt([&] {
-    return daemon_process::Start(*checked.settings, runtime_clock::Running(),
-                                 log);
-  });
-  if (!process) {
-    std::cerr << Describe(process.failure) << "\n";
-    return kExitFailed;
-  }
-  WaitForStopSignal(signals);
-  (*process)->DrainAndStop();
-  return kExitOk;
+  return checked.settings->service_adapter.empty()
+             ? Serve<daemon_process>(*checked.settings, signals, log)
+             : Serve<pool_daemon>(*checked.settings, signals, log);
 }
 
 }  // namespace
--- /dev/null
+++ b/src/daemon/pool_daemon.h
@@ -0,0 +1,69 @@
+#pragma once
+
+#include <atomic>
+#include <memory>
+#include <mutex>
+
+#include "clients/http_listener.h"
+#include "clients/kv_client.h"
+#include "config/settings.h"
+#include "kernel/clock.h"
+#include "kernel/error.h"
+#include "kernel/log.h"
+#include "kernel/metrics.h"
+#include "kernel/thread_group.h"
+#include "peer/peer_node.h"
+#include "pools/kv_follower.h"
+#include "pools/pool_directory.h"
+#include "pools/pool_host.h"
+#include "pools/queue_gate.h"
+#include "pools/service_ports.h"
+
+namespace apricotwheel {
+
+// A daemon on a platform that a service adapter connects: it accepts the jobs
+// of the platform's queues, and owns pools of workers together with its peers.
+class pool_daemon {
+ public:
+  // Opens the sockets at once; the parts that need the key-value service start
+  // in the background, and until then callers are told to come back.
+  static result<std::unique_ptr<pool_daemon>> Start(daemon_settings settings,
+                                                    clock_ptr clock,
+                                                    log_sink log);
+  ~pool_daemon();
+
+  // Planned stop: readiness turns false, pools are given up, open calls finish.
+  void DrainAndStop();
+
+ private:
+  pool_daemon(daemon_settings settings, clock_ptr clock, log_sink log);
+  result<void> Open();
+  void Boot();
+  result<void> StartParts(std::string peer_key);
+  void ConfigurationChanged(const kv_event& event);
+  bool IsReady() const;
+  void StopParts();
+
+  const daemon_settings settings_;
+  const std::string member_id_;
+  const clock_ptr clock_;
+  const log_sink log_;
+  const metrics_ptr metrics_;
+  service_ports ports_;
+  std::unique_ptr<kv_client> kv_;
+  std::unique_ptr<queue_gate> gate_;
+  std::unique_ptr<peer_node> peers_;
+  std::unique_ptr<pool_directory> directory_;
+  std::unique_ptr<pool_host> host_;
+  std::unique_ptr<kv_follower> configuration_;
+  std::unique_ptr<http_listener> callers_;
+  std::unique_ptr<http_listener> probes_;
+  std::unique_ptr<http_listener> operators_;
+  std::atomic<bool> stopping_ = false;
+  bool stopped_ = false;
+  std::mutex parts_mutex_;  // Held while the parts start.
+  stop_signal boot_signal_;
+  thread_group threads_;
+};
+
+}  // namespace apricotwheel
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -9,8 +9,8 @@
 #include <string_view>
 #include <vector>
 
+#include "clients/instance_client.h"
 #include "cluster/cluster_manager.h"
-#include "platform/instance_client.h"
 #include "workers/worker_manager.h"
 
 namespace apricotwheel {
--- a/src/dispatch/instance_connection.h
+++ b/src/dispatch/instance_connection.h
@@ -4,7 +4,7 @@
 #include <memory>
 #include <string>
 
-#include "platform/instance_client.h"
+#include "clients/instance_client.h"
 
 namespace apricotwheel {
 
--- /dev/null
+++ b/src/graph/graph_codec.cc
@@ -0,0 +1,286 @@
+#include "graph/graph_codec.h"
+
+#include <algorithm>
+#include <array>
+#include <nlohmann/json.hpp>
+
+namespace apricotwheel {
+
+namespace {
+
+using nlohmann::json;
+
+constexpr std::array<std::pair<job_state, std::string_view>, 5> kStateNames = {{
+    {job_state::kQueued, "queued"},
+    {job_state::kActive, "active"},
+    {job_state::kCompleted, "completed"},
+    {job_state::kFailed, "failed"},
+    {job_state::kCancelled, "cancelled"},
+}};
+
+boost::leaf::error_id Corrupt(std::string message) {
+  return Fail(error_kind::kCorrupt, std::move(message),
+              "check that all daemons run compatible versions");
+}
+
+// Turns any JSON fault of `read` into `corrupt`.
+template <class Read>
+auto Guarded(Read read) -> decltype(read()) {
+  try {
+    return read();
+  } catch (const json::exception& fault) {
+    return Corrupt(fault.what());
+  }
+}
+
+// Fields at their default are left out, since most steps use few of them.
+template <class Value>
+void PutUnless(json& into, const char* key, const Value& value,
+               const Value& usual) {
+  if (value != usual) into[key] = value;
+}
+
+json ToJson(const graph_step& step) {
+  const graph_step usual;
+  json out = {{"tasks", step.task_count}, {"estimate_ms", step.estimate_ms}};
+  PutUnless(out, "cpu_milli", step.need.cpu_milli, usual.need.cpu_milli);
+  PutUnless(out, "memory_mib", step.need.memory_mib, usual.need.memory_mib);
+  PutUnless(out, "accelerators", step.need.accelerators,
+            usual.need.accelerators);
+  PutUnless(out, "after", step.after, usual.after);
+  PutUnless(out, "required_label", step.required_label, usual.required_label);
+  PutUnless(out, "data_rack", step.data_rack, usual.data_rack);
+  PutUnless(out, "max_per_worker", step.max_per_worker, usual.max_per_worker);
+  PutUnless(out, "image", step.image, usual.image);
+  PutUnless(out, "latency_target_ms", step.latency_target_ms,
+            usual.latency_target_ms);
+  if (step.has_disruption_budget) {
+    out["disruption_budget"] = step.disruption_budget;
+  }
+  PutUnless(out, "checkpoints", step.checkpoints, false);
+  PutUnless(out, "gang", step.is_gang, false);
+  PutUnless(out, "one_rack", step.one_rack, false);
+  PutUnless(out, "may_duplicate", step.may_duplicate, false);
+  PutUnless(out, "service", step.is_service, false);
+  PutUnless(out, "uses_leftover", step.uses_leftover, false);
+  return out;
+}
+
+graph_step StepFromJson(const json& in) {
+  graph_step step;
+  in.at("tasks").get_to(step.task_count);
+  in.at("estimate_ms").get_to(step.estimate_ms);
+  step.need.cpu_milli = in.value("cpu_milli", std::int64_t{0});
+  step.need.memory_mib = in.value("memory_mib", std::int64_t{0});
+  step.need.accelerators = in.value("accelerators", std::int64_t{0});
+  if (in.contains("after")) in.at("after").get_to(step.after);
+  step.required_label = in.value("required_label", "");
+  step.data_rack = in.value("data_rack", "");
+  step.max_per_worker = in.value("max_per_worker", std::uint32_t{0});
+  step.image = in.value("image", "");
+  step.latency_target_ms = in.value("latency_target_ms", std::int64_t{0});
+  step.has_disruption_budget = in.contains("disruption_budget");
+  step.disruption_budget = in.value("disruption_budget", std::uint32_t{0});
+  step.checkpoints = in.value("checkpoints", false);
+  step.is_gang = in.value("gang", false);
+  step.one_rack = in.value("one_rack", false);
+  step.may_duplicate = in.value("may_duplicate", false);
+  step.is_service = in.value("service", false);
+  step.uses_leftover = in.value("uses_leftover", false);
+  return step;
+}
+
+std::int64_t ToMs(duration span) {
+  return std::chrono::duration_cast<milliseconds>(span).count();
+}
+
+json ToJson(const queue_rules& queue) {
+  json out = {{"name", queue.name},
+              {"pool", queue.pool},
+              {"priority", queue.priority},
+              {"max_attempts", queue.max_attempts},
+              {"slowdown_limit", queue.slowdown_limit},
+              {"target_ms", ToMs(queue.target)}};
+  if (queue.advisor) {
+    out["advisor"] = {
+        {"decision_us", queue.advisor->decision_us},
+        {"per_worker_us", queue.advisor->per_worker_us},
+        {"ticket_lifetime_ms", ToMs(queue.advisor->ticket_lifetime)}};
+  }
+  return out;
+}
+
+queue_rules QueueFromJson(const json& in) {
+  queue_rules queue;
+  in.at("name").get_to(queue.name);
+  in.at("pool").get_to(queue.pool);
+  in.at("priority").get_to(queue.priority);
+  in.at("max_attempts").get_to(queue.max_attempts);
+  in.at("slowdown_limit").get_to(queue.slowdown_limit);
+  queue.target = milliseconds(in.at("target_ms").get<std::int64_t>());
+  if (in.contains("advisor")) {
+    const json& terms = in.at("advisor");
+    advisor_terms advisor;
+    terms.at("decision_us").get_to(advisor.decision_us);
+    terms.at("per_worker_us").get_to(advisor.per_worker_us);
+    advisor.ticket_lifetime =
+        milliseconds(terms.at("ticket_lifetime_ms").get<std::int64_t>());
+    queue.advisor = advisor;
+  }
+  return queue;
+}
+
+// One character for each task: '1' if it is done.
+std::string DoneText(const std::vector<bool>& done) {
+  std::string text(done.size(), '0');
+  for (std::size_t at = 0; at < done.size(); ++at) {
+    if (done[at]) text[at] = '1';
+  }
+  return text;
+}
+
+result<void> ReadStep(const json& in, step_progress& step) {
+  const auto& text = in.at("done").get_ref<const std::string&>();
+  if (text.size() != step.done.size()) {
+    return Corrupt("the progress of a step has another number of tasks");
+  }
+  for (std::size_t at = 0; at < text.size(); ++at) {
+    step.done[at] = text[at] == '1';
+  }
+  for (const json& row : in.value("failures", json::array())) {
+    const auto index = row.at(0).get<std::size_t>();
+    if (index >= step.failures.size()) return Corrupt("no such task");
+    row.at(1).get_to(step.failures[index]);
+  }
+  return {};
+}
+
+}  // namespace
+
+std::string_view ToString(job_state state) {
+  const auto* found =
+      std::find_if(kStateNames.begin(), kStateNames.end(),
+                   [&](const auto& row) { return row.first == state; });
+  return found->second;
+}
+
+result<job_state> ParseJobState(std::string_view name) {
+  const auto* found =
+      std::find_if(kStateNames.begin(), kStateNames.end(),
+                   [&](const auto& row) { return row.second == name; });
+  if (found == kStateNames.end()) {
+    return Corrupt("'" + std::string(name) + "' is no job state");
+  }
+  return found->first;
+}
+
+std::string EncodeSubmission(const job_submission& job) {
+  json steps = json::array();
+  for (const graph_step& step : job.graph.steps) steps.push_back(ToJson(step));
+  json out = {{"id", job.id},
+              {"queue", ToJson(job.queue)},
+              {"payload", job.graph.payload},
+              {"steps", std::move(steps)},
+              {"accepted_at_ms", job.accepted_at_ms}};
+  const run_schedule& schedule = job.graph.schedule;
+  if (schedule.repetitions > 0) {
+    out["schedule"] = {{"repetitions", schedule.repetitions},
+                       {"first_run_ms", schedule.first_run_ms},
+                       {"interval_ms", schedule.interval_ms}};
+  }
+  return out.dump();
+}
+
+result<job_submission> DecodeSubmission(std::string_view text) {
+  return Guarded([&]() -> result<job_submission> {
+    const json in = json::parse(text);
+    job_submission job;
+    in.at("id").get_to(job.id);
+    job.queue = QueueFromJson(in.at("queue"));
+    in.at("payload").get_to(job.graph.payload);
+    in.at("accepted_at_ms").get_to(job.accepted_at_ms);
+    for (const json& step : in.at("steps")) {
+      job.graph.steps.push_back(StepFromJson(step));
+    }
+    if (in.contains("schedule")) {
+      const json& schedule = in.at("schedule");
+      schedule.at("repetitions").get_to(job.graph.schedule.repetitions);
+      schedule.at("first_run_ms").get_to(job.graph.schedule.first_run_ms);
+      schedule.at("interval_ms").get_to(job.graph.schedule.interval_ms);
+    }
+    if (const auto fault = FaultOf(job.graph)) return Corrupt(*fault);
+    return job;
+  });
+}
+
+job_progress FreshProgress(const job_graph& graph) {
+  job_progress progress;
+  const std::size_t count = std::max(1U, graph.schedule.repetitions);
+  std::vector<step_progress> steps;
+  for (const graph_step& step : graph.steps) {
+    steps.push_back({std::vector<bool>(step.task_count),
+                     std::vector<std::uint32_t>(step.task_count)});
+  }
+  progress.occurrences.assign(count, steps);
+  return progress;
+}
+
+std::string EncodeProgress(const job_progress& progress) {
+  json occurrences = json::array();
+  // A final state says all that will ever be asked.
+  if (!IsFinal(progress.state)) {
+    for (const auto& steps : progress.occurrences) {
+      json rows = json::array();
+      for (const step_progress& step : steps) {
+        json row = {{"done", DoneText(step.done)}};
+        for (std::size_t at = 0; at < step.failures.size(); ++at) {
+          if (step.failures[at] > 0) {
+            row["failures"].push_back({at, step.failures[at]});
+          }
+        }
+        rows.push_back(std::move(row));
+      }
+      occurrences.push_back(std::move(rows));
+    }
+  }
+  return json{{"state", ToString(progress.state)},
+              {"started", progress.has_started},
+              {"occurrences", std::move(occurrences)}}
+      .dump();
+}
+
+result<job_state> DecodeProgressState(std::string_view text) {
+  return Guarded([&]() -> result<job_state> {
+    const json in = json::parse(text);
+    return ParseJobState(in.at("state").get_ref<const std::string&>());
+  });
+}
+
+result<job_progress> DecodeProgress(std::string_view text,
+                                    const job_graph& graph) {
+  return Guarded([&]() -> result<job_progress> {
+    const json in = json::parse(text);
+    job_progress progress = FreshProgress(graph);
+    BOOST_LEAF_ASSIGN(
+        progress.state,
+        ParseJobState(in.at("state").get_ref<const std::string&>()));
+    in.at("started").get_to(progress.has_started);
+    const json& occurrences = in.at("occurrences");
+    if (IsFinal(progress.state)) return progress;
+    if (occurrences.size() != progress.occurrences.size()) {
+      return Corrupt("the progress has another number of occurrences");
+    }
+    for (std::size_t k = 0; k < occurrences.size(); ++k) {
+      if (occurrences[k].size() != graph.steps.size()) {
+        return Corrupt("the progress has another number of steps");
+      }
+      for (std::size_t at = 0; at < graph.steps.size(); ++at) {
+        BOOST_LEAF_CHECK(
+            ReadStep(occurrences[k][at], progress.occurrences[k][at]));
+      }
+    }
+    return progress;
+  });
+}
+
+}  // namespace apricotwheel
--- /dev/null
+++ b/src/graph/graph_events.h
@@ -0,0 +1,26 @@
+#pragma once
+
+#include "kernel/log.h"
+
+namespace apricotwheel::graph_events {
+
+inline constexpr log_event_kind kJobAdmitted{2100, "graph_job_admitted",
+                                             severity::kInfo};
+inline constexpr log_event_kind kJobFinished{2101, "graph_job_finished",
+                                             severity::kInfo};
+inline constexpr log_event_kind kRunOrdered{2102, "graph_run_ordered",
+                                            severity::kDebug};
+inline constexpr log_event_kind kRunRefused{2103, "graph_run_refused",
+                                            severity::kInfo};
+inline constexpr log_event_kind kRunEnded{2104, "graph_run_ended",
+                                          severity::kDebug};
+inline constexpr log_event_kind kRunUnknown{2105, "graph_run_unknown",
+                                            severity::kWarning};
+inline constexpr log_event_kind kWorkerClaimed{2106, "graph_worker_claimed",
+                                               severity::kInfo};
+inline constexpr log_event_kind kWorkerGone{2107, "graph_worker_gone",
+                                            severity::kWarning};
+inline constexpr log_event_kind kWorkerAvoided{2108, "graph_worker_avoided",
+                                               severity::kWarning};
+
+}  // namespace apricotwheel::graph_events
--- /dev/null
+++ b/src/graph/job_graph.cc
@@ -0,0 +1,53 @@
+#include "graph/job_graph.h"
+
+#include <algorithm>
+
+namespace apricotwheel {
+
+namespace {
+
+// The number of workers that the latency objective of a step assumes to be
+// named in a call for approval.
+constexpr std::int64_t kObjectiveWorkers = 30;
+
+}  // namespace
+
+std::int64_t CriticalPathMs(const job_graph& graph, const queue_rules& queue) {
+  std::int64_t approval_ms = 0;
+  if (queue.advisor) {
+    approval_ms = (queue.advisor->decision_us +
+                   kObjectiveWorkers * queue.advisor->per_worker_us) /
+                  1000;
+  }
+  std::vector<std::int64_t> end_ms;
+  std::int64_t longest = 0;
+  for (const graph_step& step : graph.steps) {
+    std::int64_t begin = 0;
+    for (const std::uint32_t before : step.after) {
+      begin = std::max(begin, end_ms[before]);
+    }
+    end_ms.push_back(begin + approval_ms + step.estimate_ms);
+    longest = std::max(longest, end_ms.back());
+  }
+  return longest;
+}
+
+std::optional<std::string> FaultOf(const job_graph& graph) {
+  if (graph.steps.empty()) return "the job has no step";
+  for (std::size_t at = 0; at < graph.steps.size(); ++at) {
+    const graph_step& step = graph.steps[at];
+    const std::string name = "step " + std::to_string(at);
+    if (step.task_count == 0) return name + " has no task";
+    if (step.need.cpu_milli < 0 || step.need.memory_mib < 0 ||
+        step.need.accelerators < 0) {
+      return name + " asks for a negative amount";
+    }
+    const bool in_order =
+        std::all_of(step.after.begin(), step.after.end(),
+                    [&](std::uint32_t before) { return before < at; });
+    if (!in_order) return name + " waits for a step that is not before it";
+  }
+  return std::nullopt;
+}
+
+}  // namespace apricotwheel
--- /dev/null
+++ b/src/graph/pool_runs.cc
@@ -0,0 +1,492 @@
+// What workers report and answer: runs that begin, end and vanish.
+#include <algorithm>
+#include <utility>
+
+#include "graph/graph_codec.h"
+#include "graph/graph_events.h"
+#include "graph/pool_scheduler.h"
+
+namespace apricotwheel {
+
+namespace {
+
+// A worker lists at most this many ends at a time; a full list is not whole.
+constexpr std::size_t kEndsPerReport = 500;
+// A stop that was not obeyed in this time is ordered again. Workers take up to
+// 900 ms to stop a task.
+constexpr auto kStopRepeat = milliseconds(1200);
+constexpr auto kStopRetry = milliseconds(400);
+// Failures of tasks in a row after which a worker gets no work for a while.
+constexpr int kFailuresToAvoid = 3;
+constexpr auto kAvoidFailing = milliseconds(4000);
+// A worker that refused an order without a fault of the order.
+constexpr auto kAvoidRefusing = milliseconds(700);
+// Distance to run numbers that a worker has seen and this owner has not.
+constexpr std::uint64_t kRunNumberStep = 100;
+
+std::string NameOf(const task_key& task) {
+  return task.job_id + "." + std::to_string(task.occurrence) + "." +
+         std::to_string(task.step) + "." + std::to_string(task.index);
+}
+
+std::string_view ToString(run_end how) {
+  switch (how) {
+    case run_end::kDone:
+      return "done";
+    case run_end::kFailed:
+      return "failed";
+    case run_end::kStopped:
+      return "stopped";
+    case run_end::kLapsed:
+      return "lapsed";
+    case run_end::kBroken:
+      return "broken";
+    case run_end::kAlone:
+      return "alone";
+  }
+  return "unknown";
+}
+
+std::string_view ToString(start_answer answer) {
+  switch (answer) {
+    case start_answer::kStarted:
+      return "started";
+    case start_answer::kStaleEpoch:
+      return "stale_epoch";
+    case start_answer::kOutdatedRun:
+      return "outdated_run";
+    case start_answer::kExpired:
+      return "expired";
+    case start_answer::kNoRoom:
+      return "no_room";
+    case start_answer::kNoTicket:
+      return "no_ticket";
+    case start_answer::kInvalid:
+      return "invalid";
+    case start_answer::kUnhealthy:
+      return "unhealthy";
+    case start_answer::kOtherLifetime:
+      return "other_lifetime";
+    case start_answer::kUnreachable:
+      return "unreachable";
+    case start_answer::kUnknown:
+      return "unknown";
+  }
+  return "unknown";
+}
+
+bool Names(const graph_job& job, const task_key& task) {
+  return task.occurrence < job.occurrences.size() &&
+         task.step < job.occurrences[task.occurrence].size() &&
+         task.index < job.occurrences[task.occurrence][task.step].tasks.size();
+}
+
+}  // namespace
+
+void pool_scheduler::Report(std::string_view id, const worker_report& report,
+                            time_point sent_at, time_point now) {
+  worker_state* worker = FindWorker(id);
+  if (worker == nullptr) return;
+  if (report.incarnation < worker->agent_incarnation) return;  // Overtaken.
+  if (report.incarnation != worker->agent_incarnation) {
+    if (worker->agent_incarnation != 0) ForgetRuns(*worker, now);
+    worker->agent_incarnation = report.incarnation;
+  }
+  if (!worker->is_claimed) {
+    worker->is_claimed = true;
+    unsettled_.erase(std::string(id));
+    Log(graph_events::kWorkerClaimed,
+        {Field("worker", id), Field("running", report.running.size()),
+         Field("ended", report.ended.size())});
+  }
+  for (const reported_end& end : report.ended) {
+    if (end.sequence <= worker->applied_end) continue;
+    worker->applied_end = end.sequence;
+    ends_pending_ = true;
+    Apply(*worker, end, now);
+  }
+  for (const reported_run& run : report.running) {
+    const auto found = worker->runs.find(run.task);
+    if (found == worker->runs.end() || found->second.number != run.run) {
+      Adopt(*worker, run, now);
+      continue;
+    }
+    task_run& known = found->second;
+    if (known.phase == run_phase::kStarting) {
+      known.phase = run_phase::kRunning;
+      known.answered_at = now;
+    }
+    if (!run.checkpoint.empty()) known.checkpoint = run.checkpoint;
+    known.percent = run.percent;
+    known.load = run.load;
+  }
+  ReleaseMissing(*worker, report, sent_at, now);
+}
+
+void pool_scheduler::Adopt(worker_state& worker, const reported_run& run,
+                           time_point now) {
+  // A listed run whose end has just been applied was listed before it ended.
+  if (worker.runs.contains(run.task)) return;
+  if (worker.written_off.contains({run.task, run.run})) return;
+  task_run adopted;
+  adopted.task = run.task;
+  adopted.number = run.run;
+  adopted.phase = run_phase::kRunning;
+  adopted.ordered_at = now;
+  adopted.answered_at = now;
+  adopted.checkpoint = run.checkpoint;
+  graph_job* job = FindJob(run.task.job_id);
+  if (job == nullptr || !Names(*job, run.task)) {
+    worker.has_unknown_run = true;
+    StopRun(adopted, now);
+    worker.runs[run.task] = std::move(adopted);
+    return;
+  }
+  adopted.job = job;
+  step_state& step = StepOf(*job, run.task);
+  graph_task& task = step.tasks[run.task.index];
+  task.last_run = std::max(task.last_run, run.run);
+  worker.used = worker.used + SpecOf(*job, run.task).need;
+  if (IsFinal(job->progress.state) || task.phase != task_phase::kWaiting) {
+    StopRun(adopted, now);
+  } else {
+    task.phase = task_phase::kPlaced;
+    task.worker = worker.info.id;
+    --step.waiting;
+    ++step.placed;
+  }
+  worker.runs[run.task] = std::move(adopted);
+}
+
+void pool_scheduler::Apply(worker_state& worker, const reported_end& end,
+                           time_point now) {
+  const auto found = worker.runs.find(end.task);
+  if (found != worker.runs.end() && found->second.number == end.run) {
+    EndRun(worker, end.task, end.how, end.checkpoint, now);
+    return;
+  }
+  // A run that an earlier owner ordered. The result of a run that was placed
+  // again after its lease had lapsed does not count.
+  if (worker.written_off.erase({end.task, end.run}) > 0) return;
+  graph_job* job = FindJob(end.task.job_id);
+  if (job == nullptr || !Names(*job, end.task)) return;
+  if (IsFinal(job->progress.state)) return;
+  graph_task& task = StepOf(*job, end.task).tasks[end.task.index];
+  task.last_run = std::max(task.last_run, end.run);
+  const graph_step& spec = SpecOf(*job, end.task);
+  if (end.how == run_end::kDone) {
+    if (!spec.is_service && task.phase != task_phase::kDone) {
+      TaskDone(*job, end.task, now);
+    }
+    return;
+  }
+  if (task.phase != task_phase::kWaiting) return;
+  if (!end.checkpoint.empty()) task.checkpoint = end.checkpoint;
+  if (end.how != run_end::kFailed || spec.is_service) return;
+  auto& failures =
+      job->progress.occurrences[end.task.occurrence][end.task.step].failures;
+  const std::uint32_t count = ++failures[spec.is_gang ? 0 : end.task.index];
+  MarkDirty(*job);
+  if (count >= job->submission.queue.max_attempts) {
+    Finish(*job, job_state::kFailed, now);
+  }
+}
+
+void pool_scheduler::ReleaseMissing(worker_state& worker,
+                                    const worker_report& report,
+                                    time_point sent_at, time_point now) {
+  if (report.ended.size() >= kEndsPerReport) return;
+  std::set<task_key> listed;
+  for (const reported_run& run : report.running) listed.insert(run.task);
+  std::vector<task_key> missing;
+  for (const auto& [task, run] : worker.runs) {
+    const bool is_settled =
+        run.phase == run_phase::kRunning ||
+        (run.phase == run_phase::kStopping && run.stop_confirmed);
+    // A report that was asked for before the last answer may be older than it.
+    if (is_settled && run.answered_at < sent_at && !listed.contains(task)) {
+      missing.push_back(task);
+    }
+  }
+  for (const task_key& task : missing) {
+    const std::string checkpoint = worker.runs.at(task).checkpoint;
+    EndRun(worker, task, run_end::kLapsed, checkpoint, now);
+  }
+}
+
+void pool_scheduler::ReleaseRun(worker_state& worker, const task_key& task) {
+  const auto found = worker.runs.find(task);
+  if (found == worker.runs.end()) return;
+  if (found->second.job != nullptr) {
+    worker.used = worker.used - SpecOf(*found->second.job, task).need;
+  }
+  worker.runs.erase(found);
+  worker.has_unknown_run =
+      std::any_of(worker.runs.begin(), worker.runs.end(),
+                  [](const auto& row) { return row.second.job == nullptr; });
+}
+
+void pool_scheduler::EndRun(worker_state& worker, const task_key& key,
+                            run_end how, std::string_view checkpoint,
+                            time_point now) {
+  // The caller's key may be the one of the entry that is erased below.
+  const task_key task = key;
+  const std::string saved(checkpoint);
+  const task_run run = worker.runs.at(task);
+  ReleaseRun(worker, task);
+  NoteOutcome(worker, how, now);
+  Log(graph_events::kRunEnded,
+      {Field("task", NameOf(task)), Field("run", run.number),
+       Field("worker", worker.info.id), Field("how", ToString(how))});
+  graph_job* job = run.job;
+  if (job == nullptr || IsFinal(job->progress.state)) return;
+  step_state& step = StepOf(*job, task);
+  graph_task& state = step.tasks[task.index];
+  const graph_step& spec = SpecOf(*job, task);
+  const bool is_current = state.phase == task_phase::kPlaced &&
+                          state.worker == worker.info.id &&
+                          state.last_run == run.number;
+  if (how == run_end::kDone && !spec.is_service) {
+    if (state.phase != task_phase::kDone) TaskDone(*job, task, now);
+    return;
+  }
+  if (!is_current) return;
+  if (!saved.empty()) state.checkpoint = saved;
+  if (spec.is_gang) {
+    if (!saved.empty()) step.gang_checkpoint = saved;
+    GangEnded(*job, task, how, now);
+  } else {
+    TaskEnded(*job, task, how, now);
+  }
+}
+
+void pool_scheduler::TaskDone(graph_job& job, const task_key& task,
+                              time_point now) {
+  step_state& step = StepOf(job, task);
+  auto& stored = job.progress.occurrences[task.occurrence][task.step].done;
+  const auto finish = [&](std::size_t index) {
+    graph_task& state = step.tasks[index];
+    if (state.phase == task_phase::kDone) return;
+    --(state.phase == task_phase::kWaiting ? step.waiting : step.placed);
+    ++step.done;
+    state.phase = task_phase::kDone;
+    stored[index] = true;
+  };
+  if (SpecOf(job, task).is_gang) {
+    // The members end together, so one end speaks for all.
+    for (std::size_t at = 0; at < step.tasks.size(); ++at) finish(at);
+  } else {
+    finish(task.index);
+  }
+  job.progress.has_started = true;
+  MarkDirty(job);
+  const bool is_complete = std::all_of(
+      job.occurrences.begin(), job.occurrences.end(), [](const auto& steps) {
+        return std::all_of(steps.begin(), steps.end(), [](const auto& one) {
+          return one.done == one.tasks.size();
+        });
+      });
+  if (is_complete) Finish(job, job_state::kCompleted, now);
+}
+
+void pool_scheduler::Requeue(step_state& step, graph_task& task) {
+  if (task.phase != task_phase::kPlaced) return;
+  task.phase = task_phase::kWaiting;
+  task.worker.clear();
+  --step.placed;
+  ++step.waiting;
+}
+
+void pool_scheduler::TaskEnded(graph_job& job, const task_key& task,
+                               run_end how, time_point now) {
+  step_state& step = StepOf(job, task);
+  Requeue(step, step.tasks[task.index]);
+  if (how != run_end::kFailed || SpecOf(job, task).is_service) return;
+  auto& failures =
+      job.progress.occurrences[task.occurrence][task.step].failures;
+  ++failures[task.index];
+  MarkDirty(job);
+  if (failures[task.index] >= job.submission.queue.max_attempts) {
+    Finish(job, job_state::kFailed, now);
+  }
+}
+
+void pool_scheduler::GangEnded(graph_job& job, const task_key& task,
+                               run_end how, time_point now) {
+  step_state& step = StepOf(job, task);
+  Requeue(step, step.tasks[task.index]);
+  if (how == run_end::kFailed) step.gang_failed = true;
+  if (step.placed > 0) {
+    // Members on sound workers end as broken by themselves; one whose end is
+    // lost must not hold up the next attempt.
+    StopStep(job, task, now);
+    return;
+  }
+  if (!std::exchange(step.gang_failed, false)) return;
+  auto& failures =
+      job.progress.occurrences[task.occurrence][task.step].failures;
+  ++failures[0];
+  MarkDirty(job);
+  if (failures[0] >= job.submission.queue.max_attempts) {
+    Finish(job, job_state::kFailed, now);
+  }
+}
+
+void pool_scheduler::StopRun(task_run& run, time_point now) {
+  if (run.phase == run_phase::kStopping) return;
+  run.phase = run_phase::kStopping;
+  run.stop_confirmed = false;
+  run.next_stop_at = now;
+}
+
+void pool_scheduler::StopStep(graph_job& job, const task_key& member,
+                              time_point now) {
+  step_state& step = StepOf(job, member);
+  for (std::uint32_t at = 0; at < step.tasks.size(); ++at) {
+    const graph_task& task = step.tasks[at];
+    if (task.phase != task_phase::kPlaced) continue;
+    worker_state* worker = FindWorker(task.worker);
+    if (worker == nullptr) continue;
+    const auto found =
+        worker->runs.find({member.job_id, member.occurrence, member.step, at});
+    if (found != worker->runs.end()) StopRun(found->second, now);
+  }
+}
+
+void pool_scheduler::StopJob(graph_job& job, time_point now) {
+  for (auto& [id, worker] : workers_) {
+    for (auto& [task, run] : worker.runs) {
+      if (run.job != &job) continue;
+      // Members of a gang that is done end by themselves.
+      const graph_task& state = StepOf(job, task).tasks[task.index];
+      if (state.phase != task_phase::kDone) StopRun(run, now);
+    }
+  }
+}
+
+void pool_scheduler::ForgetRuns(worker_state& worker, time_point now) {
+  while (!worker.runs.empty()) {
+    const auto& [task, run] = *worker.runs.begin();
+    const std::string checkpoint = run.checkpoint;
+    EndRun(worker, task, run_end::kLapsed, checkpoint, now);
+  }
+  worker.is_claimed = false;
+  worker.applied_end = 0;
+  worker.stored_end = 0;
+  worker.written_off.clear();
+  worker.failures_in_row = 0;
+}
+
+void pool_scheduler::Lapsed(std::string_view id, time_point now) {
+  worker_state* worker = FindWorker(id);
+  if (worker == nullptr) {
+    unsettled_.erase(std::string(id));
+    return;
+  }
+  if (worker->is_claimed || !worker->runs.empty()) {
+    Log(graph_events::kWorkerGone,
+        {Field("worker", id), Field("runs", worker->runs.size()),
+         Field("listed", worker->is_listed ? 1 : 0)});
+  }
+  while (!worker->runs.empty()) {
+    const auto& [task, run] = *worker->runs.begin();
+    worker->written_off.insert({task, run.number});
+    const std::string checkpoint = run.checkpoint;
+    EndRun(*worker, task, run_end::kLapsed, checkpoint, now);
+  }
+  worker->is_claimed = false;
+  if (!worker->is_listed) RemoveWorker(id);
+}
+
+void pool_scheduler::NoteOutcome(worker_state& worker, run_end how,
+                                 time_point now) {
+  if (how == run_end::kDone) worker.failures_in_row = 0;
+  if (how != run_end::kFailed) return;
+  if (++worker.failures_in_row < kFailuresToAvoid) return;
+  worker.avoid_until = now + kAvoidFailing;
+  Log(graph_events::kWorkerAvoided,
+      {Field("worker", worker.info.id),
+       Field("failures_in_row", worker.failures_in_row)});
+}
+
+void pool_scheduler::StartAnswered(const start_order& order,
+                                   start_answer answer, time_point now) {
+  worker_state* worker = FindWorker(order.worker);
+  if (worker == nullptr) return;
+  const auto found = worker->runs.find(order.task);
+  if (found == worker->runs.end() || found->second.number != order.run) return;
+  task_run& run = found->second;
+  graph_job* job = run.job;
+  if (answer == start_answer::kStarted) {
+    run.answered_at = now;
+    if (run.phase == run_phase::kStarting) run.phase = run_phase::kRunning;
+    if (!job->progress.has_started && !IsFinal(job->progress.state)) {
+      job->progress.has_started = true;
+      job->progress.state = job_state::kActive;
+      MarkDirty(*job);
+    }
+    return;
+  }
+  Log(answer == start_answer::kUnknown ? graph_events::kRunUnknown
+                                       : graph_events::kRunRefused,
+      {Field("task", NameOf(order.task)), Field("run", order.run),
+       Field("worker", order.worker), Field("answer", ToString(answer))});
+  const bool is_gang = SpecOf(*job, order.task).is_gang;
+  if (answer == start_answer::kUnknown) {
+    // The stop makes the order harmless, should it arrive later.
+    StopRun(run, now);
+    if (is_gang) StopStep(*job, order.task, now);
+    return;
+  }
+  step_state& step = StepOf(*job, order.task);
+  graph_task& task = step.tasks[order.task.index];
+  const bool is_current = task.phase == task_phase::kPlaced &&
+                          task.worker == order.worker &&
+                          task.last_run == order.run;
+  ReleaseRun(*worker, order.task);
+  if (is_current) Requeue(step, task);
+  if (answer == start_answer::kOutdatedRun) task.last_run += kRunNumberStep;
+  if (answer == start_answer::kNoTicket) {
+    step.approvals.by_worker[order.worker].valid_until = {};
+  } else if (answer != start_answer::kOutdatedRun) {
+    worker->avoid_until = std::max(worker->avoid_until, now + kAvoidRefusing);
+  }
+  if (is_gang) StopStep(*job, order.task, now);
+}
+
+void pool_scheduler::StopAnswered(const stop_order& order, bool is_obeyed,
+                                  time_point now) {
+  worker_state* worker = FindWorker(order.worker);
+  if (worker == nullptr) return;
+  const auto found = worker->runs.find(order.task);
+  if (found == worker->runs.end() || found->second.number != order.run) return;
+  task_run& run = found->second;
+  if (is_obeyed) {
+    run.stop_confirmed = true;
+    run.answered_at = now;
+  }
+  run.next_stop_at = now + (is_obeyed ? kStopRepeat : kStopRetry);
+}
+
+void pool_scheduler::ApprovalsArrived(const approval_request& request,
+                                      std::span<const approved_worker> approved,
+                                      bool is_answered, time_point sent_at,
+                                      time_point now) {
+  graph_job* job = FindJob(request.job_id);
+  if (job == nullptr) return;
+  const task_key key{request.job_id, request.occurrence, request.step, 0};
+  if (!Names(*job, key)) return;
+  approval_book& book = StepOf(*job, key).approvals;
+  book.is_asking = false;
+  if (!is_answered) {
+    constexpr auto kRetryAsking = milliseconds(100);
+    book.retry_at = now + kRetryAsking;
+    return;
+  }
+  const auto& advisor = job->submission.queue.advisor;
+  if (!advisor) return;
+  RecordAnswer(book, request.workers, approved, advisor->ticket_lifetime,
+               sent_at);
+}
+
+}  // namespace apricotwheel
--- /dev/null
+++ b/src/graph/pool_scheduler.cc
@@ -0,0 +1,278 @@
+#include "graph/pool_scheduler.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "graph/graph_codec.h"
+#include "graph/graph_events.h"
+
+namespace apricotwheel {
+
+namespace {
+
+// For each step, the longest chain of estimates that begins with it.
+std::vector<std::int64_t> PathsFrom(const job_graph& graph) {
+  std::vector<std::int64_t> tail_ms(graph.steps.size(), 0);
+  for (std::size_t at = graph.steps.size(); at-- > 0;) {
+    tail_ms[at] += graph.steps[at].estimate_ms;
+    for (const std::uint32_t before : graph.steps[at].after) {
+      tail_ms[before] = std::max(tail_ms[before], tail_ms[at]);
+    }
+  }
+  return tail_ms;
+}
+
+}  // namespace
+
+pool_scheduler::pool_scheduler(pool_scheduler_options options)
+    : options_(std::move(options)),
+      unsettled_(options_.earlier_workers.begin(),
+                 options_.earlier_workers.end()) {}
+
+graph_job* pool_scheduler::FindJob(std::string_view id) {
+  const auto found = jobs_.find(id);
+  return found == jobs_.end() ? nullptr : found->second.get();
+}
+
+worker_state* pool_scheduler::FindWorker(std::string_view id) {
+  const auto found = workers_.find(id);
+  return found == workers_.end() ? nullptr : &found->second;
+}
+
+step_state& pool_scheduler::StepOf(graph_job& job, const task_key& task) {
+  return job.occurrences[task.occurrence][task.step];
+}
+
+const graph_step& pool_scheduler::SpecOf(const graph_job& job,
+                                         const task_key& task) const {
+  return job.submission.graph.steps[task.step];
+}
+
+void pool_scheduler::Log(const log_event_kind& kind,
+                         std::vector<log_field> fields) const {
+  Emit(options_.log, kind, std::move(fields));
+}
+
+void pool_scheduler::MarkDirty(graph_job& job) {
+  job.is_dirty = true;
+  dirty_.insert(&job);
+}
+
+void pool_scheduler::SetWorker(const pool_worker& worker, time_point now) {
+  auto [found, is_new] = workers_.try_emplace(worker.id);
+  worker_state& state = found->second;
+  if (is_new) {
+    // A worker that is listed may run tasks of an earlier owner.
+    if (!IsSettled(now)) unsettled_.insert(worker.id);
+  } else if (state.info.incarnation != worker.incarnation) {
+    // Its first report says what it runs; until then what the earlier agent
+    // ran is kept.
+    state.is_claimed = false;
+  }
+  state.info = worker;
+  state.is_listed = true;
+}
+
+void pool_scheduler::RemoveWorker(std::string_view id) {
+  worker_state* worker = FindWorker(id);
+  if (worker == nullptr) return;
+  worker->is_listed = false;
+  if (worker->runs.empty()) {
+    unsettled_.erase(std::string(id));
+    workers_.erase(workers_.find(id));
+  }
+}
+
+graph_job& pool_scheduler::AddJob(job_submission job, job_progress progress,
+                                  time_point submitted_at) {
+  auto added = std::make_unique<graph_job>();
+  added->critical_path_ms = CriticalPathMs(job.graph, job.queue);
+  added->submission = std::move(job);
+  added->progress = std::move(progress);
+  added->admitted_at = submitted_at;
+  const job_graph& graph = added->submission.graph;
+  added->path_from_step_ms = PathsFrom(graph);
+  for (const auto& steps : added->progress.occurrences) {
+    auto& states = added->occurrences.emplace_back(graph.steps.size());
+    for (std::size_t at = 0; at < graph.steps.size(); ++at) {
+      step_state& step = states[at];
+      step.tasks.resize(graph.steps[at].task_count);
+      for (std::size_t index = 0; index < step.tasks.size(); ++index) {
+        const bool is_done = steps[at].done[index];
+        if (is_done) step.tasks[index].phase = task_phase::kDone;
+        ++(is_done ? step.done : step.waiting);
+      }
+    }
+  }
+  graph_job& kept = *added;
+  jobs_[kept.submission.id] = std::move(added);
+  if (IsFinal(kept.progress.state)) {
+    finished_.emplace_back(submitted_at, kept.submission.id);
+  } else {
+    open_.insert(&kept);
+  }
+  return kept;
+}
+
+void pool_scheduler::Admit(job_submission job, time_point submitted_at) {
+  if (FindJob(job.id) != nullptr) return;
+  job_progress progress = FreshProgress(job.graph);
+  const graph_job& added =
+      AddJob(std::move(job), std::move(progress), submitted_at);
+  Log(graph_events::kJobAdmitted,
+      {Field("job", added.submission.id),
+       Field("queue", added.submission.queue.name),
+       Field("critical_path_ms", added.critical_path_ms)});
+}
+
+void pool_scheduler::Restore(job_submission job, job_progress progress,
+                             time_point submitted_at) {
+  if (FindJob(job.id) != nullptr) return;
+  AddJob(std::move(job), std::move(progress), submitted_at).is_loaded = true;
+}
+
+bool pool_scheduler::Cancel(std::string_view job_id, time_point now) {
+  graph_job* job = FindJob(job_id);
+  if (job == nullptr) return false;
+  if (!IsFinal(job->progress.state)) {
+    Finish(*job, job_state::kCancelled, now);
+  }
+  return true;
+}
+
+std::optional<job_state> pool_scheduler::StateOf(
+    std::string_view job_id) const {
+  const auto found = jobs_.find(job_id);
+  if (found == jobs_.end()) return std::nullopt;
+  return found->second->progress.state;
+}
+
+std::size_t pool_scheduler::PendingJobs(std::string_view queue) const {
+  return static_cast<std::size_t>(
+      std::count_if(open_.begin(), open_.end(), [&](const graph_job* job) {
+        return !job->progress.has_started &&
+               job->submission.queue.name == queue;
+      }));
+}
+
+void pool_scheduler::Finish(graph_job& job, job_state state, time_point now) {
+  job.progress.state = state;
+  open_.erase(&job);
+  finished_.emplace_back(now, job.submission.id);
+  MarkDirty(job);
+  StopJob(job, now);
+  Log(graph_events::kJobFinished,
+      {Field("job", job.submission.id), Field("state", ToString(state)),
+       Field("age_ms",
+             std::chrono::duration_cast<milliseconds>(now - job.admitted_at)
+                 .count())});
+}
+
+void pool_scheduler::ForgetFinished(time_point now) {
+  while (!finished_.empty() &&
+         finished_.front().first + options_.retention <= now) {
+    const std::string id = finished_.front().second;
+    finished_.pop_front();
+    graph_job* job = FindJob(id);
+    if (job == nullptr) continue;
+    const bool has_runs =
+        std::any_of(workers_.begin(), workers_.end(), [&](const auto& row) {
+          return std::any_of(
+              row.second.runs.begin(), row.second.runs.end(),
+              [&](const auto& run) { return run.second.job == job; });
+        });
+    if (has_runs) {
+      finished_.emplace_back(now, id);
+      continue;
+    }
+    dirty_.erase(job);
+    jobs_.erase(id);
+    forgotten_.push_back(id);
+  }
+  if (!finished_.empty()) {
+    next_due_ =
+        std::min(next_due_, finished_.front().first + options_.retention);
+  }
+}
+
+bool pool_scheduler::IsSettled(time_point now) const {
+  return unsettled_.empty() || now >= options_.lapsed_at;
+}
+
+pool_decisions pool_scheduler::Decide(time_point now,
+                                      std::int64_t wall_clock_ms) {
+  pool_decisions decisions;
+  next_due_ = time_point::max();
+  ForgetFinished(now);
+  CollectStops(now, decisions);
+  CollectPaces(decisions);
+  for (const candidate& waiting : WaitingSteps(now, wall_clock_ms)) {
+    PlaceStep(waiting, now, decisions);
+  }
+  return decisions;
+}
+
+time_point pool_scheduler::NextDue(time_point now) const {
+  return IsSettled(now) ? next_due_ : std::min(next_due_, options_.lapsed_at);
+}
+
+progress_batch pool_scheduler::TakeProgress() {
+  progress_batch batch;
+  for (graph_job* job : dirty_) {
+    job->is_dirty = false;
+    batch.jobs.push_back({job->submission.id, job->progress});
+  }
+  dirty_.clear();
+  batch.forgotten = std::exchange(forgotten_, {});
+  ends_pending_ = false;
+  for (const auto& [id, worker] : workers_) {
+    if (worker.applied_end > worker.stored_end) {
+      batch.ends_by_worker[id] = {worker.agent_incarnation, worker.applied_end};
+    }
+  }
+  return batch;
+}
+
+void pool_scheduler::ProgressStored(const progress_batch& batch) {
+  for (const auto& [id, mark] : batch.ends_by_worker) {
+    worker_state* worker = FindWorker(id);
+    // A new incarnation counts its ends anew.
+    if (worker == nullptr || worker->agent_incarnation != mark.incarnation) {
+      continue;
+    }
+    worker->stored_end = std::max(worker->stored_end, mark.sequence);
+  }
+}
+
+void pool_scheduler::ProgressFailed(const progress_batch& batch) {
+  ends_pending_ = ends_pending_ || !batch.ends_by_worker.empty();
+  forgotten_.insert(forgotten_.end(), batch.forgotten.begin(),
+                    batch.forgotten.end());
+  for (const auto& entry : batch.jobs) {
+    if (graph_job* job = FindJob(entry.job_id)) MarkDirty(*job);
+  }
+}
+
+std::uint64_t pool_scheduler::StoredEnd(std::string_view worker) const {
+  const auto found = workers_.find(worker);
+  return found == workers_.end() ? 0 : found->second.stored_end;
+}
+
+bool pool_scheduler::HasUnstoredEnds(std::string_view worker) const {
+  const auto found = workers_.find(worker);
+  return found != workers_.end() &&
+         found->second.applied_end > found->second.stored_end;
+}
+
+std::vector<std::string> pool_scheduler::Workers() const {
+  std::vector<std::string> ids;
+  for (const auto& [id, worker] : workers_) ids.push_back(id);
+  return ids;
+}
+
+std::size_t pool_scheduler::RunsOn(std::string_view worker) const {
+  const auto found = workers_.find(worker);
+  return found == workers_.end() ? 0 : found->second.runs.size();
+}
+
+}  // namespace apricotwheel
--- a/src/jobs/job_record.h
+++ b/src/jobs/job_record.h
@@ -7,8 +7,8 @@
 #include <string_view>
 #include <vector>
 
+#include "clients/worker_client.h"
 #include "kernel/clock.h"
-#include "platform/worker_client.h"
 
 namespace apricotwheel {
 
--- a/src/jobs/kv_calls.h
+++ b/src/jobs/kv_calls.h
@@ -7,7 +7,7 @@
 #include <string_view>
 #include <vector>
 
-#include "platform/kv_client.h"
+#include "clients/kv_client.h"
 
 namespace apricotwheel {
 
--- a/src/kernel/clock.cc
+++ b/src/kernel/clock.cc
@@ -1,9 +1,19 @@
 #include "kernel/clock.h"
 
+#include <time.h>
+
 namespace apricotwheel {
 
 namespace {
 
+// The boot clock also counts the time that the machine was suspended, in which
+// leases at other machines run out.
+duration BootTime() {
+  timespec now{};
+  clock_gettime(CLOCK_BOOTTIME, &now);
+  return std::chrono::seconds(now.tv_sec) + duration(now.tv_nsec);
+}
+
 // How often a wait on a paused clock looks at the time again. Polling keeps
 // `advance` free of references to waiters that may be gone.
 constexpr auto kPausedPollInterval = milliseconds(1);
@@ -11,8 +21,7 @@
 }  // namespace
 
 runtime_clock::runtime_clock(bool is_paused)
-    : is_paused_(is_paused),
-      paused_at_(std::chrono::steady_clock::now().time_since_epoch().count()) {}
+    : is_paused_(is_paused), paused_at_(BootTime().count()) {}
 
 std::shared_ptr<runtime_clock> runtime_clock::Running() {
   return std::shared_ptr<runtime_clock>(new runtime_clock(false));
@@ -24,8 +33,7 @@
 
 time_point runtime_clock::Now() const {
   if (is_paused_) return time_point(duration(paused_at_.load()));
-  return std::chrono::time_point_cast<duration>(
-      std::chrono::steady_clock::now());
+  return time_point(BootTime());
 }
 
 void runtime_clock::Advance(duration step) {
@@ -47,7 +55,7 @@
   } else if (deadline == time_point::max()) {
     condition.wait(lock);
   } else {
-    condition.wait_until(lock, deadline);
+    condition.wait_for(lock, deadline - Now());
   }
 }
 
--- a/src/kernel/clock.h
+++ b/src/kernel/clock.h
@@ -14,8 +14,9 @@
 using milliseconds = std::chrono::milliseconds;
 
 // The only source of time in the project. A running clock follows the
-// machine's monotonic clock; a paused one stands still until a test advances
-// it. All waits with a deadline go through the clock.
+// machine's boot clock, which is monotonic and counts suspended time; a paused
+// one stands still until a test advances it. All waits with a deadline go
+// through the clock.
 class runtime_clock {
  public:
   static std::shared_ptr<runtime_clock> Running();
--- /dev/null
+++ b/src/pools/agent_session.cc
@@ -0,0 +1,227 @@
+#include "pools/agent_session.h"
+
+#include <algorithm>
+
+#include "pools/pool_events.h"
+
+namespace apricotwheel {
+
+namespace {
+
+// Workers' clocks may run 2% slow.
+constexpr double kSlowestClock = 0.98;
+constexpr auto kLapseMargin = milliseconds(100);
+// A call that waits for an end renews the lease when it is sent; this is
+// well within the lease.
+constexpr auto kHoldWait = milliseconds(1500);
+constexpr auto kRetryAfterFailure = milliseconds(250);
+// An idle worker is not asked; it is looked at this often to notice that it
+// started anew.
+constexpr auto kIdleWait = milliseconds(15'000);
+// The longest pause for the store before a worker's lease is renewed.
+constexpr auto kLongestStorePause = milliseconds(1000);
+// Several ends within this time are read by one call.
+constexpr auto kEndPause = milliseconds(10);
+
+}  // namespace
+
+void worker_clock::Observe(std::int64_t clock_ms, time_point received_at) {
+  // An answer may be overtaken by a later one.
+  if (is_known_ && clock_ms < clock_ms_) return;
+  is_known_ = true;
+  clock_ms_ = clock_ms;
+  read_at_ = received_at;
+}
+
+std::int64_t worker_clock::NextLeaseEnd(time_point now) {
+  const auto since = now - read_at_;
+  const std::int64_t end_ms =
+      clock_ms_ +
+      std::chrono::duration_cast<milliseconds>(since + longest_lease_).count();
+  const auto longest = std::chrono::duration_cast<duration>(
+      std::chrono::duration<double, std::milli>(
+          static_cast<double>(end_ms - clock_ms_) / kSlowestClock));
+  lapsed_at_ = std::max(lapsed_at_, read_at_ + longest + kLapseMargin);
+  return end_ms;
+}
+
+agent_session::agent_session(agent_session_options options, callbacks calls)
+    : options_(std::move(options)),
+      calls_(std::move(calls)),
+      worker_clock_(options_.longest_lease) {}
+
+result<void> agent_session::Start() {
+  started_at_ = options_.clock->Now();
+  BOOST_LEAF_CHECK(threads_.Spawn("worker-hold", [this] { RunHold(); }));
+  BOOST_LEAF_CHECK(threads_.Spawn("worker-orders", [this] { RunOrders(); }));
+  return {};
+}
+
+void agent_session::Stop() {
+  {
+    const std::lock_guard lock(mutex_);
+    is_stopped_ = true;
+  }
+  changed_.notify_all();
+  options_.link->interrupt();
+  threads_.JoinAll();
+  // Nothing else touches the orders any more.
+  for (const worker_order& left : std::exchange(orders_, {})) {
+    if (const auto* start = std::get_if<start_order>(&left)) {
+      calls_.start_answered(*start, start_answer::kUnreachable);
+    }
+  }
+}
+
+void agent_session::Wake() {
+  {
+    const std::lock_guard lock(mutex_);
+    ++wakes_;
+  }
+  changed_.notify_all();
+}
+
+void agent_session::Enqueue(worker_order next) {
+  {
+    const std::lock_guard lock(mutex_);
+    orders_.push_back(std::move(next));
+    ++wakes_;
+  }
+  changed_.notify_all();
+}
+
+void agent_session::WaitForWork(duration longest) {
+  std::unique_lock lock(mutex_);
+  const auto wakes_before = wakes_;
+  options_.clock->WaitFor(lock, changed_, longest, [&] {
+    return is_stopped_ || wakes_ != wakes_before;
+  });
+}
+
+void agent_session::RunHold() {
+  while (true) {
+    {
+      const std::lock_guard lock(mutex_);
+      if (is_stopped_) return;
+    }
+    const duration pause = HoldOnce();
+    if (pause > duration::zero()) {
+      WaitForWork(pause);
+      continue;
+    }
+    const auto paused_at = options_.clock->Now();
+    while (calls_.has_unstored_ends() &&
+           options_.clock->Now() - paused_at < kLongestStorePause) {
+      // Ends that are not acknowledged would be answered again at once.
+      WaitForWork(kLongestStorePause);
+      const std::lock_guard lock(mutex_);
+      if (is_stopped_) return;
+    }
+    if (!calls_.has_runs()) WaitForWork(kIdleWait);
+  }
+}
+
+duration agent_session::HoldOnce() {
+  hold_request request;
+  request.epoch = options_.epoch;
+  request.acknowledged_end = calls_.stored_end();
+  const auto sent_at = options_.clock->Now();
+  {
+    const std::lock_guard lock(mutex_);
+    if (worker_clock_.IsKnown()) {
+      request.lease_until_ms = worker_clock_.NextLeaseEnd(sent_at);
+    }
+  }
+  // The first call claims the worker and reads its clock.
+  if (is_claimed_ && calls_.has_runs()) request.wait = kHoldWait;
+  const auto report = Attempt([&] { return options_.link->hold(request); });
+  const auto now = options_.clock->Now();
+  if (!report) return AfterFailure(report.failure);
+  {
+    const std::lock_guard lock(mutex_);
+    if (is_stopped_) return {};
+    worker_clock_.Observe(report->clock_ms, now);
+  }
+  if (!std::exchange(is_answering_, true)) {
+    Emit(options_.log, pool_events::kWorkerAnswers,
+         {Field("worker", options_.worker.id)});
+  }
+  const bool was_claimed = std::exchange(is_claimed_, true);
+  is_lapsed_ = false;
+  calls_.reported(*report, sent_at);
+  // A claim has not extended the leases of what it found.
+  if (!was_claimed) return {};
+  return report->ended.empty() ? duration::zero() : duration(kEndPause);
+}
+
+duration agent_session::AfterFailure(const error& failure) {
+  if (failure.kind == error_kind::kStaleEpoch) {
+    calls_.epoch_refused();
+    return kIdleWait;
+  }
+  const auto now = options_.clock->Now();
+  time_point lapsed_at;
+  {
+    const std::lock_guard lock(mutex_);
+    if (is_stopped_) return {};
+    lapsed_at = worker_clock_.LapsedAt();
+  }
+  if (!is_claimed_) {
+    // Leases that an earlier session gave are not known here.
+    const auto longest = std::chrono::duration_cast<duration>(
+        options_.longest_lease / kSlowestClock);
+    lapsed_at =
+        std::max(lapsed_at, started_at_ + longest + duration(kLapseMargin));
+  }
+  if (std::exchange(is_answering_, false)) {
+    Emit(options_.log, pool_events::kWorkerUnanswered,
+         {Field("worker", options_.worker.id),
+          Field("reason", Describe(failure))});
+  }
+  if (now >= lapsed_at && !is_lapsed_) {
+    is_lapsed_ = true;
+    is_claimed_ = false;
+    calls_.lapsed();
+  }
+  return kRetryAfterFailure;
+}
+
+void agent_session::RunOrders() {
+  while (true) {
+    worker_order next;
+    {
+      std::unique_lock lock(mutex_);
+      options_.clock->WaitUntil(lock, changed_, time_point::max(), [&] {
+        return is_stopped_ || !orders_.empty();
+      });
+      if (is_stopped_) return;
+      next = std::move(orders_.front());
+      orders_.pop_front();
+    }
+    if (const auto* start = std::get_if<start_order>(&next)) {
+      Carry(*start);
+    } else if (const auto* stop = std::get_if<stop_order>(&next)) {
+      const bool is_obeyed = options_.link->stop(*stop, options_.epoch);
+      calls_.stop_answered(*stop, is_obeyed);
+    } else if (const auto* pace = std::get_if<pace_order>(&next)) {
+      options_.link->pace(*pace, options_.epoch);
+    }
+  }
+}
+
+void agent_session::Carry(const start_order& next) {
+  run_lease lease{options_.epoch, 0};
+  {
+    const std::lock_guard lock(mutex_);
+    lease.until_ms = worker_clock_.NextLeaseEnd(options_.clock->Now());
+  }
+  const start_reply reply = options_.link->start(next, lease);
+  if (reply.clock_ms) {
+    const std::lock_guard lock(mutex_);
+    worker_clock_.Observe(*reply.clock_ms, options_.clock->Now());
+  }
+  if (reply.answer == start_answer::kStaleEpoch) calls_.epoch_refused();
+  calls_.start_answered(next, reply.answer);
+}
+
+}  // namespace apricotwheel
--- /dev/null
+++ b/src/pools/pool_calls.cc
@@ -0,0 +1,62 @@
+#include "pools/pool_calls.h"
+
+#include <nlohmann/json.hpp>
+
+namespace apricotwheel {
+
+namespace {
+
+using nlohmann::json;
+
+boost::leaf::error_id Corrupt(const char* what) {
+  return Fail(error_kind::kCorrupt, what,
+              "check that all daemons run compatible versions");
+}
+
+}  // namespace
+
+std::string EncodeReply(const gate_reply& reply) {
+  return json{{"answer", static_cast<int>(reply.answer)},
+              {"state", ToString(reply.state)},
+              {"count", reply.count},
+              {"retry_after_ms", reply.retry_after_ms},
+              {"reason", reply.reason}}
+      .dump();
+}
+
+result<gate_reply> DecodeReply(std::string_view text) {
+  try {
+    const json in = json::parse(text);
+    gate_reply reply;
+    const int answer = in.at("answer").get<int>();
+    if (answer < 0 || answer > static_cast<int>(job_answer::kInvalid)) {
+      return Corrupt("the reply has an unknown answer");
+    }
+    reply.answer = static_cast<job_answer>(answer);
+    BOOST_LEAF_ASSIGN(
+        reply.state,
+        ParseJobState(in.at("state").get_ref<const std::string&>()));
+    in.at("count").get_to(reply.count);
+    in.at("retry_after_ms").get_to(reply.retry_after_ms);
+    in.at("reason").get_to(reply.reason);
+    return reply;
+  } catch (const json::exception& fault) {
+    return Corrupt(fault.what());
+  }
+}
+
+std::string EncodeReference(const job_reference& reference) {
+  return json{{"pool", reference.pool}, {"name", reference.name}}.dump();
+}
+
+result<job_reference> DecodeReference(std::string_view text) {
+  try {
+    const json in = json::parse(text);
+    return job_reference{in.at("pool").get<std::string>(),
+                         in.at("name").get<std::string>()};
+  } catch (const json::exception& fault) {
+    return Corrupt(fault.what());
+  }
+}
+
+}  // namespace apricotwheel
--- /dev/null
+++ b/src/pools/pool_calls.h
@@ -0,0 +1,54 @@
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include "graph/graph_codec.h"
+#include "kernel/error.h"
+
+namespace apricotwheel {
+
+// The calls that a daemon makes to the owner of a pool, and that an owner makes
+// to others (approvals). The same types serve a local owner.
+
+enum class job_answer {
+  kAccepted,     // Stored; it stays one job however often it is submitted.
+  kRefused,      // Not accepted, and never will be run: too much work waits.
+  kUnavailable,  // Not accepted; another try may succeed at once.
+  kUnknown,      // It may have been accepted.
+  kState,        // `state` is set.
+  kCancelled,    // It is cancelled, or had ended before.
+  kAbsent,       // No such job was accepted.
+  kCount,        // `count` is set.
+  kNoQueue,      // No route leads to a queue.
+  kInvalid,      // The submission cannot be understood; `reason` says why.
+};
+
+struct gate_reply {
+  job_answer answer = job_answer::kUnavailable;
+  job_state state = job_state::kQueued;
+  std::uint64_t count = 0;
+  std::int64_t retry_after_ms = 0;
+  std::string reason;
+};
+
+// Topics of `pool_call` messages and their JSON bodies.
+inline constexpr std::string_view kSubmitTopic = "submit";    // a submission
+inline constexpr std::string_view kStateTopic = "state";      // {pool, job}
+inline constexpr std::string_view kCancelTopic = "cancel";    // {pool, job}
+inline constexpr std::string_view kPendingTopic = "pending";  // {pool, queue}
+inline constexpr std::string_view kAdviseTopic = "advise";    // {job, ...}
+
+std::string EncodeReply(const gate_reply& reply);
+result<gate_reply> DecodeReply(std::string_view json);
+
+struct job_reference {
+  std::string pool;
+  std::string name;  // Of the job or the queue.
+};
+std::string EncodeReference(const job_reference& reference);
+result<job_reference> DecodeReference(std::string_view json);
+
+}  // namespace apricotwheel
--- /dev/null
+++ b/src/pools/pool_directory.cc
@@ -0,0 +1,299 @@
+#include "pools/pool_directory.h"
+
+#include <xxhash.h>
+
+#include <algorithm>
+
+#include "pools/pool_events.h"
+
+namespace apricotwheel {
+
+namespace {
+
+constexpr std::string_view kPrefix = "apricotwheel/cluster/";
+constexpr std::string_view kOwnersPrefix = "apricotwheel/cluster/pools/";
+constexpr auto kRetryPause = milliseconds(50);
+// The n-th member in a pool's order tries n times this later, so that usually
+// one call decides.
+constexpr auto kRankDelay = milliseconds(120);
+constexpr auto kElectionIdle = milliseconds(1000);
+
+std::uint64_t HashOf(std::string_view pool, std::string_view member_id) {
+  const std::string text = std::string(pool) + "/" + std::string(member_id);
+  return XXH3_64bits(text.data(), text.size());
+}
+
+}  // namespace
+
+std::string pool_directory::OwnerKey(std::string_view pool) {
+  return std::string(kOwnersPrefix) + std::string(pool);
+}
+
+pool_directory::pool_directory(pool_directory_options options)
+    : options_(std::move(options)),
+      lease_(options_.kv, options_.clock, options_.settings, options_.self,
+             options_.log),
+      lease_signal_(options_.clock),
+      election_signal_(options_.clock),
+      follower_(
+          {std::string(kPrefix), options_.kv, options_.clock, options_.log},
+          {[this](const kv_event& event) { Apply(event); },
+           [this](bool is_listing) { Followed(is_listing); }}) {}
+
+result<void> pool_directory::Start() {
+  BOOST_LEAF_CHECK(threads_.Spawn("pool-lease", [this] { RunLease(); }));
+  BOOST_LEAF_CHECK(threads_.Spawn("pool-elect", [this] { RunElection(); }));
+  return follower_.Start();
+}
+
+void pool_directory::Stop() {
+  lease_signal_.RequestStop();
+  election_signal_.RequestStop();
+  options_.kv->InterruptWatches();
+  follower_.Stop();
+  threads_.JoinAll();
+}
+
+void pool_directory::SetPools(std::vector<std::string> pools) {
+  {
+    const std::lock_guard lock(mutex_);
+    pools_ = std::move(pools);
+  }
+  election_signal_.Wake();
+}
+
+std::optional<pool_ownership> pool_directory::OwnerOf(
+    std::string_view pool) const {
+  const std::lock_guard lock(mutex_);
+  const auto found = owners_.find(pool);
+  if (found == owners_.end() || found->second.ownership.member_id.empty()) {
+    return std::nullopt;
+  }
+  return found->second.ownership;
+}
+
+std::vector<member> pool_directory::Members() const {
+  const std::lock_guard lock(mutex_);
+  std::vector<member> all;
+  for (const auto& [id, stored] : members_) {
+    if (stored.record) all.push_back(*stored.record);
+  }
+  return all;
+}
+
+bool pool_directory::IsListed() const {
+  const std::lock_guard lock(mutex_);
+  return is_listed_;
+}
+
+void pool_directory::RunLease() {
+  while (!lease_signal_.StopRequested()) {
+    const duration wait = lease_.Tick();
+    election_signal_.Wake();
+    if (lease_signal_.WaitFor(wait)) return;
+  }
+}
+
+void pool_directory::Followed(bool is_listing) {
+  if (is_listing) {
+    const std::lock_guard lock(mutex_);
+    is_listed_ = true;
+  }
+  UpdatePeers();
+  NotifyOwnership();
+  election_signal_.Wake();
+}
+
+void pool_directory::Apply(const kv_event& event) {
+  const std::string& key = event.entry.key;
+  if (key.starts_with(kOwnersPrefix)) {
+    ApplyOwner(key.substr(kOwnersPrefix.size()), event);
+  } else if (key.starts_with(kMembersPrefix)) {
+    ApplyMember(key.substr(kMembersPrefix.size()), event);
+  }
+}
+
+void pool_directory::ApplyOwner(const std::string& pool,
+                                const kv_event& event) {
+  const std::lock_guard lock(mutex_);
+  stored_owner& stored = owners_[pool];
+  if (event.entry.revision <= stored.revision) return;
+  stored.revision = event.entry.revision;
+  stored.ownership = {};
+  if (!event.deleted) {
+    stored.ownership = {event.entry.value, event.entry.revision};
+  }
+}
+
+void pool_directory::ApplyMember(const std::string& id, const kv_event& event) {
+  std::optional<member> record;
+  if (event.deleted) {
+    if (id == options_.self.id) {
+      lease_.RecordDeleted(event.entry.revision);
+      lease_signal_.Wake();
+    }
+  } else {
+    const auto decoded =
+        Attempt([&] { return DecodeMember(event.entry.value); });
+    if (!decoded || decoded->id != id) {
+      Emit(options_.log, pool_events::kRecordInvalid,
+           {Field("key", event.entry.key),
+            Field("reason", decoded ? "the id is not that of the key"
+                                    : Describe(decoded.failure))});
+      return;
+    }
+    record = *decoded;
+  }
+  const std::lock_guard lock(mutex_);
+  stored_member& stored = members_[id];
+  if (event.entry.revision <= stored.revision) return;
+  stored = {std::move(record), event.entry.revision};
+}
+
+void pool_directory::UpdatePeers() {
+  std::map<std::string, std::string> addresses;
+  std::set<std::string> vanished;
+  {
+    const std::lock_guard lock(mutex_);
+    for (const auto& [id, stored] : members_) {
+      if (id == options_.self.id) continue;
+      if (stored.record) {
+        addresses[id] = stored.record->peer_address;
+        linked_.insert(id);
+      } else if (linked_.erase(id) > 0) {
+        vanished.insert(id);
+      }
+    }
+  }
+  for (const auto& [id, address] : addresses) {
+    options_.peers->SetAddress(id, address);
+  }
+  for (const auto& id : vanished) options_.peers->SetAddress(id, "");
+}
+
+void pool_directory::NotifyOwnership() {
+  const std::lock_guard order(notify_mutex_);
+  std::map<std::string, std::uint64_t> owned;
+  {
+    const std::lock_guard lock(mutex_);
+    for (const auto& [pool, stored] : owners_) {
+      if (stored.ownership.member_id == options_.self.id) {
+        owned[pool] = stored.ownership.epoch;
+      }
+    }
+  }
+  const auto before = std::exchange(notified_, owned);
+  for (const auto& [pool, epoch] : before) {
+    const auto found = owned.find(pool);
+    if (found != owned.end() && found->second == epoch) continue;
+    Emit(options_.log, pool_events::kPoolLost,
+         {Field("pool", pool), Field("epoch", epoch)});
+    if (lost_) lost_(pool, epoch);
+  }
+  for (const auto& [pool, epoch] : owned) {
+    const auto found = before.find(pool);
+    if (found != before.end() && found->second == epoch) continue;
+    Emit(options_.log, pool_events::kPoolAcquired,
+         {Field("pool", pool), Field("epoch", epoch)});
+    if (acquired_) acquired_(pool, epoch);
+  }
+}
+
+int pool_directory::RankFor(std::string_view pool) const {
+  // Called with mutex_ held. Owners of another pool come last.
+  const auto busy = [&](const std::string& id) {
+    return std::any_of(owners_.begin(), owners_.end(), [&](const auto& row) {
+      return row.second.ownership.member_id == id;
+    });
+  };
+  const auto order = [&](const std::string& id) {
+    return std::pair(busy(id), HashOf(pool, id));
+  };
+  const auto own = order(options_.self.id);
+  int rank = 0;
+  for (const auto& [id, stored] : members_) {
+    if (stored.record && !stored.record->leaving && order(id) < own) ++rank;
+  }
+  return rank;
+}
+
+void pool_directory::RunElection() {
+  while (!election_signal_.StopRequested()) {
+    std::vector<std::string> due;
+    duration wait = kElectionIdle;
+    {
+      const std::lock_guard lock(mutex_);
+      const auto now = options_.clock->Now();
+      for (const std::string& pool : pools_) {
+        const auto found = owners_.find(pool);
+        const bool is_owned = found != owners_.end() &&
+                              !found->second.ownership.member_id.empty();
+        if (is_owned || !is_listed_ || is_leaving_ || !lease_.IsHeld()) {
+          unowned_since_.erase(pool);
+          continue;
+        }
+        const auto since = unowned_since_.try_emplace(pool, now).first->second;
+        const auto at = since + RankFor(pool) * duration(kRankDelay);
+        if (at <= now) {
+          due.push_back(pool);
+        } else {
+          wait = std::min<duration>(wait, at - now);
+        }
+      }
+    }
+    for (const std::string& pool : due) TryAcquire(pool);
+    if (due.empty() && election_signal_.WaitFor(wait)) return;
+  }
+}
+
+void pool_directory::TryAcquire(const std::string& pool) {
+  kv_transaction claim;
+  const std::string key = OwnerKey(pool);
+  claim.conditions.push_back({key, 0});
+  claim.puts.push_back({key, options_.self.id, lease_.LeaseId()});
+  const auto written = Attempt([&] { return options_.kv->Commit(claim); });
+  if (written) {
+    Apply({{key, options_.self.id, *written}, false});
+    NotifyOwnership();
+    return;
+  }
+  {
+    // The next try waits for its turn again.
+    const std::lock_guard lock(mutex_);
+    unowned_since_.erase(pool);
+  }
+  Refresh(pool);
+  election_signal_.WaitFor(kRetryPause);
+}
+
+void pool_directory::Refresh(const std::string& pool) {
+  const std::string key = OwnerKey(pool);
+  const auto read = Attempt([&] { return options_.kv->Get(key); });
+  // What could not be read now is seen by the watch.
+  if (!read || !*read.value) return;
+  Apply({**read.value, false});
+  NotifyOwnership();
+}
+
+void pool_directory::Leave(time_point deadline) {
+  std::map<std::string, std::uint64_t> owned;
+  {
+    const std::lock_guard lock(mutex_);
+    is_leaving_ = true;
+    for (const auto& [pool, stored] : owners_) {
+      if (stored.ownership.member_id == options_.self.id) {
+        owned[pool] = stored.revision;
+      }
+    }
+  }
+  for (const auto& [pool, revision] : owned) {
+    // If this fails, the pool is free when the lease ends.
+    Attempt([&] {
+      return options_.kv->Remove(OwnerKey(pool), revision,
+                                 deadline - options_.clock->Now());
+    });
+  }
+  lease_.Resign(deadline);
+}
+
+}  // namespace apricotwheel
--- /dev/null
+++ b/src/pools/pool_directory.h
@@ -0,0 +1,124 @@
+#pragma once
+
+#include <condition_variable>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <optional>
+#include <set>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "clients/kv_client.h"
+#include "cluster/member_lease.h"
+#include "kernel/clock.h"
+#include "kernel/log.h"
+#include "kernel/thread_group.h"
+#include "peer/peer_node.h"
+#include "pools/kv_follower.h"
+
+namespace apricotwheel {
+
+// Who owns a pool. The epoch is the revision of the write that made it so;
+// revisions only rise, and so do epochs.
+struct pool_ownership {
+  std::string member_id;
+  std::uint64_t epoch = 0;
+
+  friend bool operator==(const pool_ownership&,
+                         const pool_ownership&) = default;
+};
+
+struct pool_directory_options {
+  daemon_settings settings;
+  member self;
+  kv_client* kv = nullptr;  // These outlive the directory.
+  peer_node* peers = nullptr;
+  clock_ptr clock;
+  log_sink log;
+};
+
+// Membership of daemons and ownership of pools, both as keys under the lease of
+// a member. A pool without an owner is taken by the first member that creates
+// its key; the owner keeps it until its lease ends or it gives it up, so a
+// member that joins moves nothing. Thread-safe.
+class pool_directory {
+ public:
+  // Called from the directory's threads, in the order of epochs of a pool.
+  using owned_listener =
+      std::function<void(const std::string& pool, std::uint64_t epoch)>;
+
+  explicit pool_directory(pool_directory_options options);
+  ~pool_directory() { Stop(); }
+
+  // Set before `Start`.
+  void OnAcquired(owned_listener listener) { acquired_ = std::move(listener); }
+  void OnLost(owned_listener listener) { lost_ = std::move(listener); }
+
+  result<void> Start();
+  void Stop();
+
+  // The pools that must have an owner.
+  void SetPools(std::vector<std::string> pools);
+
+  std::optional<pool_ownership> OwnerOf(std::string_view pool) const;
+  std::vector<member> Members() const;
+  const std::string& SelfId() const { return options_.self.id; }
+  // True while this member's lease is certainly valid.
+  bool HoldsLease() const { return lease_.IsHeld(); }
+  bool IsListed() const;
+  static std::string OwnerKey(std::string_view pool);
+
+  // The owner found out, other than by this directory, that it was succeeded.
+  void Refresh(const std::string& pool);
+  // Planned stop: takes no more pools, gives up those owned, ends the lease.
+  void Leave(time_point deadline);
+
+ private:
+  struct stored_owner {
+    pool_ownership ownership;  // No member id: the key was deleted.
+    std::uint64_t revision = 0;
+  };
+  struct stored_member {
+    std::optional<member> record;  // Absent: the key was deleted.
+    std::uint64_t revision = 0;
+  };
+
+  void RunLease();
+  void RunElection();
+  void Followed(bool is_listing);
+  void Apply(const kv_event& event);
+  void ApplyOwner(const std::string& pool, const kv_event& event);
+  void ApplyMember(const std::string& id, const kv_event& event);
+  void NotifyOwnership();
+  void UpdatePeers();
+  void TryAcquire(const std::string& pool);
+  int RankFor(std::string_view pool) const;
+
+  const pool_directory_options options_;
+  member_lease lease_;
+  owned_listener acquired_;
+  owned_listener lost_;
+
+  mutable std::mutex mutex_;
+  std::map<std::string, stored_member> members_;
+  std::map<std::string, stored_owner, std::less<>> owners_;
+  std::vector<std::string> pools_;
+  std::map<std::string, time_point> unowned_since_;
+  std::set<std::string> linked_;
+  bool is_listed_ = false;
+  bool is_leaving_ = false;
+
+  std::mutex notify_mutex_;  // Orders the listeners' calls.
+  std::map<std::string, std::uint64_t> notified_;  // Epochs owned by self.
+
+  stop_signal lease_signal_;
+  stop_signal election_signal_;
+  thread_group threads_;
+  kv_follower follower_;
+};
+
+}  // namespace apricotwheel
--- /dev/null
+++ b/src/pools/pool_events.h
@@ -0,0 +1,42 @@
+#pragma once
+
+#include "kernel/log.h"
+
+namespace apricotwheel::pool_events {
+
+inline constexpr log_event_kind kPoolAcquired{2200, "pool_acquired",
+                                              severity::kInfo};
+inline constexpr log_event_kind kPoolLost{2201, "pool_lost",
+                                          severity::kWarning};
+inline constexpr log_event_kind kPoolLoaded{2202, "pool_loaded",
+                                            severity::kInfo};
+inline constexpr log_event_kind kPoolSettled{2203, "pool_settled",
+                                             severity::kInfo};
+inline constexpr log_event_kind kRecordInvalid{2204, "pool_record_invalid",
+                                               severity::kError};
+inline constexpr log_event_kind kStoreUnreachable{
+    2205, "pool_store_unreachable", severity::kWarning};
+inline constexpr log_event_kind kStoreReachable{2206, "pool_store_reachable",
+                                                severity::kInfo};
+inline constexpr log_event_kind kConfigurationInForce{
+    2207, "pool_configuration_in_force", severity::kInfo};
+inline constexpr log_event_kind kConfigurationInvalid{
+    2208, "pool_configuration_invalid", severity::kError};
+inline constexpr log_event_kind kWorkerUnanswered{
+    2209, "pool_worker_unanswered", severity::kWarning};
+inline constexpr log_event_kind kWorkerAnswers{2210, "pool_worker_answers",
+                                               severity::kInfo};
+inline constexpr log_event_kind kEpochRefused{2211, "pool_epoch_refused",
+                                              severity::kWarning};
+inline constexpr log_event_kind kApprovalFailed{2212, "pool_approval_failed",
+                                                severity::kWarning};
+inline constexpr log_event_kind kJobAnswered{2213, "pool_job_answered",
+                                             severity::kInfo};
+inline constexpr log_event_kind kCommitFailed{2214, "pool_commit_failed",
+                                              severity::kWarning};
+inline constexpr log_event_kind kThreadFailed{2215, "pool_thread_failed",
+                                              severity::kError};
+inline constexpr log_event_kind kWorkersListed{2216, "pool_workers_listed",
+                                               severity::kInfo};
+
+}  // namespace apricotwheel::pool_events
--- /dev/null
+++ b/src/pools/pool_host.h
@@ -0,0 +1,78 @@
+#pragma once
+
+#include <condition_variable>
+#include <functional>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include "config/settings.h"
+#include "kernel/clock.h"
+#include "kernel/log.h"
+#include "kernel/thread_group.h"
+#include "peer/peer_node.h"
+#include "pools/kv_follower.h"
+#include "pools/pool_directory.h"
+#include "pools/pool_owner.h"
+#include "pools/service_ports.h"
+
+namespace apricotwheel {
+
+struct pool_host_options {
+  daemon_settings settings;
+  kv_client* kv = nullptr;  // These outlive the host.
+  peer_node* peers = nullptr;
+  pool_directory* directory = nullptr;
+  const service_ports* ports = nullptr;
+  clock_ptr clock;
+  log_sink log;
+};
+
+// Runs the owners of the pools that this daemon owns, follows the workers for
+// them, and answers the calls of other daemons. Thread-safe.
+class pool_host {
+ public:
+  explicit pool_host(pool_host_options options);
+  ~pool_host() { Stop(); }
+
+  // Registers with the directory and the peers; before the directory starts.
+  result<void> Start();
+  void Stop();
+  // Planned stop: stores what is open, ends the owners and gives up the pools.
+  void Leave(time_point deadline);
+
+  // Null if this daemon does not own the pool now.
+  std::shared_ptr<pool_owner> OwnerOf(std::string_view pool) const;
+
+ private:
+  void Run();
+  void Reconcile();
+  std::shared_ptr<pool_owner> MakeOwner(const std::string& pool,
+                                        std::uint64_t epoch);
+  void WorkerChanged(const kv_event& event);
+  void PublishWorkers();
+  wire_message Answer(const wire_message& request);
+  gate_reply AnswerJobCall(const wire::pool_callT& call);
+  wire_message AnswerAdvise(const wire::pool_callT& call);
+  result<approval_desk::approvals> AskThrough(const std::string& member_id,
+                                              const approval_request& request);
+
+  const pool_host_options options_;
+  std::unique_ptr<kv_follower> worker_follower_;  // Used by Run only.
+
+  mutable std::mutex mutex_;
+  std::condition_variable changed_;
+  std::map<std::string, std::uint64_t> wanted_;  // Epochs by pool.
+  std::map<std::string, std::shared_ptr<pool_owner>, std::less<>> owners_;
+  std::map<std::string, pool_worker> workers_;  // By key.
+  bool workers_listed_ = false;
+  bool needs_work_ = false;
+  bool is_leaving_ = false;
+  bool is_stopped_ = false;
+  thread_group threads_;
+};
+
+}  // namespace apricotwheel
--- /dev/null
+++ b/src/pools/pool_owner.h
@@ -0,0 +1,97 @@
+#pragma once
+
+#include <condition_variable>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <set>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "graph/pool_scheduler.h"
+#include "kernel/clock.h"
+#include "kernel/log.h"
+#include "kernel/thread_group.h"
+#include "pools/agent_session.h"
+#include "pools/approval_desk.h"
+#include "pools/job_journal.h"
+#include "pools/pool_calls.h"
+#include "pools/service_ports.h"
+
+namespace apricotwheel {
+
+struct pool_owner_options {
+  std::string pool;
+  std::uint64_t epoch = 0;
+  std::string owner_key;
+  std::string member_id;
+  duration member_lease{};  // After it a predecessor has surely noticed.
+  duration task_lease{};
+  kv_client* kv = nullptr;  // These outlive the owner.
+  const service_ports* ports = nullptr;
+  approval_desk::member_source members;
+  approval_desk::asker ask_through;
+  std::function<void()> succeeded;  // Another owner has been seen.
+  clock_ptr clock;
+  log_sink log;
+};
+
+// Owns one pool while its epoch lasts: loads what is stored, claims the
+// workers, decides through a `pool_scheduler`, and carries its decisions out.
+// Thread-safe.
+class pool_owner {
+ public:
+  explicit pool_owner(pool_owner_options options);
+  ~pool_owner() { Stop(); }
+
+  result<void> Start();
+  // Takes no more calls and stores what is open.
+  void Quiesce(time_point deadline);
+  // Runs go on under their leases; the next owner adopts them.
+  void Stop();
+
+  gate_reply Submit(const job_submission& job, time_point deadline);
+  gate_reply Cancel(std::string_view job_id, time_point deadline);
+  gate_reply State(std::string_view job_id) const;
+  gate_reply Pending(std::string_view queue) const;
+
+  void SetWorkers(std::map<std::string, pool_worker> workers);
+  std::uint64_t Epoch() const { return options_.epoch; }
+
+ private:
+  void Run();
+  bool LoadAll();
+  void Restore(const journal_contents& contents);
+  void FollowWorkers();
+  void AddSession(const pool_worker& worker);
+  agent_session::callbacks CallbacksFor(const std::string& id);
+  void CarryOut(pool_decisions decisions);
+  void WakeLoop();
+  job_journal::callbacks JournalCallbacks();
+  void ApprovalAnswered(const approval_request& request,
+                        const outcome<approval_desk::approvals>& answer);
+
+  const pool_owner_options options_;
+  std::unique_ptr<job_journal> journal_;
+  std::unique_ptr<approval_desk> desk_;
+
+  mutable std::mutex mutex_;  // Guards all below.
+  std::condition_variable changed_;
+  std::unique_ptr<pool_scheduler> scheduler_;
+  std::map<std::string, std::shared_ptr<agent_session>> sessions_;
+  std::map<std::string, pool_worker> listed_;    // As discovery says.
+  std::map<std::string, pool_worker> followed_;  // As the scheduler knows.
+  std::set<std::string> roster_;
+  std::set<std::string, std::less<>> submitting_;
+  bool workers_changed_ = false;
+  bool is_loaded_ = false;
+  bool needs_decision_ = true;
+  bool is_quiet_ = false;
+  bool is_stopped_ = false;
+  thread_group threads_;
+};
+
+}  // namespace apricotwheel
--- a/src/workers/vanished_vms.h
+++ b/src/workers/vanished_vms.h
@@ -5,8 +5,8 @@
 #include <string>
 #include <utility>
 
+#include "clients/vm_list_client.h"
 #include "kernel/clock.h"
-#include "platform/vm_list_client.h"
 
 namespace apricotwheel {
 
--- a/src/workers/worker_calls.h
+++ b/src/workers/worker_calls.h
@@ -6,7 +6,7 @@
 #include <string>
 #include <string_view>
 
-#include "platform/worker_client.h"
+#include "clients/worker_client.h"
 
 namespace apricotwheel {
 
--- a/src/workers/worker_manager.h
+++ b/src/workers/worker_manager.h
@@ -9,11 +9,11 @@
 #include <string_view>
 #include <vector>
 
+#include "clients/worker_client.h"
 #include "cluster/cluster_manager.h"
 #include "kernel/clock.h"
 #include "kernel/error.h"
 #include "placement/cell_state.h"
-#include "platform/worker_client.h"
 
 namespace apricotwheel {
 
--- a/testing/cell/process_cell.cc
+++ b/testing/cell/process_cell.cc
@@ -7,10 +7,10 @@
 #include <fstream>
 #include <sstream>
 
+#include "clients/http_listener.h"
+#include "clients/kv_client.h"
 #include "config/document.h"
 #include "kernel/random.h"
-#include "platform/http_listener.h"
-#include "platform/kv_client.h"
 
 namespace apricotwheel::testing {
 
--- a/testing/cell/tcp_relay.cc
+++ b/testing/cell/tcp_relay.cc
@@ -10,8 +10,8 @@
 #include <array>
 #include <atomic>
 
+#include "clients/http_listener.h"
 #include "kernel/thread_group.h"
-#include "platform/http_listener.h"
 
 namespace apricotwheel::testing {
 
--- a/testing/cell_command.cc
+++ b/testing/cell_command.cc
@@ -1,6 +1,6 @@
 #include <iostream>
 
-#include "platform/wire_format.h"
+#include "clients/wire_format.h"
 #include "testing/arguments.h"
 #include "testing/cell_file.h"
 
--- a/testing/cell_file.cc
+++ b/testing/cell_file.cc
@@ -4,7 +4,7 @@
 #include <fstream>
 #include <sstream>
 
-#include "platform/wire_format.h"
+#include "clients/wire_format.h"
 
 namespace apricotwheel::standins {
 
--- a/testing/cell_file.h
+++ b/testing/cell_file.h
@@ -3,8 +3,8 @@
 #include <string>
 #include <vector>
 
+#include "clients/vm_list_client.h"
 #include "kernel/error.h"
-#include "platform/vm_list_client.h"
 
 namespace apricotwheel::standins {
 
--- a/testing/json_route.h
+++ b/testing/json_route.h
@@ -5,7 +5,7 @@
 #include <nlohmann/json.hpp>
 #include <string>
 
-#include "platform/http_listener.h"
+#include "clients/http_listener.h"
 
 namespace apricotwheel::standins {
 
--- a/testing/vmlist_standin.cc
+++ b/testing/vmlist_standin.cc
@@ -4,7 +4,7 @@
 #include <deque>
 #include <mutex>
 
-#include "platform/wire_format.h"
+#include "clients/wire_format.h"
 #include "testing/json_route.h"
 
 namespace apricotwheel::standins {
--- a/testing/vmlist_standin.h
+++ b/testing/vmlist_standin.h
@@ -3,8 +3,8 @@
 #include <memory>
 #include <string>
 
+#include "clients/vm_list_client.h"
 #include "kernel/clock.h"
-#include "platform/vm_list_client.h"
 
 namespace apricotwheel::standins {
 
--- a/testing/worker_agent.cc
+++ b/testing/worker_agent.cc
@@ -10,8 +10,8 @@
 #include <optional>
 #include <vector>
 
+#include "clients/wire_format.h"
 #include "kernel/random.h"
-#include "platform/wire_format.h"
 #include "testing/instance_standin.h"
 #include "testing/json_route.h"
 
--- a/tests/platform/basic_test.cc
+++ b/tests/clients/basic_test.cc
@@ -1,9 +1,9 @@
 #include <boost/test/unit_test.hpp>
 
-#include "platform/instance_client.h"
-#include "platform/kv_client.h"
-#include "platform/vm_list_client.h"
-#include "platform/worker_client.h"
+#include "clients/instance_client.h"
+#include "clients/kv_client.h"
+#include "clients/vm_list_client.h"
+#include "clients/worker_client.h"
 #include "testing/instance_standin.h"
 #include "testing/kv_standin.h"
 #include "testing/vmlist_standin.h"
--- a/tests/platform/instance_test.cc
+++ b/tests/clients/instance_test.cc
@@ -4,8 +4,8 @@
 #include <thread>
 #include <vector>
 
-#include "platform/http_connection.h"
-#include "platform/instance_client.h"
+#include "clients/http_connection.h"
+#include "clients/instance_client.h"
 #include "testing/instance_standin.h"
 
 namespace apricotwheel {
--- a/tests/platform/kv_test.cc
+++ b/tests/clients/kv_test.cc
@@ -3,8 +3,8 @@
 #include <boost/test/unit_test.hpp>
 #include <thread>
 
-#include "platform/http_connection.h"
-#include "platform/kv_client.h"
+#include "clients/http_connection.h"
+#include "clients/kv_client.h"
 #include "testing/kv_standin.h"
 
 namespace apricotwheel {
--- a/tests/platform/stop_test.cc
+++ b/tests/clients/stop_test.cc
@@ -6,8 +6,8 @@
 #include <future>
 #include <thread>
 
-#include "platform/http_listener.h"
-#include "platform/kv_client.h"
+#include "clients/http_listener.h"
+#include "clients/kv_client.h"
 #include "testing/kv_standin.h"
 
 namespace apricotwheel {
--- a/tests/platform/task_list_test.cc
+++ b/tests/clients/task_list_test.cc
@@ -1,8 +1,8 @@
 #include <boost/test/unit_test.hpp>
 #include <nlohmann/json.hpp>
 
-#include "platform/http_listener.h"
-#include "platform/worker_client.h"
+#include "clients/http_listener.h"
+#include "clients/worker_client.h"
 #include "testing/worker_standin.h"
 
 namespace apricotwheel {
--- a/tests/platform/vm_list_test.cc
+++ b/tests/clients/vm_list_test.cc
@@ -1,8 +1,8 @@
 #include <boost/test/unit_test.hpp>
 
-#include "platform/http_connection.h"
-#include "platform/vm_list_client.h"
-#include "platform/wire_format.h"
+#include "clients/http_connection.h"
+#include "clients/vm_list_client.h"
+#include "clients/wire_format.h"
 #include "testing/cell_file.h"
 #include "testing/vmlist_standin.h"
 
--- a/tests/platform/worker_test.cc
+++ b/tests/clients/worker_test.cc
@@ -4,8 +4,8 @@
 #include <functional>
 #include <thread>
 
-#include "platform/instance_client.h"
-#include "platform/worker_client.h"
+#include "clients/instance_client.h"
+#include "clients/worker_client.h"
 #include "testing/worker_standin.h"
 
 namespace apricotwheel {
--- a/tests/faults_requests/document_race_test.cc
+++ b/tests/faults_requests/document_race_test.cc
@@ -6,8 +6,8 @@
 #include <span>
 #include <sstream>
 
+#include "clients/kv_client.h"
 #include "config/document.h"
-#include "platform/kv_client.h"
 #include "testing/cell/fault_report.h"
 #include "tests/faults_requests/document_observer.h"
 #include "tests/faults_requests/fault_cell.h"
