Count failures of a predecessor's runs whatever is adopted first

Ruled out: a lost write (the end was never stored) and the count in the store. Test: graph/takeover_test, unacknowledged_failures_count_in_any_order.

--- a/src/graph/pool_runs.cc
+++ b/src/graph/pool_runs.cc
@@ -180,8 +180,9 @@
     }
     return;
   }
-  if (task.phase != task_phase::kWaiting) return;
-  if (!end.checkpoint.empty()) task.checkpoint = end.checkpoint;
+  const bool is_waiting = task.phase == task_phase::kWaiting;
+  if (is_waiting && !end.checkpoint.empty()) task.checkpoint = end.checkpoint;
+  // The failure counts also if a later run of the task was adopted before.
   if (end.how != run_end::kFailed || spec.is_service) return;
   auto& failures =
       job->progress.occurrences[end.task.occurrence][end.task.step].failures;
