Do not miss an order between the look for runs and the idle wait

Cause: a session that found no run read the count of wakes only when it began to wait. An order in between left its run without a renewal for 15 s, over its lease of 6 s; the owner took it for running.

--- a/src/pools/agent_session.cc
+++ b/src/pools/agent_session.cc
@@ -90,9 +90,13 @@
   changed_.notify_all();
 }
 
-void agent_session::WaitForWork(duration longest) {
+std::uint64_t agent_session::Wakes() {
+  const std::lock_guard lock(mutex_);
+  return wakes_;
+}
+
+void agent_session::WaitForWork(std::uint64_t wakes_before, duration longest) {
   std::unique_lock lock(mutex_);
-  const auto wakes_before = wakes_;
   options_.clock->WaitFor(lock, changed_, longest, [&] {
     return is_stopped_ || wakes_ != wakes_before;
   });
@@ -106,18 +110,21 @@
     }
     const duration pause = HoldOnce();
     if (pause > duration::zero()) {
-      WaitForWork(pause);
+      WaitForWork(Wakes(), pause);
       continue;
     }
-    const auto paused_at = options_.clock->Now();
-    while (calls_.has_unstored_ends() &&
-           options_.clock->Now() - paused_at < kLongestStorePause) {
-      // Ends that are not acknowledged would be answered again at once.
-      WaitForWork(kLongestStorePause);
+    // Ends that are not acknowledged would be answered again at once.
+    const auto resume_at = options_.clock->Now() + duration(kLongestStorePause);
+    while (true) {
+      const std::uint64_t wakes = Wakes();
+      const auto left = resume_at - options_.clock->Now();
+      if (left <= duration::zero() || !calls_.has_unstored_ends()) break;
+      WaitForWork(wakes, left);
       const std::lock_guard lock(mutex_);
       if (is_stopped_) return;
     }
-    if (!calls_.has_runs()) WaitForWork(kIdleWait);
+    const std::uint64_t wakes = Wakes();
+    if (!calls_.has_runs()) WaitForWork(wakes, kIdleWait);
   }
 }
 
--- a/src/pools/agent_session.h
+++ b/src/pools/agent_session.h
@@ -91,7 +91,10 @@
   // Returns how long to wait before the next call.
   duration HoldOnce();
   duration AfterFailure(const error& failure);
-  void WaitForWork(duration longest);
+  // Calls of `Wake` and orders so far. What is decided after reading it is not
+  // missed by a wait that is given it.
+  std::uint64_t Wakes();
+  void WaitForWork(std::uint64_t wakes_before, duration longest);
   void Carry(const start_order& next);
 
   agent_session_options options_;
--- /dev/null
+++ b/tests/pools/fake_store.h
@@ -0,0 +1,127 @@
+#pragma once
+
+#include <condition_variable>
+#include <deque>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <optional>
+#include <string>
+
+#include "clients/kv_client.h"
+
+namespace apricotwheel::testing {
+
+// How the next commits end.
+enum class commit_fault {
+  kNone,
+  kUnavailable,  // Nothing is done, and the caller knows it.
+  kAnswerLost,   // It is done, and the caller learns nothing.
+  kLate,         // It is kept; `ApplyLate` tries it later.
+};
+
+// A key-value service in memory, with faults of its answers.
+class fake_store {
+ public:
+  std::unique_ptr<kv_client> Client() {
+    kv_protocol calls;
+    calls.get = [this](std::string_view key,
+                       duration) -> result<std::optional<kv_entry>> {
+      const std::lock_guard lock(mutex_);
+      const auto found = entries_.find(std::string(key));
+      if (found == entries_.end()) return std::optional<kv_entry>();
+      return std::optional<kv_entry>(found->second);
+    };
+    calls.list = [this](std::string_view prefix) -> result<kv_listing> {
+      const std::lock_guard lock(mutex_);
+      kv_listing all;
+      all.revision = revision_;
+      for (const auto& [key, entry] : entries_) {
+        if (key.starts_with(prefix)) all.entries.push_back(entry);
+      }
+      return all;
+    };
+    calls.commit = [this](const kv_transaction& writes, duration) {
+      return Commit(writes);
+    };
+    calls.interrupt_watches = [] {};
+    return kv_client::Create(std::move(calls), milliseconds(500));
+  }
+
+  void FailNext(commit_fault fault, int times = 1) {
+    const std::lock_guard lock(mutex_);
+    for (int at = 0; at < times; ++at) faults_.push_back(fault);
+  }
+
+  // Tries the commits that were kept; returns how many took effect.
+  int ApplyLate() {
+    const std::lock_guard lock(mutex_);
+    int applied = 0;
+    for (const auto& writes : late_) applied += Apply(writes) ? 1 : 0;
+    late_.clear();
+    return applied;
+  }
+
+  std::uint64_t Put(const std::string& key, const std::string& value) {
+    const std::lock_guard lock(mutex_);
+    entries_[key] = {key, value, ++revision_};
+    return revision_;
+  }
+  bool Has(const std::string& key) const {
+    const std::lock_guard lock(mutex_);
+    return entries_.contains(key);
+  }
+  std::string Value(const std::string& key) const {
+    const std::lock_guard lock(mutex_);
+    const auto found = entries_.find(key);
+    return found == entries_.end() ? "" : found->second.value;
+  }
+
+ private:
+  result<std::uint64_t> Commit(const kv_transaction& writes) {
+    const std::lock_guard lock(mutex_);
+    commit_fault fault = commit_fault::kNone;
+    if (!faults_.empty()) {
+      fault = faults_.front();
+      faults_.pop_front();
+    }
+    if (fault == commit_fault::kUnavailable) {
+      return Fail(error_kind::kUnavailable, "down", "wait");
+    }
+    if (fault == commit_fault::kLate) {
+      late_.push_back(writes);
+      return Fail(error_kind::kTimeout, "late", "wait");
+    }
+    const bool is_applied = Apply(writes);
+    if (fault == commit_fault::kAnswerLost) {
+      return Fail(error_kind::kTimeout, "lost", "wait");
+    }
+    if (!is_applied) {
+      return Fail(error_kind::kConflict, "a condition fails", "read");
+    }
+    return revision_;
+  }
+
+  bool Apply(const kv_transaction& writes) {
+    for (const kv_condition& one : writes.conditions) {
+      const auto found = entries_.find(one.key);
+      const std::uint64_t current =
+          found == entries_.end() ? 0 : found->second.revision;
+      if (current != one.revision) return false;
+    }
+    ++revision_;
+    for (const kv_write& put : writes.puts) {
+      entries_[put.key] = {put.key, put.value, revision_};
+    }
+    for (const std::string& key : writes.removals) entries_.erase(key);
+    return true;
+  }
+
+  mutable std::mutex mutex_;
+  std::map<std::string, kv_entry> entries_;
+  std::deque<commit_fault> faults_;
+  std::deque<kv_transaction> late_;
+  std::uint64_t revision_ = 10;
+};
+
+}  // namespace apricotwheel::testing
--- /dev/null
+++ b/tests/pools/pool_owner_test.cc
@@ -0,0 +1,242 @@
+#include "pools/pool_owner.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include "tests/graph/scheduler_rig.h"
+#include "tests/pools/fake_store.h"
+
+namespace apricotwheel {
+namespace {
+
+using testing::fake_store;
+using testing::JobOf;
+using testing::StepOf;
+
+constexpr resource_vector kSmall{1000, 1024, 0};
+constexpr auto kPatience = std::chrono::seconds(5);
+const std::string kOwnerKey = "owners/pool";
+
+// A worker's agent in memory. Runs last until a test ends them.
+class fake_agent {
+ public:
+  explicit fake_agent(clock_ptr clock) : clock_(std::move(clock)) {}
+
+  std::unique_ptr<agent_link> Link() {
+    auto link = std::make_unique<agent_link>();
+    link->hold = [this](const hold_request& request) { return Hold(request); };
+    link->start = [this](const start_order& order, const run_lease& lease) {
+      return Start(order, lease);
+    };
+    link->stop = [this](const stop_order& order, std::uint64_t epoch) {
+      return Stop(order, epoch);
+    };
+    link->pace = [](const pace_order&, std::uint64_t) { return true; };
+    link->interrupt = [] {};
+    return link;
+  }
+
+  void EndAll(run_end how) {
+    const std::lock_guard lock(mutex_);
+    while (!running_.empty()) End(running_.begin()->first, how);
+  }
+  std::size_t Running() const {
+    const std::lock_guard lock(mutex_);
+    return running_.size();
+  }
+  std::uint64_t Acknowledged() const {
+    const std::lock_guard lock(mutex_);
+    return acknowledged_;
+  }
+  void Obey(std::uint64_t epoch) {
+    const std::lock_guard lock(mutex_);
+    epoch_ = std::max(epoch_, epoch);
+  }
+
+ private:
+  result<worker_report> Hold(const hold_request& request) {
+    const auto until = clock_->Now() + request.wait;
+    while (true) {
+      {
+        const std::lock_guard lock(mutex_);
+        if (request.epoch < epoch_) {
+          return Fail(error_kind::kStaleEpoch, "stale", "stop");
+        }
+        epoch_ = request.epoch;
+        acknowledged_ = std::max(acknowledged_, request.acknowledged_end);
+        std::erase_if(ended_, [&](const reported_end& end) {
+          return end.sequence <= acknowledged_;
+        });
+        if (!ended_.empty() || clock_->Now() >= until) {
+          worker_report report;
+          report.incarnation = 1;
+          report.clock_ms = 1000;
+          for (const auto& [task, run] : running_) {
+            report.running.push_back(run);
+          }
+          report.ended = ended_;
+          return report;
+        }
+      }
+      clock_->SleepFor(milliseconds(2));
+    }
+  }
+  start_reply Start(const start_order& order, const run_lease& lease) {
+    const std::lock_guard lock(mutex_);
+    if (lease.epoch < epoch_) return {start_answer::kStaleEpoch, 1000};
+    reported_run run;
+    run.task = order.task;
+    run.run = order.run;
+    running_[order.task] = run;
+    return {start_answer::kStarted, 1000};
+  }
+  bool Stop(const stop_order& order, std::uint64_t epoch) {
+    const std::lock_guard lock(mutex_);
+    if (epoch < epoch_) return false;
+    if (running_.contains(order.task)) End(order.task, run_end::kStopped);
+    return true;
+  }
+  void End(task_key task, run_end how) {
+    reported_end end;
+    end.sequence = ++last_end_;
+    end.task = task;
+    end.run = running_.at(task).run;
+    end.how = how;
+    running_.erase(task);
+    ended_.push_back(end);
+  }
+
+  clock_ptr clock_;
+  mutable std::mutex mutex_;
+  std::uint64_t epoch_ = 0;
+  std::map<task_key, reported_run> running_;
+  std::vector<reported_end> ended_;
+  std::uint64_t last_end_ = 0;
+  std::uint64_t acknowledged_ = 0;
+};
+
+struct rig {
+  fake_store store;
+  std::unique_ptr<kv_client> kv = store.Client();
+  clock_ptr clock = runtime_clock::Running();
+  fake_agent agent{clock};
+  service_ports ports;
+  std::atomic<int> successions = 0;
+  std::uint64_t epoch = 0;
+  std::unique_ptr<pool_owner> owner;
+
+  rig() {
+    ports.connect_agent = [this](const pool_worker&) { return agent.Link(); };
+    Succeed();
+  }
+  ~rig() { owner->Stop(); }
+
+  // Starts an owner, the next one after the first call.
+  void Succeed() {
+    if (owner) owner->Stop();
+    epoch = store.Put(kOwnerKey, "owner");
+    pool_owner_options options;
+    options.pool = "pool";
+    options.epoch = epoch;
+    options.owner_key = kOwnerKey;
+    options.member_id = "member";
+    options.member_lease = milliseconds(1000);
+    options.task_lease = milliseconds(6000);
+    options.kv = kv.get();
+    options.ports = &ports;
+    options.members = [] { return std::vector<std::string>{"member"}; };
+    options.succeeded = [this] { ++successions; };
+    options.clock = clock;
+    owner = std::make_unique<pool_owner>(std::move(options));
+    BOOST_REQUIRE(Attempt([&] { return owner->Start(); }));
+    pool_worker worker;
+    worker.id = "w1";
+    worker.pool = "pool";
+    worker.capacity = {4000, 16'384, 0};
+    worker.incarnation = 1;
+    owner->SetWorkers({{"w1", worker}});
+  }
+
+  time_point Deadline() const { return clock->Now() + duration(kPatience); }
+  template <class Predicate>
+  bool Eventually(Predicate holds) {
+    const auto until = Deadline();
+    while (!holds() && clock->Now() < until) {
+      clock->SleepFor(milliseconds(2));
+    }
+    return holds();
+  }
+  gate_reply Submit(const std::string& id, std::uint32_t tasks = 1) {
+    return owner->Submit(JobOf(id, {StepOf(tasks, kSmall)}), Deadline());
+  }
+};
+
+BOOST_AUTO_TEST_CASE(a_job_runs_to_its_end) {
+  rig cell;
+  BOOST_TEST((cell.Submit("job", 2).answer == job_answer::kAccepted));
+  BOOST_TEST(cell.Eventually([&] { return cell.agent.Running() == 2; }));
+  cell.agent.EndAll(run_end::kDone);
+  BOOST_TEST(cell.Eventually(
+      [&] { return cell.owner->State("job").state == job_state::kCompleted; }));
+  BOOST_TEST(cell.Eventually([&] { return cell.agent.Acknowledged() == 2; }));
+}
+
+// Found on the first calm day: the orders to stop a cancelled job's runs never
+// left, because the worker's name was read from an order that had been moved.
+BOOST_AUTO_TEST_CASE(a_cancelled_job_is_stopped_on_its_worker) {
+  rig cell;
+  cell.Submit("job", 2);
+  BOOST_TEST(cell.Eventually([&] { return cell.agent.Running() == 2; }));
+  const auto reply = cell.owner->Cancel("job", cell.Deadline());
+  BOOST_TEST((reply.answer == job_answer::kCancelled));
+  BOOST_TEST(cell.Eventually([&] { return cell.agent.Running() == 0; }));
+  BOOST_TEST((cell.owner->State("job").state == job_state::kCancelled));
+  // The acknowledgement says that the store has it.
+  BOOST_TEST(cell.store.Value(ProgressKey("pool", "job")).find("cancelled") !=
+             std::string::npos);
+}
+
+BOOST_AUTO_TEST_CASE(an_unknown_job_is_absent) {
+  rig cell;
+  cell.Submit("job");
+  BOOST_TEST((cell.owner->State("other").answer == job_answer::kAbsent));
+  BOOST_TEST((cell.owner->Cancel("other", cell.Deadline()).answer ==
+              job_answer::kAbsent));
+}
+
+// The next owner adopts what runs and starts nothing twice.
+BOOST_AUTO_TEST_CASE(a_successor_adopts_running_tasks) {
+  rig cell;
+  cell.Submit("job", 3);
+  BOOST_TEST(cell.Eventually([&] { return cell.agent.Running() == 3; }));
+  cell.Succeed();
+  BOOST_TEST(cell.Eventually(
+      [&] { return cell.owner->State("job").answer == job_answer::kState; }));
+  cell.Submit("next");
+  BOOST_TEST(cell.Eventually([&] { return cell.agent.Running() == 4; }));
+  cell.agent.EndAll(run_end::kDone);
+  BOOST_TEST(cell.Eventually(
+      [&] { return cell.owner->State("job").state == job_state::kCompleted; }));
+  BOOST_TEST(cell.agent.Running() == 0);
+}
+
+// An owner whose worker obeys a higher epoch says that it was succeeded.
+BOOST_AUTO_TEST_CASE(a_refused_epoch_ends_the_ownership) {
+  rig cell;
+  cell.agent.Obey(cell.epoch + 100);
+  cell.Submit("job");
+  BOOST_TEST(cell.Eventually([&] { return cell.successions > 0; }));
+  BOOST_TEST(cell.agent.Running() == 0);
+}
+
+// A planned stop takes no more jobs, and those it took are stored.
+BOOST_AUTO_TEST_CASE(a_quiet_owner_takes_no_jobs) {
+  rig cell;
+  cell.Submit("job");
+  cell.owner->Quiesce(cell.Deadline());
+  BOOST_TEST((cell.Submit("late").answer == job_answer::kUnavailable));
+  BOOST_TEST(!cell.store.Has(JobKey("pool", "late")));
+  BOOST_TEST(cell.store.Has(JobKey("pool", "job")));
+}
+
+}  // namespace
+}  // namespace apricotwheel
