Take the pools of a daemon whose process is gone at once

Change: a member that could not be called is probed; if no process listens at its address, or a newer member has the address, its pools are taken. The epoch makes that safe.

--- a/src/kernel/log.h
+++ b/src/kernel/log.h
@@ -17,7 +17,7 @@
 // constants in <package>_events.h; docs/log-events.md lists them all. Number
 // ranges: kernel 1000, clients 1100, config 1200, peer 1300, cluster 1400,
 // placement 1500, workers 1600, jobs 1700, dispatch 1800, daemon 1900, ctl
-// 2000.
+// 2000, graph 2100, pools 2200, adapters 2300.
 struct log_event_kind {
   int number;
   const char* name;
--- a/src/peer/connection.h
+++ b/src/peer/connection.h
@@ -64,6 +64,15 @@
   std::atomic<bool> closed_ = false;
 };
 
+// What a try to connect says about the process at an address.
+enum class listener_state {
+  kListening,
+  kAbsent,  // The machine runs, but no process listens there.
+  kSilent,  // No answer; nothing is known.
+};
+listener_state ProbeListener(std::string_view address, runtime_clock& clock,
+                             time_point deadline);
+
 // Opens a TCP connection to `ip:port`.
 result<int> ConnectSocket(std::string_view address, runtime_clock& clock,
                           time_point deadline);
--- a/src/peer/socket.cc
+++ b/src/peer/socket.cc
@@ -53,6 +53,31 @@
   ::setsockopt(socket, level, name, &value, sizeof(value));
 }
 
+// Returns 0 and a connected socket, or the error number.
+int TryConnect(const sockaddr_in& target, runtime_clock& clock,
+               time_point deadline, int& connected) {
+  const int socket = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  if (socket < 0) return errno;
+  ConfigureSocket(socket);
+  int code = 0;
+  if (::connect(socket, AsGeneric(target), sizeof(target)) != 0) {
+    code = errno;
+    if (code == EINPROGRESS) {
+      code = ETIMEDOUT;
+      if (WaitSocket(socket, POLLOUT, clock, deadline)) {
+        socklen_t size = sizeof(code);
+        ::getsockopt(socket, SOL_SOCKET, SO_ERROR, &code, &size);
+      }
+    }
+  }
+  if (code == 0) {
+    connected = socket;
+  } else {
+    ::close(socket);
+  }
+  return code;
+}
+
 }  // namespace
 
 void ConfigureSocket(int socket) {
@@ -86,24 +111,27 @@
 result<int> ConnectSocket(std::string_view address, runtime_clock& clock,
                           time_point deadline) {
   BOOST_LEAF_AUTO(target, ParseAddress(address));
-  const int socket = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-  const auto fail = [&](int code) {
-    if (socket >= 0) ::close(socket);
-    return Fail(error_kind::kUnavailable,
-                "cannot connect to " + std::string(address) + ": " +
-                    std::strerror(code),
-                "check that the daemon runs and that the address is right");
-  };
-  if (socket < 0) return fail(errno);
-  ConfigureSocket(socket);
-  if (::connect(socket, AsGeneric(target), sizeof(target)) == 0) return socket;
-  if (errno != EINPROGRESS) return fail(errno);
-  if (!WaitSocket(socket, POLLOUT, clock, deadline)) return fail(ETIMEDOUT);
-  int code = 0;
-  socklen_t size = sizeof(code);
-  ::getsockopt(socket, SOL_SOCKET, SO_ERROR, &code, &size);
-  if (code != 0) return fail(code);
-  return socket;
+  int socket = -1;
+  const int code = TryConnect(target, clock, deadline, socket);
+  if (code == 0) return socket;
+  return Fail(
+      error_kind::kUnavailable,
+      "cannot connect to " + std::string(address) + ": " + std::strerror(code),
+      "check that the daemon runs and that the address is right");
+}
+
+listener_state ProbeListener(std::string_view address, runtime_clock& clock,
+                             time_point deadline) {
+  const auto target = Attempt([&] { return ParseAddress(address); });
+  if (!target) return listener_state::kSilent;
+  int socket = -1;
+  const int code = TryConnect(*target.value, clock, deadline, socket);
+  if (code != 0) {
+    return code == ECONNREFUSED ? listener_state::kAbsent
+                                : listener_state::kSilent;
+  }
+  ::close(socket);
+  return listener_state::kListening;
 }
 
 result<int> ListenSocket(std::string_view address) {
--- a/src/pools/pool_directory.cc
+++ b/src/pools/pool_directory.cc
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 
+#include "peer/connection.h"
 #include "pools/pool_events.h"
 
 namespace apricotwheel {
@@ -17,6 +18,7 @@
 // one call decides.
 constexpr auto kRankDelay = milliseconds(120);
 constexpr auto kElectionIdle = milliseconds(1000);
+constexpr auto kProbeTimeout = milliseconds(300);
 
 std::uint64_t HashOf(std::string_view pool, std::string_view member_id) {
   const std::string text = std::string(pool) + "/" + std::string(member_id);
@@ -76,7 +78,7 @@
   const std::lock_guard lock(mutex_);
   std::vector<member> all;
   for (const auto& [id, stored] : members_) {
-    if (stored.record) all.push_back(*stored.record);
+    if (stored.record && !dead_.contains(id)) all.push_back(*stored.record);
   }
   return all;
 }
@@ -148,6 +150,14 @@
   stored_member& stored = members_[id];
   if (event.entry.revision <= stored.revision) return;
   stored = {std::move(record), event.entry.revision};
+  if (!stored.record) return;
+  for (const auto& [other, earlier] : members_) {
+    // Two processes cannot listen at one address.
+    if (other != id && earlier.record &&
+        earlier.record->peer_address == stored.record->peer_address) {
+      dead_.insert(earlier.revision < stored.revision ? other : id);
+    }
+  }
 }
 
 void pool_directory::UpdatePeers() {
@@ -199,6 +209,12 @@
   }
 }
 
+bool pool_directory::IsVacant(std::string_view pool) const {
+  const auto found = owners_.find(pool);
+  return found == owners_.end() || found->second.ownership.member_id.empty() ||
+         dead_.contains(found->second.ownership.member_id);
+}
+
 int pool_directory::RankFor(std::string_view pool) const {
   // Called with mutex_ held. Owners of another pool come last.
   const auto busy = [&](const std::string& id) {
@@ -212,23 +228,55 @@
   const auto own = order(options_.self.id);
   int rank = 0;
   for (const auto& [id, stored] : members_) {
-    if (stored.record && !stored.record->leaving && order(id) < own) ++rank;
+    if (!stored.record || stored.record->leaving || dead_.contains(id)) {
+      continue;
+    }
+    if (order(id) < own) ++rank;
   }
   return rank;
 }
 
+void pool_directory::Suspect(const std::string& member_id) {
+  {
+    const std::lock_guard lock(mutex_);
+    if (dead_.contains(member_id)) return;
+    if (!suspected_.insert(member_id).second) return;
+  }
+  election_signal_.Wake();
+}
+
+void pool_directory::ProbeSuspects() {
+  std::map<std::string, std::string> addresses;
+  {
+    const std::lock_guard lock(mutex_);
+    for (const std::string& id : std::exchange(suspected_, {})) {
+      const auto found = members_.find(id);
+      if (found == members_.end() || !found->second.record) continue;
+      addresses[id] = found->second.record->peer_address;
+    }
+  }
+  for (const auto& [id, address] : addresses) {
+    const auto state =
+        ProbeListener(address, *options_.clock,
+                      options_.clock->Now() + duration(kProbeTimeout));
+    if (state != listener_state::kAbsent) continue;
+    Emit(options_.log, pool_events::kMemberDead,
+         {Field("member", id), Field("address", address)});
+    const std::lock_guard lock(mutex_);
+    dead_.insert(id);
+  }
+}
+
 void pool_directory::RunElection() {
   while (!election_signal_.StopRequested()) {
+    ProbeSuspects();
     std::vector<std::string> due;
     duration wait = kElectionIdle;
     {
       const std::lock_guard lock(mutex_);
       const auto now = options_.clock->Now();
       for (const std::string& pool : pools_) {
-        const auto found = owners_.find(pool);
-        const bool is_owned = found != owners_.end() &&
-                              !found->second.ownership.member_id.empty();
-        if (is_owned || !is_listed_ || is_leaving_ || !lease_.IsHeld()) {
+        if (!IsVacant(pool) || !is_listed_ || is_leaving_ || !lease_.IsHeld()) {
           unowned_since_.erase(pool);
           continue;
         }
@@ -249,7 +297,15 @@
 void pool_directory::TryAcquire(const std::string& pool) {
   kv_transaction claim;
   const std::string key = OwnerKey(pool);
-  claim.conditions.push_back({key, 0});
+  std::uint64_t expected = 0;  // No such key.
+  {
+    const std::lock_guard lock(mutex_);
+    const auto found = owners_.find(pool);
+    if (found != owners_.end() && !found->second.ownership.member_id.empty()) {
+      expected = found->second.revision;
+    }
+  }
+  claim.conditions.push_back({key, expected});
   claim.puts.push_back({key, options_.self.id, lease_.LeaseId()});
   const auto written = Attempt([&] { return options_.kv->Commit(claim); });
   if (written) {
--- a/src/pools/pool_directory.h
+++ b/src/pools/pool_directory.h
@@ -43,8 +43,9 @@
 
 // Membership of daemons and ownership of pools, both as keys under the lease of
 // a member. A pool without an owner is taken by the first member that creates
-// its key; the owner keeps it until its lease ends or it gives it up, so a
-// member that joins moves nothing. Thread-safe.
+// its key; the owner keeps it until its lease ends, it gives it up or its
+// process is gone, so a member that joins moves nothing. Taking a pool is safe
+// at any time, since its epoch rises. Thread-safe.
 class pool_directory {
  public:
   // Called from the directory's threads, in the order of epochs of a pool.
@@ -72,6 +73,9 @@
   bool IsListed() const;
   static std::string OwnerKey(std::string_view pool);
 
+  // A call to the member could not be sent. If no process listens at its
+  // address, its pools are taken without waiting for its lease.
+  void Suspect(const std::string& member_id);
   // The owner found out, other than by this directory, that it was succeeded.
   void Refresh(const std::string& pool);
   // Planned stop: takes no more pools, gives up those owned, ends the lease.
@@ -96,6 +100,9 @@
   void NotifyOwnership();
   void UpdatePeers();
   void TryAcquire(const std::string& pool);
+  void ProbeSuspects();
+  // Called with mutex_ held: nobody owns the pool, or its owner is dead.
+  bool IsVacant(std::string_view pool) const;
   int RankFor(std::string_view pool) const;
 
   const pool_directory_options options_;
@@ -108,6 +115,8 @@
   std::map<std::string, stored_owner, std::less<>> owners_;
   std::vector<std::string> pools_;
   std::map<std::string, time_point> unowned_since_;
+  std::set<std::string> suspected_;  // To be probed.
+  std::set<std::string> dead_;       // Members whose process is gone.
   std::set<std::string> linked_;
   bool is_listed_ = false;
   bool is_leaving_ = false;
--- a/src/pools/pool_events.h
+++ b/src/pools/pool_events.h
@@ -36,7 +36,8 @@
                                               severity::kWarning};
 inline constexpr log_event_kind kThreadFailed{2215, "pool_thread_failed",
                                               severity::kError};
-inline constexpr log_event_kind kWorkersListed{2216, "pool_workers_listed",
-                                               severity::kInfo};
+
+inline constexpr log_event_kind kMemberDead{2216, "pool_member_dead",
+                                            severity::kWarning};
 
 }  // namespace apricotwheel::pool_events
--- a/src/pools/queue_gate.cc
+++ b/src/pools/queue_gate.cc
@@ -109,6 +109,9 @@
         reason = reply ? reply->reason : Describe(reply.failure);
       } else {
         reason = Describe(answered.failure);
+        if (answered.failure.kind == error_kind::kUnavailable) {
+          parts.directory->Suspect(owner->member_id);
+        }
         may_have_arrived =
             may_have_arrived || answered.failure.kind == error_kind::kTimeout;
       }
--- /dev/null
+++ b/tests/adapter/minion_contract_test.cc
@@ -0,0 +1,189 @@
+#include <boost/test/unit_test.hpp>
+
+#include "platform/minion_agent.h"
+#include "tests/adapter/scripted_peer.h"
+
+namespace apricotwheel {
+namespace {
+
+using nlohmann::json;
+using testing::scripted_answer;
+using testing::scripted_peer;
+
+const task_key kTask{"5c0e7a21d94b36f8", 0, 1, 17};
+
+struct rig {
+  scripted_peer peer;
+  std::vector<std::string> logged;
+  std::unique_ptr<agent_link> link;
+
+  rig() {
+    pool_worker worker;
+    worker.id = "i-1";
+    worker.address = peer.Address();
+    link = fleet::ConnectMinion(worker, [this](const log_event& event) {
+      logged.emplace_back(event.kind.name);
+    });
+  }
+  start_reply Start(std::string ticket = {}, std::string checkpoint = {}) {
+    return link->start({"i-1", kTask, 2, "text", checkpoint, ticket},
+                       {7, 486'000});
+  }
+};
+
+BOOST_AUTO_TEST_CASE(a_start_carries_its_order) {
+  rig test;
+  test.peer.Answer(200, {{"clock_ms", 482'113}});
+  const auto reply = test.Start("c81e-7a21d94b", "00000bb87a21d94b");
+  BOOST_TEST((reply.answer == start_answer::kStarted));
+  BOOST_TEST(reply.clock_ms.value() == 482'113);
+  const auto seen = test.peer.Last();
+  BOOST_TEST(seen.method == "POST");
+  BOOST_TEST(seen.target == "/api/run-start");
+  BOOST_TEST(seen.expected_instance == "i-1");
+  BOOST_TEST((seen.body == json{{"task", "5c0e7a21d94b36f8.0.1.17"},
+                                {"run_id", 2},
+                                {"spec", "text"},
+                                {"deadline_ms", 486'000},
+                                {"fencing_token", 7},
+                                {"checkpoint", "00000bb87a21d94b"},
+                                {"ticket", "c81e-7a21d94b"}}));
+}
+
+struct start_case {
+  scripted_answer answer;
+  start_answer expected;
+};
+
+BOOST_AUTO_TEST_CASE(each_answer_to_a_start_is_told_apart) {
+  const std::vector<start_case> cases = {
+      {{409, {{"clock_ms", 1}, {"reason", "fence"}}},
+       start_answer::kStaleEpoch},
+      {{409, {{"reason", "old"}}}, start_answer::kOutdatedRun},
+      {{409, {{"reason", "late"}}}, start_answer::kExpired},
+      {{409, {{"reason", "room"}}}, start_answer::kNoRoom},
+      {{409, {{"reason", "ticket"}}}, start_answer::kNoTicket},
+      {{409, {{"reason", "new word"}}}, start_answer::kInvalid},
+      {{400}, start_answer::kInvalid},
+      {{421}, start_answer::kOtherLifetime},
+      {{429}, start_answer::kUnhealthy},
+      {{503}, start_answer::kUnhealthy},
+      {{500}, start_answer::kUnknown},
+      {{200, json::object(), true}, start_answer::kUnknown},
+      {{200, json::object(), false, milliseconds(1100)},
+       start_answer::kUnknown},
+  };
+  for (const auto& one : cases) {
+    rig test;
+    test.peer.Answer(one.answer);
+    BOOST_TEST((test.Start().answer == one.expected),
+               "status " << one.answer.status << " " << one.answer.body);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(a_start_that_cannot_be_sent_did_not_arrive) {
+  pool_worker worker;
+  worker.id = "i-1";
+  worker.address = "127.0.0.1:1";
+  const auto link = fleet::ConnectMinion(worker, {});
+  const auto reply = link->start({"i-1", kTask, 2, "text", "", ""}, {7, 1});
+  BOOST_TEST((reply.answer == start_answer::kUnreachable));
+}
+
+// An answer that comes after its call was given up belongs to no later call.
+BOOST_AUTO_TEST_CASE(a_late_answer_is_not_taken_for_the_next) {
+  rig test;
+  test.peer.Answer({200, json::object(), false, milliseconds(1100)});
+  BOOST_TEST((test.Start().answer == start_answer::kUnknown));
+  test.peer.Answer(409, {{"reason", "room"}});
+  BOOST_TEST((test.Start().answer == start_answer::kNoRoom));
+}
+
+BOOST_AUTO_TEST_CASE(a_hold_reads_both_lists) {
+  rig test;
+  test.peer.Answer(
+      200, {{"clock_ms", 482'113},
+            {"born", 1'700'000'000'123},
+            {"running", {{"5c0e7a21d94b36f8.0.1.17", 2, "00aa", 41, 350}}},
+            {"finished",
+             {{58, "5c0e7a21d94b36f8.0.1.9", 1, "done", ""},
+              {59, "5c0e7a21d94b36f8.2.0.3", 4, "alone", "00bb"}}}});
+  hold_request request{7, 57, 486'000, milliseconds(1000)};
+  const auto report = Attempt([&] { return test.link->hold(request); });
+  BOOST_REQUIRE(report);
+  BOOST_TEST((test.peer.Last().body == json{{"deadline_ms", 486'000},
+                                            {"fencing_token", 7},
+                                            {"observed", 57},
+                                            {"wait_ms", 1000}}));
+  BOOST_TEST(report->clock_ms == 482'113);
+  BOOST_TEST(report->incarnation == 1'700'000'000'123);
+  BOOST_REQUIRE_EQUAL(report->running.size(), 1);
+  BOOST_TEST((report->running[0].task == kTask));
+  BOOST_TEST(report->running[0].run == 2);
+  BOOST_TEST(report->running[0].checkpoint == "00aa");
+  BOOST_TEST(report->running[0].percent == 41);
+  BOOST_TEST(report->running[0].load == 350);
+  BOOST_REQUIRE_EQUAL(report->ended.size(), 2);
+  BOOST_TEST(report->ended[0].sequence == 58);
+  BOOST_TEST((report->ended[0].how == run_end::kDone));
+  BOOST_TEST((report->ended[1].how == run_end::kAlone));
+  BOOST_TEST(report->ended[1].task.occurrence == 2);
+  BOOST_TEST(report->ended[1].checkpoint == "00bb");
+}
+
+// A row that cannot be read is logged and takes nothing else with it.
+BOOST_AUTO_TEST_CASE(a_malformed_row_harms_no_other) {
+  rig test;
+  test.peer.Answer(200, {{"clock_ms", 1},
+                         {"running", {{"no task name", 2, "", 0}}},
+                         {"finished",
+                          {{1, "5c0e7a21d94b36f8.0.0.0", 1, "eaten", ""},
+                           {2, "5c0e7a21d94b36f8.0.0.1", 1, "failed", ""}}}});
+  const auto report = Attempt([&] { return test.link->hold({7, 0, {}, {}}); });
+  BOOST_REQUIRE(report);
+  BOOST_TEST(report->running.empty());
+  BOOST_REQUIRE_EQUAL(report->ended.size(), 1);
+  BOOST_TEST((report->ended[0].how == run_end::kFailed));
+  BOOST_TEST(test.logged.size() == 2);
+}
+
+BOOST_AUTO_TEST_CASE(each_failure_of_a_hold_is_told_apart) {
+  const std::vector<std::pair<scripted_answer, error_kind>> cases = {
+      {{409, {{"reason", "fence"}}}, error_kind::kStaleEpoch},
+      {{421}, error_kind::kNotFound},
+      {{429}, error_kind::kUnavailable},
+      {{503}, error_kind::kUnavailable},
+      {{500}, error_kind::kTimeout},
+      {{200, json::object(), true}, error_kind::kTimeout},
+      {{200, {{"clock_ms", "text"}}}, error_kind::kCorrupt},
+  };
+  for (const auto& [answer, expected] : cases) {
+    rig test;
+    test.peer.Answer(answer);
+    const auto report = Attempt([&] {
+      return test.link->hold({7, 0, {}, {}});
+    });
+    BOOST_TEST(!report);
+    BOOST_TEST((report.failure.kind == expected),
+               "status " << answer.status << ": " << Describe(report.failure));
+  }
+}
+
+BOOST_AUTO_TEST_CASE(stop_and_pace_carry_their_orders) {
+  rig test;
+  test.peer.Answer(200, {{"clock_ms", 1}});
+  BOOST_TEST(test.link->stop({"i-1", kTask, 2}, 7));
+  BOOST_TEST(test.peer.Last().target == "/api/run-stop");
+  BOOST_TEST((test.peer.Last().body == json{{"task", "5c0e7a21d94b36f8.0.1.17"},
+                                            {"run_id", 2},
+                                            {"fencing_token", 7}}));
+  test.peer.Answer(409, {{"reason", "fence"}});
+  BOOST_TEST(!test.link->stop({"i-1", kTask, 2}, 7));
+  test.peer.Answer(200, {{"clock_ms", 1}});
+  BOOST_TEST(test.link->pace({"i-1", kTask, 2, 40}, 7));
+  BOOST_TEST(test.peer.Last().target == "/api/pace");
+  BOOST_TEST(test.peer.Last().body.at("percentage") == 40);
+}
+
+}  // namespace
+}  // namespace apricotwheel
