Remember failed runs by their numbers, keep room for gangs, handle SIGHUP

Cause 3: a worker that was gone stayed on the pool's list, and a successor waited for its leases before it placed loaded jobs. Change beside them: room of the workers that are free first is kept for up to three gangs that wait, and their approvals are asked for ahead. Tests: graph/takeover_test (a_stored_failure_is_not_counted_again, an_attempt_of_a_gang_fails_once).

--- a/src/daemon/daemon_events.h
+++ b/src/daemon/daemon_events.h
@@ -19,4 +19,9 @@
 inline constexpr log_event_kind kStartDelayed{1908, "start_delayed",
                                               severity::kWarning};
 
+inline constexpr log_event_kind kSettingsChecked{1909, "settings_checked",
+                                                 severity::kInfo};
+inline constexpr log_event_kind kSettingsInvalid{1910, "settings_invalid",
+                                                 severity::kError};
+
 }  // namespace apricotwheel
--- a/src/daemon/main.cc
+++ b/src/daemon/main.cc
@@ -7,6 +7,7 @@
 
 #include "config/settings.h"
 #include "daemon/daemon.h"
+#include "daemon/daemon_events.h"
 #include "daemon/logging.h"
 #include "daemon/pool_daemon.h"
 
@@ -21,35 +22,52 @@
 constexpr int kExitFailed = 1;
 constexpr int kExitInvalid = 2;
 
-// Blocks the stop signals in this thread and in all that it starts, so that
-// only `WaitForStopSignal` receives them.
+// Blocks the signals in this thread and in all that it starts, so that only
+// `WaitForStopSignal` receives them.
 sigset_t BlockStopSignals() {
   sigset_t signals;
   sigemptyset(&signals);
   sigaddset(&signals, SIGTERM);
   sigaddset(&signals, SIGINT);
+  sigaddset(&signals, SIGHUP);
   pthread_sigmask(SIG_BLOCK, &signals, nullptr);
   signal(SIGPIPE, SIG_IGN);
   return signals;
 }
 
-void WaitForStopSignal(const sigset_t& signals) {
-  int received = 0;
-  while (sigwait(&signals, &received) != 0) {
+// Checks the settings file again. All settings take effect at a start, so that
+// a running daemon never works with half of a change.
+void CheckChangedSettings(const std::string& path, const log_sink& log) {
+  const settings_check checked = LoadSettings(path);
+  std::string faults;
+  for (const config_fault& fault : checked.faults) {
+    faults += Describe(fault) + "; ";
+  }
+  Emit(log, checked.settings ? kSettingsChecked : kSettingsInvalid,
+       {Field("path", path), Field("faults", faults)});
+}
+
+void WaitForStopSignal(const sigset_t& signals, const std::string& path,
+                       const log_sink& log) {
+  while (true) {
+    int received = 0;
+    if (sigwait(&signals, &received) != 0) continue;
+    if (received != SIGHUP) return;
+    CheckChangedSettings(path, log);
   }
 }
 
 // Runs a daemon of the given kind until a stop signal.
 template <class Daemon>
-int Serve(const daemon_settings& settings, const sigset_t& signals,
-          const log_sink& log) {
+int Serve(const std::string& path, const daemon_settings& settings,
+          const sigset_t& signals, const log_sink& log) {
   auto process = Attempt(
       [&] { return Daemon::Start(settings, runtime_clock::Running(), log); });
   if (!process) {
     std::cerr << Describe(process.failure) << "\n";
     return kExitFailed;
   }
-  WaitForStopSignal(signals);
+  WaitForStopSignal(signals, path, log);
   (*process)->DrainAndStop();
   return kExitOk;
 }
@@ -69,8 +87,8 @@
   const sigset_t signals = BlockStopSignals();
   const log_sink log = StartLogging(checked.settings->log_level);
   return checked.settings->service_adapter.empty()
-             ? Serve<daemon_process>(*checked.settings, signals, log)
-             : Serve<pool_daemon>(*checked.settings, signals, log);
+             ? Serve<daemon_process>(path, *checked.settings, signals, log)
+             : Serve<pool_daemon>(path, *checked.settings, signals, log);
 }
 
 }  // namespace
--- a/src/graph/graph_codec.cc
+++ b/src/graph/graph_codec.cc
@@ -147,10 +147,11 @@
   for (std::size_t at = 0; at < text.size(); ++at) {
     step.done[at] = text[at] == '1';
   }
-  for (const json& row : in.value("failures", json::array())) {
+  // A row is [task index, numbers of the runs that failed].
+  for (const json& row : in.value("failed_runs", json::array())) {
     const auto index = row.at(0).get<std::size_t>();
-    if (index >= step.failures.size()) return Corrupt("no such task");
-    row.at(1).get_to(step.failures[index]);
+    if (index >= step.failed_runs.size()) return Corrupt("no such task");
+    row.at(1).get_to(step.failed_runs[index]);
   }
   return {};
 }
@@ -219,7 +220,7 @@
   std::vector<step_progress> steps;
   for (const graph_step& step : graph.steps) {
     steps.push_back({std::vector<bool>(step.task_count),
-                     std::vector<std::uint32_t>(step.task_count)});
+                     std::vector<std::vector<std::uint64_t>>(step.task_count)});
   }
   progress.occurrences.assign(count, steps);
   return progress;
@@ -233,9 +234,9 @@
       json rows = json::array();
       for (const step_progress& step : steps) {
         json row = {{"done", DoneText(step.done)}};
-        for (std::size_t at = 0; at < step.failures.size(); ++at) {
-          if (step.failures[at] > 0) {
-            row["failures"].push_back({at, step.failures[at]});
+        for (std::size_t at = 0; at < step.failed_runs.size(); ++at) {
+          if (!step.failed_runs[at].empty()) {
+            row["failed_runs"].push_back({at, step.failed_runs[at]});
           }
         }
         rows.push_back(std::move(row));
--- a/src/graph/job_graph.h
+++ b/src/graph/job_graph.h
@@ -79,8 +79,9 @@
 
 // What must outlast a daemon about one step.
 struct step_progress {
-  std::vector<bool> done;               // By task index.
-  std::vector<std::uint32_t> failures;  // By task index; of a gang only [0].
+  std::vector<bool> done;  // By task index.
+  // Numbers of the runs that failed, by task index; of a gang only [0].
+  std::vector<std::vector<std::uint64_t>> failed_runs;
 };
 
 // What must outlast a daemon about a job. Occurrences are numbered from 0.
--- a/src/graph/pool_model.h
+++ b/src/graph/pool_model.h
@@ -48,6 +48,10 @@
   // and an order may have reached that one already.
   std::int64_t agent_incarnation = 0;
   resource_vector used;  // Of all runs below.
+  // Room kept for a gang that waits, while steps are placed: what would still
+  // run at `reserved_from` must leave it free.
+  resource_vector reserved;
+  time_point reserved_from{};
   std::map<task_key, task_run> runs;
   bool has_unknown_run = false;   // Takes no work until that run is gone.
   std::uint64_t applied_end = 0;  // Ends up to here are in the progress.
@@ -73,7 +77,6 @@
   std::uint32_t waiting = 0;  // Tasks that wait to be placed.
   std::uint32_t placed = 0;
   std::uint32_t done = 0;
-  bool gang_failed = false;     // A member of the current attempt has failed.
   std::string gang_checkpoint;  // Of all members of the next attempt.
   approval_book approvals;
 };
--- a/src/graph/pool_placement.cc
+++ b/src/graph/pool_placement.cc
@@ -25,6 +25,15 @@
 // different kinds is compared.
 constexpr std::int64_t kCpuPerAccelerator = 8000;
 
+// Gangs that wait and for which room is kept at a time. Room that is kept
+// stands idle until the last part of it is free.
+constexpr int kMaxReservations = 3;
+// When a run that has outlasted its estimate is taken to end.
+constexpr auto kOverdueRun = milliseconds(400);
+// Approvals for a reserved gang are asked for this long before they are needed,
+// on top of the time that the advisor takes.
+constexpr auto kAskAhead = milliseconds(250);
+
 std::int64_t SizeOf(const resource_vector& need) {
   return need.cpu_milli + need.accelerators * kCpuPerAccelerator;
 }
@@ -124,33 +133,53 @@
   return waiting;
 }
 
+resource_vector pool_scheduler::RoomFor(const worker_state& worker,
+                                        duration estimate, time_point now) {
+  const resource_vector room = worker.info.capacity - worker.used;
+  if (now + estimate <= worker.reserved_from) return room;
+  return room - worker.reserved;
+}
+
+// All conditions but room, sharing and a valid ticket.
+bool pool_scheduler::CanHost(const candidate& waiting,
+                             const worker_state& worker, time_point now) const {
+  const graph_job& job = *waiting.job;
+  const graph_step& spec = job.submission.graph.steps[waiting.step];
+  if (!worker.is_claimed || !worker.is_listed || worker.info.is_draining ||
+      worker.has_unknown_run) {
+    return false;
+  }
+  if (!spec.required_label.empty() &&
+      !HasLabel(worker.info, spec.required_label)) {
+    return false;
+  }
+  if (!Fits(spec.need, worker.info.capacity)) return false;
+  if (!job.submission.queue.advisor) return true;
+  const approval_book& book =
+      job.occurrences[waiting.occurrence][waiting.step].approvals;
+  return ApprovalOf(book, worker.info, now) != approval::kRefused;
+}
+
 std::vector<worker_state*> pool_scheduler::Allowed(const candidate& waiting,
                                                    time_point now,
                                                    bool valid_only) {
   const graph_job& job = *waiting.job;
   const graph_step& spec = job.submission.graph.steps[waiting.step];
+  const duration estimate = milliseconds(spec.estimate_ms);
   const approval_book& book =
       job.occurrences[waiting.occurrence][waiting.step].approvals;
   std::vector<worker_state*> allowed;
   for (auto& [id, worker] : workers_) {
-    if (!worker.is_claimed || !worker.is_listed || worker.info.is_draining) {
-      continue;
-    }
-    if (worker.has_unknown_run) continue;
+    if (!CanHost(waiting, worker, now)) continue;
     if (worker.avoid_until > now) {
       next_due_ = std::min(next_due_, worker.avoid_until);
       continue;
     }
-    if (!spec.required_label.empty() &&
-        !HasLabel(worker.info, spec.required_label)) {
-      continue;
-    }
-    if (!Fits(spec.need, worker.info.capacity - worker.used)) continue;
+    if (!Fits(spec.need, RoomFor(worker, estimate, now))) continue;
     if (Disturbs(worker, spec)) continue;
-    if (job.submission.queue.advisor) {
-      const approval state = ApprovalOf(book, worker.info, now);
-      if (state == approval::kRefused) continue;
-      if (valid_only && state != approval::kValid) continue;
+    if (valid_only && job.submission.queue.advisor &&
+        ApprovalOf(book, worker.info, now) != approval::kValid) {
+      continue;
     }
     allowed.push_back(&worker);
   }
@@ -159,14 +188,15 @@
 
 worker_state* pool_scheduler::BestWorker(
     const candidate& waiting, const std::vector<worker_state*>& allowed,
-    std::span<const placement> chosen) const {
+    std::span<const placement> chosen, time_point now) const {
   const graph_step& spec = waiting.job->submission.graph.steps[waiting.step];
   const task_key first{waiting.job->submission.id, waiting.occurrence,
                        waiting.step, 0};
   worker_state* best = nullptr;
   std::tuple<bool, bool, bool, std::int64_t> best_rank;
   for (worker_state* worker : allowed) {
-    resource_vector room = worker->info.capacity - worker->used;
+    resource_vector room =
+        RoomFor(*worker, milliseconds(spec.estimate_ms), now);
     std::uint32_t beside = 0;
     for (const placement& one : chosen) {
       if (one.worker != worker) continue;
@@ -207,7 +237,7 @@
                        waiting.step, 0};
   for (std::uint32_t at = 0; at < step.tasks.size(); ++at) {
     if (step.tasks[at].phase != task_phase::kWaiting) continue;
-    worker_state* worker = BestWorker(waiting, allowed, chosen);
+    worker_state* worker = BestWorker(waiting, allowed, chosen, now);
     if (worker == nullptr) break;
     task_key key = first;
     key.index = at;
@@ -234,10 +264,99 @@
   AskApproval(waiting, now, decisions);
 }
 
+time_point pool_scheduler::FreeAt(const worker_state& worker,
+                                  const resource_vector& need,
+                                  time_point now) const {
+  resource_vector room = worker.info.capacity - worker.used;
+  if (Fits(need, room)) return now;
+  std::vector<std::pair<time_point, resource_vector>> ends;
+  for (const auto& [task, run] : worker.runs) {
+    if (run.job == nullptr) continue;
+    const graph_step& spec = SpecOf(*run.job, task);
+    const bool is_stopping = run.phase == run_phase::kStopping;
+    if (spec.is_service && !is_stopping) continue;
+    const time_point expected =
+        is_stopping ? now : run.ordered_at + milliseconds(spec.estimate_ms);
+    ends.emplace_back(std::max<time_point>(expected, now + kOverdueRun),
+                      spec.need);
+  }
+  std::sort(ends.begin(), ends.end(), [](const auto& left, const auto& right) {
+    return left.first < right.first;
+  });
+  for (const auto& [end, freed] : ends) {
+    room = room + freed;
+    if (Fits(need, room)) return end;
+  }
+  return time_point::max();
+}
+
+// Keeps the room of the workers that are free first for a gang that waits, so
+// that smaller work does not take each part of it as it becomes free.
+void pool_scheduler::ReserveForGang(const candidate& waiting, time_point now,
+                                    pool_decisions& decisions) {
+  if (reservations_ >= kMaxReservations) return;
+  graph_job& job = *waiting.job;
+  const graph_step& spec = job.submission.graph.steps[waiting.step];
+  step_state& step = job.occurrences[waiting.occurrence][waiting.step];
+  // Before the first answer it is not known where the gang may run.
+  if (job.submission.queue.advisor && step.approvals.by_worker.empty()) return;
+  std::map<worker_state*, resource_vector> wanted;
+  time_point ready_at = now;
+  for (std::uint32_t at = 0; at < spec.task_count; ++at) {
+    worker_state* best = nullptr;
+    time_point best_at = time_point::max();
+    for (auto& [id, worker] : workers_) {
+      if (!CanHost(waiting, worker, now) ||
+          worker.reserved != resource_vector{}) {
+        continue;
+      }
+      const auto found = wanted.find(&worker);
+      const resource_vector need =
+          found == wanted.end() ? spec.need : found->second + spec.need;
+      if (!Fits(need, worker.info.capacity)) continue;
+      const time_point free_at = FreeAt(worker, need, now);
+      if (free_at < best_at) {
+        best = &worker;
+        best_at = free_at;
+      }
+    }
+    if (best == nullptr) return;
+    wanted[best] = wanted[best] + spec.need;
+    ready_at = std::max(ready_at, best_at);
+  }
+  ++reservations_;
+  for (const auto& [worker, need] : wanted) {
+    worker->reserved = need;
+    worker->reserved_from = ready_at;
+  }
+  if (!job.submission.queue.advisor || step.approvals.is_asking) return;
+  const advisor_terms& terms = *job.submission.queue.advisor;
+  const auto cost = std::chrono::microseconds(
+      terms.decision_us +
+      terms.per_worker_us * static_cast<std::int64_t>(wanted.size()));
+  const time_point ask_at = ready_at - cost - kAskAhead;
+  if (now < ask_at) {
+    next_due_ = std::min(next_due_, ask_at);
+    return;
+  }
+  approval_request request{job.submission.id,
+                           waiting.occurrence,
+                           waiting.step,
+                           {},
+                           waiting.order.priority};
+  for (const auto& [worker, need] : wanted) {
+    if (ApprovalOf(step.approvals, worker->info, now) != approval::kValid) {
+      request.workers.push_back(worker->info);
+    }
+  }
+  if (request.workers.empty() || now < step.approvals.retry_at) return;
+  step.approvals.is_asking = true;
+  decisions.approvals.push_back(std::move(request));
+}
+
 void pool_scheduler::AskApproval(const candidate& waiting, time_point now,
                                  pool_decisions& decisions) {
   graph_job& job = *waiting.job;
-  const graph_step& spec = job.submission.graph.steps[waiting.step];
   step_state& step = job.occurrences[waiting.occurrence][waiting.step];
   approval_request request{job.submission.id,
                            waiting.occurrence,
@@ -249,15 +368,8 @@
     // What an approval says does not change, so all that may ever run the step
     // are named once.
     for (const auto& [id, worker] : workers_) {
-      if (!worker.is_claimed || !worker.is_listed || worker.info.is_draining) {
-        continue;
-      }
-      if (!Fits(spec.need, worker.info.capacity)) continue;
-      if (!spec.required_label.empty() &&
-          !HasLabel(worker.info, spec.required_label)) {
-        continue;
-      }
-      if (request.workers.size() < kMaxAskedWorkers) {
+      if (CanHost(waiting, worker, now) &&
+          request.workers.size() < kMaxAskedWorkers) {
         request.workers.push_back(worker.info);
       }
     }
--- a/src/graph/pool_runs.cc
+++ b/src/graph/pool_runs.cc
@@ -182,14 +182,25 @@
   }
   const bool is_waiting = task.phase == task_phase::kWaiting;
   if (is_waiting && !end.checkpoint.empty()) task.checkpoint = end.checkpoint;
-  // The failure counts also if a later run of the task was adopted before.
-  if (end.how != run_end::kFailed || spec.is_service) return;
-  auto& failures =
-      job->progress.occurrences[end.task.occurrence][end.task.step].failures;
-  const std::uint32_t count = ++failures[spec.is_gang ? 0 : end.task.index];
-  MarkDirty(*job);
-  if (count >= job->submission.queue.max_attempts) {
-    Finish(*job, job_state::kFailed, now);
+  if (end.how == run_end::kFailed && !spec.is_service) {
+    // Also if a later run of the task was adopted before.
+    CountFailure(*job, end.task, end.run, now);
+  }
+}
+
+// Each failed run counts once. A worker lists its end again to a successor of
+// an owner that stored it and did not acknowledge it, and ends of two workers
+// may come in any order.
+void pool_scheduler::CountFailure(graph_job& job, const task_key& task,
+                                  std::uint64_t run, time_point now) {
+  const bool is_gang = SpecOf(job, task).is_gang;
+  auto& failed = job.progress.occurrences[task.occurrence][task.step]
+                     .failed_runs[is_gang ? 0 : task.index];
+  if (std::find(failed.begin(), failed.end(), run) != failed.end()) return;
+  failed.push_back(run);
+  MarkDirty(job);
+  if (failed.size() >= job.submission.queue.max_attempts) {
+    Finish(job, job_state::kFailed, now);
   }
 }
 
@@ -255,9 +266,9 @@
   if (!saved.empty()) state.checkpoint = saved;
   if (spec.is_gang) {
     if (!saved.empty()) step.gang_checkpoint = saved;
-    GangEnded(*job, task, how, now);
+    GangEnded(*job, task, run.number, how, now);
   } else {
-    TaskEnded(*job, task, how, now);
+    TaskEnded(*job, task, run.number, how, now);
   }
 }
 
@@ -299,38 +310,22 @@
 }
 
 void pool_scheduler::TaskEnded(graph_job& job, const task_key& task,
-                               run_end how, time_point now) {
+                               std::uint64_t run, run_end how, time_point now) {
   step_state& step = StepOf(job, task);
   Requeue(step, step.tasks[task.index]);
   if (how != run_end::kFailed || SpecOf(job, task).is_service) return;
-  auto& failures =
-      job.progress.occurrences[task.occurrence][task.step].failures;
-  ++failures[task.index];
-  MarkDirty(job);
-  if (failures[task.index] >= job.submission.queue.max_attempts) {
-    Finish(job, job_state::kFailed, now);
-  }
+  CountFailure(job, task, run, now);
 }
 
 void pool_scheduler::GangEnded(graph_job& job, const task_key& task,
-                               run_end how, time_point now) {
+                               std::uint64_t run, run_end how, time_point now) {
   step_state& step = StepOf(job, task);
   Requeue(step, step.tasks[task.index]);
-  if (how == run_end::kFailed) step.gang_failed = true;
-  if (step.placed > 0) {
-    // Members on sound workers end as broken by themselves; one whose end is
-    // lost must not hold up the next attempt.
-    StopStep(job, task, now);
-    return;
-  }
-  if (!std::exchange(step.gang_failed, false)) return;
-  auto& failures =
-      job.progress.occurrences[task.occurrence][task.step].failures;
-  ++failures[0];
-  MarkDirty(job);
-  if (failures[0] >= job.submission.queue.max_attempts) {
-    Finish(job, job_state::kFailed, now);
-  }
+  if (how == run_end::kFailed) CountFailure(job, task, run, now);
+  if (IsFinal(job.progress.state) || step.placed == 0) return;
+  // Members on sound workers end as broken by themselves; one whose end is lost
+  // must not hold up the next attempt.
+  StopStep(job, task, now);
 }
 
 void pool_scheduler::StopRun(task_run& run, time_point now) {
--- a/src/graph/pool_scheduler.cc
+++ b/src/graph/pool_scheduler.cc
@@ -206,6 +206,8 @@
   ForgetFinished(now);
   CollectStops(now, decisions);
   CollectPaces(decisions);
+  reservations_ = 0;
+  for (auto& [id, worker] : workers_) worker.reserved = {};
   for (const candidate& waiting : WaitingSteps(now, wall_clock_ms)) {
     PlaceStep(waiting, now, decisions);
   }
--- a/src/graph/pool_scheduler.h
+++ b/src/graph/pool_scheduler.h
@@ -57,6 +57,12 @@
   std::vector<approval_request> approvals;
 };
 
+// An end that a worker's agent has listed.
+struct end_mark {
+  std::int64_t incarnation = 0;
+  std::uint64_t sequence = 0;
+};
+
 // Progress that is to be stored, and the ends that may be acknowledged to the
 // workers once it is.
 struct progress_batch {
@@ -64,10 +70,6 @@
     std::string job_id;
     job_progress progress;
   };
-  struct end_mark {
-    std::int64_t incarnation = 0;
-    std::uint64_t sequence = 0;
-  };
   std::vector<entry> jobs;
   std::vector<std::string> forgotten;  // Jobs whose records are to be deleted.
   std::map<std::string, end_mark> ends_by_worker;
@@ -172,10 +174,12 @@
   void EndRun(worker_state& worker, const task_key& task, run_end how,
               std::string_view checkpoint, time_point now);
   void TaskDone(graph_job& job, const task_key& task, time_point now);
-  void TaskEnded(graph_job& job, const task_key& task, run_end how,
-                 time_point now);
-  void GangEnded(graph_job& job, const task_key& task, run_end how,
-                 time_point now);
+  void TaskEnded(graph_job& job, const task_key& task, std::uint64_t run,
+                 run_end how, time_point now);
+  void GangEnded(graph_job& job, const task_key& task, std::uint64_t run,
+                 run_end how, time_point now);
+  void CountFailure(graph_job& job, const task_key& task, std::uint64_t run,
+                    time_point now);
   void Requeue(step_state& step, graph_task& task);
   void StopRun(task_run& run, time_point now);
   void StopStep(graph_job& job, const task_key& member, time_point now);
@@ -194,9 +198,19 @@
                                 bool valid_only);
   worker_state* BestWorker(const candidate& waiting,
                            const std::vector<worker_state*>& allowed,
-                           std::span<const placement> chosen) const;
+                           std::span<const placement> chosen,
+                           time_point now) const;
   std::vector<worker_state*> Allowed(const candidate& waiting, time_point now,
                                      bool valid_only);
+  // Room of a worker for a task that is to run for `estimate`.
+  static resource_vector RoomFor(const worker_state& worker, duration estimate,
+                                 time_point now);
+  bool CanHost(const candidate& waiting, const worker_state& worker,
+               time_point now) const;
+  time_point FreeAt(const worker_state& worker, const resource_vector& need,
+                    time_point now) const;
+  void ReserveForGang(const candidate& waiting, time_point now,
+                      pool_decisions& decisions);
   void AskApproval(const candidate& waiting, time_point now,
                    pool_decisions& decisions);
   void Start(const candidate& waiting, std::span<const placement> chosen,
@@ -213,6 +227,7 @@
   std::deque<std::pair<time_point, std::string>> finished_;  // Oldest first.
   std::vector<std::string> forgotten_;
   bool ends_pending_ = false;  // Ends were applied since the last batch.
+  int reservations_ = 0;       // Made in this pass.
   time_point next_due_ = time_point::max();
 };
 
--- a/src/pools/job_journal.cc
+++ b/src/pools/job_journal.cc
@@ -268,7 +268,7 @@
       const auto read =
           Attempt([&] { return options_.kv->Get(JournalKey(), kCallTimeout); });
       if (read && *read.value &&
-          (*read.value)->value == JournalValue(work.number)) {
+          (*read.value)->value == work.writes.puts.front().value) {
         journal_revision_ = (*read.value)->revision;
         const std::lock_guard lock(mutex_);
         is_stalled_ = false;
--- a/src/pools/job_journal.h
+++ b/src/pools/job_journal.h
@@ -123,7 +123,6 @@
   std::uint64_t journal_revision_ = 0;  // Used by the committing thread only.
   std::uint64_t number_ = 0;
   std::uint64_t tenure_ = 0;
-  std::uint64_t commits_ = 0;
 
   mutable std::mutex mutex_;
   std::condition_variable changed_;
--- a/src/pools/pool_owner.cc
+++ b/src/pools/pool_owner.cc
@@ -245,19 +245,32 @@
     const std::lock_guard lock(mutex_);
     if (!std::exchange(workers_changed_, false)) return;
     next = listed_;
-    roster = roster_;
     for (const auto& [id, worker] : next) {
-      has_new = roster.insert(id).second || has_new;
+      roster.insert(id);
+      has_new = has_new || !roster_.contains(id);
+    }
+    // Workers of earlier owners stay on the list until their runs are known.
+    for (const std::string& id : roster_) {
+      const bool may_run = !scheduler_->IsSettled(options_.clock->Now()) ||
+                           scheduler_->RunsOn(id) > 0;
+      if (may_run) roster.insert(id);
     }
   }
   // A worker is named in the store before it gets work, so that a successor
   // knows where runs may be.
-  if (has_new &&
-      !journal_->StoreWorkers(roster, options_.clock->Now() + kRosterTimeout)) {
+  const bool is_stored =
+      !has_new ||
+      journal_->StoreWorkers(roster, options_.clock->Now() + kRosterTimeout);
+  if (!is_stored) {
     const std::lock_guard lock(mutex_);
     workers_changed_ = true;
     return;
   }
+  // A list that only shrinks need not be waited for. A successor would wait for
+  // the leases of a worker that is named and does not answer.
+  if (!has_new && roster != roster_) {
+    journal_->StoreWorkers(roster, options_.clock->Now());
+  }
   std::vector<std::shared_ptr<agent_session>> ended;
   std::vector<pool_worker> added;
   {
--- a/tests/graph/pool_scheduler_test.cc
+++ b/tests/graph/pool_scheduler_test.cc
@@ -114,7 +114,8 @@
   BOOST_TEST(again.starts[0].checkpoint == again.starts[1].checkpoint);
   const auto batch = rig.Store();
   BOOST_REQUIRE_EQUAL(batch.jobs.size(), 1);
-  BOOST_TEST(batch.jobs[0].progress.occurrences[0][0].failures[0] == 1);
+  BOOST_TEST(batch.jobs[0].progress.occurrences[0][0].failed_runs[0].size() ==
+             1);
 }
 
 // A single "done" of a member says that the whole gang is done.
--- a/tests/graph/takeover_test.cc
+++ b/tests/graph/takeover_test.cc
@@ -23,13 +23,11 @@
 }
 
 void Restore(scheduler_rig& rig, const job_submission& job,
-             std::vector<std::uint32_t> failures = {}) {
+             std::vector<std::uint64_t> failed_runs = {}) {
   job_progress progress = FreshProgress(job.graph);
   progress.state = job_state::kActive;
   progress.has_started = true;
-  if (!failures.empty()) {
-    progress.occurrences[0][0].failures = std::move(failures);
-  }
+  progress.occurrences[0][0].failed_runs[0] = std::move(failed_runs);
   rig.scheduler.Restore(job, std::move(progress), rig.now);
 }
 
@@ -94,6 +92,39 @@
   BOOST_TEST((rig.scheduler.StateOf("job") == job_state::kFailed));
 }
 
+// Found on a day of rolling restarts: an earlier owner had stored a failure and
+// ended before it acknowledged it; the worker listed it again, its successor
+// counted it again, and the job was shown as failed too soon.
+BOOST_AUTO_TEST_CASE(a_stored_failure_is_not_counted_again) {
+  scheduler_rig rig(Successor({"w1"}));
+  rig.AddWorker("w1", kWorker, false);
+  Restore(rig, JobOf("job", {StepOf(1, kSmall)}), {1, 2});
+  rig.agents["w1"].running[{"job", 0, 0, 0}] = RunOf("job", 0, 2);
+  rig.End("w1", {"job", 0, 0, 0}, run_end::kFailed);
+  rig.Report("w1");
+  BOOST_TEST((rig.scheduler.StateOf("job") == job_state::kActive));
+  BOOST_TEST(rig.Step().starts.size() == 1);
+}
+
+// Several members of a gang may fail in one attempt, which is one failure.
+BOOST_AUTO_TEST_CASE(an_attempt_of_a_gang_fails_once) {
+  scheduler_rig rig(Successor({"w1"}));
+  rig.AddWorker("w1", kWorker, false);
+  graph_step gang = StepOf(3, kSmall);
+  gang.is_gang = true;
+  Restore(rig, JobOf("gang", {gang}));
+  for (std::uint32_t at = 0; at < 3; ++at) {
+    rig.agents["w1"].running[{"gang", 0, 0, at}] = RunOf("gang", at, 7);
+    rig.End("w1", {"gang", 0, 0, at}, run_end::kFailed);
+  }
+  rig.Report("w1");
+  BOOST_TEST((rig.scheduler.StateOf("gang") == job_state::kActive));
+  const auto batch = rig.Store();
+  BOOST_REQUIRE_EQUAL(batch.jobs.size(), 1);
+  BOOST_TEST(batch.jobs[0].progress.occurrences[0][0].failed_runs[0].size() ==
+             1);
+}
+
 // A "done" that the earlier owner did not store counts for its successor.
 BOOST_AUTO_TEST_CASE(unacknowledged_results_are_taken_over) {
   scheduler_rig rig(Successor({"w1"}));
