Write logs through a bounded queue and count what pools do

Cause: each log line was a write on the deciding thread, and a stalled reader would have held it up; the pools had no metrics.

--- a/src/daemon/daemon_events.h
+++ b/src/daemon/daemon_events.h
@@ -24,4 +24,7 @@
 inline constexpr log_event_kind kSettingsInvalid{1910, "settings_invalid",
                                                  severity::kError};
 
+inline constexpr log_event_kind kLogLinesDropped{1911, "log_lines_dropped",
+                                                 severity::kWarning};
+
 }  // namespace apricotwheel
--- a/src/daemon/logging.cc
+++ b/src/daemon/logging.cc
@@ -1,8 +1,12 @@
 #include "daemon/logging.h"
 
 #include <easylogging++.h>
+#include <time.h>
 
-#include <string>
+#include <array>
+#include <utility>
+
+#include "daemon/daemon_events.h"
 
 INITIALIZE_EASYLOGGINGPP
 
@@ -10,46 +14,95 @@
 
 namespace {
 
-severity ParseLevel(std::string_view level) {
-  for (const auto known : {severity::kDebug, severity::kInfo,
-                           severity::kWarning, severity::kError}) {
-    if (level == ToString(known)) return known;
+// Lines are written together when the writer wakes.
+constexpr auto kWriteInterval = milliseconds(50);
+
+// ISO 8601 in UTC with milliseconds.
+std::string TimeOfDay() {
+  const std::int64_t now_ms = WallClockMs();
+  const time_t seconds = now_ms / 1000;
+  tm parts{};
+  gmtime_r(&seconds, &parts);
+  std::array<char, 32> text{};
+  const std::size_t length =
+      strftime(text.data(), text.size(), "%Y-%m-%dT%H:%M:%S", &parts);
+  const std::string fraction = std::to_string(1000 + now_ms % 1000).substr(1);
+  return std::string(text.data(), length) + "." + fraction + "Z";
+}
+
+std::string LineOf(const log_event& event) {
+  return TimeOfDay() + " level=" + std::string(ToString(event.kind.level)) +
+         " " + FormatEvent(event);
+}
+
+}  // namespace
+
+log_queue::log_queue(log_queue_options options)
+    : options_(std::move(options)) {}
+
+result<void> log_queue::Start() {
+  return threads_.Spawn("log", [this] { Run(); });
+}
+
+void log_queue::Stop() {
+  {
+    const std::lock_guard lock(mutex_);
+    is_stopped_ = true;
   }
-  return severity::kInfo;
+  changed_.notify_all();
+  threads_.JoinAll();
 }
 
-void Write(const log_event& event) {
-  const std::string line = FormatEvent(event);
-  switch (event.kind.level) {
-    case severity::kDebug:
-      LOG(DEBUG) << line;
-      return;
-    case severity::kInfo:
-      LOG(INFO) << line;
-      return;
-    case severity::kWarning:
-      LOG(WARNING) << line;
-      return;
-    case severity::kError:
-      LOG(ERROR) << line;
-      return;
+void log_queue::Add(const log_event& event) {
+  if (event.kind.level < options_.lowest) return;
+  std::string line = LineOf(event);
+  const std::lock_guard lock(mutex_);
+  if (lines_.size() >= options_.max_lines) {
+    ++dropped_;
+    return;
   }
+  lines_.push_back(std::move(line));
+  // The writer sleeps without a limit only while nothing waits.
+  if (lines_.size() == 1) changed_.notify_one();
 }
 
-}  // namespace
+void log_queue::Run() {
+  while (true) {
+    std::deque<std::string> lines;
+    std::uint64_t dropped = 0;
+    {
+      std::unique_lock lock(mutex_);
+      options_.clock->WaitUntil(lock, changed_, time_point::max(),
+                                [&] { return is_stopped_ || !lines_.empty(); });
+      options_.clock->WaitFor(lock, changed_, kWriteInterval,
+                              [&] { return is_stopped_; });
+      if (lines_.empty()) return;
+      lines.swap(lines_);
+      dropped = std::exchange(dropped_, 0);
+    }
+    for (const std::string& line : lines) options_.write(line);
+    if (dropped > 0) {
+      options_.write(LineOf({kLogLinesDropped, {Field("count", dropped)}}));
+    }
+  }
+}
+
+severity ParseSeverity(std::string_view level) {
+  for (const auto known : {severity::kDebug, severity::kInfo,
+                           severity::kWarning, severity::kError}) {
+    if (level == ToString(known)) return known;
+  }
+  return severity::kInfo;
+}
 
-log_sink StartLogging(std::string_view level) {
+std::function<void(const std::string& line)> StandardOutput() {
   el::Configurations settings;
   settings.setToDefault();
   settings.setGlobally(el::ConfigurationType::ToFile, "false");
   settings.setGlobally(el::ConfigurationType::ToStandardOutput, "true");
-  settings.setGlobally(el::ConfigurationType::Format,
-                       "%datetime{%Y-%M-%dT%H:%m:%s.%g} level=%level %msg");
+  settings.setGlobally(el::ConfigurationType::Format, "%msg");
   el::Loggers::setDefaultConfigurations(settings, true);
-  const severity lowest = ParseLevel(level);
-  return [lowest](const log_event& event) {
-    if (event.kind.level >= lowest) Write(event);
-  };
+  return [](const std::string& line) { LOG(INFO) << line; };
 }
 
 }  // namespace apricotwheel
--- a/src/daemon/main.cc
+++ b/src/daemon/main.cc
@@ -21,6 +21,8 @@
 constexpr int kExitOk = 0;
 constexpr int kExitFailed = 1;
 constexpr int kExitInvalid = 2;
+// Some seconds of a daemon's busiest output, about 1 MB.
+constexpr std::size_t kMaxLogLines = 4096;
 
 // Blocks the signals in this thread and in all that it starts, so that only
 // `WaitForStopSignal` receives them.
@@ -85,7 +87,14 @@
     return kExitOk;
   }
   const sigset_t signals = BlockStopSignals();
-  const log_sink log = StartLogging(checked.settings->log_level);
+  log_queue logs({ParseSeverity(checked.settings->log_level), kMaxLogLines,
+                  runtime_clock::Running(), StandardOutput()});
+  const auto logging = Attempt([&] { return logs.Start(); });
+  if (!logging) {
+    std::cerr << Describe(logging.failure) << "\n";
+    return kExitFailed;
+  }
+  const log_sink log = logs.Sink();
   return checked.settings->service_adapter.empty()
              ? Serve<daemon_process>(path, *checked.settings, signals, log)
              : Serve<pool_daemon>(path, *checked.settings, signals, log);
--- a/src/daemon/pool_daemon.cc
+++ b/src/daemon/pool_daemon.cc
@@ -42,6 +42,8 @@
       clock_(std::move(clock)),
       log_(std::move(log)),
       metrics_(std::make_shared<prometheus::Registry>()),
+      pool_metrics_(metrics_),
+      process_metrics_(*metrics_),
       boot_signal_(clock_) {}
 
 pool_daemon::~pool_daemon() { StopParts(); }
@@ -85,6 +87,7 @@
   BOOST_LEAF_ASSIGN(operators_, http_listener::Bind(operators));
   operators_->Server().Get(
       "/metrics", [this](const httplib::Request&, httplib::Response& reply) {
+        process_metrics_.Update(Totals());
         const prometheus::TextSerializer serializer;
         reply.set_content(serializer.Serialize(metrics_->Collect()),
                           "text/plain; version=0.0.4");
@@ -154,13 +157,14 @@
   host.peers = peers_.get();
   host.directory = directory_.get();
   host.ports = &ports_;
+  host.metrics = &pool_metrics_;
   host.clock = clock_;
   host.log = log_;
   host_ = std::make_unique<pool_host>(std::move(host));
   BOOST_LEAF_CHECK(host_->Start());
   BOOST_LEAF_CHECK(directory_->Start());
-  gate_->Open(
-      {kv_.get(), peers_.get(), directory_.get(), host_.get(), clock_, log_});
+  gate_->Open({kv_.get(), peers_.get(), directory_.get(), host_.get(),
+               &pool_metrics_, clock_, log_});
   configuration_ = std::make_unique<kv_follower>(
       kv_follower_options{ports_.configuration_key, kv_.get(), clock_, log_},
       kv_follower::callbacks{
@@ -188,6 +192,17 @@
   directory_->SetPools(std::move(pools));
 }
 
+control_totals pool_daemon::Totals() {
+  control_totals totals;
+  totals.kv_calls = kv_->Calls();
+  const std::lock_guard lock(parts_mutex_);
+  if (!peers_) return totals;
+  totals.peer_bytes_sent = peers_->BytesSent();
+  totals.peer_bytes_received = peers_->BytesReceived();
+  totals.peer_messages_sent = peers_->MessagesSent();
+  return totals;
+}
+
 bool pool_daemon::IsReady() const { return !stopping_ && gate_->IsOpen(); }
 
 void pool_daemon::DrainAndStop() {
--- a/src/daemon/pool_daemon.h
+++ b/src/daemon/pool_daemon.h
@@ -7,6 +7,7 @@
 #include "clients/http_listener.h"
 #include "clients/kv_client.h"
 #include "config/settings.h"
+#include "daemon/process_metrics.h"
 #include "kernel/clock.h"
 #include "kernel/error.h"
 #include "kernel/log.h"
@@ -16,6 +17,7 @@
 #include "pools/kv_follower.h"
 #include "pools/pool_directory.h"
 #include "pools/pool_host.h"
+#include "pools/pool_metrics.h"
 #include "pools/queue_gate.h"
 #include "pools/service_ports.h"
 
@@ -42,6 +44,7 @@
   result<void> StartParts(std::string peer_key);
   void ConfigurationChanged(const kv_event& event);
   bool IsReady() const;
+  control_totals Totals();
   void StopParts();
 
   const daemon_settings settings_;
@@ -49,6 +52,8 @@
   const clock_ptr clock_;
   const log_sink log_;
   const metrics_ptr metrics_;
+  pool_metrics pool_metrics_;
+  process_metrics process_metrics_;
   service_ports ports_;
   std::unique_ptr<kv_client> kv_;
   std::unique_ptr<queue_gate> gate_;
--- a/src/graph/worker_report.h
+++ b/src/graph/worker_report.h
@@ -1,8 +1,9 @@
 #pragma once
 
-#include <compare>
 #include <cstdint>
 #include <string>
+#include <string_view>
+#include <tuple>
 #include <vector>
 
 #include "kernel/resources.h"
@@ -16,7 +17,11 @@
   std::uint32_t step = 0;
   std::uint32_t index = 0;
 
-  friend auto operator<=>(const task_key&, const task_key&) = default;
+  friend bool operator==(const task_key&, const task_key&) = default;
+  friend bool operator<(const task_key& left, const task_key& right) {
+    return std::tie(left.job_id, left.occurrence, left.step, left.index) <
+           std::tie(right.job_id, right.occurrence, right.step, right.index);
+  }
 };
 
 // A worker of a pool, as discovery names it.
@@ -88,4 +93,7 @@
   kUnknown,        // No answer: it may run, now or later.
 };
 
+std::string_view ToString(run_end how);
+std::string_view ToString(start_answer answer);
+
 }  // namespace apricotwheel
--- a/src/pools/job_journal.cc
+++ b/src/pools/job_journal.cc
@@ -253,11 +253,15 @@
 
 bool job_journal::CommitGroup(group& work) {
   bool may_have_run = false;
+  const auto started_at = options_.clock->Now();
   while (true) {
     const auto written =
         Attempt([&] { return options_.kv->Commit(work.writes, kCallTimeout); });
     if (written) {
       journal_revision_ = *written;
+      const std::chrono::duration<double> took =
+          options_.clock->Now() - started_at;
+      options_.metrics->commit_seconds.Observe(took.count());
       const std::lock_guard lock(mutex_);
       is_stalled_ = false;
       return true;
@@ -280,6 +284,7 @@
     } else if (kind != error_kind::kUnavailable) {
       may_have_run = true;
     }
+    options_.metrics->commit_failures.Increment();
     Emit(options_.log, pool_events::kCommitFailed,
          {Field("pool", options_.pool), Field("number", work.number),
           Field("reason", Describe(written.failure))});
--- a/src/pools/job_journal.h
+++ b/src/pools/job_journal.h
@@ -16,6 +16,7 @@
 #include "kernel/clock.h"
 #include "kernel/log.h"
 #include "kernel/thread_group.h"
+#include "pools/pool_metrics.h"
 
 namespace apricotwheel {
 
@@ -47,7 +48,8 @@
   std::string owner_key;
   std::uint64_t epoch = 0;  // Revision of the owner key.
   std::string writer;       // Member id.
-  kv_client* kv = nullptr;  // Outlives the journal.
+  kv_client* kv = nullptr;  // These outlive the journal.
+  pool_metrics* metrics = nullptr;
   clock_ptr clock;
   log_sink log;
 };
--- a/src/pools/pool_calls.cc
+++ b/src/pools/pool_calls.cc
@@ -15,6 +15,32 @@
 
 }  // namespace
 
+std::string_view ToString(job_answer answer) {
+  switch (answer) {
+    case job_answer::kAccepted:
+      return "accepted";
+    case job_answer::kRefused:
+      return "refused";
+    case job_answer::kUnavailable:
+      return "unavailable";
+    case job_answer::kUnknown:
+      return "unknown";
+    case job_answer::kState:
+      return "state";
+    case job_answer::kCancelled:
+      return "cancelled";
+    case job_answer::kAbsent:
+      return "absent";
+    case job_answer::kCount:
+      return "count";
+    case job_answer::kNoQueue:
+      return "no_queue";
+    case job_answer::kInvalid:
+      return "invalid";
+  }
+  return "unknown";
+}
+
 std::string EncodeReply(const gate_reply& reply) {
   return json{{"answer", static_cast<int>(reply.answer)},
               {"state", ToString(reply.state)},
--- a/src/pools/pool_calls.h
+++ b/src/pools/pool_calls.h
@@ -41,6 +41,8 @@
 inline constexpr std::string_view kPendingTopic = "pending";  // {pool, queue}
 inline constexpr std::string_view kAdviseTopic = "advise";    // {job, ...}
 
+std::string_view ToString(job_answer answer);
+
 std::string EncodeReply(const gate_reply& reply);
 result<gate_reply> DecodeReply(std::string_view json);
 
--- a/src/pools/pool_host.cc
+++ b/src/pools/pool_host.cc
@@ -163,6 +163,8 @@
     owners_[pool] = owner;
   }
   if (!missing.empty()) PublishWorkers();
+  const std::lock_guard lock(mutex_);
+  options_.metrics->owned_pools.Set(static_cast<double>(owners_.size()));
 }
 
 std::shared_ptr<pool_owner> pool_host::MakeOwner(const std::string& pool,
@@ -176,6 +178,7 @@
   owner.task_lease = options_.settings.task_lease;
   owner.kv = options_.kv;
   owner.ports = options_.ports;
+  owner.metrics = options_.metrics;
   owner.members = [directory = options_.directory] {
     std::vector<std::string> ids;
     for (const member& one : directory->Members()) {
@@ -185,7 +188,11 @@
   };
   owner.ask_through = [this](const std::string& member_id,
                              const approval_request& request) {
-    return AskThrough(member_id, request);
+    const auto asked_at = options_.clock->Now();
+    auto answer = AskThrough(member_id, request);
+    const std::chrono::duration<double> took = options_.clock->Now() - asked_at;
+    options_.metrics->approval_seconds.Observe(took.count());
+    return answer;
   };
   owner.succeeded = [this, pool, epoch] {
     // Called from the owner's threads, which the host joins.
--- a/src/pools/pool_host.h
+++ b/src/pools/pool_host.h
@@ -16,6 +16,7 @@
 #include "peer/peer_node.h"
 #include "pools/kv_follower.h"
 #include "pools/pool_directory.h"
+#include "pools/pool_metrics.h"
 #include "pools/pool_owner.h"
 #include "pools/service_ports.h"
 
@@ -27,6 +28,7 @@
   peer_node* peers = nullptr;
   pool_directory* directory = nullptr;
   const service_ports* ports = nullptr;
+  pool_metrics* metrics = nullptr;
   clock_ptr clock;
   log_sink log;
 };
--- /dev/null
+++ b/src/pools/pool_metrics.cc
@@ -0,0 +1,55 @@
+#include "pools/pool_metrics.h"
+
+namespace apricotwheel {
+
+pool_metrics::pool_metrics(metrics_ptr metrics)
+    : registry(std::move(metrics)),
+      answers(prometheus::BuildCounter()
+                  .Name("apricotwheel_queue_answers_total")
+                  .Help("Answers to callers by verb and answer")
+                  .Register(*registry)),
+      answer_seconds(prometheus::BuildHistogram()
+                         .Name("apricotwheel_queue_answer_seconds")
+                         .Help("Time to the answer to a caller by verb")
+                         .Register(*registry)),
+      starts(prometheus::BuildCounter()
+                 .Name("apricotwheel_run_starts_total")
+                 .Help("Answers of workers to orders to start a run")
+                 .Register(*registry)),
+      commit_seconds(prometheus::BuildHistogram()
+                         .Name("apricotwheel_pool_commit_seconds")
+                         .Help("Time to commit a group of records")
+                         .Register(*registry)
+                         .Add({}, LatencyBuckets())),
+      commit_failures(prometheus::BuildCounter()
+                          .Name("apricotwheel_pool_commit_failures_total")
+                          .Help("Tries to commit that failed")
+                          .Register(*registry)
+                          .Add({})),
+      worker_reports(prometheus::BuildCounter()
+                         .Name("apricotwheel_worker_reports_total")
+                         .Help("Reports that workers sent")
+                         .Register(*registry)
+                         .Add({})),
+      approval_seconds(prometheus::BuildHistogram()
+                           .Name("apricotwheel_approval_seconds")
+                           .Help("Time of a call to the policy advisor")
+                           .Register(*registry)
+                           .Add({}, LatencyBuckets())),
+      owned_pools(prometheus::BuildGauge()
+                      .Name("apricotwheel_owned_pools")
+                      .Help("Pools that this daemon owns")
+                      .Register(*registry)
+                      .Add({})) {}
+
+void pool_metrics::Answered(const std::string& verb, const std::string& answer,
+                            double seconds) {
+  answers.Add({{"verb", verb}, {"answer", answer}}).Increment();
+  answer_seconds.Add({{"verb", verb}}, LatencyBuckets()).Observe(seconds);
+}
+
+void pool_metrics::Started(const std::string& answer) {
+  starts.Add({{"answer", answer}}).Increment();
+}
+
+}  // namespace apricotwheel
--- /dev/null
+++ b/src/pools/pool_metrics.h
@@ -0,0 +1,30 @@
+#pragma once
+
+#include <string>
+
+#include "kernel/metrics.h"
+
+namespace apricotwheel {
+
+// The metric families of this package; one object a process.
+struct pool_metrics {
+  explicit pool_metrics(metrics_ptr registry);
+
+  // A caller's request was answered after `seconds`.
+  void Answered(const std::string& verb, const std::string& answer,
+                double seconds);
+  // A worker answered an order to start a run.
+  void Started(const std::string& answer);
+
+  metrics_ptr registry;  // Keeps the families alive.
+  prometheus::Family<prometheus::Counter>& answers;
+  prometheus::Family<prometheus::Histogram>& answer_seconds;
+  prometheus::Family<prometheus::Counter>& starts;
+  prometheus::Histogram& commit_seconds;
+  prometheus::Counter& commit_failures;
+  prometheus::Counter& worker_reports;
+  prometheus::Histogram& approval_seconds;
+  prometheus::Gauge& owned_pools;
+};
+
+}  // namespace apricotwheel
--- a/src/pools/pool_owner.cc
+++ b/src/pools/pool_owner.cc
@@ -46,6 +46,7 @@
   journal.epoch = options_.epoch;
   journal.writer = options_.member_id;
   journal.kv = options_.kv;
+  journal.metrics = options_.metrics;
   journal.clock = options_.clock;
   journal.log = options_.log;
   journal_ = std::make_unique<job_journal>(journal, JournalCallbacks());
@@ -338,6 +339,7 @@
 agent_session::callbacks pool_owner::CallbacksFor(const std::string& id) {
   agent_session::callbacks calls;
   calls.reported = [this, id](const worker_report& report, time_point sent_at) {
+    options_.metrics->worker_reports.Increment();
     const std::lock_guard lock(mutex_);
     scheduler_->Report(id, report, sent_at, options_.clock->Now());
     if (!listed_.contains(id)) workers_changed_ = true;
@@ -350,6 +352,7 @@
     WakeLoop();
   };
   calls.start_answered = [this](const start_order& order, start_answer answer) {
+    options_.metrics->Started(std::string(ToString(answer)));
     const std::lock_guard lock(mutex_);
     scheduler_->StartAnswered(order, answer, options_.clock->Now());
     if (answer != start_answer::kStarted) WakeLoop();
--- a/src/pools/pool_owner.h
+++ b/src/pools/pool_owner.h
@@ -19,6 +19,7 @@
 #include "pools/approval_desk.h"
 #include "pools/job_journal.h"
 #include "pools/pool_calls.h"
+#include "pools/pool_metrics.h"
 #include "pools/service_ports.h"
 
 namespace apricotwheel {
@@ -35,6 +36,7 @@
   approval_desk::member_source members;
   approval_desk::asker ask_through;
   std::function<void()> succeeded;  // Another owner has been seen.
+  pool_metrics* metrics = nullptr;  // Outlives the owner.
   clock_ptr clock;
   log_sink log;
 };
--- a/src/pools/queue_gate.cc
+++ b/src/pools/queue_gate.cc
@@ -143,7 +143,7 @@
       });
   Emit(log_, pool_events::kJobAnswered,
        {Field("job", job.id), Field("queue", queue.name),
-        Field("answer", static_cast<int>(reply.answer)),
+        Field("answer", ToString(reply.answer)),
         Field("ms", std::chrono::duration_cast<milliseconds>(clock_->Now() -
                                                              received_at)
                         .count()),
@@ -212,11 +212,10 @@
                 [&](pool_owner& owner, time_point deadline) {
                   return owner.Cancel(job_id, deadline);
                 });
-  Emit(
-      log_, pool_events::kJobAnswered,
-      {Field("job", job_id), Field("queue", queue.name),
-       Field("verb", "cancel"), Field("answer", static_cast<int>(reply.answer)),
-       Field("reason", reply.reason)});
+  Emit(log_, pool_events::kJobAnswered,
+       {Field("job", job_id), Field("queue", queue.name),
+        Field("verb", "cancel"), Field("answer", ToString(reply.answer)),
+        Field("reason", reply.reason)});
   return reply;
 }
 
--- a/src/pools/queue_gate.h
+++ b/src/pools/queue_gate.h
@@ -14,6 +14,7 @@
 #include "pools/pool_calls.h"
 #include "pools/pool_directory.h"
 #include "pools/pool_host.h"
+#include "pools/pool_metrics.h"
 #include "pools/service_ports.h"
 
 namespace apricotwheel {
@@ -35,6 +36,7 @@
   peer_node* peers = nullptr;
   pool_directory* directory = nullptr;
   pool_host* host = nullptr;
+  pool_metrics* metrics = nullptr;
   clock_ptr clock;
   log_sink log;
 };
@@ -70,6 +72,9 @@
   gate_reply CallOwner(const std::string& pool, std::string_view topic,
                        const std::string& body, time_point deadline,
                        const local_call& local);
+  gate_reply TryOwner(const std::string& pool, std::string_view topic,
+                      const std::string& body, time_point deadline,
+                      const local_call& local);
   std::optional<gate_reply> StoredState(const std::string& pool,
                                         const std::string& job_id);
   gate_reply StateElsewhere(const std::string& pool, const std::string& job_id);
--- a/tests/pools/job_journal_test.cc
+++ b/tests/pools/job_journal_test.cc
@@ -27,6 +27,7 @@
   progress_batch next_progress;
   int stored_batches = 0;
   std::atomic<bool> succeeded = false;
+  pool_metrics metrics{std::make_shared<prometheus::Registry>()};
   std::unique_ptr<job_journal> journal;
 
   rig(fake_store& service, std::uint64_t epoch) : store(service) {
@@ -36,6 +37,7 @@
     options.epoch = epoch;
     options.writer = "member-" + std::to_string(epoch);
     options.kv = kv.get();
+    options.metrics = &metrics;
     options.clock = clock;
     job_journal::callbacks calls;
     calls.take_progress = [this] {
--- a/tests/pools/pool_owner_test.cc
+++ b/tests/pools/pool_owner_test.cc
@@ -122,6 +122,7 @@
   service_ports ports;
   std::atomic<int> successions = 0;
   std::uint64_t epoch = 0;
+  pool_metrics metrics{std::make_shared<prometheus::Registry>()};
   std::unique_ptr<pool_owner> owner;
 
   rig() {
@@ -142,6 +143,7 @@
     options.member_lease = milliseconds(1000);
     options.task_lease = milliseconds(6000);
     options.kv = kv.get();
+    options.metrics = &metrics;
     options.ports = &ports;
     options.members = [] { return std::vector<std::string>{"member"}; };
     options.succeeded = [this] { ++successions; };
