--- a/src/clients/kv_client.cc
+++ b/src/clients/kv_client.cc
@@ -212,7 +212,7 @@
 kv_client::~kv_client() = default;
 
 result<std::unique_ptr<kv_client>> kv_client::Create(
-    kv_client_options options) {
+    const kv_client_options& options) {
   BOOST_LEAF_AUTO(peer, ParseEndpoint(options.address));
   const auto service = std::make_shared<http_kv>(peer);
   service->connect_timeout = options.connect_timeout;
--- a/src/clients/kv_client.h
+++ b/src/clients/kv_client.h
@@ -99,7 +99,8 @@
 // docs/contracts/key-value-service.md; it carries one write at a time.
 class kv_client {
  public:
-  static result<std::unique_ptr<kv_client>> Create(kv_client_options options);
+  static result<std::unique_ptr<kv_client>> Create(
+      const kv_client_options& options);
   static std::unique_ptr<kv_client> Create(kv_protocol protocol,
                                            duration call_timeout);
   ~kv_client();
--- a/src/daemon/pool_daemon.cc
+++ b/src/daemon/pool_daemon.cc
@@ -26,7 +26,7 @@
 result<std::string> SharedPeerKey(kv_client& kv) {
   BOOST_LEAF_AUTO(stored, kv.Get(kPeerKeyKey));
   if (stored) return stored->value;
-  const std::string fresh = RandomHex(kPeerKeyBytes);
+  std::string fresh = RandomHex(kPeerKeyBytes);
   kv_put_options only_first;
   only_first.expected_revision = 0;
   BOOST_LEAF_CHECK(kv.Put(kPeerKeyKey, fresh, only_first));
--- a/src/graph/pool_model.h
+++ b/src/graph/pool_model.h
@@ -79,6 +79,7 @@
   std::uint32_t done = 0;
   std::string gang_checkpoint;  // Of all members of the next attempt.
   approval_book approvals;
+  std::set<std::string> kept_on;  // Workers whose room was kept for the gang.
 };
 
 struct graph_job {
--- a/src/graph/pool_placement.cc
+++ b/src/graph/pool_placement.cc
@@ -30,6 +30,8 @@
 constexpr int kMaxReservations = 3;
 // When a run that has outlasted its estimate is taken to end.
 constexpr auto kOverdueRun = milliseconds(400);
+// A gang's room moves to another worker only if that is free this much sooner.
+constexpr auto kKeptAdvantage = milliseconds(1500);
 // Approvals for a reserved gang are asked for this long before they are needed,
 // on top of the time that the advisor takes.
 constexpr auto kAskAhead = milliseconds(250);
@@ -254,9 +256,12 @@
                                pool_decisions& decisions) {
   const auto chosen = Choose(waiting, now, true);
   if (!chosen.empty()) Start(waiting, chosen, now, decisions);
-  if (!waiting.job->submission.queue.advisor) return;
   step_state& step = waiting.job->occurrences[waiting.occurrence][waiting.step];
-  if (step.waiting == 0 || step.approvals.is_asking) return;
+  if (step.waiting == 0) return;
+  const graph_step& spec = waiting.job->submission.graph.steps[waiting.step];
+  if (spec.is_gang) ReserveForGang(waiting, now, decisions);
+  if (!waiting.job->submission.queue.advisor) return;
+  if (step.approvals.is_asking) return;
   if (now < step.approvals.retry_at) {
     next_due_ = std::min(next_due_, step.approvals.retry_at);
     return;
@@ -314,7 +319,10 @@
       const resource_vector need =
           found == wanted.end() ? spec.need : found->second + spec.need;
       if (!Fits(need, worker.info.capacity)) continue;
-      const time_point free_at = FreeAt(worker, need, now);
+      time_point free_at = FreeAt(worker, need, now);
+      if (free_at == time_point::max()) continue;
+      // Room that has been kept for a while is worth more than room elsewhere.
+      if (step.kept_on.contains(id)) free_at -= kKeptAdvantage;
       if (free_at < best_at) {
         best = &worker;
         best_at = free_at;
@@ -325,7 +333,9 @@
     ready_at = std::max(ready_at, best_at);
   }
   ++reservations_;
+  step.kept_on.clear();
   for (const auto& [worker, need] : wanted) {
+    step.kept_on.insert(worker->info.id);
     worker->reserved = need;
     worker->reserved_from = ready_at;
   }
--- a/src/pools/approval_desk.cc
+++ b/src/pools/approval_desk.cc
@@ -45,8 +45,8 @@
 void approval_desk::Ask(approval_request request) {
   {
     const std::lock_guard lock(mutex_);
-    const std::uint64_t number = ++last_number_;
-    waiting_[{request.priority, number}] = {std::move(request), number, 0};
+    const std::pair place(request.priority, ++last_number_);
+    waiting_[place] = {std::move(request), place.second, 0};
   }
   changed_.notify_one();
 }
@@ -92,7 +92,8 @@
             Field("reason", Describe(answer.failure))});
       avoid_until_[member] = clock_->Now() + kAvoidMember;
       if (++next.tries < kMaxTries && !is_stopped_) {
-        waiting_[{next.request.priority, next.number}] = std::move(next);
+        const std::pair place(next.request.priority, next.number);
+        waiting_[place] = std::move(next);
         continue;
       }
     }
--- a/src/pools/job_journal.cc
+++ b/src/pools/job_journal.cc
@@ -112,9 +112,15 @@
     }
     contents.jobs.push_back(std::move(stored));
   }
-  for (const auto& [id, text] : progress) {
-    const auto state = Attempt([&] { return DecodeProgressState(text); });
-    if (state) contents.finished.emplace_back(id, *state);
+  for (const auto& row : progress) {
+    const auto state = Attempt([&] { return DecodeProgressState(row.second); });
+    if (state) {
+      contents.finished.emplace_back(row.first, *state);
+    } else {
+      Emit(options_.log, pool_events::kRecordInvalid,
+           {Field("key", ProgressKey(options_.pool, row.first)),
+            Field("reason", Describe(state.failure))});
+    }
   }
   return contents;
 }
--- a/src/pools/pool_directory.cc
+++ b/src/pools/pool_directory.cc
@@ -342,10 +342,10 @@
       }
     }
   }
-  for (const auto& [pool, revision] : owned) {
+  for (const auto& one : owned) {
     // If this fails, the pool is free when the lease ends.
     Attempt([&] {
-      return options_.kv->Remove(OwnerKey(pool), revision,
+      return options_.kv->Remove(OwnerKey(one.first), one.second,
                                  deadline - options_.clock->Now());
     });
   }
--- a/src/pools/queue_gate.cc
+++ b/src/pools/queue_gate.cc
@@ -91,7 +91,7 @@
     const auto owner = parts.directory->OwnerOf(pool);
     if (owner && owner->member_id == parts.directory->SelfId()) {
       if (const auto own = parts.host->OwnerOf(pool)) {
-        const gate_reply reply = local(*own, deadline);
+        gate_reply reply = local(*own, deadline);
         if (reply.answer != job_answer::kUnavailable) return reply;
         reason = reply.reason;
       }
@@ -136,11 +136,11 @@
   const auto received_at = clock_->Now();
   const auto patience =
       std::min<duration>(budget - kAnswerReserve, kOwnerPatience);
-  const gate_reply reply = CallOwner(
-      queue.pool, kSubmitTopic, EncodeSubmission(job), received_at + patience,
-      [&](pool_owner& owner, time_point deadline) {
-        return owner.Submit(job, deadline);
-      });
+  gate_reply reply = CallOwner(queue.pool, kSubmitTopic, EncodeSubmission(job),
+                               received_at + patience,
+                               [&](pool_owner& owner, time_point deadline) {
+                                 return owner.Submit(job, deadline);
+                               });
   Emit(log_, pool_events::kJobAnswered,
        {Field("job", job.id), Field("queue", queue.name),
         Field("answer", ToString(reply.answer)),
--- /dev/null
+++ b/tests/graph/gang_pattern_test.cc
@@ -0,0 +1,104 @@
+#include <boost/test/unit_test.hpp>
+
+#include "tests/graph/scheduler_rig.h"
+
+namespace apricotwheel {
+namespace {
+
+using testing::JobOf;
+using testing::scheduler_rig;
+using testing::StepOf;
+
+constexpr auto kTick = milliseconds(100);
+constexpr std::int64_t kSingleMs = 1000;
+constexpr resource_vector kSingle{1000, 1024, 1};
+constexpr resource_vector kWholeVm{8000, 8192, 8};
+
+// Singles that arrive as fast as they end, in a pool that they fill.
+struct single_stream {
+  scheduler_rig rig;
+  std::map<task_key, time_point> ends_at;
+  int submitted = 0;
+
+  single_stream() {
+    rig.AddWorker("w1", {64'000, 262'144, 8});
+    rig.AddWorker("w2", {64'000, 262'144, 8});
+    // Their ends are spread over a run time.
+    for (int at = 0; at < 20; ++at) {
+      Submit(2);
+      Tick();
+    }
+  }
+
+  void Submit(int count) {
+    for (int at = 0; at < count; ++at) {
+      auto step = StepOf(1, kSingle);
+      step.estimate_ms = kSingleMs;
+      rig.scheduler.Admit(
+          JobOf("single" + std::to_string(submitted++), {step}, 2), rig.now);
+    }
+  }
+  // Passes a tick, in which runs that are over end.
+  void Tick() {
+    for (auto& [id, agent] : rig.agents) {
+      std::vector<task_key> over;
+      for (const auto& [task, run] : agent.running) {
+        const auto found = ends_at.find(task);
+        if (found != ends_at.end() && found->second <= rig.now) {
+          over.push_back(task);
+        }
+      }
+      for (const task_key& task : over) rig.End(id, task, run_end::kDone);
+    }
+    rig.ReportAll();
+    for (const start_order& order : rig.Step().starts) {
+      ends_at[order.task] = rig.now + milliseconds(kSingleMs);
+    }
+    rig.Pass(kTick);
+  }
+};
+
+// A gang that needs a whole VM, in a pool whose accelerators are taken by
+// singles one by one as they become free. Without room kept for it, it waits
+// for as long as singles come.
+BOOST_AUTO_TEST_CASE(a_stream_of_singles_does_not_starve_a_whole_vm_gang) {
+  single_stream stream;
+  auto gang = StepOf(1, kWholeVm);
+  gang.is_gang = true;
+  stream.rig.scheduler.Admit(JobOf("gang", {gang}, 1), stream.rig.now);
+  int ticks = 0;
+  // A VM is free when the last single on it has ended; the bound is twice that.
+  const int bound = 2 * static_cast<int>(milliseconds(kSingleMs) / kTick);
+  while (stream.rig.scheduler.StateOf("gang") == job_state::kQueued &&
+         ticks < bound) {
+    stream.Submit(2);
+    stream.Tick();
+    ++ticks;
+  }
+  BOOST_TEST((stream.rig.scheduler.StateOf("gang") == job_state::kActive),
+             "the gang still waits after " << ticks << " ticks");
+}
+
+// Room is kept on one VM only: the other stays in use while the gang waits.
+BOOST_AUTO_TEST_CASE(room_that_a_gang_does_not_need_stays_in_use) {
+  constexpr std::size_t kInUse = 6;  // Of 8, as two singles come in a tick.
+  single_stream stream;
+  auto gang = StepOf(1, kWholeVm);
+  gang.is_gang = true;
+  stream.rig.scheduler.Admit(JobOf("gang", {gang}, 1), stream.rig.now);
+  std::map<std::string, std::size_t> least = {{"w1", 8}, {"w2", 8}};
+  for (int ticks = 0; ticks < 20; ++ticks) {
+    if (stream.rig.scheduler.StateOf("gang") != job_state::kQueued) break;
+    for (auto& [id, count] : least) {
+      count = std::min(count, stream.rig.agents[id].running.size());
+    }
+    stream.Submit(2);
+    stream.Tick();
+  }
+  const bool is_first =
+      stream.rig.agents["w1"].running.contains({"gang", 0, 0, 0});
+  BOOST_TEST(least[is_first ? "w2" : "w1"] >= kInUse);
+}
+
+}  // namespace
+}  // namespace apricotwheel
