--- a/src/graph/job_graph.h
+++ b/src/graph/job_graph.h
@@ -58,8 +58,10 @@
   std::string pool;  // The workers that run the queue's tasks.
   int priority = 0;  // 0 is the most urgent.
   std::uint32_t max_attempts = 1;
-  double slowdown_limit = 1;  // Latency objective: this times the critical
-  duration target{};          // path, plus `target`.
+  // A job's latency objective is its critical path times `slowdown_limit`, plus
+  // `target`.
+  double slowdown_limit = 1;
+  duration target{};
   std::optional<advisor_terms> advisor;
 };
 
--- a/src/graph/pool_model.h
+++ b/src/graph/pool_model.h
@@ -90,7 +90,6 @@
   std::int64_t critical_path_ms = 0;
   std::vector<std::int64_t> path_from_step_ms;  // Longest chain, by step.
   bool is_loaded = false;  // Runs of an earlier owner may exist.
-  bool is_dirty = false;   // The progress differs from the stored one.
 };
 
 }  // namespace apricotwheel
--- a/src/graph/pool_scheduler.cc
+++ b/src/graph/pool_scheduler.cc
@@ -53,10 +53,7 @@
   Emit(options_.log, kind, std::move(fields));
 }
 
-void pool_scheduler::MarkDirty(graph_job& job) {
-  job.is_dirty = true;
-  dirty_.insert(&job);
-}
+void pool_scheduler::MarkDirty(graph_job& job) { dirty_.insert(&job); }
 
 void pool_scheduler::SetWorker(const pool_worker& worker, time_point now) {
   auto [found, is_new] = workers_.try_emplace(worker.id);
@@ -221,7 +218,6 @@
 progress_batch pool_scheduler::TakeProgress() {
   progress_batch batch;
   for (graph_job* job : dirty_) {
-    job->is_dirty = false;
     batch.jobs.push_back({job->submission.id, job->progress});
   }
   dirty_.clear();
--- a/src/graph/pool_scheduler.h
+++ b/src/graph/pool_scheduler.h
@@ -223,7 +223,7 @@
   std::map<std::string, worker_state, std::less<>> workers_;
   std::set<std::string, std::less<>> unsettled_;  // Not claimed yet.
   std::set<graph_job*> open_;                     // Jobs that are not final.
-  std::set<graph_job*> dirty_;
+  std::set<graph_job*> dirty_;  // Their progress differs from the stored one.
   std::deque<std::pair<time_point, std::string>> finished_;  // Oldest first.
   std::vector<std::string> forgotten_;
   bool ends_pending_ = false;  // Ends were applied since the last batch.
--- a/src/pools/queue_gate.cc
+++ b/src/pools/queue_gate.cc
@@ -206,7 +206,7 @@
 gate_reply queue_gate::Cancel(const queue_rules& queue,
                               const std::string& job_id, duration budget) {
   const auto started_at = clock_->Now();
-  const gate_reply reply =
+  gate_reply reply =
       CallOwner(queue.pool, kCancelTopic, EncodeReference({queue.pool, job_id}),
                 started_at + budget - kAnswerReserve,
                 [&](pool_owner& owner, time_point deadline) {
