Give no lease with calls to a worker that does not answer

Cause: each call to hold extends the leases, and a call without an answer may have, so the owner counted a new lease with every failed call to a worker that was gone; the leases never ended, and its tasks were never placed again. Change: a worker that does not answer is only looked at, and gets no orders to start. Ruled out: discovery (the entries went in time) and the scheduler (it was not told).

--- a/src/pools/agent_session.cc
+++ b/src/pools/agent_session.cc
@@ -135,7 +135,9 @@
   const auto sent_at = options_.clock->Now();
   {
     const std::lock_guard lock(mutex_);
-    if (worker_clock_.IsKnown()) {
+    // A call without an answer may have extended the leases, so a worker that
+    // does not answer is only looked at: else its leases would never be over.
+    if (worker_clock_.IsKnown() && is_answering_) {
       request.lease_until_ms = worker_clock_.NextLeaseEnd(sent_at);
     }
   }
@@ -144,20 +146,22 @@
   const auto report = Attempt([&] { return options_.link->hold(request); });
   const auto now = options_.clock->Now();
   if (!report) return AfterFailure(report.failure);
+  bool answers_again = false;
   {
     const std::lock_guard lock(mutex_);
     if (is_stopped_) return {};
     worker_clock_.Observe(report->clock_ms, now);
+    answers_again = !std::exchange(is_answering_, true);
   }
-  if (!std::exchange(is_answering_, true)) {
+  if (answers_again) {
     Emit(options_.log, pool_events::kWorkerAnswers,
          {Field("worker", options_.worker.id)});
   }
   const bool was_claimed = std::exchange(is_claimed_, true);
   is_lapsed_ = false;
   calls_.reported(*report, sent_at);
-  // A claim has not extended the leases of what it found.
-  if (!was_claimed) return {};
+  // A look has not extended the leases of what it found.
+  if (!was_claimed || answers_again) return {};
   return report->ended.empty() ? duration::zero() : duration(kEndPause);
 }
 
@@ -168,10 +172,12 @@
   }
   const auto now = options_.clock->Now();
   time_point lapsed_at;
+  bool stops_answering = false;
   {
     const std::lock_guard lock(mutex_);
     if (is_stopped_) return {};
     lapsed_at = worker_clock_.LapsedAt();
+    stops_answering = std::exchange(is_answering_, false);
   }
   if (!is_claimed_) {
     // Leases that an earlier session gave are not known here.
@@ -180,7 +186,7 @@
     lapsed_at =
         std::max(lapsed_at, started_at_ + longest + duration(kLapseMargin));
   }
-  if (std::exchange(is_answering_, false)) {
+  if (stops_answering) {
     Emit(options_.log, pool_events::kWorkerUnanswered,
          {Field("worker", options_.worker.id),
           Field("reason", Describe(failure))});
@@ -218,9 +224,17 @@
 
 void agent_session::Carry(const start_order& next) {
   run_lease lease{options_.epoch, 0};
+  bool is_reachable = false;
   {
     const std::lock_guard lock(mutex_);
-    lease.until_ms = worker_clock_.NextLeaseEnd(options_.clock->Now());
+    is_reachable = is_answering_;
+    if (is_reachable) {
+      lease.until_ms = worker_clock_.NextLeaseEnd(options_.clock->Now());
+    }
+  }
+  if (!is_reachable) {
+    calls_.start_answered(next, start_answer::kUnreachable);
+    return;
   }
   const start_reply reply = options_.link->start(next, lease);
   if (reply.clock_ms) {
--- a/src/pools/agent_session.h
+++ b/src/pools/agent_session.h
@@ -102,11 +102,11 @@
   std::mutex mutex_;
   std::condition_variable changed_;
   std::deque<worker_order> orders_;
-  worker_clock worker_clock_;  // Guarded by mutex_.
+  worker_clock worker_clock_;  // Guarded by mutex_, as what follows.
+  bool is_answering_ = true;
   std::uint64_t wakes_ = 0;
   bool is_stopped_ = false;
   bool is_claimed_ = false;  // Used by the holding thread only.
-  bool is_answering_ = true;
   bool is_lapsed_ = false;
   time_point started_at_{};
   thread_group threads_;
