--- a/src/graph/pool_scheduler.cc
+++ b/src/graph/pool_scheduler.cc
@@ -262,12 +262,6 @@
          found->second.applied_end > found->second.stored_end;
 }
 
-std::vector<std::string> pool_scheduler::Workers() const {
-  std::vector<std::string> ids;
-  for (const auto& [id, worker] : workers_) ids.push_back(id);
-  return ids;
-}
-
 std::size_t pool_scheduler::RunsOn(std::string_view worker) const {
   const auto found = workers_.find(worker);
   return found == workers_.end() ? 0 : found->second.runs.size();
--- a/src/graph/pool_scheduler.h
+++ b/src/graph/pool_scheduler.h
@@ -136,9 +136,7 @@
   std::uint64_t StoredEnd(std::string_view worker) const;
   bool HasUnstoredEnds(std::string_view worker) const;
 
-  std::vector<std::string> Workers() const;
   std::size_t RunsOn(std::string_view worker) const;
-  std::size_t Jobs() const { return jobs_.size(); }
   // True if no run of an earlier owner can be unknown any more.
   bool IsSettled(time_point now) const;
 
--- a/src/pools/job_journal.cc
+++ b/src/pools/job_journal.cc
@@ -138,11 +138,6 @@
   threads_.JoinAll();
 }
 
-bool job_journal::IsStalled() const {
-  const std::lock_guard lock(mutex_);
-  return is_stalled_;
-}
-
 submit_outcome job_journal::Submit(const job_submission& job,
                                    time_point deadline) {
   const auto pending = std::make_shared<pending_submission>();
@@ -268,8 +263,6 @@
       const std::chrono::duration<double> took =
           options_.clock->Now() - started_at;
       options_.metrics->commit_seconds.Observe(took.count());
-      const std::lock_guard lock(mutex_);
-      is_stalled_ = false;
       return true;
     }
     const error_kind kind = written.failure.kind;
@@ -280,8 +273,6 @@
       if (read && *read.value &&
           (*read.value)->value == work.writes.puts.front().value) {
         journal_revision_ = (*read.value)->revision;
-        const std::lock_guard lock(mutex_);
-        is_stalled_ = false;
         return true;
       }
       if (read) return false;
@@ -295,7 +286,6 @@
          {Field("pool", options_.pool), Field("number", work.number),
           Field("reason", Describe(written.failure))});
     std::unique_lock lock(mutex_);
-    is_stalled_ = true;
     if (!may_have_run) {
       // Nothing of it reached the store, so its submitters may be told so.
       lock.unlock();
--- a/src/pools/job_journal.h
+++ b/src/pools/job_journal.h
@@ -91,9 +91,6 @@
   // Workers are named before they get work. Waits until the list is stored.
   bool StoreWorkers(const std::set<std::string>& workers, time_point deadline);
 
-  // True if the store did not answer the last commit.
-  bool IsStalled() const;
-
  private:
   struct pending_submission {
     job_submission job;
@@ -135,7 +132,6 @@
   std::set<std::string> roster_;
   std::uint64_t roster_version_ = 0;
   std::uint64_t roster_stored_ = 0;
-  bool is_stalled_ = false;
   bool is_stopped_ = false;
   thread_group threads_;
 };
--- a/src/pools/pool_directory.h
+++ b/src/pools/pool_directory.h
@@ -68,8 +68,6 @@
   std::optional<pool_ownership> OwnerOf(std::string_view pool) const;
   std::vector<member> Members() const;
   const std::string& SelfId() const { return options_.self.id; }
-  // True while this member's lease is certainly valid.
-  bool HoldsLease() const { return lease_.IsHeld(); }
   bool IsListed() const;
   static std::string OwnerKey(std::string_view pool);
 
