Keep members for short calls to the advisor

Calls of 660 and 840 ms took all nine members, and both pools' desks began with the same one; urgent steps whose calls take 29 ms waited up to 2.2 s, with no call failing.

Change: a quarter of the members carries calls of up to 100 ms only, and the desks of different pools begin with different members. Ruled out: naming fewer workers; the fixed part of a call is 85% of its cost.

Test: pools/approval_desk_test; short_calls_do_not_wait_for_long_ones fails without the change.

--- a/src/graph/pool_placement.cc
+++ b/src/graph/pool_placement.cc
@@ -36,6 +36,13 @@
 // on top of the time that the advisor takes.
 constexpr auto kAskAhead = milliseconds(250);
 
+// Time that the advisor takes for a call that names so many workers.
+duration CallCost(const advisor_terms& terms, std::size_t workers) {
+  return std::chrono::microseconds(terms.decision_us +
+                                   terms.per_worker_us *
+                                       static_cast<std::int64_t>(workers));
+}
+
 std::int64_t SizeOf(const resource_vector& need) {
   return need.cpu_milli + need.accelerators * kCpuPerAccelerator;
 }
@@ -341,19 +348,15 @@
   }
   if (!job.submission.queue.advisor || step.approvals.is_asking) return;
   const advisor_terms& terms = *job.submission.queue.advisor;
-  const auto cost = std::chrono::microseconds(
-      terms.decision_us +
-      terms.per_worker_us * static_cast<std::int64_t>(wanted.size()));
-  const time_point ask_at = ready_at - cost - kAskAhead;
+  const time_point ask_at =
+      ready_at - CallCost(terms, wanted.size()) - kAskAhead;
   if (now < ask_at) {
     next_due_ = std::min(next_due_, ask_at);
     return;
   }
-  approval_request request{job.submission.id,
-                           waiting.occurrence,
-                           waiting.step,
-                           {},
-                           waiting.order.priority};
+  approval_request request{job.submission.id,      waiting.occurrence,
+                           waiting.step,           {},
+                           waiting.order.priority, {}};
   for (const auto& [worker, need] : wanted) {
     if (ApprovalOf(step.approvals, worker->info, now) != approval::kValid) {
       request.workers.push_back(worker->info);
@@ -361,6 +364,7 @@
   }
   if (request.workers.empty() || now < step.approvals.retry_at) return;
   step.approvals.is_asking = true;
+  request.cost = CallCost(terms, request.workers.size());
   decisions.approvals.push_back(std::move(request));
 }
 
@@ -368,11 +372,9 @@
                                  pool_decisions& decisions) {
   graph_job& job = *waiting.job;
   step_state& step = job.occurrences[waiting.occurrence][waiting.step];
-  approval_request request{job.submission.id,
-                           waiting.occurrence,
-                           waiting.step,
-                           {},
-                           waiting.order.priority};
+  approval_request request{job.submission.id,      waiting.occurrence,
+                           waiting.step,           {},
+                           waiting.order.priority, {}};
   const bool is_first = step.approvals.by_worker.empty();
   if (is_first) {
     // What an approval says does not change, so all that may ever run the step
@@ -400,6 +402,8 @@
   }
   if (request.workers.empty()) return;
   step.approvals.is_asking = true;
+  request.cost =
+      CallCost(*job.submission.queue.advisor, request.workers.size());
   decisions.approvals.push_back(std::move(request));
 }
 
--- a/src/graph/pool_scheduler.h
+++ b/src/graph/pool_scheduler.h
@@ -47,6 +47,7 @@
   std::uint32_t step = 0;
   std::vector<pool_worker> workers;
   int priority = 0;
+  duration cost{};  // Time that the advisor takes for the call.
 };
 
 // What is to be done now, in this order.
--- a/src/pools/approval_desk.cc
+++ b/src/pools/approval_desk.cc
@@ -14,9 +14,30 @@
 // A member whose call failed carries none for this time.
 constexpr auto kAvoidMember = milliseconds(1500);
 constexpr auto kMemberCheck = milliseconds(200);
+// Calls up to this cost are short.
+constexpr auto kShortCall = milliseconds(100);
+// One member in so many carries short calls only.
+constexpr std::size_t kMembersPerShort = 4;
 
 }  // namespace
 
+std::size_t MembersForShortCalls(std::size_t members) {
+  return members / kMembersPerShort;
+}
+
+std::vector<std::string> OrderMembers(std::vector<std::string> members,
+                                      std::size_t pool_index,
+                                      std::size_t pools) {
+  const std::size_t kept = MembersForShortCalls(members.size());
+  const std::size_t others = members.size() - kept;
+  if (others == 0 || pools == 0) return members;
+  const auto begin = members.begin() + static_cast<std::ptrdiff_t>(kept);
+  const std::size_t offset = pool_index * others / pools % others;
+  std::rotate(begin, begin + static_cast<std::ptrdiff_t>(offset),
+              members.end());
+  return members;
+}
+
 approval_desk::approval_desk(clock_ptr clock, log_sink log,
                              member_source members, asker ask,
                              answer_listener answered)
@@ -51,14 +72,22 @@
   changed_.notify_one();
 }
 
-std::string approval_desk::FreeMember() {
+approval_desk::free_members approval_desk::FreeMembers() {
   const auto now = clock_->Now();
-  for (const std::string& id : members_()) {
+  const auto members = members_();
+  const std::size_t kept = MembersForShortCalls(members.size());
+  free_members free;
+  for (std::size_t at = 0; at < members.size(); ++at) {
+    const std::string& id = members[at];
     const auto avoided = avoid_until_.find(id);
     if (avoided != avoid_until_.end() && avoided->second > now) continue;
-    if (!busy_.contains(id)) return id;
+    if (busy_.contains(id)) continue;
+    if (free.for_short.empty()) free.for_short = id;
+    if (at < kept) continue;
+    free.for_long = id;
+    break;
   }
-  return {};
+  return free;
 }
 
 void approval_desk::Run() {
@@ -69,17 +98,26 @@
                         [&] { return is_stopped_ || !waiting_.empty(); });
       continue;
     }
-    const std::string member = FreeMember();
+    const free_members free = FreeMembers();
+    auto first = waiting_.begin();
+    std::string member;
+    for (; first != waiting_.end(); ++first) {
+      const bool is_short = first->second.request.cost <= kShortCall;
+      member = is_short ? free.for_short : free.for_long;
+      if (!member.empty()) break;
+    }
     if (member.empty()) {
       // A member that becomes free notifies; one that joins does not.
       const std::size_t busy_before = busy_.size();
+      const std::uint64_t last_number = last_number_;
       clock_->WaitFor(lock, changed_, kMemberCheck, [&] {
-        return is_stopped_ || busy_.size() != busy_before;
+        return is_stopped_ || busy_.size() != busy_before ||
+               last_number_ != last_number;
       });
       continue;
     }
-    waiting_request next = std::move(waiting_.begin()->second);
-    waiting_.erase(waiting_.begin());
+    waiting_request next = std::move(first->second);
+    waiting_.erase(first);
     busy_.insert(member);
     lock.unlock();
     const auto answer = Attempt([&] { return ask_(member, next.request); });
--- a/src/pools/approval_desk.h
+++ b/src/pools/approval_desk.h
@@ -16,6 +16,16 @@
 
 namespace apricotwheel {
 
+// Members that carry no long calls, so that short ones need not wait for the
+// end of a long one: these come first among the members.
+std::size_t MembersForShortCalls(std::size_t members);
+
+// Orders members, sorted by id, for the desk of one of `pools` pools. Desks do
+// not know of each other's calls, so each begins with other members.
+std::vector<std::string> OrderMembers(std::vector<std::string> members,
+                                      std::size_t pool_index,
+                                      std::size_t pools);
+
 // Spreads calls for approval over the members: the advisor takes one call at a
 // time from each machine, so each member carries one at a time and the most
 // urgent waiting request goes to the first member that is free. Thread-safe.
@@ -27,6 +37,7 @@
       const std::string& member_id, const approval_request& request)>;
   using answer_listener = std::function<void(const approval_request& request,
                                              const outcome<approvals>& answer)>;
+  // Members in the order in which the desk is to use them.
   using member_source = std::function<std::vector<std::string>()>;
 
   approval_desk(clock_ptr clock, log_sink log, member_source members, asker ask,
@@ -45,8 +56,11 @@
   };
 
   void Run();
-  // Empty if all members are busy.
-  std::string FreeMember();
+  struct free_members {
+    std::string for_short;  // Empty if there is none, as the other one.
+    std::string for_long;
+  };
+  free_members FreeMembers();
 
   const clock_ptr clock_;
   const log_sink log_;
--- a/src/pools/pool_directory.cc
+++ b/src/pools/pool_directory.cc
@@ -83,6 +83,11 @@
   return all;
 }
 
+std::vector<std::string> pool_directory::Pools() const {
+  const std::lock_guard lock(mutex_);
+  return pools_;
+}
+
 bool pool_directory::IsListed() const {
   const std::lock_guard lock(mutex_);
   return is_listed_;
--- a/src/pools/pool_directory.h
+++ b/src/pools/pool_directory.h
@@ -67,6 +67,7 @@
 
   std::optional<pool_ownership> OwnerOf(std::string_view pool) const;
   std::vector<member> Members() const;
+  std::vector<std::string> Pools() const;
   const std::string& SelfId() const { return options_.self.id; }
   bool IsListed() const;
   static std::string OwnerKey(std::string_view pool);
--- a/src/pools/pool_host.cc
+++ b/src/pools/pool_host.cc
@@ -179,12 +179,16 @@
   owner.kv = options_.kv;
   owner.ports = options_.ports;
   owner.metrics = options_.metrics;
-  owner.members = [directory = options_.directory] {
+  owner.members = [directory = options_.directory, pool] {
     std::vector<std::string> ids;
     for (const member& one : directory->Members()) {
       if (!one.leaving) ids.push_back(one.id);
     }
-    return ids;
+    const auto pools = directory->Pools();
+    const auto index = std::distance(
+        pools.begin(), std::find(pools.begin(), pools.end(), pool));
+    return OrderMembers(std::move(ids), static_cast<std::size_t>(index),
+                        pools.size());
   };
   owner.ask_through = [this](const std::string& member_id,
                              const approval_request& request) {
