Keep room for large tasks that are no gangs

Room was kept for gangs only, so tasks of one accelerator took each part of a VM as it became free: 26 of 87 such jobs were lost or late while 30 of 104 accelerators stood idle.

Change: room is kept for each task that needs half of a worker or more, for as many at a time as there are three workers each; shorter work still fills it.

Test: graph/gang_pattern_test, a_stream_of_singles_does_not_starve_a_whole_vm_ task, failed before.

--- a/src/graph/pool_model.h
+++ b/src/graph/pool_model.h
@@ -48,8 +48,8 @@
   // and an order may have reached that one already.
   std::int64_t agent_incarnation = 0;
   resource_vector used;  // Of all runs below.
-  // Room kept for a gang that waits, while steps are placed: what would still
-  // run at `reserved_from` must leave it free.
+  // Room kept for a gang or a large task that waits, while steps are placed:
+  // what would still run at `reserved_from` must leave it free.
   resource_vector reserved;
   time_point reserved_from{};
   std::map<task_key, task_run> runs;
@@ -79,7 +79,7 @@
   std::uint32_t done = 0;
   std::string gang_checkpoint;  // Of all members of the next attempt.
   approval_book approvals;
-  std::set<std::string> kept_on;  // Workers whose room was kept for the gang.
+  std::set<std::string> kept_on;  // Workers whose room was kept for it.
 };
 
 struct graph_job {
--- a/src/graph/pool_placement.cc
+++ b/src/graph/pool_placement.cc
@@ -25,9 +25,9 @@
 // different kinds is compared.
 constexpr std::int64_t kCpuPerAccelerator = 8000;
 
-// Gangs that wait and for which room is kept at a time. Room that is kept
-// stands idle until the last part of it is free.
-constexpr int kMaxReservations = 3;
+// Room is kept for one gang or large task at a time for so many workers. Room
+// that is kept stands idle until the last part of it is free.
+constexpr std::size_t kWorkersPerReservation = 3;
 // When a run that has outlasted its estimate is taken to end.
 constexpr auto kOverdueRun = milliseconds(400);
 // A gang's room moves to another worker only if that is free this much sooner.
@@ -266,7 +266,7 @@
   step_state& step = waiting.job->occurrences[waiting.occurrence][waiting.step];
   if (step.waiting == 0) return;
   const graph_step& spec = waiting.job->submission.graph.steps[waiting.step];
-  if (spec.is_gang) ReserveForGang(waiting, now, decisions);
+  if (spec.is_gang || IsLarge(spec)) ReserveRoom(waiting, now, decisions);
   if (!waiting.job->submission.queue.advisor) return;
   if (step.approvals.is_asking) return;
   if (now < step.approvals.retry_at) {
@@ -302,19 +302,15 @@
   return time_point::max();
 }
 
-// Keeps the room of the workers that are free first for a gang that waits, so
-// that smaller work does not take each part of it as it becomes free.
-void pool_scheduler::ReserveForGang(const candidate& waiting, time_point now,
-                                    pool_decisions& decisions) {
-  if (reservations_ >= kMaxReservations) return;
-  graph_job& job = *waiting.job;
-  const graph_step& spec = job.submission.graph.steps[waiting.step];
-  step_state& step = job.occurrences[waiting.occurrence][waiting.step];
-  // Before the first answer it is not known where the gang may run.
-  if (job.submission.queue.advisor && step.approvals.by_worker.empty()) return;
-  std::map<worker_state*, resource_vector> wanted;
+// Finds the workers that are free first for `count` tasks that start together,
+// among those without a reservation. Returns when all of them are free.
+std::optional<time_point> pool_scheduler::FindRoom(
+    const candidate& waiting, std::uint32_t count,
+    const std::set<std::string>& kept_on, time_point now,
+    room_by_worker& room) {
+  const graph_step& spec = waiting.job->submission.graph.steps[waiting.step];
   time_point ready_at = now;
-  for (std::uint32_t at = 0; at < spec.task_count; ++at) {
+  for (std::uint32_t at = 0; at < count; ++at) {
     worker_state* best = nullptr;
     time_point best_at = time_point::max();
     for (auto& [id, worker] : workers_) {
@@ -322,50 +318,85 @@
           worker.reserved != resource_vector{}) {
         continue;
       }
-      const auto found = wanted.find(&worker);
+      const auto found = room.find(&worker);
       const resource_vector need =
-          found == wanted.end() ? spec.need : found->second + spec.need;
+          found == room.end() ? spec.need : found->second + spec.need;
       if (!Fits(need, worker.info.capacity)) continue;
       time_point free_at = FreeAt(worker, need, now);
       if (free_at == time_point::max()) continue;
+      free_at = std::max(free_at, worker.avoid_until);
       // Room that has been kept for a while is worth more than room elsewhere.
-      if (step.kept_on.contains(id)) free_at -= kKeptAdvantage;
+      if (kept_on.contains(id)) free_at -= kKeptAdvantage;
       if (free_at < best_at) {
         best = &worker;
         best_at = free_at;
       }
     }
-    if (best == nullptr) return;
-    wanted[best] = wanted[best] + spec.need;
+    if (best == nullptr) return std::nullopt;
+    room[best] = room[best] + spec.need;
     ready_at = std::max(ready_at, best_at);
   }
-  ++reservations_;
-  step.kept_on.clear();
-  for (const auto& [worker, need] : wanted) {
-    step.kept_on.insert(worker->info.id);
-    worker->reserved = need;
-    worker->reserved_from = ready_at;
+  return ready_at;
+}
+
+// Keeps the room of the workers that are free first for gangs and large tasks
+// that wait, so that smaller work does not take each part of it as it becomes
+// free.
+void pool_scheduler::ReserveRoom(const candidate& waiting, time_point now,
+                                 pool_decisions& decisions) {
+  graph_job& job = *waiting.job;
+  const graph_step& spec = job.submission.graph.steps[waiting.step];
+  step_state& step = job.occurrences[waiting.occurrence][waiting.step];
+  const auto& advisor = job.submission.queue.advisor;
+  // Before the first answer it is not known where the tasks may run.
+  if (advisor && step.approvals.by_worker.empty()) return;
+  const std::uint32_t together = spec.is_gang ? spec.task_count : 1;
+  const std::uint32_t starts = spec.is_gang ? 1 : step.waiting;
+  const auto kept_on = std::exchange(step.kept_on, {});
+  std::vector<pool_worker> unapproved;
+  for (std::uint32_t at = 0;
+       at < starts && reservations_ * kWorkersPerReservation < workers_.size();
+       ++at) {
+    room_by_worker room;
+    const auto ready_at = FindRoom(waiting, together, kept_on, now, room);
+    if (!ready_at) break;
+    ++reservations_;
+    for (const auto& [worker, need] : room) {
+      step.kept_on.insert(worker->info.id);
+      worker->reserved = need;
+      worker->reserved_from = *ready_at;
+    }
+    if (!advisor) continue;
+    const time_point ask_at =
+        *ready_at - CallCost(*advisor, room.size()) - kAskAhead;
+    if (now < ask_at) {
+      next_due_ = std::min(next_due_, ask_at);
+      continue;
+    }
+    for (const auto& [worker, need] : room) {
+      if (ApprovalOf(step.approvals, worker->info, now) != approval::kValid) {
+        unapproved.push_back(worker->info);
+      }
+    }
   }
-  if (!job.submission.queue.advisor || step.approvals.is_asking) return;
-  const advisor_terms& terms = *job.submission.queue.advisor;
-  const time_point ask_at =
-      ready_at - CallCost(terms, wanted.size()) - kAskAhead;
-  if (now < ask_at) {
-    next_due_ = std::min(next_due_, ask_at);
+  if (unapproved.empty() || step.approvals.is_asking ||
+      now < step.approvals.retry_at) {
     return;
   }
-  approval_request request{job.submission.id,      waiting.occurrence,
-                           waiting.step,           {},
-                           waiting.order.priority, {}};
-  for (const auto& [worker, need] : wanted) {
-    if (ApprovalOf(step.approvals, worker->info, now) != approval::kValid) {
-      request.workers.push_back(worker->info);
-    }
-  }
-  if (request.workers.empty() || now < step.approvals.retry_at) return;
   step.approvals.is_asking = true;
-  request.cost = CallCost(terms, request.workers.size());
-  decisions.approvals.push_back(std::move(request));
+  decisions.approvals.push_back(
+      {job.submission.id, waiting.occurrence, waiting.step, unapproved,
+       waiting.order.priority, CallCost(*advisor, unapproved.size())});
+}
+
+// True if the task takes so much of a worker that it finds no room by chance.
+bool pool_scheduler::IsLarge(const graph_step& spec) const {
+  const resource_vector twice = spec.need + spec.need;
+  if (largest_.accelerators > 0) {
+    return twice.accelerators >= largest_.accelerators;
+  }
+  return twice.cpu_milli >= largest_.cpu_milli ||
+         twice.memory_mib >= largest_.memory_mib;
 }
 
 void pool_scheduler::AskApproval(const candidate& waiting, time_point now,
--- a/src/graph/pool_scheduler.cc
+++ b/src/graph/pool_scheduler.cc
@@ -22,6 +22,13 @@
   return tail_ms;
 }
 
+resource_vector Largest(const resource_vector& left,
+                        const resource_vector& right) {
+  return {std::max(left.cpu_milli, right.cpu_milli),
+          std::max(left.memory_mib, right.memory_mib),
+          std::max(left.accelerators, right.accelerators)};
+}
+
 }  // namespace
 
 pool_scheduler::pool_scheduler(pool_scheduler_options options)
@@ -204,7 +211,11 @@
   CollectStops(now, decisions);
   CollectPaces(decisions);
   reservations_ = 0;
-  for (auto& [id, worker] : workers_) worker.reserved = {};
+  largest_ = {};
+  for (auto& [id, worker] : workers_) {
+    worker.reserved = {};
+    largest_ = Largest(largest_, worker.info.capacity);
+  }
   for (const candidate& waiting : WaitingSteps(now, wall_clock_ms)) {
     PlaceStep(waiting, now, decisions);
   }
--- a/src/graph/pool_scheduler.h
+++ b/src/graph/pool_scheduler.h
@@ -210,8 +210,14 @@
                time_point now) const;
   time_point FreeAt(const worker_state& worker, const resource_vector& need,
                     time_point now) const;
-  void ReserveForGang(const candidate& waiting, time_point now,
-                      pool_decisions& decisions);
+  using room_by_worker = std::map<worker_state*, resource_vector>;
+  std::optional<time_point> FindRoom(const candidate& waiting,
+                                     std::uint32_t count,
+                                     const std::set<std::string>& kept_on,
+                                     time_point now, room_by_worker& room);
+  void ReserveRoom(const candidate& waiting, time_point now,
+                   pool_decisions& decisions);
+  bool IsLarge(const graph_step& spec) const;
   void AskApproval(const candidate& waiting, time_point now,
                    pool_decisions& decisions);
   void Start(const candidate& waiting, std::span<const placement> chosen,
@@ -227,8 +233,9 @@
   std::set<graph_job*> dirty_;  // Their progress differs from the stored one.
   std::deque<std::pair<time_point, std::string>> finished_;  // Oldest first.
   std::vector<std::string> forgotten_;
-  bool ends_pending_ = false;  // Ends were applied since the last batch.
-  int reservations_ = 0;       // Made in this pass.
+  bool ends_pending_ = false;     // Ends were applied since the last batch.
+  std::size_t reservations_ = 0;  // Made in this pass.
+  resource_vector largest_;       // Of all workers, each resource by itself.
   time_point next_due_ = time_point::max();
 };
 
--- a/tests/graph/gang_pattern_test.cc
+++ b/tests/graph/gang_pattern_test.cc
@@ -79,6 +79,24 @@
              "the gang still waits after " << ticks << " ticks");
 }
 
+// The same for a task that is no gang: on both sites half of the accelerator
+// time is asked by tasks of a whole VM, which never found one free.
+BOOST_AUTO_TEST_CASE(a_stream_of_singles_does_not_starve_a_whole_vm_task) {
+  single_stream stream;
+  stream.rig.scheduler.Admit(JobOf("large", {StepOf(1, kWholeVm)}, 1),
+                             stream.rig.now);
+  int ticks = 0;
+  const int bound = 2 * static_cast<int>(milliseconds(kSingleMs) / kTick);
+  while (stream.rig.scheduler.StateOf("large") == job_state::kQueued &&
+         ticks < bound) {
+    stream.Submit(2);
+    stream.Tick();
+    ++ticks;
+  }
+  BOOST_TEST((stream.rig.scheduler.StateOf("large") == job_state::kActive),
+             "the task still waits after " << ticks << " ticks");
+}
+
 // Room is kept on one VM only: the other stays in use while the gang waits.
 BOOST_AUTO_TEST_CASE(room_that_a_gang_does_not_need_stays_in_use) {
   constexpr std::size_t kInUse = 6;  // Of 8, as two singles come in a tick.
