Give a slow store more time, and read ends sooner while it is slow

Commits that it would have answered were given up after 0.4 s and settled first; ends of a worker were read once a second while its earlier ones waited for the store.

Change: a commit gets three times as long as the last one took, within 0.4 and 2.4 s, and longer each time the store reads but does not write. A worker whose ends wait for the store is asked again after 0.25 s.

It now looks for the stop before each try.

Tests: job_journal_test, a_slow_store_is_given_more_time and a_journal_stops_while_the_store_only_reads.

--- a/src/pools/agent_session.cc
+++ b/src/pools/agent_session.cc
@@ -26,8 +26,9 @@
 // An idle worker is not asked; it is looked at this often to notice that it
 // started anew.
 constexpr auto kIdleWait = milliseconds(15'000);
-// The longest pause for the store before a worker's lease is renewed.
-constexpr auto kLongestStorePause = milliseconds(1000);
+// While the store is slow or away, ends that it cannot take are passed over and
+// the worker is asked for later ones after this time.
+constexpr auto kLongestStorePause = milliseconds(250);
 // Ends are answered again until they are acknowledged, which takes the time of
 // a commit; if that takes longer, the next ends are read after this time.
 constexpr auto kEndPause = milliseconds(100);
--- a/src/pools/job_journal.cc
+++ b/src/pools/job_journal.cc
@@ -21,6 +21,9 @@
 // The store answers in milliseconds, a slow one in some hundred. After a while
 // without any answer it may be slower still.
 constexpr auto kCallTimeout = milliseconds(400);
+// While the store is slow, a call is given this many times as long as the last
+// one took.
+constexpr int kSlowStoreFactor = 3;
 constexpr auto kLongestCallTimeout = milliseconds(2400);
 constexpr int kSilentTriesBeforeLonger = 8;
 // A single refusal may be a full moment; after more the store is taken as lost.
@@ -282,7 +285,8 @@
   bool may_have_run = false;
   int refused_tries = 0;
   int silent_tries = 0;
-  duration timeout = kCallTimeout;
+  duration timeout = std::clamp<duration>(last_commit_ * kSlowStoreFactor,
+                                          kCallTimeout, kLongestCallTimeout);
   const auto started_at = options_.clock->Now();
   const auto succeed = [&] {
     const std::chrono::duration<double> took =
@@ -292,10 +296,12 @@
     return true;
   };
   while (true) {
+    const auto sent_at = options_.clock->Now();
     const auto written =
         Attempt([&] { return options_.kv->Commit(work.writes, timeout); });
     if (written) {
       journal_revision_ = *written;
+      last_commit_ = options_.clock->Now() - sent_at;
       return succeed();
     }
     const error_kind kind = written.failure.kind;
@@ -316,6 +322,10 @@
       if (state == commit_state::kOpen) {
         // The journal is unchanged, so it was the owner key that has changed.
         if (kind == error_kind::kConflict) return false;
+        // It reads but does not write: it may need longer for that.
+        timeout = std::min<duration>(timeout * 2, kLongestCallTimeout);
+        const std::lock_guard lock(mutex_);
+        if (is_stopped_) return false;
         continue;
       }
       SetStoreLost(true);
--- a/src/pools/job_journal.h
+++ b/src/pools/job_journal.h
@@ -135,6 +135,7 @@
   std::uint64_t journal_revision_ = 0;  // Used by the committing thread only.
   std::uint64_t number_ = 0;
   std::uint64_t tenure_ = 0;
+  duration last_commit_{};  // Time that the last answered commit took.
 
   mutable std::mutex mutex_;
   std::condition_variable changed_;
--- a/tests/pools/job_journal_test.cc
+++ b/tests/pools/job_journal_test.cc
@@ -251,6 +251,33 @@
   BOOST_TEST(store.Has(JobKey("pool", "sent")));
 }
 
+// Pattern: the store takes a hundred times as long as usual. Commits that it
+// would have answered were given up, settled and sent again.
+BOOST_AUTO_TEST_CASE(a_slow_store_is_given_more_time) {
+  fake_store store;
+  rig owner(store, store.Put(kOwnerKey, "first"));
+  owner.Open();
+  store.SetDelay(milliseconds(300));
+  BOOST_TEST((owner.Submit("first") == submit_outcome::kStored));
+  store.SetDelay(milliseconds(600));
+  BOOST_TEST((owner.Submit("next") == submit_outcome::kStored));
+  BOOST_TEST(owner.metrics.commit_failures.Value() == 0);
+}
+
+// Commits that get no answer while reads do must not keep the journal from
+// stopping.
+BOOST_AUTO_TEST_CASE(a_journal_stops_while_the_store_only_reads) {
+  fake_store store;
+  rig owner(store, store.Put(kOwnerKey, "first"));
+  owner.Open();
+  store.SetDelay(std::chrono::minutes(1));
+  BOOST_TEST(
+      (owner.Submit("job", milliseconds(100)) == submit_outcome::kUnknown));
+  const auto asked_at = owner.clock->Now();
+  owner.journal->Stop();
+  BOOST_TEST((owner.clock->Now() - asked_at < std::chrono::seconds(4)));
+}
+
 // A refused job is tried again by the caller's daemon; only a store that goes
 // on refusing is taken as lost.
 BOOST_AUTO_TEST_CASE(one_refusal_does_not_make_the_store_lost) {
