Show a job's result once it is stored

A worker that left at 17.2 s had listed its last end to that owner, which finished the job in memory and answered a caller `completed` at 18.7 s.

Change: a final state is shown only once it is stored; until then the job is active. A result is stored within 10 ms in place of 60. A job whose result is not stored is not forgotten.

Ruled out: an acknowledgement before the end was stored; the worker had left before the owner's next call, and the successor never saw it.

--- a/src/graph/pool_model.h
+++ b/src/graph/pool_model.h
@@ -90,6 +90,8 @@
   std::int64_t critical_path_ms = 0;
   std::vector<std::int64_t> path_from_step_ms;  // Longest chain, by step.
   bool is_loaded = false;  // Runs of an earlier owner may exist.
+  // Its final state is stored, so that no successor starts its tasks again.
+  bool is_result_stored = false;
 };
 
 }  // namespace apricotwheel
--- a/src/graph/pool_scheduler.cc
+++ b/src/graph/pool_scheduler.cc
@@ -111,6 +111,7 @@
   graph_job& kept = *added;
   jobs_[kept.submission.id] = std::move(added);
   if (IsFinal(kept.progress.state)) {
+    kept.is_result_stored = true;  // Read from the store.
     finished_.emplace_back(submitted_at, kept.submission.id);
   } else {
     open_.insert(&kept);
@@ -151,6 +152,17 @@
   return found->second->progress.state;
 }
 
+std::optional<job_state> pool_scheduler::StoredStateOf(
+    std::string_view job_id) const {
+  const auto found = jobs_.find(job_id);
+  if (found == jobs_.end()) return std::nullopt;
+  const graph_job& job = *found->second;
+  if (IsFinal(job.progress.state) && !job.is_result_stored) {
+    return job_state::kActive;
+  }
+  return job.progress.state;
+}
+
 std::size_t pool_scheduler::PendingJobs(std::string_view queue) const {
   return static_cast<std::size_t>(
       std::count_if(open_.begin(), open_.end(), [&](const graph_job* job) {
@@ -163,6 +175,7 @@
   job.progress.state = state;
   open_.erase(&job);
   finished_.emplace_back(now, job.submission.id);
+  ++unstored_results_;
   MarkDirty(job);
   StopJob(job, now);
   Log(graph_events::kJobFinished,
@@ -185,7 +198,7 @@
               row.second.runs.begin(), row.second.runs.end(),
               [&](const auto& run) { return run.second.job == job; });
         });
-    if (has_runs) {
+    if (has_runs || !job->is_result_stored) {
       finished_.emplace_back(now, id);
       continue;
     }
@@ -243,6 +256,11 @@
 }
 
 void pool_scheduler::ProgressStored(const progress_batch& batch) {
+  for (const auto& entry : batch.jobs) {
+    graph_job* job = FindJob(entry.job_id);
+    if (job == nullptr || !IsFinal(entry.progress.state)) continue;
+    if (!std::exchange(job->is_result_stored, true)) --unstored_results_;
+  }
   for (const auto& [id, mark] : batch.ends_by_worker) {
     worker_state* worker = FindWorker(id);
     // A new incarnation counts its ends anew.
--- a/src/graph/pool_scheduler.h
+++ b/src/graph/pool_scheduler.h
@@ -108,6 +108,9 @@
   // False if the job is not known. A final job stays as it is.
   bool Cancel(std::string_view job_id, time_point now);
   std::optional<job_state> StateOf(std::string_view job_id) const;
+  // As callers may be told: a final state only once it is stored.
+  std::optional<job_state> StoredStateOf(std::string_view job_id) const;
+  bool HasUnstoredResults() const { return unstored_results_ > 0; }
   // Accepted jobs of a queue of which no task has started.
   std::size_t PendingJobs(std::string_view queue) const;
 
@@ -233,9 +236,10 @@
   std::set<graph_job*> dirty_;  // Their progress differs from the stored one.
   std::deque<std::pair<time_point, std::string>> finished_;  // Oldest first.
   std::vector<std::string> forgotten_;
-  bool ends_pending_ = false;     // Ends were applied since the last batch.
-  std::size_t reservations_ = 0;  // Made in this pass.
-  resource_vector largest_;       // Of all workers, each resource by itself.
+  std::size_t unstored_results_ = 0;  // Final jobs that are not stored.
+  bool ends_pending_ = false;         // Ends were applied since the last batch.
+  std::size_t reservations_ = 0;      // Made in this pass.
+  resource_vector largest_;  // Of all workers, each resource by itself.
   time_point next_due_ = time_point::max();
 };
 
--- a/src/pools/pool_owner.cc
+++ b/src/pools/pool_owner.cc
@@ -12,6 +12,8 @@
 
 // Progress waits this long for more, so that ends cost a write for each group.
 constexpr auto kProgressDelay = milliseconds(60);
+// Callers learn of a result once it is stored.
+constexpr auto kResultDelay = milliseconds(10);
 constexpr auto kLoadRetry = milliseconds(150);
 // Run numbers of one owner; no owner orders more runs of one task.
 constexpr std::uint64_t kRunsPerTenure = 100'000;
@@ -220,7 +222,10 @@
              {Field("pool", options_.pool), Field("epoch", options_.epoch),
               Field("workers", followed_.size())});
       }
-      if (scheduler_->HasProgress()) journal_->Wake(kProgressDelay);
+      if (scheduler_->HasProgress()) {
+        journal_->Wake(scheduler_->HasUnstoredResults() ? kResultDelay
+                                                        : kProgressDelay);
+      }
       CarryOut(std::move(decisions));
     }
   }
@@ -477,7 +482,7 @@
 gate_reply pool_owner::State(std::string_view job_id) const {
   const std::lock_guard lock(mutex_);
   if (!is_loaded_ || is_stopped_) return Unavailable("the pool is loading");
-  const auto state = scheduler_->StateOf(job_id);
+  const auto state = scheduler_->StoredStateOf(job_id);
   if (!state) return Answer(job_answer::kAbsent);
   gate_reply reply = Answer(job_answer::kState);
   reply.state = *state;
--- a/src/pools/service_ports.h
+++ b/src/pools/service_ports.h
@@ -108,7 +108,7 @@
 struct service_adapter_options {
   std::string kv_address;       // ip:port
   std::string advisor_address;  // ip:port; empty if no queue has an advisor.
-  duration call_timeout = milliseconds(1500);
+  duration call_timeout = milliseconds(900);
   log_sink log;
 };
 
--- a/tests/graph/pool_scheduler_test.cc
+++ b/tests/graph/pool_scheduler_test.cc
@@ -353,6 +353,7 @@
   rig.scheduler.Admit(JobOf("job", {StepOf(1, kSmall)}), rig.now);
   rig.Step();
   rig.EndAll(run_end::kDone);
+  rig.Store();
   rig.Pass(std::chrono::seconds(99));
   rig.Step();
   BOOST_TEST((rig.scheduler.StateOf("job") == job_state::kCompleted));
--- a/tests/pools/pool_owner_test.cc
+++ b/tests/pools/pool_owner_test.cc
@@ -182,6 +182,22 @@
   BOOST_TEST(cell.Eventually([&] { return cell.agent.Acknowledged() == 2; }));
 }
 
+// Found on a day on which the store turned an owner away: it showed a job as
+// completed that it could not store, and its successor, which could not know of
+// the ends on a worker that had left, ran a task again.
+BOOST_AUTO_TEST_CASE(a_result_is_shown_once_it_is_stored) {
+  rig cell;
+  BOOST_TEST((cell.Submit("job", 2).answer == job_answer::kAccepted));
+  BOOST_TEST(cell.Eventually([&] { return cell.agent.Running() == 2; }));
+  cell.store.SetSilent(true);
+  cell.agent.EndAll(run_end::kDone);
+  cell.clock->SleepFor(milliseconds(300));
+  BOOST_TEST((cell.owner->State("job").state == job_state::kActive));
+  cell.store.SetSilent(false);
+  BOOST_TEST(cell.Eventually(
+      [&] { return cell.owner->State("job").state == job_state::kCompleted; }));
+}
+
 // Found on the first calm day: the orders to stop a cancelled job's runs never
 // left, because the worker's name was read from an order that had been moved.
 BOOST_AUTO_TEST_CASE(a_cancelled_job_is_stopped_on_its_worker) {
