Ask workers that discovery does not name to a successor

The successor knew the worker by its id on the roster alone, so it could neither ask it nor see that it was gone, and waited for the longest lease that its predecessor may have given and for that one's own lease.

Change: the roster names addresses. A successor opens a session to each worker on it that discovery does not name: one that answers is claimed and its runs are adopted, one whose process has exited settles at once, and one that is silent after its longest lease. Ruled out: taking the missing entry as proof; a worker that is cut off from the store loses its entry and runs on.

Test: pool_owner_test, a_worker_that_left_before_a_takeover_holds_nothing_up, failed before. workers_are_remembered checks the addresses too.

--- a/src/pools/job_journal.cc
+++ b/src/pools/job_journal.cc
@@ -84,9 +84,21 @@
 
   BOOST_LEAF_AUTO(roster, options_.kv->Get(RosterKey()));
   if (roster) {
-    const json ids = json::parse(roster->value, nullptr, false);
-    for (const json& id : ids) {
-      if (id.is_string()) contents.workers.insert(id.get<std::string>());
+    json rows = json::parse(roster->value, nullptr, false);
+    if (!rows.is_structured()) {
+      return Fail(error_kind::kCorrupt, "the roster of the pool is malformed",
+                  "restore or delete the key " + RosterKey());
+    }
+    // Earlier versions stored the ids alone.
+    if (rows.is_array()) {
+      for (const json& id : rows) {
+        if (id.is_string()) contents.workers[id.get<std::string>()] = "";
+      }
+      rows = json::object();
+    }
+    for (const auto& [id, address] : rows.items()) {
+      contents.workers[id] =
+          address.is_string() ? address.get<std::string>() : std::string();
     }
   }
   BOOST_LEAF_AUTO(jobs, options_.kv->List(Prefix("jobs", options_.pool)));
@@ -188,8 +200,8 @@
   changed_.notify_all();
 }
 
-bool job_journal::StoreWorkers(const std::set<std::string>& workers,
-                               time_point deadline) {
+bool job_journal::StoreWorkers(
+    const std::map<std::string, std::string>& workers, time_point deadline) {
   std::unique_lock lock(mutex_);
   roster_ = workers;
   const std::uint64_t wanted = ++roster_version_;
--- a/src/pools/job_journal.h
+++ b/src/pools/job_journal.h
@@ -34,7 +34,8 @@
   std::uint64_t tenure = 0;  // Owners of this pool so far, without this one.
   std::vector<stored_job> jobs;
   std::vector<std::pair<std::string, job_state>> finished;  // Without graph.
-  std::set<std::string> workers;  // That earlier owners may have used.
+  // Addresses of the workers that earlier owners may have used, by id.
+  std::map<std::string, std::string> workers;
 };
 
 enum class submit_outcome {
@@ -91,8 +92,10 @@
   bool Flush(time_point deadline);
   // Progress exists; it is stored within `delay`.
   void Wake(duration delay);
-  // Workers are named before they get work. Waits until the list is stored.
-  bool StoreWorkers(const std::set<std::string>& workers, time_point deadline);
+  // Workers are named, with their addresses, before they get work. Waits until
+  // the list is stored.
+  bool StoreWorkers(const std::map<std::string, std::string>& workers,
+                    time_point deadline);
 
  private:
   struct pending_submission {
@@ -143,7 +146,7 @@
   std::uint64_t flush_wanted_ = 0;
   std::uint64_t flush_done_ = 0;
   time_point due_at_ = time_point::max();
-  std::set<std::string> roster_;
+  std::map<std::string, std::string> roster_;
   std::uint64_t roster_version_ = 0;
   std::uint64_t roster_stored_ = 0;
   bool is_store_lost_ = false;  // Its last commit got no answer or a refusal.
--- a/src/pools/pool_owner.cc
+++ b/src/pools/pool_owner.cc
@@ -166,7 +166,9 @@
                                                           kSlowClockFactor);
   options.lapsed_at =
       now + options_.member_lease + lease + duration(kLapseMargin);
-  options.earlier_workers = contents.workers;
+  for (const auto& [id, address] : contents.workers) {
+    options.earlier_workers.insert(id);
+  }
   options.log = options_.log;
   auto scheduler = std::make_unique<pool_scheduler>(std::move(options));
   for (const auto& job : contents.jobs) {
@@ -258,21 +260,21 @@
 
 void pool_owner::FollowWorkers() {
   std::map<std::string, pool_worker> next;
-  std::set<std::string> roster;
+  std::map<std::string, std::string> roster;
   bool has_new = false;
   {
     const std::lock_guard lock(mutex_);
     if (!std::exchange(workers_changed_, false)) return;
     next = listed_;
     for (const auto& [id, worker] : next) {
-      roster.insert(id);
+      roster[id] = worker.address;
       has_new = has_new || !roster_.contains(id);
     }
     // Workers of earlier owners stay on the list until their runs are known.
-    for (const std::string& id : roster_) {
+    for (const auto& [id, address] : roster_) {
       const bool may_run = !scheduler_->IsSettled(options_.clock->Now()) ||
                            scheduler_->RunsOn(id) > 0;
-      if (may_run) roster.insert(id);
+      if (may_run) roster.try_emplace(id, address);
     }
   }
   // A worker is named in the store before it gets work, so that a successor
@@ -322,6 +324,9 @@
       needs_decision_ = true;
     }
     followed_ = next;
+    for (pool_worker& worker : TakeUnlisted(now)) {
+      added.push_back(std::move(worker));
+    }
     for (auto at = sessions_.begin(); at != sessions_.end();) {
       const bool is_idle =
           !next.contains(at->first) && !scheduler_->MayRunOn(at->first, now);
@@ -336,6 +341,24 @@
   for (const auto& worker : added) AddSession(worker);
 }
 
+std::vector<pool_worker> pool_owner::TakeUnlisted(time_point now) {
+  std::vector<pool_worker> unlisted;
+  for (const auto& [id, address] : roster_) {
+    if (followed_.contains(id) || sessions_.contains(id) || address.empty() ||
+        !scheduler_->MayRunOn(id, now)) {
+      continue;
+    }
+    pool_worker worker;
+    worker.id = id;
+    worker.pool = options_.pool;
+    worker.address = address;
+    scheduler_->SetWorker(worker, now);
+    scheduler_->RemoveWorker(id);
+    unlisted.push_back(std::move(worker));
+  }
+  return unlisted;
+}
+
 void pool_owner::AddSession(const pool_worker& worker) {
   agent_session_options options;
   options.worker = worker;
--- a/src/pools/pool_owner.h
+++ b/src/pools/pool_owner.h
@@ -68,6 +68,9 @@
   bool LoadAll();
   void Restore(const journal_contents& contents);
   void FollowWorkers();
+  // Workers of earlier owners that discovery does not name and that may still
+  // run tasks. Called with mutex_ held.
+  std::vector<pool_worker> TakeUnlisted(time_point now);
   void AddSession(const pool_worker& worker);
   agent_session::callbacks CallbacksFor(const std::string& id);
   void CarryOut(pool_decisions decisions);
@@ -86,7 +89,7 @@
   std::map<std::string, std::shared_ptr<agent_session>> sessions_;
   std::map<std::string, pool_worker> listed_;    // As discovery says.
   std::map<std::string, pool_worker> followed_;  // As the scheduler knows.
-  std::set<std::string> roster_;
+  std::map<std::string, std::string> roster_;    // Addresses by id.
   std::set<std::string, std::less<>> submitting_;
   bool workers_changed_ = false;
   bool is_loaded_ = false;
--- a/tests/pools/job_journal_test.cc
+++ b/tests/pools/job_journal_test.cc
@@ -214,16 +214,17 @@
 }
 
 BOOST_AUTO_TEST_CASE(workers_are_remembered) {
+  const std::map<std::string, std::string> workers = {{"w1", "10.0.0.1:80"},
+                                                      {"w2", "10.0.0.2:80"}};
   fake_store store;
   {
     rig owner(store, store.Put(kOwnerKey, "first"));
     owner.Open();
     BOOST_TEST(owner.journal->StoreWorkers(
-        {"w1", "w2"}, owner.clock->Now() + duration(kPatience)));
+        workers, owner.clock->Now() + duration(kPatience)));
   }
   rig second(store, store.Put(kOwnerKey, "second"));
-  BOOST_TEST(second.Open().workers == (std::set<std::string>{"w1", "w2"}),
-             boost::test_tools::per_element());
+  BOOST_TEST((second.Open().workers == workers));
 }
 
 // Pattern: the store is silent for 4 s, and callers have 3 s. Their requests
--- a/tests/pools/pool_owner_test.cc
+++ b/tests/pools/pool_owner_test.cc
@@ -126,7 +126,15 @@
   std::unique_ptr<pool_owner> owner;
 
   rig() {
-    ports.connect_agent = [this](const pool_worker&) { return agent.Link(); };
+    ports.connect_agent = [this](const pool_worker& worker) {
+      auto link = agent.Link();
+      if (worker.id == "gone") {
+        link->hold = [](const hold_request&) -> result<worker_report> {
+          return Fail(error_kind::kUnavailable, "refused", "wait");
+        };
+      }
+      return link;
+    };
     Succeed();
   }
   ~rig() { owner->Stop(); }
@@ -150,12 +158,18 @@
     options.clock = clock;
     owner = std::make_unique<pool_owner>(std::move(options));
     BOOST_REQUIRE(Attempt([&] { return owner->Start(); }));
+    owner->SetWorkers({{"w1", WorkerOf("w1", "")}});
+  }
+
+  static pool_worker WorkerOf(const std::string& id,
+                              const std::string& address) {
     pool_worker worker;
-    worker.id = "w1";
+    worker.id = id;
     worker.pool = "pool";
+    worker.address = address;
     worker.capacity = {4000, 16'384, 0};
     worker.incarnation = 1;
-    owner->SetWorkers({{"w1", worker}});
+    return worker;
   }
 
   time_point Deadline() const { return clock->Now() + duration(kPatience); }
@@ -182,6 +196,22 @@
   BOOST_TEST(cell.Eventually([&] { return cell.agent.Acknowledged() == 2; }));
 }
 
+// Pattern: a worker leaves, and seconds later its pool changes hands. Discovery
+// does not name it to the successor, whose loaded jobs waited for its leases;
+// nothing listens at the address that the roster names.
+BOOST_AUTO_TEST_CASE(a_worker_that_left_before_a_takeover_holds_nothing_up) {
+  constexpr const char* kNobody = "127.0.0.1:1";
+  rig cell;
+  cell.owner->SetWorkers({{"gone", rig::WorkerOf("gone", kNobody)}});
+  BOOST_TEST(cell.Eventually([&] {
+    return cell.store.Value("apricotwheel/rosters/pool").find("gone") !=
+           std::string::npos;
+  }));
+  BOOST_TEST((cell.Submit("job").answer == job_answer::kAccepted));
+  cell.Succeed();
+  BOOST_TEST(cell.Eventually([&] { return cell.agent.Running() == 1; }));
+}
+
 // Found on a day on which the store turned an owner away: it showed a job as
 // completed that it could not store, and its successor, which could not know of
 // the ends on a worker that had left, ran a task again.
