--- a/src/pools/agent_session.cc
+++ b/src/pools/agent_session.cc
@@ -251,7 +251,7 @@
       orders_.pop_front();
     }
     if (const auto* start = std::get_if<start_order>(&next)) {
-      CarryOut(*start);
+      CarryOutStart(*start);
     } else if (const auto* stop = std::get_if<stop_order>(&next)) {
       const bool is_obeyed = options_.link->stop(*stop, options_.epoch);
       calls_.stop_answered(*stop, is_obeyed);
@@ -261,7 +261,7 @@
   }
 }
 
-start_reply agent_session::Carry(const start_order& next) {
+start_reply agent_session::TryStart(const start_order& next) {
   run_lease lease{options_.epoch, 0};
   {
     const std::lock_guard lock(mutex_);
@@ -278,14 +278,14 @@
   return reply;
 }
 
-void agent_session::CarryOut(const start_order& next) {
-  start_reply reply = Carry(next);
+void agent_session::CarryOutStart(const start_order& next) {
+  start_reply reply = TryStart(next);
   for (int tries = 1;
        tries < kStartTries && reply.answer == start_answer::kUnknown; ++tries) {
     Emit(options_.log, pool_events::kAnswerLost,
          {Field("worker", options_.worker.id), Field("call", "start"),
           Field("reason", next.task.job_id)});
-    reply = Carry(next);
+    reply = TryStart(next);
     // An order without an answer may be carried out later, whatever is said to
     // its repetition: only a stop settles it.
     if (reply.answer != start_answer::kStarted &&
--- a/src/pools/agent_session.h
+++ b/src/pools/agent_session.h
@@ -97,9 +97,10 @@
   // missed by a wait that is given it.
   std::uint64_t Wakes();
   void WaitForWork(std::uint64_t wakes_before, duration longest);
-  // Sends a start once, or again until an answer comes.
-  start_reply Carry(const start_order& next);
-  void CarryOut(const start_order& next);
+  // Sends a start once.
+  start_reply TryStart(const start_order& next);
+  // Sends a start until an answer comes or the tries are used up.
+  void CarryOutStart(const start_order& next);
 
   agent_session_options options_;
   const callbacks calls_;
--- a/src/pools/pool_host.cc
+++ b/src/pools/pool_host.cc
@@ -12,14 +12,14 @@
 
 using nlohmann::json;
 
-// Time for a job call that another daemon forwards; its own deadline is later.
-// Shorter than the time that a caller's daemon allows, so that the owner's
-// answer arrives before that daemon has to call the outcome unknown.
+// Time for a job call that another daemon forwards. It is shorter than the one
+// that a caller's daemon allows, so that the owner's answer arrives before that
+// daemon has to call the outcome unknown.
 constexpr auto kForwardedCall = milliseconds(900);
-// The advisor may take more than half a second for many workers, and another
-// owner's call may be before ours.
 // Workers write heartbeats all the time; what changes is read this often.
 constexpr auto kWorkersInterval = milliseconds(400);
+// The advisor may take more than half a second for many workers, and another
+// owner's call may be before ours.
 constexpr auto kAdviseTimeout = milliseconds(4000);
 
 wire_message MakeReply(std::string body) {
--- a/src/pools/pool_owner.cc
+++ b/src/pools/pool_owner.cc
@@ -20,6 +20,7 @@
 // The slowest clock of a worker, and a margin, on top of its lease.
 constexpr double kSlowClockFactor = 1.02;
 constexpr auto kLapseMargin = milliseconds(200);
+// A machine that is up refuses a connection in milliseconds.
 constexpr auto kProbeTimeout = milliseconds(300);
 constexpr auto kRosterTimeout = milliseconds(3000);
 constexpr auto kUnavailableRetry = 500;  // ms, while an owner loads.
--- a/src/pools/service_ports.h
+++ b/src/pools/service_ports.h
@@ -108,6 +108,7 @@
 struct service_adapter_options {
   std::string kv_address;       // ip:port
   std::string advisor_address;  // ip:port; empty if no queue has an advisor.
+  // A slow store takes some hundred milliseconds for an answer.
   duration call_timeout = milliseconds(900);
   log_sink log;
 };
