Share the reading of JSON and the binding of key-value services

Four places turned faults of JSON into `corrupt`, two with the same remedy; they call ReadJson now. The two protocols of the key-value client bound their functions line by line alike; BindProtocol does it for both. No change of behaviour.

--- a/src/clients/kv_client.cc
+++ b/src/clients/kv_client.cc
@@ -166,33 +166,13 @@
   return {};
 }
 
-kv_protocol HttpProtocol(const std::shared_ptr<http_kv>& service) {
-  kv_protocol calls;
-  calls.get = [service](std::string_view key, duration timeout) {
-    return Get(*service, key, timeout);
-  };
-  calls.list = [service](std::string_view prefix) {
-    return List(*service, prefix);
-  };
-  calls.commit = [service](const kv_transaction& writes, duration timeout) {
-    return Commit(*service, writes, timeout);
-  };
-  calls.watch = [service](std::string_view prefix, std::uint64_t revision,
-                          duration wait) {
-    return Watch(*service, prefix, revision, wait);
-  };
-  calls.interrupt_watches = [service] { service->watch_pool.Interrupt(); };
-  calls.grant_lease = [service](duration time_to_live) {
-    return GrantLease(*service, time_to_live);
-  };
-  calls.renew_lease = [service](std::string_view lease_id) {
-    return LeaseCall(*service, "/v1/lease/renew", lease_id,
-                     service->call_timeout);
-  };
-  calls.revoke_lease = [service](std::string_view lease_id, duration timeout) {
-    return LeaseCall(*service, "/v1/lease/revoke", lease_id, timeout);
-  };
-  return calls;
+result<void> RenewLease(http_kv& service, std::string_view lease_id) {
+  return LeaseCall(service, "/v1/lease/renew", lease_id, service.call_timeout);
+}
+
+result<void> RevokeLease(http_kv& service, std::string_view lease_id,
+                         duration timeout) {
+  return LeaseCall(service, "/v1/lease/revoke", lease_id, timeout);
 }
 
 }  // namespace
@@ -217,7 +197,7 @@
   const auto service = std::make_shared<http_kv>(peer);
   service->connect_timeout = options.connect_timeout;
   service->call_timeout = options.call_timeout;
-  return Create(HttpProtocol(service), options.call_timeout);
+  return Create(BindProtocol(service), options.call_timeout);
 }
 
 std::unique_ptr<kv_client> kv_client::Create(kv_protocol protocol,
--- a/src/clients/kv_client.h
+++ b/src/clients/kv_client.h
@@ -79,6 +79,37 @@
       revoke_lease;
 };
 
+// Binds the functions that the namespace of `Service` offers for it under the
+// names of the calls, and its pool of connections for watches.
+template <class Service>
+kv_protocol BindProtocol(const std::shared_ptr<Service>& service) {
+  kv_protocol calls;
+  calls.get = [service](std::string_view key, duration timeout) {
+    return Get(*service, key, timeout);
+  };
+  calls.list = [service](std::string_view prefix) {
+    return List(*service, prefix);
+  };
+  calls.commit = [service](const kv_transaction& writes, duration timeout) {
+    return Commit(*service, writes, timeout);
+  };
+  calls.watch = [service](std::string_view prefix, std::uint64_t revision,
+                          duration wait) {
+    return Watch(*service, prefix, revision, wait);
+  };
+  calls.interrupt_watches = [service] { service->watch_pool.Interrupt(); };
+  calls.grant_lease = [service](duration time_to_live) {
+    return GrantLease(*service, time_to_live);
+  };
+  calls.renew_lease = [service](std::string_view lease_id) {
+    return RenewLease(*service, lease_id);
+  };
+  calls.revoke_lease = [service](std::string_view lease_id, duration timeout) {
+    return RevokeLease(*service, lease_id, timeout);
+  };
+  return calls;
+}
+
 struct kv_client_options {
   std::string address;  // ip:port
   duration connect_timeout = milliseconds(500);
--- a/src/clients/wire_format.h
+++ b/src/clients/wire_format.h
@@ -7,6 +7,7 @@
 #include "clients/vm_list_client.h"
 #include "clients/worker_client.h"
 #include "kernel/error.h"
+#include "kernel/json_reading.h"
 
 namespace apricotwheel {
 
@@ -33,12 +34,10 @@
 template <class Read>
 auto ParseReply(std::string_view body, Read read)
     -> result<decltype(read(nlohmann::json()))> {
-  try {
-    return read(nlohmann::json::parse(body));
-  } catch (const nlohmann::json::exception& fault) {
-    return Fail(error_kind::kCorrupt, fault.what(),
-                "check that both sides follow the same contract page");
-  }
+  return ReadJson(
+      body, "check that both sides follow the same contract page",
+      [&](const nlohmann::json& in)
+          -> result<decltype(read(nlohmann::json()))> { return read(in); });
 }
 
 }  // namespace apricotwheel
--- a/src/graph/graph_codec.cc
+++ b/src/graph/graph_codec.cc
@@ -4,6 +4,8 @@
 #include <array>
 #include <nlohmann/json.hpp>
 
+#include "graph/record_reading.h"
+
 namespace apricotwheel {
 
 namespace {
@@ -18,21 +20,6 @@
     {job_state::kCancelled, "cancelled"},
 }};
 
-boost::leaf::error_id Corrupt(std::string message) {
-  return Fail(error_kind::kCorrupt, std::move(message),
-              "check that all daemons run compatible versions");
-}
-
-// Turns any JSON fault of `read` into `corrupt`.
-template <class Read>
-auto Guarded(Read read) -> decltype(read()) {
-  try {
-    return read();
-  } catch (const json::exception& fault) {
-    return Corrupt(fault.what());
-  }
-}
-
 // Fields at their default are left out, since most steps use few of them.
 template <class Value>
 void PutUnless(json& into, const char* key, const Value& value,
@@ -142,7 +129,7 @@
 result<void> ReadStep(const json& in, step_progress& step) {
   const auto& text = in.at("done").get_ref<const std::string&>();
   if (text.size() != step.done.size()) {
-    return Corrupt("the progress of a step has another number of tasks");
+    return CorruptRecord("the progress of a step has another number of tasks");
   }
   for (std::size_t at = 0; at < text.size(); ++at) {
     step.done[at] = text[at] == '1';
@@ -150,7 +137,7 @@
   // A row is [task index, numbers of the runs that failed].
   for (const json& row : in.value("failed_runs", json::array())) {
     const auto index = row.at(0).get<std::size_t>();
-    if (index >= step.failed_runs.size()) return Corrupt("no such task");
+    if (index >= step.failed_runs.size()) return CorruptRecord("no such task");
     row.at(1).get_to(step.failed_runs[index]);
   }
   return {};
@@ -170,7 +157,7 @@
       std::find_if(kStateNames.begin(), kStateNames.end(),
                    [&](const auto& row) { return row.second == name; });
   if (found == kStateNames.end()) {
-    return Corrupt("'" + std::string(name) + "' is no job state");
+    return CorruptRecord("'" + std::string(name) + "' is no job state");
   }
   return found->first;
 }
@@ -193,8 +180,7 @@
 }
 
 result<job_submission> DecodeSubmission(std::string_view text) {
-  return Guarded([&]() -> result<job_submission> {
-    const json in = json::parse(text);
+  return ReadRecord(text, [](const json& in) -> result<job_submission> {
     job_submission job;
     in.at("id").get_to(job.id);
     job.queue = QueueFromJson(in.at("queue"));
@@ -209,7 +195,7 @@
       schedule.at("first_run_ms").get_to(job.graph.schedule.first_run_ms);
       schedule.at("interval_ms").get_to(job.graph.schedule.interval_ms);
     }
-    if (const auto fault = FaultOf(job.graph)) return Corrupt(*fault);
+    if (const auto fault = FaultOf(job.graph)) return CorruptRecord(*fault);
     return job;
   });
 }
@@ -251,16 +237,14 @@
 }
 
 result<job_state> DecodeProgressState(std::string_view text) {
-  return Guarded([&]() -> result<job_state> {
-    const json in = json::parse(text);
+  return ReadRecord(text, [](const json& in) -> result<job_state> {
     return ParseJobState(in.at("state").get_ref<const std::string&>());
   });
 }
 
 result<job_progress> DecodeProgress(std::string_view text,
                                     const job_graph& graph) {
-  return Guarded([&]() -> result<job_progress> {
-    const json in = json::parse(text);
+  return ReadRecord(text, [&](const json& in) -> result<job_progress> {
     job_progress progress = FreshProgress(graph);
     BOOST_LEAF_ASSIGN(
         progress.state,
@@ -269,11 +253,11 @@
     const json& occurrences = in.at("occurrences");
     if (IsFinal(progress.state)) return progress;
     if (occurrences.size() != progress.occurrences.size()) {
-      return Corrupt("the progress has another number of occurrences");
+      return CorruptRecord("the progress has another number of occurrences");
     }
     for (std::size_t k = 0; k < occurrences.size(); ++k) {
       if (occurrences[k].size() != graph.steps.size()) {
-        return Corrupt("the progress has another number of steps");
+        return CorruptRecord("the progress has another number of steps");
       }
       for (std::size_t at = 0; at < graph.steps.size(); ++at) {
         BOOST_LEAF_CHECK(
--- a/src/pools/pool_calls.cc
+++ b/src/pools/pool_calls.cc
@@ -1,6 +1,6 @@
 #include "pools/pool_calls.h"
 
-#include <nlohmann/json.hpp>
+#include "graph/record_reading.h"
 
 namespace apricotwheel {
 
@@ -8,11 +8,6 @@
 
 using nlohmann::json;
 
-boost::leaf::error_id Corrupt(const char* what) {
-  return Fail(error_kind::kCorrupt, what,
-              "check that all daemons run compatible versions");
-}
-
 }  // namespace
 
 std::string_view ToString(job_answer answer) {
@@ -53,12 +48,11 @@
 }
 
 result<gate_reply> DecodeReply(std::string_view text) {
-  try {
-    const json in = json::parse(text);
+  return ReadRecord(text, [](const json& in) -> result<gate_reply> {
     gate_reply reply;
     const int answer = in.at("answer").get<int>();
     if (answer < 0 || answer > static_cast<int>(job_answer::kInvalid)) {
-      return Corrupt("the reply has an unknown answer");
+      return CorruptRecord("the reply has an unknown answer");
     }
     reply.answer = static_cast<job_answer>(answer);
     BOOST_LEAF_ASSIGN(
@@ -68,9 +62,7 @@
     in.at("retry_after_ms").get_to(reply.retry_after_ms);
     in.at("reason").get_to(reply.reason);
     return reply;
-  } catch (const json::exception& fault) {
-    return Corrupt(fault.what());
-  }
+  });
 }
 
 std::string EncodeReference(const job_reference& reference) {
@@ -78,13 +70,10 @@
 }
 
 result<job_reference> DecodeReference(std::string_view text) {
-  try {
-    const json in = json::parse(text);
+  return ReadRecord(text, [](const json& in) -> result<job_reference> {
     return job_reference{in.at("pool").get<std::string>(),
                          in.at("name").get<std::string>()};
-  } catch (const json::exception& fault) {
-    return Corrupt(fault.what());
-  }
+  });
 }
 
 }  // namespace apricotwheel
