--- a/src/daemon/daemon.cc
+++ b/src/daemon/daemon.cc
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "daemon/daemon_events.h"
+#include "daemon/daemon_options.h"
 #include "daemon/http_reply.h"
 #include "daemon/job_api.h"
 #include "daemon/service_api.h"
@@ -16,7 +17,6 @@
 
 namespace {
 
-constexpr std::size_t kIncarnationBytes = 6;
 constexpr std::size_t kMinKeyBytes = 32;
 constexpr auto kInFlightPollInterval = milliseconds(10);
 // Time that the planned stop keeps for the hand-over after the drain.
@@ -63,7 +63,7 @@
 daemon_process::daemon_process(daemon_settings settings, clock_ptr clock,
                                log_sink log)
     : settings_(std::move(settings)),
-      member_id_(settings_.name + "." + RandomHex(kIncarnationBytes)),
+      member_id_(MakeMemberId(settings_)),
       clock_(std::move(clock)),
       log_(std::move(log)),
       metrics_(std::make_shared<prometheus::Registry>()) {}
@@ -86,13 +86,9 @@
   BOOST_LEAF_ASSIGN(vm_list_,
                     vm_list_client::Create({settings_.vm_list_address}));
 
-  peer_node_options peer;
+  peer_node_options peer = PeerOptions(settings_);
   peer.member_id = member_id_;
-  peer.listen_address = settings_.peer_address;
   BOOST_LEAF_ASSIGN(peer.key, ReadKey(settings_.peer_key_file));
-  peer.max_frame_bytes = static_cast<std::size_t>(settings_.max_frame_bytes);
-  peer.max_handler_threads =
-      static_cast<std::size_t>(settings_.max_handler_threads);
   peer.clock = clock_;
   peer.log = log_;
   peer.metrics = metrics_;
@@ -124,12 +120,8 @@
       dispatcher::Create({settings_, member_id_, cluster_.get(), workers_.get(),
                           peers_.get(), clock_, log_, metrics_, seed}));
 
-  http_listener_options http;
-  http.address = settings_.http_address;
-  http.max_connections =
-      static_cast<std::size_t>(settings_.max_http_connections);
-  http.max_body_bytes = static_cast<std::size_t>(settings_.max_body_bytes);
-  BOOST_LEAF_ASSIGN(http_, http_listener::Bind(std::move(http)));
+  BOOST_LEAF_ASSIGN(http_, http_listener::Bind(CallerListenerOptions(
+                               settings_, settings_.http_address)));
   return {};
 }
 
--- a/src/daemon/http_reply.cc
+++ b/src/daemon/http_reply.cc
@@ -1,5 +1,7 @@
 #include "daemon/http_reply.h"
 
+#include <prometheus/text_serializer.h>
+
 namespace apricotwheel {
 
 void ReplyJson(httplib::Response& response, int status,
@@ -27,4 +29,11 @@
   ReplyJson(response, status, body);
 }
 
+void ReplyMetrics(httplib::Response& response,
+                  const prometheus::Registry& registry) {
+  const prometheus::TextSerializer serializer;
+  response.set_content(serializer.Serialize(registry.Collect()),
+                       "text/plain; version=0.0.4");
+}
+
 }  // namespace apricotwheel
--- a/src/daemon/http_reply.h
+++ b/src/daemon/http_reply.h
@@ -9,6 +9,7 @@
 
 #include "dispatch/dispatcher.h"
 #include "kernel/error.h"
+#include "kernel/metrics.h"
 
 namespace apricotwheel {
 
@@ -25,4 +26,8 @@
 void ReplyError(httplib::Response& response, int status, const error& failure,
                 const std::optional<outcome_note>& note = {});
 
+// All metrics of the registry, in the text format of Prometheus.
+void ReplyMetrics(httplib::Response& response,
+                  const prometheus::Registry& registry);
+
 }  // namespace apricotwheel
--- a/src/daemon/pool_daemon.cc
+++ b/src/daemon/pool_daemon.cc
@@ -1,10 +1,10 @@
 #include "daemon/pool_daemon.h"
 
-#include <prometheus/text_serializer.h>
-
 #include <utility>
 
 #include "daemon/daemon_events.h"
+#include "daemon/daemon_options.h"
+#include "daemon/http_reply.h"
 #include "kernel/random.h"
 #include "pools/pool_events.h"
 
@@ -12,7 +12,6 @@
 
 namespace {
 
-constexpr std::size_t kIncarnationBytes = 6;
 constexpr std::size_t kPeerKeyBytes = 32;
 constexpr std::string_view kPeerKeyKey = "apricotwheel/peer-key";
 constexpr auto kBootRetry = milliseconds(100);
@@ -38,7 +37,7 @@
 pool_daemon::pool_daemon(daemon_settings settings, clock_ptr clock,
                          log_sink log)
     : settings_(std::move(settings)),
-      member_id_(settings_.name + "." + RandomHex(kIncarnationBytes)),
+      member_id_(MakeMemberId(settings_)),
       clock_(std::move(clock)),
       log_(std::move(log)),
       metrics_(std::make_shared<prometheus::Registry>()),
@@ -67,12 +66,8 @@
   kv_ = kv_client::Create(ports_.key_value, options.call_timeout);
   gate_ = std::make_unique<queue_gate>(clock_, log_);
 
-  http_listener_options callers;
-  callers.address = settings_.caller_address;
-  callers.max_connections =
-      static_cast<std::size_t>(settings_.max_http_connections);
-  callers.max_body_bytes = static_cast<std::size_t>(settings_.max_body_bytes);
-  BOOST_LEAF_ASSIGN(callers_, http_listener::Bind(callers));
+  BOOST_LEAF_ASSIGN(callers_, http_listener::Bind(CallerListenerOptions(
+                                  settings_, settings_.caller_address)));
   ports_.add_caller_api(callers_->Server(), *gate_);
 
   http_listener_options probes;
@@ -88,9 +83,7 @@
   operators_->Server().Get(
       "/metrics", [this](const httplib::Request&, httplib::Response& reply) {
         process_metrics_.Update(Totals());
-        const prometheus::TextSerializer serializer;
-        reply.set_content(serializer.Serialize(metrics_->Collect()),
-                          "text/plain; version=0.0.4");
+        ReplyMetrics(reply, *metrics_);
       });
   BOOST_LEAF_CHECK(callers_->Start());
   BOOST_LEAF_CHECK(probes_->Start());
@@ -125,13 +118,9 @@
   host_.reset();
   directory_.reset();
   peers_.reset();
-  peer_node_options peer;
+  peer_node_options peer = PeerOptions(settings_);
   peer.member_id = member_id_;
-  peer.listen_address = settings_.peer_address;
   peer.key = std::move(peer_key);
-  peer.max_frame_bytes = static_cast<std::size_t>(settings_.max_frame_bytes);
-  peer.max_handler_threads =
-      static_cast<std::size_t>(settings_.max_handler_threads);
   peer.clock = clock_;
   peer.log = log_;
   peer.metrics = metrics_;
--- a/src/daemon/status_api.cc
+++ b/src/daemon/status_api.cc
@@ -1,7 +1,5 @@
 #include "daemon/status_api.h"
 
-#include <prometheus/text_serializer.h>
-
 #include <memory>
 #include <nlohmann/json.hpp>
 #include <utility>
@@ -120,9 +118,7 @@
                   httplib::Response& response) {
   process.Update({sources.peers->BytesSent(), sources.peers->BytesReceived(),
                   sources.peers->MessagesSent(), sources.kv->Calls()});
-  const prometheus::TextSerializer serializer;
-  response.set_content(serializer.Serialize(sources.metrics->Collect()),
-                       "text/plain; version=0.0.4");
+  ReplyMetrics(response, *sources.metrics);
 }
 
 }  // namespace
