Split the two longest files of the pools, and say things once

A request for approval is built in one place, a pool is given up in one function, and the repetition of a start decides once what its answer means. The log line of a lost start names the job as `job`; it was called `reason`. Otherwise no change of behaviour.

--- a/src/graph/pool_placement.cc
+++ b/src/graph/pool_placement.cc
@@ -1,5 +1,5 @@
-// Where tasks go: the order of the waiting steps, the choice of workers, the
-// approvals to ask for, and what shares a worker.
+// Where tasks go: the order of the waiting steps, the choice of workers, and
+// what shares a worker.
 #include <algorithm>
 #include <tuple>
 
@@ -10,11 +10,6 @@
 
 namespace {
 
-// The advisor takes at most this many workers in a call.
-constexpr std::size_t kMaxAskedWorkers = 100;
-// Workers beyond the need that a renewal of tickets names, since others may
-// take the room while the call runs.
-constexpr std::size_t kSpareAsked = 2;
 // A serving task's tail above this share of its target slows the tasks beside
 // it that use what it leaves; below the lower share they speed up again.
 constexpr int kPaceDownPercent = 70;
@@ -25,24 +20,6 @@
 // different kinds is compared.
 constexpr std::int64_t kCpuPerAccelerator = 8000;
 
-// Room is kept for one gang or large task at a time for so many workers. Room
-// that is kept stands idle until the last part of it is free.
-constexpr std::size_t kWorkersPerReservation = 3;
-// When a run that has outlasted its estimate is taken to end.
-constexpr auto kOverdueRun = milliseconds(400);
-// A gang's room moves to another worker only if that is free this much sooner.
-constexpr auto kKeptAdvantage = milliseconds(1500);
-// Approvals for a reserved gang are asked for this long before they are needed,
-// on top of the time that the advisor takes.
-constexpr auto kAskAhead = milliseconds(250);
-
-// Time that the advisor takes for a call that names so many workers.
-duration CallCost(const advisor_terms& terms, std::size_t workers) {
-  return std::chrono::microseconds(terms.decision_us +
-                                   terms.per_worker_us *
-                                       static_cast<std::int64_t>(workers));
-}
-
 std::int64_t SizeOf(const resource_vector& need) {
   return need.cpu_milli + need.accelerators * kCpuPerAccelerator;
 }
@@ -276,168 +253,6 @@
   AskApproval(waiting, now, decisions);
 }
 
-time_point pool_scheduler::FreeAt(const worker_state& worker,
-                                  const resource_vector& need,
-                                  time_point now) const {
-  resource_vector room = worker.info.capacity - worker.used;
-  if (Fits(need, room)) return now;
-  std::vector<std::pair<time_point, resource_vector>> ends;
-  for (const auto& [task, run] : worker.runs) {
-    if (run.job == nullptr) continue;
-    const graph_step& spec = SpecOf(*run.job, task);
-    const bool is_stopping = run.phase == run_phase::kStopping;
-    if (spec.is_service && !is_stopping) continue;
-    const time_point expected =
-        is_stopping ? now : run.ordered_at + milliseconds(spec.estimate_ms);
-    ends.emplace_back(std::max<time_point>(expected, now + kOverdueRun),
-                      spec.need);
-  }
-  std::sort(ends.begin(), ends.end(), [](const auto& left, const auto& right) {
-    return left.first < right.first;
-  });
-  for (const auto& [end, freed] : ends) {
-    room = room + freed;
-    if (Fits(need, room)) return end;
-  }
-  return time_point::max();
-}
-
-// Finds the workers that are free first for `count` tasks that start together,
-// among those without a reservation. Returns when all of them are free.
-std::optional<time_point> pool_scheduler::FindRoom(
-    const candidate& waiting, std::uint32_t count,
-    const std::set<std::string>& kept_on, time_point now,
-    room_by_worker& room) {
-  const graph_step& spec = waiting.job->submission.graph.steps[waiting.step];
-  time_point ready_at = now;
-  for (std::uint32_t at = 0; at < count; ++at) {
-    worker_state* best = nullptr;
-    time_point best_at = time_point::max();
-    for (auto& [id, worker] : workers_) {
-      if (!CanHost(waiting, worker, now) ||
-          worker.reserved != resource_vector{}) {
-        continue;
-      }
-      const auto found = room.find(&worker);
-      const resource_vector need =
-          found == room.end() ? spec.need : found->second + spec.need;
-      if (!Fits(need, worker.info.capacity)) continue;
-      time_point free_at = FreeAt(worker, need, now);
-      if (free_at == time_point::max()) continue;
-      free_at = std::max(free_at, worker.avoid_until);
-      // Room that has been kept for a while is worth more than room elsewhere.
-      if (kept_on.contains(id)) free_at -= kKeptAdvantage;
-      if (free_at < best_at) {
-        best = &worker;
-        best_at = free_at;
-      }
-    }
-    if (best == nullptr) return std::nullopt;
-    room[best] = room[best] + spec.need;
-    ready_at = std::max(ready_at, best_at);
-  }
-  return ready_at;
-}
-
-// Keeps the room of the workers that are free first for gangs and large tasks
-// that wait, so that smaller work does not take each part of it as it becomes
-// free.
-void pool_scheduler::ReserveRoom(const candidate& waiting, time_point now,
-                                 pool_decisions& decisions) {
-  graph_job& job = *waiting.job;
-  const graph_step& spec = job.submission.graph.steps[waiting.step];
-  step_state& step = job.occurrences[waiting.occurrence][waiting.step];
-  const auto& advisor = job.submission.queue.advisor;
-  // Before the first answer it is not known where the tasks may run.
-  if (advisor && step.approvals.by_worker.empty()) return;
-  const std::uint32_t together = spec.is_gang ? spec.task_count : 1;
-  const std::uint32_t starts = spec.is_gang ? 1 : step.waiting;
-  const auto kept_on = std::exchange(step.kept_on, {});
-  std::vector<pool_worker> unapproved;
-  for (std::uint32_t at = 0;
-       at < starts && reservations_ * kWorkersPerReservation < workers_.size();
-       ++at) {
-    room_by_worker room;
-    const auto ready_at = FindRoom(waiting, together, kept_on, now, room);
-    if (!ready_at) break;
-    ++reservations_;
-    for (const auto& [worker, need] : room) {
-      step.kept_on.insert(worker->info.id);
-      worker->reserved = need;
-      worker->reserved_from = *ready_at;
-    }
-    if (!advisor) continue;
-    const time_point ask_at =
-        *ready_at - CallCost(*advisor, room.size()) - kAskAhead;
-    if (now < ask_at) {
-      next_due_ = std::min(next_due_, ask_at);
-      continue;
-    }
-    for (const auto& [worker, need] : room) {
-      if (ApprovalOf(step.approvals, worker->info, now) != approval::kValid) {
-        unapproved.push_back(worker->info);
-      }
-    }
-  }
-  if (unapproved.empty() || step.approvals.is_asking ||
-      now < step.approvals.retry_at) {
-    return;
-  }
-  step.approvals.is_asking = true;
-  decisions.approvals.push_back(
-      {job.submission.id, waiting.occurrence, waiting.step, unapproved,
-       waiting.order.priority, CallCost(*advisor, unapproved.size())});
-}
-
-// True if the task takes so much of a worker that it finds no room by chance.
-bool pool_scheduler::IsLarge(const graph_step& spec) const {
-  const resource_vector twice = spec.need + spec.need;
-  if (largest_.accelerators > 0) {
-    return twice.accelerators >= largest_.accelerators;
-  }
-  return twice.cpu_milli >= largest_.cpu_milli ||
-         twice.memory_mib >= largest_.memory_mib;
-}
-
-void pool_scheduler::AskApproval(const candidate& waiting, time_point now,
-                                 pool_decisions& decisions) {
-  graph_job& job = *waiting.job;
-  step_state& step = job.occurrences[waiting.occurrence][waiting.step];
-  approval_request request{job.submission.id,      waiting.occurrence,
-                           waiting.step,           {},
-                           waiting.order.priority, {}};
-  const bool is_first = step.approvals.by_worker.empty();
-  if (is_first) {
-    // What an approval says does not change, so all that may ever run the step
-    // are named once.
-    for (const auto& [id, worker] : workers_) {
-      if (CanHost(waiting, worker, now) &&
-          request.workers.size() < kMaxAskedWorkers) {
-        request.workers.push_back(worker.info);
-      }
-    }
-  } else {
-    const auto possible = Choose(waiting, now, false);
-    std::set<const worker_state*> named;
-    for (const placement& one : possible) named.insert(one.worker);
-    const std::size_t most = named.size() + kSpareAsked;
-    for (worker_state* worker : Allowed(waiting, now, false)) {
-      if (possible.empty() || named.size() >= most) break;
-      named.insert(worker);
-    }
-    for (const worker_state* worker : named) {
-      if (request.workers.size() < kMaxAskedWorkers) {
-        request.workers.push_back(worker->info);
-      }
-    }
-  }
-  if (request.workers.empty()) return;
-  step.approvals.is_asking = true;
-  request.cost =
-      CallCost(*job.submission.queue.advisor, request.workers.size());
-  decisions.approvals.push_back(std::move(request));
-}
-
 void pool_scheduler::Start(const candidate& waiting,
                            std::span<const placement> chosen, time_point now,
                            pool_decisions& decisions) {
--- a/src/graph/pool_scheduler.h
+++ b/src/graph/pool_scheduler.h
@@ -211,6 +211,12 @@
                                  time_point now);
   bool CanHost(const candidate& waiting, const worker_state& worker,
                time_point now) const;
+  void Start(const candidate& waiting, std::span<const placement> chosen,
+             time_point now, pool_decisions& decisions);
+  void CollectStops(time_point now, pool_decisions& decisions);
+  void CollectPaces(pool_decisions& decisions);
+
+  // pool_reservations.cc: room and approvals for those that wait.
   time_point FreeAt(const worker_state& worker, const resource_vector& need,
                     time_point now) const;
   using room_by_worker = std::map<worker_state*, resource_vector>;
@@ -221,12 +227,11 @@
   void ReserveRoom(const candidate& waiting, time_point now,
                    pool_decisions& decisions);
   bool IsLarge(const graph_step& spec) const;
+  void RequestApproval(const candidate& waiting,
+                       std::vector<pool_worker> workers,
+                       pool_decisions& decisions);
   void AskApproval(const candidate& waiting, time_point now,
                    pool_decisions& decisions);
-  void Start(const candidate& waiting, std::span<const placement> chosen,
-             time_point now, pool_decisions& decisions);
-  void CollectStops(time_point now, pool_decisions& decisions);
-  void CollectPaces(pool_decisions& decisions);
 
   pool_scheduler_options options_;
   std::map<std::string, std::unique_ptr<graph_job>, std::less<>> jobs_;
--- a/src/pools/agent_session.cc
+++ b/src/pools/agent_session.cc
@@ -280,20 +280,19 @@
 
 void agent_session::CarryOutStart(const start_order& next) {
   start_reply reply = TryStart(next);
-  for (int tries = 1;
-       tries < kStartTries && reply.answer == start_answer::kUnknown; ++tries) {
+  int tries = 1;
+  for (; tries < kStartTries && reply.answer == start_answer::kUnknown;
+       ++tries) {
     Emit(options_.log, pool_events::kAnswerLost,
          {Field("worker", options_.worker.id), Field("call", "start"),
-          Field("reason", next.task.job_id)});
+          Field("job", next.task.job_id)});
     reply = TryStart(next);
-    // An order without an answer may be carried out later, whatever is said to
-    // its repetition: only a stop settles it.
-    if (reply.answer != start_answer::kStarted &&
-        reply.answer != start_answer::kStaleEpoch &&
-        reply.answer != start_answer::kUnknown) {
-      reply.answer = start_answer::kUnknown;
-      break;
-    }
+  }
+  // An order without an answer may be carried out later, whatever refuses its
+  // repetition: only a stop settles it.
+  if (tries > 1 && reply.answer != start_answer::kStarted &&
+      reply.answer != start_answer::kStaleEpoch) {
+    reply.answer = start_answer::kUnknown;
   }
   if (reply.answer == start_answer::kStaleEpoch) calls_.epoch_refused();
   calls_.start_answered(next, reply.answer);
--- a/src/pools/pool_host.cc
+++ b/src/pools/pool_host.cc
@@ -55,12 +55,7 @@
       });
   options_.directory->OnLost(
       [this](const std::string& pool, std::uint64_t epoch) {
-        const std::lock_guard lock(mutex_);
-        const auto found = wanted_.find(pool);
-        if (found == wanted_.end() || found->second != epoch) return;
-        wanted_.erase(found);
-        needs_work_ = true;
-        changed_.notify_all();
+        GiveUp(pool, epoch);
       });
   options_.peers->Handle(
       wire::body::pool_call,
@@ -202,20 +197,22 @@
     options_.metrics->approval_seconds.Observe(took.count());
     return answer;
   };
-  owner.succeeded = [this, pool, epoch] {
-    // Called from the owner's threads, which the host joins.
-    const std::lock_guard lock(mutex_);
-    const auto found = wanted_.find(pool);
-    if (found == wanted_.end() || found->second != epoch) return;
-    wanted_.erase(found);
-    needs_work_ = true;
-    changed_.notify_all();
-  };
+  // Called from the owner's threads, which the host joins.
+  owner.succeeded = [this, pool, epoch] { GiveUp(pool, epoch); };
   owner.clock = options_.clock;
   owner.log = options_.log;
   return std::make_shared<pool_owner>(std::move(owner));
 }
 
+void pool_host::GiveUp(const std::string& pool, std::uint64_t epoch) {
+  const std::lock_guard lock(mutex_);
+  const auto found = wanted_.find(pool);
+  if (found == wanted_.end() || found->second != epoch) return;
+  wanted_.erase(found);
+  needs_work_ = true;
+  changed_.notify_all();
+}
+
 void pool_host::WorkerChanged(const kv_event& event) {
   const std::lock_guard lock(mutex_);
   workers_.erase(event.entry.key);
--- a/src/pools/pool_host.h
+++ b/src/pools/pool_host.h
@@ -51,6 +51,8 @@
 
  private:
   void Run();
+  // The pool is another daemon's; its owner here, of this epoch, is ended.
+  void GiveUp(const std::string& pool, std::uint64_t epoch);
   void Reconcile();
   std::shared_ptr<pool_owner> MakeOwner(const std::string& pool,
                                         std::uint64_t epoch);
--- a/src/pools/pool_owner.h
+++ b/src/pools/pool_owner.h
@@ -67,17 +67,19 @@
   void Run();
   bool LoadAll();
   void Restore(const journal_contents& contents);
+  void CarryOut(pool_decisions decisions);
+  void WakeLoop();
+  job_journal::callbacks JournalCallbacks();
+  void ApprovalAnswered(const approval_request& request,
+                        const outcome<approval_desk::approvals>& answer);
+
+  // pool_owner_workers.cc
   void FollowWorkers();
   // Workers of earlier owners that discovery does not name and that may still
   // run tasks. Called with mutex_ held.
   std::vector<pool_worker> TakeUnlisted(time_point now);
   void AddSession(const pool_worker& worker);
   agent_session::callbacks CallbacksFor(const std::string& id);
-  void CarryOut(pool_decisions decisions);
-  void WakeLoop();
-  job_journal::callbacks JournalCallbacks();
-  void ApprovalAnswered(const approval_request& request,
-                        const outcome<approval_desk::approvals>& answer);
 
   const pool_owner_options options_;
   std::unique_ptr<job_journal> journal_;
