Refuse envelopes whose wide elements are misaligned

Ruled out: a misaligned payload (it is a vector of its own); an encoder that makes such vectors (the new test encodes none to three elements). Test: peer_envelope_test failed first (the envelope decoded).

--- a/src/peer/envelope.cc
+++ b/src/peer/envelope.cc
@@ -1,6 +1,8 @@
 #include "peer/envelope.h"
 
 #include <array>
+#include <cstdint>
+#include <type_traits>
 
 namespace apricotwheel {
 
@@ -17,6 +19,27 @@
     error_kind::kCorrupt,         error_kind::kIo,
     error_kind::kInternal};
 
+// The library's verifier checks the alignment of a vector's length but not of
+// its elements, which are wider in these cases and are read in place.
+template <typename Element>
+bool HasAlignedElements(const flatbuffers::Vector<Element>* elements) {
+  constexpr auto kAlignment = alignof(std::remove_pointer_t<Element>);
+  return elements == nullptr ||
+         reinterpret_cast<std::uintptr_t>(elements->Data()) % kAlignment == 0;
+}
+
+// Of all vectors of 8-byte elements in peer_messages.fbs.
+bool HasAlignedVectors(const wire::envelope& envelope) {
+  if (const auto* gossip = envelope.body_as_gossip()) {
+    return HasAlignedElements(gossip->largest_free());
+  }
+  if (const auto* handover = envelope.body_as_key_handover()) {
+    return HasAlignedElements(handover->accepted_epochs()) &&
+           HasAlignedElements(handover->accepted_clocks_ms());
+  }
+  return true;
+}
+
 }  // namespace
 
 byte_buffer EncodeMessage(const wire_message& message,
@@ -42,6 +65,10 @@
       envelope->body_type() > wire::body::MAX) {
     return Fail(error_kind::kCorrupt, "an envelope has no known body", kRemedy);
   }
+  if (!HasAlignedVectors(*envelope)) {
+    return Fail(error_kind::kCorrupt, "an envelope has misaligned elements",
+                kRemedy);
+  }
   wire_message message;
   envelope->UnPackTo(&message);
   return message;
