Bring an instance to a small VM before each case of leaving_test

Change: each case drains the large VMs until all instances are on small ones and takes that drain back; a VM that an earlier case drained stays drained. No check is changed. Ruled out: letting a large VM leave, since gangs need all of them.

--- a/tests/faults/leaving_test.cc
+++ b/tests/faults/leaving_test.cc
@@ -1,5 +1,6 @@
 // Guards guarantee 6: new work on a VM more than 5 s after it was drained by
 // the document or marked as leaving in the VM list.
+#include <algorithm>
 #include <array>
 #include <atomic>
 #include <boost/test/unit_test.hpp>
@@ -19,6 +20,7 @@
 constexpr std::int64_t kLeaveMs = 5000;
 constexpr int kObserveMs = 2000;
 constexpr int kCallers = 6;
+const std::string kLargeVms = "large-0, large-1, large-2";
 
 enum class how { kDrained, kMarkedLeaving };
 
@@ -28,18 +30,43 @@
   bool owner_list_lags;  // The owner of the VM reads no VM list.
 };
 
-std::string WorkerOf(fault_rig& rig, std::size_t daemon,
-                     const std::string& service) {
+// The VMs that host instances of `service` of the partitions of one daemon.
+std::vector<std::string> WorkersOf(fault_rig& rig, std::size_t daemon,
+                                   const std::string& service) {
+  std::vector<std::string> workers;
   const auto status = rig.Cell().Status(daemon);
-  if (!status.contains("instances")) return "";
+  if (!status.contains("instances")) return workers;
   for (const auto& instance : status["instances"]) {
-    // Gangs need all large VMs, so a small one leaves.
-    std::string worker = instance["worker"];
-    if (instance["service"] == service && worker.starts_with("small")) {
-      return worker;
-    }
+    if (instance["service"] == service) workers.push_back(instance["worker"]);
   }
-  return "";
+  return workers;
+}
+
+bool IsSmall(const std::string& worker) { return worker.starts_with("small"); }
+
+// Gangs need all large VMs, so a small one has to leave, and every case needs
+// one that hosts an instance. Instances are free to settle on large VMs, more
+// so the more small ones have left: a drain of the large ones moves them.
+bool MoveFrontsToSmallVms(fault_rig& rig, const std::string& drained) {
+  auto& cell = rig.Cell();
+  const auto apply = [&](const std::string& drain) {
+    return !!Attempt(
+        [&] { return cell.ApplyDocument(RigDocument(drain), "test"); });
+  };
+  if (!apply(drained.empty() ? kLargeVms : kLargeVms + (", " + drained))) {
+    return false;
+  }
+  const bool moved = cell.WaitUntil(kRecoverMs, [&] {
+    std::vector<std::string> workers;
+    for (std::size_t daemon = 0; daemon < cell.DaemonCount(); ++daemon) {
+      for (auto& worker : WorkersOf(rig, daemon, "front")) {
+        workers.push_back(std::move(worker));
+      }
+    }
+    return !workers.empty() &&
+           std::all_of(workers.begin(), workers.end(), IsSmall);
+  });
+  return apply(drained) && moved && rig.WaitForServices(kStartMs);
 }
 
 }  // namespace
@@ -56,8 +83,10 @@
        true},
   }};
   std::int64_t violated = 0;
+  std::string drained;
   for (const auto& row : cases) {
     BOOST_TEST_CONTEXT(row.name) {
+      BOOST_REQUIRE(MoveFrontsToSmallVms(*rig, drained));
       // A VM that hosts an instance, and the daemon that owns it.
       std::string worker;
       std::size_t owner = 0;
@@ -65,7 +94,10 @@
       for (std::size_t step = 0; step < cell.DaemonCount() && worker.empty();
            ++step) {
         owner = (first + step) % cell.DaemonCount();
-        worker = WorkerOf(*rig, owner, "front");
+        const auto workers = WorkersOf(*rig, owner, "front");
+        const auto found =
+            std::find_if(workers.begin(), workers.end(), IsSmall);
+        if (found != workers.end()) worker = *found;
       }
       BOOST_REQUIRE(!worker.empty());
       rig->StartLoad();
@@ -101,6 +133,7 @@
       BOOST_CHECK(
           cell.WaitUntil(kRecoverMs, [&] { return requests_before > 0; }));
       if (row.way == how::kDrained) {
+        drained = worker;
         BOOST_CHECK(Attempt(
             [&] { return cell.ApplyDocument(RigDocument(worker), "test"); }));
       } else {
