Let a pool's owner go on until its successor has the pool

The membership ended at once as well, so the others dropped their links to the daemon and cut off calls that it still forwarded. Change: the owner asks a successor to take the pool and goes on until the new key is written; the successor is the member that joined last, which a rolling restart reaches last. The membership ends after the grace, which counts from the signal. Jobs whose commit the successor's key kept out are refused as not run, and a stop waits for the answer of the commit under way, so callers' daemons ask the successor at once instead of answering unknown. Tests: hand_over_test and two cases of job_journal_test failed first (2 refused, none accepted; unknown instead of not stored and stored).

--- a/src/daemon/pool_daemon.cc
+++ b/src/daemon/pool_daemon.cc
@@ -15,8 +15,10 @@
 constexpr std::size_t kPeerKeyBytes = 32;
 constexpr std::string_view kPeerKeyKey = "apricotwheel/peer-key";
 constexpr auto kBootRetry = milliseconds(100);
-// Time of a planned stop in which pools are given up.
+// Times of a planned stop in which other daemons take the pools, and in which
+// the membership ends.
 constexpr auto kLeaveTime = milliseconds(1500);
+constexpr auto kResignTime = milliseconds(500);
 constexpr std::size_t kMaxProbeConnections = 16;
 constexpr std::size_t kMaxOperatorConnections = 8;
 
@@ -199,10 +201,11 @@
   stopping_ = true;
   boot_signal_.RequestStop();
   threads_.JoinAll();
-  if (host_) host_->Leave(clock_->Now() + duration(kLeaveTime));
+  const auto asked_at = clock_->Now();
+  if (host_) host_->Leave(asked_at + duration(kLeaveTime));
   // Callers go on using open connections until the balancer has seen that this
   // daemon is not ready.
-  clock_->SleepFor(settings_.readiness_grace);
+  clock_->SleepUntil(asked_at + settings_.readiness_grace);
   StopParts();
   Emit(log_, kDaemonStopped, {Field("member", member_id_)});
 }
@@ -218,7 +221,11 @@
   if (kv_) kv_->InterruptWatches();
   if (configuration_) configuration_->Stop();
   if (host_) host_->Stop();
-  if (directory_) directory_->Stop();
+  // Not before: the other daemons drop their links to one that is no member.
+  if (directory_) {
+    directory_->Resign(clock_->Now() + duration(kResignTime));
+    directory_->Stop();
+  }
   if (peers_) peers_->Stop();
 }
 
--- a/src/pools/job_journal.cc
+++ b/src/pools/job_journal.cc
@@ -167,8 +167,10 @@
   if (is_stopped_ || is_store_lost_) return submit_outcome::kNotStored;
   waiting_.push_back(pending);
   changed_.notify_all();
-  options_.clock->WaitUntil(lock, changed_, deadline,
-                            [&] { return pending->is_done || is_stopped_; });
+  // What is sent is soon known, also after a stop.
+  options_.clock->WaitUntil(lock, changed_, deadline, [&] {
+    return pending->is_done || has_ended_ || (is_stopped_ && !pending->is_sent);
+  });
   if (pending->is_stored) return submit_outcome::kStored;
   if (pending->is_done) return submit_outcome::kNotStored;
   if (pending->is_sent) return submit_outcome::kUnknown;
@@ -317,7 +319,10 @@
       return succeed();
     }
     const error_kind kind = written.failure.kind;
-    if (kind == error_kind::kConflict && !may_have_run) return false;
+    if (kind == error_kind::kConflict && !may_have_run) {
+      RefuseSubmissions(work);
+      return false;
+    }
     options_.metrics->commit_failures.Increment();
     Emit(options_.log, pool_events::kCommitFailed,
          {Field("pool", options_.pool), Field("number", work.number),
@@ -333,7 +338,10 @@
       if (state == commit_state::kOvertaken) return false;
       if (state == commit_state::kOpen) {
         // The journal is unchanged, so it was the owner key that has changed.
-        if (kind == error_kind::kConflict) return false;
+        if (kind == error_kind::kConflict) {
+          RefuseSubmissions(work);
+          return false;
+        }
         // It reads but does not write: it may need longer for that.
         timeout = std::min<duration>(timeout * 2, kLongestCallTimeout);
         const std::lock_guard lock(mutex_);
@@ -390,6 +398,15 @@
 }
 
 void job_journal::Run() {
+  CommitGroups();
+  {
+    const std::lock_guard lock(mutex_);
+    has_ended_ = true;
+  }
+  changed_.notify_all();
+}
+
+void job_journal::CommitGroups() {
   while (true) {
     std::uint64_t flush = 0;
     {
--- a/src/pools/job_journal.h
+++ b/src/pools/job_journal.h
@@ -115,6 +115,7 @@
   };
 
   void Run();
+  void CommitGroups();
   group Collect();
   enum class commit_state {
     kDone,
@@ -151,6 +152,7 @@
   std::uint64_t roster_stored_ = 0;
   bool is_store_lost_ = false;  // Its last commit got no answer or a refusal.
   bool is_stopped_ = false;
+  bool has_ended_ = false;  // Nothing more is sent.
   thread_group threads_;
 };
 
--- a/src/pools/pool_calls.h
+++ b/src/pools/pool_calls.h
@@ -41,6 +41,7 @@
 inline constexpr std::string_view kCancelTopic = "cancel";    // {pool, job}
 inline constexpr std::string_view kPendingTopic = "pending";  // {pool, queue}
 inline constexpr std::string_view kAdviseTopic = "advise";    // {job, ...}
+inline constexpr std::string_view kTakeTopic = "take";        // {pool, epoch}
 
 std::string_view ToString(job_answer answer);
 
--- a/src/pools/pool_directory.cc
+++ b/src/pools/pool_directory.cc
@@ -3,6 +3,7 @@
 #include <xxhash.h>
 
 #include <algorithm>
+#include <tuple>
 
 #include "peer/connection.h"
 #include "pools/pool_events.h"
@@ -154,7 +155,9 @@
   const std::lock_guard lock(mutex_);
   stored_member& stored = members_[id];
   if (event.entry.revision <= stored.revision) return;
-  stored = {std::move(record), event.entry.revision};
+  const std::uint64_t joined =
+      stored.record ? stored.joined_revision : event.entry.revision;
+  stored = {std::move(record), event.entry.revision, joined};
   if (!stored.record) return;
   for (const auto& [other, earlier] : members_) {
     // Two processes cannot listen at one address.
@@ -220,15 +223,16 @@
          dead_.contains(found->second.ownership.member_id);
 }
 
+bool pool_directory::OwnsPool(std::string_view member_id) const {
+  return std::any_of(owners_.begin(), owners_.end(), [&](const auto& row) {
+    return row.second.ownership.member_id == member_id;
+  });
+}
+
 int pool_directory::RankFor(std::string_view pool) const {
   // Called with mutex_ held. Owners of another pool come last.
-  const auto busy = [&](const std::string& id) {
-    return std::any_of(owners_.begin(), owners_.end(), [&](const auto& row) {
-      return row.second.ownership.member_id == id;
-    });
-  };
   const auto order = [&](const std::string& id) {
-    return std::pair(busy(id), HashOf(pool, id));
+    return std::pair(OwnsPool(id), HashOf(pool, id));
   };
   const auto own = order(options_.self.id);
   int rank = 0;
@@ -241,6 +245,31 @@
   return rank;
 }
 
+std::vector<std::string> pool_directory::Successors(
+    std::string_view pool) const {
+  // Owners of another pool come last. Planned restarts go from daemon to
+  // daemon, so the one that joined last is the last to be stopped again.
+  using rank = std::tuple<bool, std::int64_t, std::uint64_t>;
+  std::vector<std::pair<rank, std::string>> ranked;
+  {
+    const std::lock_guard lock(mutex_);
+    for (const auto& [id, stored] : members_) {
+      if (!stored.record || stored.record->leaving || dead_.contains(id) ||
+          id == options_.self.id) {
+        continue;
+      }
+      ranked.push_back(
+          {{OwnsPool(id), -static_cast<std::int64_t>(stored.joined_revision),
+            HashOf(pool, id)},
+           id});
+    }
+  }
+  std::sort(ranked.begin(), ranked.end());
+  std::vector<std::string> ids;
+  for (auto& [order, id] : ranked) ids.push_back(std::move(id));
+  return ids;
+}
+
 void pool_directory::Suspect(const std::string& member_id) {
   {
     const std::lock_guard lock(mutex_);
@@ -314,8 +343,7 @@
   claim.puts.push_back({key, options_.self.id, lease_.LeaseId()});
   const auto written = Attempt([&] { return options_.kv->Commit(claim); });
   if (written) {
-    Apply({{key, options_.self.id, *written}, false});
-    NotifyOwnership();
+    HandedOver(pool, options_.self.id, *written);
     return;
   }
   {
@@ -336,11 +364,44 @@
   NotifyOwnership();
 }
 
-void pool_directory::Leave(time_point deadline) {
-  std::map<std::string, std::uint64_t> owned;
+void pool_directory::HandedOver(const std::string& pool,
+                                const std::string& member_id,
+                                std::uint64_t epoch) {
+  Apply({{OwnerKey(pool), member_id, epoch}, false});
+  NotifyOwnership();
+}
+
+result<std::uint64_t> pool_directory::Take(const std::string& pool,
+                                           std::uint64_t epoch) {
+  {
+    const std::lock_guard lock(mutex_);
+    if (is_leaving_ || !is_listed_ || !lease_.IsHeld()) {
+      return Fail(error_kind::kUnavailable, "this daemon takes no pools now",
+                  "ask another daemon");
+    }
+  }
+  const std::string key = OwnerKey(pool);
+  kv_transaction claim;
+  claim.conditions.push_back({key, epoch});
+  claim.puts.push_back({key, options_.self.id, lease_.LeaseId()});
+  BOOST_LEAF_AUTO(written, options_.kv->Commit(claim));
+  HandedOver(pool, options_.self.id, written);
+  return written;
+}
+
+void pool_directory::MarkLeaving() {
   {
     const std::lock_guard lock(mutex_);
     is_leaving_ = true;
+  }
+  lease_.MarkLeaving();
+  lease_signal_.Wake();
+}
+
+void pool_directory::GiveUpPools(time_point deadline) {
+  std::map<std::string, std::uint64_t> owned;
+  {
+    const std::lock_guard lock(mutex_);
     for (const auto& [pool, stored] : owners_) {
       if (stored.ownership.member_id == options_.self.id) {
         owned[pool] = stored.revision;
@@ -348,13 +409,16 @@
     }
   }
   for (const auto& one : owned) {
-    // If this fails, the pool is free when the lease ends.
-    Attempt([&] {
+    const auto removed = Attempt([&] {
       return options_.kv->Remove(OwnerKey(one.first), one.second,
                                  deadline - options_.clock->Now());
     });
+    if (removed) continue;
+    // The pool is free when the lease ends.
+    Emit(options_.log, pool_events::kHandOverFailed,
+         {Field("pool", one.first), Field("member", ""),
+          Field("reason", Describe(removed.failure))});
   }
-  lease_.Resign(deadline);
 }
 
 }  // namespace apricotwheel
--- a/src/pools/pool_directory.h
+++ b/src/pools/pool_directory.h
@@ -77,8 +77,24 @@
   void Suspect(const std::string& member_id);
   // The owner found out, other than by this directory, that it was succeeded.
   void Refresh(const std::string& pool);
-  // Planned stop: takes no more pools, gives up those owned, ends the lease.
-  void Leave(time_point deadline);
+
+  // Planned stop, in this order: other members stop counting on this one, and
+  // it takes no more pools;
+  void MarkLeaving();
+  // each pool is taken by one of its successors, which the owner asks, best
+  // first;
+  std::vector<std::string> Successors(std::string_view pool) const;
+  void HandedOver(const std::string& pool, const std::string& member_id,
+                  std::uint64_t epoch);
+  // what nobody has taken becomes vacant;
+  void GiveUpPools(time_point deadline);
+  // and the membership ends.
+  void Resign(time_point deadline) { lease_.Resign(deadline); }
+
+  // Takes the pool from its owner of `epoch`, which asked for it. Returns the
+  // new epoch. Fails with `conflict` if the owner has changed since, with
+  // `timeout` if that is unknown.
+  result<std::uint64_t> Take(const std::string& pool, std::uint64_t epoch);
 
  private:
   struct stored_owner {
@@ -88,6 +104,7 @@
   struct stored_member {
     std::optional<member> record;  // Absent: the key was deleted.
     std::uint64_t revision = 0;
+    std::uint64_t joined_revision = 0;  // Of the first of its records.
   };
 
   void RunLease();
@@ -103,6 +120,7 @@
   // Called with mutex_ held: nobody owns the pool, or its owner is dead.
   bool IsVacant(std::string_view pool) const;
   int RankFor(std::string_view pool) const;
+  bool OwnsPool(std::string_view member_id) const;
 
   const pool_directory_options options_;
   member_lease lease_;
--- a/src/pools/pool_events.h
+++ b/src/pools/pool_events.h
@@ -43,5 +43,9 @@
                                             severity::kInfo};
 inline constexpr log_event_kind kAgentExited{2218, "pool_agent_exited",
                                              severity::kWarning};
+inline constexpr log_event_kind kHandedOver{2219, "pool_handed_over",
+                                            severity::kInfo};
+inline constexpr log_event_kind kHandOverFailed{2220, "pool_hand_over_failed",
+                                                severity::kWarning};
 
 }  // namespace apricotwheel::pool_events
--- a/src/pools/pool_host.cc
+++ b/src/pools/pool_host.cc
@@ -21,6 +21,11 @@
 // The advisor may take more than half a second for many workers, and another
 // owner's call may be before ours.
 constexpr auto kAdviseTimeout = milliseconds(4000);
+// A call to take a pool holds one write to the store, which is given up after
+// less than a second.
+constexpr auto kTakeTimeout = milliseconds(1100);
+// Of the time for giving a pool up, what its last commit may use.
+constexpr auto kQuiesceTime = milliseconds(600);
 
 wire_message MakeReply(std::string body) {
   wire::pool_replyT reply;
@@ -78,21 +83,79 @@
 }
 
 void pool_host::Leave(time_point deadline) {
-  std::map<std::string, std::shared_ptr<pool_owner>, std::less<>> owners;
+  options_.directory->MarkLeaving();
+  std::map<std::string, std::uint64_t> owned;
   {
     const std::lock_guard lock(mutex_);
-    is_leaving_ = true;
-    owners = owners_;
+    owned = wanted_;
+  }
+  thread_group calls;
+  for (const auto& [pool, epoch] : owned) {
+    const auto hand_over = [this, &pool = pool, epoch = epoch, deadline] {
+      HandOver(pool, epoch, deadline);
+    };
+    // Without a thread, the pools are handed over one after the other.
+    if (!Attempt([&] { return calls.Spawn("hand-over", hand_over); })) {
+      hand_over();
+    }
+  }
+  calls.JoinAll();
+  std::map<std::string, std::shared_ptr<pool_owner>, std::less<>> left;
+  {
+    const std::lock_guard lock(mutex_);
+    for (const auto& [pool, owner] : owners_) {
+      if (wanted_.contains(pool)) left[pool] = owner;
+    }
+  }
+  const auto now = options_.clock->Now();
+  for (const auto& [pool, owner] : left) {
+    owner->Quiesce(now + duration(kQuiesceTime));
   }
-  for (const auto& [pool, owner] : owners) owner->Quiesce(deadline);
   {
     const std::lock_guard lock(mutex_);
     wanted_.clear();
     needs_work_ = true;
   }
   changed_.notify_all();
-  for (const auto& [pool, owner] : owners) owner->Stop();
-  options_.directory->Leave(deadline);
+  for (const auto& [pool, owner] : left) owner->Stop();
+  options_.directory->GiveUpPools(now + duration(kGiveUpTime));
+}
+
+bool pool_host::HandOver(const std::string& pool, std::uint64_t epoch,
+                         time_point deadline) {
+  wire::pool_callT call;
+  call.topic = kTakeTopic;
+  call.body = json{{"pool", pool}, {"epoch", epoch}}.dump();
+  const wire_message request = MakeMessage(std::move(call));
+  for (const auto& successor : options_.directory->Successors(pool)) {
+    const auto left = deadline - options_.clock->Now();
+    if (left <= duration::zero()) return false;
+    const auto answer = Attempt([&] {
+      return options_.peers->Call(successor, request,
+                                  std::min<duration>(left, kTakeTimeout));
+    });
+    const wire::pool_replyT* body =
+        answer ? answer->body.Aspool_reply() : nullptr;
+    const json taken =
+        body == nullptr ? json() : json::parse(body->body, nullptr, false);
+    if (taken.is_object() && taken.contains("epoch")) {
+      const auto next = taken.value("epoch", std::uint64_t{0});
+      Emit(options_.log, pool_events::kHandedOver,
+           {Field("pool", pool), Field("epoch", epoch),
+            Field("member", successor), Field("next", next)});
+      options_.directory->HandedOver(pool, successor, next);
+      return true;
+    }
+    Emit(options_.log, pool_events::kHandOverFailed,
+         {Field("pool", pool), Field("member", successor),
+          Field("reason",
+                answer ? "a malformed reply" : Describe(answer.failure))});
+    // The successor may have taken it all the same.
+    options_.directory->Refresh(pool);
+    const auto owner = options_.directory->OwnerOf(pool);
+    if (owner && owner->epoch != epoch) return true;
+  }
+  return false;
 }
 
 std::shared_ptr<pool_owner> pool_host::OwnerOf(std::string_view pool) const {
@@ -287,6 +350,20 @@
   return MakeReply(approved.dump());
 }
 
+wire_message pool_host::AnswerTake(const wire::pool_callT& call) {
+  const json in = json::parse(call.body, nullptr, false);
+  if (!in.is_object() || !in.contains("pool") || !in.contains("epoch")) {
+    return MakeFailure({error_kind::kInvalidArgument, "malformed take call",
+                        "check that all daemons run compatible versions"});
+  }
+  const auto epoch = Attempt([&] {
+    return options_.directory->Take(in.value("pool", ""),
+                                    in.value("epoch", std::uint64_t{0}));
+  });
+  if (!epoch) return MakeFailure(epoch.failure);
+  return MakeReply(json{{"epoch", *epoch}}.dump());
+}
+
 wire_message pool_host::Answer(const wire_message& request) {
   const wire::pool_callT* call = request.body.Aspool_call();
   if (call == nullptr) {
@@ -294,6 +371,7 @@
                         "check that all daemons run compatible versions"});
   }
   if (call->topic == kAdviseTopic) return AnswerAdvise(*call);
+  if (call->topic == kTakeTopic) return AnswerTake(*call);
   return MakeReply(EncodeReply(AnswerJobCall(*call)));
 }
 
--- a/src/pools/pool_host.h
+++ b/src/pools/pool_host.h
@@ -43,8 +43,11 @@
   // Registers with the directory and the peers; before the directory starts.
   result<void> Start();
   void Stop();
-  // Planned stop: stores what is open, ends the owners and gives up the pools.
+  // Planned stop: other daemons are asked to take the pools, whose owners here
+  // go on until that is done. What nobody takes by `deadline` is stored, ended
+  // and given up, which takes up to `kGiveUpTime` more.
   void Leave(time_point deadline);
+  static constexpr auto kGiveUpTime = milliseconds(1500);
 
   // Null if this daemon does not own the pool now.
   std::shared_ptr<pool_owner> OwnerOf(std::string_view pool) const;
@@ -54,6 +57,8 @@
   // The pool is another daemon's; its owner here, of this epoch, is ended.
   void GiveUp(const std::string& pool, std::uint64_t epoch);
   void Reconcile();
+  bool HandOver(const std::string& pool, std::uint64_t epoch,
+                time_point deadline);
   std::shared_ptr<pool_owner> MakeOwner(const std::string& pool,
                                         std::uint64_t epoch);
   void WorkerChanged(const kv_event& event);
@@ -61,6 +66,7 @@
   wire_message Answer(const wire_message& request);
   gate_reply AnswerJobCall(const wire::pool_callT& call);
   wire_message AnswerAdvise(const wire::pool_callT& call);
+  wire_message AnswerTake(const wire::pool_callT& call);
   result<approval_desk::approvals> AskThrough(const std::string& member_id,
                                               const approval_request& request);
 
@@ -74,7 +80,6 @@
   std::map<std::string, pool_worker> workers_;  // By key.
   bool workers_listed_ = false;
   bool needs_work_ = false;
-  bool is_leaving_ = false;
   bool is_stopped_ = false;
   thread_group threads_;
 };
--- a/tests/pools/fake_store.h
+++ b/tests/pools/fake_store.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <algorithm>
+#include <atomic>
 #include <condition_variable>
 #include <deque>
 #include <map>
@@ -8,6 +9,7 @@
 #include <mutex>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include "clients/kv_client.h"
 
@@ -56,7 +58,36 @@
       }
       return Commit(writes);
     };
-    calls.interrupt_watches = [] {};
+    const auto is_interrupted = std::make_shared<std::atomic<bool>>(false);
+    calls.watch = [this, is_interrupted](
+                      std::string_view prefix, std::uint64_t revision,
+                      duration wait) -> result<kv_watch_result> {
+      const auto until = clock_->Now() + wait;
+      while (true) {
+        auto seen = EventsAfter(prefix, revision);
+        if (!seen.events.empty() || *is_interrupted || clock_->Now() >= until) {
+          return seen;
+        }
+        clock_->SleepFor(milliseconds(2));
+      }
+    };
+    calls.interrupt_watches = [is_interrupted] { *is_interrupted = true; };
+    // Leases last until they are revoked.
+    calls.grant_lease = [this](duration) -> result<std::string> {
+      const std::lock_guard lock(mutex_);
+      return "lease-" + std::to_string(++last_lease_);
+    };
+    calls.renew_lease = [](std::string_view) -> result<void> { return {}; };
+    calls.revoke_lease = [this](std::string_view lease_id,
+                                duration) -> result<void> {
+      const std::lock_guard lock(mutex_);
+      kv_transaction ended;
+      for (const auto& [key, lease] : leases_) {
+        if (lease == lease_id) ended.removals.push_back(key);
+      }
+      Apply(ended);
+      return {};
+    };
     return kv_client::Create(std::move(calls), milliseconds(3000));
   }
 
@@ -88,7 +119,7 @@
 
   std::uint64_t Put(const std::string& key, const std::string& value) {
     const std::lock_guard lock(mutex_);
-    entries_[key] = {key, value, ++revision_};
+    Write({key, value, {}}, ++revision_);
     return revision_;
   }
   bool Has(const std::string& key) const {
@@ -135,18 +166,43 @@
       if (current != one.revision) return false;
     }
     ++revision_;
-    for (const kv_write& put : writes.puts) {
-      entries_[put.key] = {put.key, put.value, revision_};
+    for (const kv_write& put : writes.puts) Write(put, revision_);
+    for (const std::string& key : writes.removals) {
+      if (entries_.erase(key) == 0) continue;
+      leases_.erase(key);
+      events_.push_back({{key, "", revision_}, true});
     }
-    for (const std::string& key : writes.removals) entries_.erase(key);
     return true;
   }
 
+  void Write(const kv_write& put, std::uint64_t revision) {
+    entries_[put.key] = {put.key, put.value, revision};
+    leases_[put.key] = put.lease_id;
+    events_.push_back({entries_[put.key], false});
+  }
+
+  kv_watch_result EventsAfter(std::string_view prefix,
+                              std::uint64_t revision) const {
+    const std::lock_guard lock(mutex_);
+    kv_watch_result seen;
+    seen.revision = revision_;
+    for (const kv_event& event : events_) {
+      if (event.entry.revision > revision &&
+          event.entry.key.starts_with(prefix)) {
+        seen.events.push_back(event);
+      }
+    }
+    return seen;
+  }
+
   mutable std::mutex mutex_;
   const clock_ptr clock_ = runtime_clock::Running();
   duration delay_{};
   bool is_silent_ = false;
   std::map<std::string, kv_entry> entries_;
+  std::map<std::string, std::string> leases_;  // By key; empty: none.
+  std::vector<kv_event> events_;
+  int last_lease_ = 0;
   std::deque<commit_fault> faults_;
   std::deque<kv_transaction> late_;
   std::uint64_t revision_ = 10;
--- /dev/null
+++ b/tests/pools/hand_over_test.cc
@@ -0,0 +1,160 @@
+// Planned stops of daemons that own pools.
+#include <algorithm>
+#include <atomic>
+#include <boost/test/unit_test.hpp>
+#include <thread>
+
+#include "pools/pool_host.h"
+#include "pools/queue_gate.h"
+#include "tests/graph/scheduler_rig.h"
+#include "tests/peer/raw_peer.h"
+#include "tests/pools/fake_store.h"
+
+namespace apricotwheel {
+namespace {
+
+using testing::fake_store;
+using testing::JobOf;
+using testing::StepOf;
+
+constexpr resource_vector kSmall{1000, 1024, 0};
+constexpr auto kLeaveTime = milliseconds(1500);
+constexpr auto kJobBudget = milliseconds(3000);
+const std::string kPool = "pool";
+
+// What a daemon runs for pools, without its listeners.
+struct daemon_parts {
+  clock_ptr clock = runtime_clock::Running();
+  std::unique_ptr<kv_client> kv;
+  std::unique_ptr<peer_node> peers;
+  service_ports ports;
+  pool_metrics metrics{std::make_shared<prometheus::Registry>()};
+  std::unique_ptr<pool_directory> directory;
+  std::unique_ptr<pool_host> host;
+  queue_gate gate{clock, {}};
+
+  daemon_parts(fake_store& store, const std::string& id)
+      : kv(store.Client()), peers(StartNode(id)) {
+    ports.workers_prefix = "workers/";
+    pool_directory_options names;
+    names.self = {id, id, "a", "", peers->ListenAddress(), false};
+    names.kv = kv.get();
+    names.peers = peers.get();
+    names.clock = clock;
+    directory = std::make_unique<pool_directory>(names);
+    pool_host_options parts;
+    parts.kv = kv.get();
+    parts.peers = peers.get();
+    parts.directory = directory.get();
+    parts.ports = &ports;
+    parts.metrics = &metrics;
+    parts.clock = clock;
+    host = std::make_unique<pool_host>(parts);
+    BOOST_REQUIRE(Attempt([&] { return host->Start(); }));
+    directory->SetPools({kPool});
+    BOOST_REQUIRE(Attempt([&] { return directory->Start(); }));
+    queue_gate_options callers;
+    callers.kv = kv.get();
+    callers.peers = peers.get();
+    callers.directory = directory.get();
+    callers.host = host.get();
+    callers.metrics = &metrics;
+    callers.clock = clock;
+    gate.Open(callers);
+    gate.SetTable({1, {}, {{kPool, false, false}}});
+  }
+  ~daemon_parts() {
+    kv->InterruptWatches();
+    host->Stop();
+    directory->Stop();
+  }
+
+  bool Owns() const {
+    const auto owner = directory->OwnerOf(kPool);
+    return owner && owner->member_id == directory->SelfId();
+  }
+  bool Serves() const { return host->OwnerOf(kPool) != nullptr; }
+  gate_reply Submit(const std::string& id) {
+    queue_rules queue;
+    queue.name = "queue";
+    queue.pool = kPool;
+    return gate.Submit(queue, id, JobOf(id, {StepOf(1, kSmall)}).graph,
+                       kJobBudget);
+  }
+};
+
+struct rig {
+  fake_store store;
+  daemon_parts first{store, "first"};
+  std::unique_ptr<daemon_parts> second;
+
+  rig() {
+    BOOST_REQUIRE(Eventually([&] { return first.Owns() && first.Serves(); }));
+    second = std::make_unique<daemon_parts>(store, "second");
+    BOOST_REQUIRE(Eventually([&] {
+      return first.directory->Members().size() == 2 &&
+             second->directory->Members().size() == 2 &&
+             second->directory->OwnerOf(kPool);
+    }));
+    BOOST_REQUIRE((second->Submit("warm").answer == job_answer::kAccepted));
+  }
+};
+
+// Pattern: daemons are restarted one after the other while the store is slow.
+// A pool was without an owner while its last commit, the removal of its key and
+// the key of its next owner were written, one after the other, or until the
+// lease of the stopped daemon had ended; jobs were refused meanwhile.
+BOOST_FIXTURE_TEST_CASE(jobs_are_accepted_throughout_a_planned_stop, rig) {
+  store.SetDelay(milliseconds(400));
+  std::atomic<bool> has_left = false;
+  std::thread leaving([&] {
+    first.host->Leave(first.clock->Now() + duration(kLeaveTime));
+    has_left = true;
+  });
+  int refused = 0;
+  int accepted = 0;
+  const auto submit = [&] {
+    const auto reply =
+        second->Submit("job-" + std::to_string(accepted + refused));
+    ++(reply.answer == job_answer::kAccepted ? accepted : refused);
+  };
+  while (!has_left) submit();
+  leaving.join();
+  submit();
+  BOOST_TEST(refused == 0);
+  BOOST_TEST(accepted >= 2);
+  BOOST_TEST(second->Owns());
+  BOOST_TEST(!first.Owns());
+}
+
+// A daemon that stops is a member until its callers have gone: the others would
+// drop their links to it, and cut off the jobs that it forwards. They ask it
+// for nothing new.
+BOOST_FIXTURE_TEST_CASE(a_leaving_daemon_stays_linked, rig) {
+  first.host->Leave(first.clock->Now() + duration(kLeaveTime));
+  BOOST_REQUIRE(Eventually([&] { return second->Serves(); }));
+  const auto is_marked = [&] {
+    const auto members = second->directory->Members();
+    return std::any_of(members.begin(), members.end(), [](const member& one) {
+      return one.id == "first" && one.leaving;
+    });
+  };
+  BOOST_TEST(Eventually(is_marked));
+  BOOST_TEST((first.Submit("late").answer == job_answer::kAccepted));
+  BOOST_TEST(second->directory->Successors(kPool).empty());
+}
+
+// Without a successor the pool is given up, for whoever joins next.
+BOOST_AUTO_TEST_CASE(the_last_daemon_gives_its_pools_up) {
+  fake_store store;
+  daemon_parts only(store, "only");
+  BOOST_REQUIRE(Eventually([&] { return only.Owns() && only.Serves(); }));
+  BOOST_REQUIRE(Eventually(
+      [&] { return only.Submit("job").answer == job_answer::kAccepted; }));
+  only.host->Leave(only.clock->Now() + duration(kLeaveTime));
+  BOOST_TEST(!store.Has(pool_directory::OwnerKey(kPool)));
+  BOOST_TEST(store.Has(JobKey(kPool, "job")));
+}
+
+}  // namespace
+}  // namespace apricotwheel
--- a/tests/pools/job_journal_test.cc
+++ b/tests/pools/job_journal_test.cc
@@ -1,6 +1,7 @@
 #include "pools/job_journal.h"
 
 #include <boost/test/unit_test.hpp>
+#include <thread>
 
 #include "tests/graph/scheduler_rig.h"
 #include "tests/pools/fake_store.h"
@@ -170,6 +171,32 @@
   BOOST_TEST((second.Submit("new") == submit_outcome::kStored));
 }
 
+// Pattern: a pool is handed over while its owner stores jobs. What a successor
+// keeps out of the store is not run, and the caller's daemon can ask it at
+// once.
+BOOST_AUTO_TEST_CASE(a_succeeded_owner_refuses_what_it_could_not_store) {
+  fake_store store;
+  rig first(store, store.Put(kOwnerKey, "first"));
+  first.Open();
+  store.Put(kOwnerKey, "second");
+  BOOST_TEST((first.Submit("job") == submit_outcome::kNotStored));
+  BOOST_TEST(!store.Has(JobKey("pool", "job")));
+}
+
+// A stop waits for the answer of the commit that is under way anyway.
+BOOST_AUTO_TEST_CASE(a_stop_leaves_no_answered_commit_unknown) {
+  fake_store store;
+  rig owner(store, store.Put(kOwnerKey, "first"));
+  owner.Open();
+  store.SetDelay(milliseconds(200));
+  std::thread stopping([&] {
+    owner.clock->SleepFor(milliseconds(60));
+    owner.journal->Stop();
+  });
+  BOOST_TEST((owner.Submit("job") == submit_outcome::kStored));
+  stopping.join();
+}
+
 // The record of a finished job is replaced by its final state.
 BOOST_AUTO_TEST_CASE(a_finished_job_keeps_only_its_state) {
   fake_store store;
