Hand the pools of an owner without the store to one that has it

Change: after 0.6 s such an owner asks two others in turn to take the pool; one that reads the owner key within 0.15 s does. A daemon that cannot reach a pool's owner asks two others who it is, with its address. Ruled out: shorter leases (more renewals, and callers wait out the lease still); taking a pool because its owner answers that it has no store (a store that is slow for all would move all pools). Tests: an_owner_without_the_store_hands_its_pool_over and a_daemon_without_the_store_learns_of_the_owner failed first; an_outage_of_the_store_moves_no_pool guards the other side.

--- a/src/pools/job_journal.cc
+++ b/src/pools/job_journal.cc
@@ -381,6 +381,7 @@
     }
   }
   changed_.notify_all();
+  if (calls_.store_lost) calls_.store_lost();
 }
 
 void job_journal::Finish(group& work, bool is_stored) {
--- a/src/pools/job_journal.h
+++ b/src/pools/job_journal.h
@@ -71,6 +71,8 @@
     std::function<void(const job_submission&)> accepted;
     // Another owner has the pool; nothing is committed any more.
     std::function<void()> succeeded;
+    // The store stopped answering, see `IsStoreLost`.
+    std::function<void()> store_lost;
   };
 
   job_journal(job_journal_options options, callbacks calls);
--- a/src/pools/pool_calls.cc
+++ b/src/pools/pool_calls.cc
@@ -38,6 +38,12 @@
   return "unknown";
 }
 
+wire_message MakePoolReply(std::string body) {
+  wire::pool_replyT reply;
+  reply.body = std::move(body);
+  return MakeMessage(std::move(reply));
+}
+
 std::string EncodeReply(const gate_reply& reply) {
   return json{{"answer", static_cast<int>(reply.answer)},
               {"state", ToString(reply.state)},
--- a/src/pools/pool_calls.h
+++ b/src/pools/pool_calls.h
@@ -7,6 +7,7 @@
 
 #include "graph/graph_codec.h"
 #include "kernel/error.h"
+#include "peer/envelope.h"
 
 namespace apricotwheel {
 
@@ -41,10 +42,15 @@
 inline constexpr std::string_view kCancelTopic = "cancel";    // {pool, job}
 inline constexpr std::string_view kPendingTopic = "pending";  // {pool, queue}
 inline constexpr std::string_view kAdviseTopic = "advise";    // {job, ...}
-inline constexpr std::string_view kTakeTopic = "take";        // {pool, epoch}
+// {pool, epoch, only_if_quick}, answered with {epoch}
+inline constexpr std::string_view kTakeTopic = "take";
+// {pool}, answered with {member, epoch, address} as far as the daemon knows
+inline constexpr std::string_view kOwnerTopic = "owner";
 
 std::string_view ToString(job_answer answer);
 
+wire_message MakePoolReply(std::string body);
+
 std::string EncodeReply(const gate_reply& reply);
 result<gate_reply> DecodeReply(std::string_view json);
 
--- a/src/pools/pool_directory.cc
+++ b/src/pools/pool_directory.cc
@@ -20,6 +20,9 @@
 constexpr auto kRankDelay = milliseconds(120);
 constexpr auto kElectionIdle = milliseconds(1000);
 constexpr auto kProbeTimeout = milliseconds(300);
+// A store that answers takes some milliseconds; one that is slow for this
+// daemon as well makes a change of the owner useless.
+constexpr auto kQuickAnswer = milliseconds(150);
 
 std::uint64_t HashOf(std::string_view pool, std::string_view member_id) {
   const std::string text = std::string(pool) + "/" + std::string(member_id);
@@ -84,6 +87,13 @@
   return all;
 }
 
+std::string pool_directory::AddressOf(std::string_view member_id) const {
+  const std::lock_guard lock(mutex_);
+  const auto found = members_.find(member_id);
+  if (found == members_.end() || !found->second.record) return {};
+  return found->second.record->peer_address;
+}
+
 std::vector<std::string> pool_directory::Pools() const {
   const std::lock_guard lock(mutex_);
   return pools_;
@@ -343,7 +353,7 @@
   claim.puts.push_back({key, options_.self.id, lease_.LeaseId()});
   const auto written = Attempt([&] { return options_.kv->Commit(claim); });
   if (written) {
-    HandedOver(pool, options_.self.id, *written);
+    Learn(pool, {options_.self.id, *written});
     return;
   }
   {
@@ -364,15 +374,18 @@
   NotifyOwnership();
 }
 
-void pool_directory::HandedOver(const std::string& pool,
-                                const std::string& member_id,
-                                std::uint64_t epoch) {
-  Apply({{OwnerKey(pool), member_id, epoch}, false});
+void pool_directory::Learn(const std::string& pool, const pool_ownership& owner,
+                           const std::string& peer_address) {
+  if (!peer_address.empty() && AddressOf(owner.member_id).empty()) {
+    options_.peers->SetAddress(owner.member_id, peer_address);
+  }
+  Apply({{OwnerKey(pool), owner.member_id, owner.epoch}, false});
   NotifyOwnership();
 }
 
 result<std::uint64_t> pool_directory::Take(const std::string& pool,
-                                           std::uint64_t epoch) {
+                                           std::uint64_t epoch,
+                                           bool only_if_quick) {
   {
     const std::lock_guard lock(mutex_);
     if (is_leaving_ || !is_listed_ || !lease_.IsHeld()) {
@@ -381,11 +394,19 @@
     }
   }
   const std::string key = OwnerKey(pool);
+  if (only_if_quick) {
+    BOOST_LEAF_AUTO(stored, options_.kv->Get(key, duration(kQuickAnswer)));
+    if (!stored || stored->revision != epoch) {
+      if (stored) Learn(pool, {stored->value, stored->revision});
+      return Fail(error_kind::kConflict, "the pool has another owner",
+                  "ask for the owner");
+    }
+  }
   kv_transaction claim;
   claim.conditions.push_back({key, epoch});
   claim.puts.push_back({key, options_.self.id, lease_.LeaseId()});
   BOOST_LEAF_AUTO(written, options_.kv->Commit(claim));
-  HandedOver(pool, options_.self.id, written);
+  Learn(pool, {options_.self.id, written});
   return written;
 }
 
--- a/src/pools/pool_directory.h
+++ b/src/pools/pool_directory.h
@@ -84,8 +84,6 @@
   // each pool is taken by one of its successors, which the owner asks, best
   // first;
   std::vector<std::string> Successors(std::string_view pool) const;
-  void HandedOver(const std::string& pool, const std::string& member_id,
-                  std::uint64_t epoch);
   // what nobody has taken becomes vacant;
   void GiveUpPools(time_point deadline);
   // and the membership ends.
@@ -93,8 +91,16 @@
 
   // Takes the pool from its owner of `epoch`, which asked for it. Returns the
   // new epoch. Fails with `conflict` if the owner has changed since, with
-  // `timeout` if that is unknown.
-  result<std::uint64_t> Take(const std::string& pool, std::uint64_t epoch);
+  // `timeout` if that is unknown. With `only_if_quick`, it fails without a
+  // write unless the store answers this daemon at once.
+  result<std::uint64_t> Take(const std::string& pool, std::uint64_t epoch,
+                             bool only_if_quick);
+  // What another daemon knows of a pool's owner; older news change nothing. The
+  // address is used if this daemon does not know the owner as a member.
+  void Learn(const std::string& pool, const pool_ownership& owner,
+             const std::string& peer_address = {});
+  // Empty if it is not known.
+  std::string AddressOf(std::string_view member_id) const;
 
  private:
   struct stored_owner {
@@ -128,7 +134,7 @@
   owned_listener lost_;
 
   mutable std::mutex mutex_;
-  std::map<std::string, stored_member> members_;
+  std::map<std::string, stored_member, std::less<>> members_;
   std::map<std::string, stored_owner, std::less<>> owners_;
   std::vector<std::string> pools_;
   std::map<std::string, time_point> unowned_since_;
--- a/src/pools/pool_host.cc
+++ b/src/pools/pool_host.cc
@@ -21,17 +21,6 @@
 // The advisor may take more than half a second for many workers, and another
 // owner's call may be before ours.
 constexpr auto kAdviseTimeout = milliseconds(4000);
-// A call to take a pool holds one write to the store, which is given up after
-// less than a second.
-constexpr auto kTakeTimeout = milliseconds(1100);
-// Of the time for giving a pool up, what its last commit may use.
-constexpr auto kQuiesceTime = milliseconds(600);
-
-wire_message MakeReply(std::string body) {
-  wire::pool_replyT reply;
-  reply.body = std::move(body);
-  return MakeMessage(std::move(reply));
-}
 
 std::string EncodeAdvise(const approval_request& request) {
   json workers = json::array();
@@ -67,6 +56,7 @@
       [this](const std::string&, const wire_message& request) {
         return Answer(request);
       });
+  BOOST_LEAF_CHECK(threads_.Spawn("pool-rescue", [this] { RunRescue(); }));
   return threads_.Spawn("pool-host", [this] { Run(); });
 }
 
@@ -82,82 +72,6 @@
   if (worker_follower_) worker_follower_->Stop();
 }
 
-void pool_host::Leave(time_point deadline) {
-  options_.directory->MarkLeaving();
-  std::map<std::string, std::uint64_t> owned;
-  {
-    const std::lock_guard lock(mutex_);
-    owned = wanted_;
-  }
-  thread_group calls;
-  for (const auto& [pool, epoch] : owned) {
-    const auto hand_over = [this, &pool = pool, epoch = epoch, deadline] {
-      HandOver(pool, epoch, deadline);
-    };
-    // Without a thread, the pools are handed over one after the other.
-    if (!Attempt([&] { return calls.Spawn("hand-over", hand_over); })) {
-      hand_over();
-    }
-  }
-  calls.JoinAll();
-  std::map<std::string, std::shared_ptr<pool_owner>, std::less<>> left;
-  {
-    const std::lock_guard lock(mutex_);
-    for (const auto& [pool, owner] : owners_) {
-      if (wanted_.contains(pool)) left[pool] = owner;
-    }
-  }
-  const auto now = options_.clock->Now();
-  for (const auto& [pool, owner] : left) {
-    owner->Quiesce(now + duration(kQuiesceTime));
-  }
-  {
-    const std::lock_guard lock(mutex_);
-    wanted_.clear();
-    needs_work_ = true;
-  }
-  changed_.notify_all();
-  for (const auto& [pool, owner] : left) owner->Stop();
-  options_.directory->GiveUpPools(now + duration(kGiveUpTime));
-}
-
-bool pool_host::HandOver(const std::string& pool, std::uint64_t epoch,
-                         time_point deadline) {
-  wire::pool_callT call;
-  call.topic = kTakeTopic;
-  call.body = json{{"pool", pool}, {"epoch", epoch}}.dump();
-  const wire_message request = MakeMessage(std::move(call));
-  for (const auto& successor : options_.directory->Successors(pool)) {
-    const auto left = deadline - options_.clock->Now();
-    if (left <= duration::zero()) return false;
-    const auto answer = Attempt([&] {
-      return options_.peers->Call(successor, request,
-                                  std::min<duration>(left, kTakeTimeout));
-    });
-    const wire::pool_replyT* body =
-        answer ? answer->body.Aspool_reply() : nullptr;
-    const json taken =
-        body == nullptr ? json() : json::parse(body->body, nullptr, false);
-    if (taken.is_object() && taken.contains("epoch")) {
-      const auto next = taken.value("epoch", std::uint64_t{0});
-      Emit(options_.log, pool_events::kHandedOver,
-           {Field("pool", pool), Field("epoch", epoch),
-            Field("member", successor), Field("next", next)});
-      options_.directory->HandedOver(pool, successor, next);
-      return true;
-    }
-    Emit(options_.log, pool_events::kHandOverFailed,
-         {Field("pool", pool), Field("member", successor),
-          Field("reason",
-                answer ? "a malformed reply" : Describe(answer.failure))});
-    // The successor may have taken it all the same.
-    options_.directory->Refresh(pool);
-    const auto owner = options_.directory->OwnerOf(pool);
-    if (owner && owner->epoch != epoch) return true;
-  }
-  return false;
-}
-
 std::shared_ptr<pool_owner> pool_host::OwnerOf(std::string_view pool) const {
   const std::lock_guard lock(mutex_);
   const auto found = owners_.find(pool);
@@ -262,6 +176,11 @@
   };
   // Called from the owner's threads, which the host joins.
   owner.succeeded = [this, pool, epoch] { GiveUp(pool, epoch); };
+  owner.store_lost = [this] {
+    const std::lock_guard lock(mutex_);
+    is_store_lost_ = true;
+    changed_.notify_all();
+  };
   owner.clock = options_.clock;
   owner.log = options_.log;
   return std::make_shared<pool_owner>(std::move(owner));
@@ -347,21 +266,7 @@
   for (const approved_worker& one : *answer) {
     approved.push_back({one.worker, one.ticket});
   }
-  return MakeReply(approved.dump());
-}
-
-wire_message pool_host::AnswerTake(const wire::pool_callT& call) {
-  const json in = json::parse(call.body, nullptr, false);
-  if (!in.is_object() || !in.contains("pool") || !in.contains("epoch")) {
-    return MakeFailure({error_kind::kInvalidArgument, "malformed take call",
-                        "check that all daemons run compatible versions"});
-  }
-  const auto epoch = Attempt([&] {
-    return options_.directory->Take(in.value("pool", ""),
-                                    in.value("epoch", std::uint64_t{0}));
-  });
-  if (!epoch) return MakeFailure(epoch.failure);
-  return MakeReply(json{{"epoch", *epoch}}.dump());
+  return MakePoolReply(approved.dump());
 }
 
 wire_message pool_host::Answer(const wire_message& request) {
@@ -372,7 +277,8 @@
   }
   if (call->topic == kAdviseTopic) return AnswerAdvise(*call);
   if (call->topic == kTakeTopic) return AnswerTake(*call);
-  return MakeReply(EncodeReply(AnswerJobCall(*call)));
+  if (call->topic == kOwnerTopic) return AnswerOwner(*call);
+  return MakePoolReply(EncodeReply(AnswerJobCall(*call)));
 }
 
 result<approval_desk::approvals> pool_host::AskThrough(
--- a/src/pools/pool_host.h
+++ b/src/pools/pool_host.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <condition_variable>
+#include <cstddef>
 #include <functional>
 #include <map>
 #include <memory>
@@ -49,6 +50,10 @@
   void Leave(time_point deadline);
   static constexpr auto kGiveUpTime = milliseconds(1500);
 
+  // Asks other daemons who owns the pool, for one that the store does not
+  // answer and that missed a change.
+  void AskForOwner(const std::string& pool);
+
   // Null if this daemon does not own the pool now.
   std::shared_ptr<pool_owner> OwnerOf(std::string_view pool) const;
 
@@ -57,8 +62,6 @@
   // The pool is another daemon's; its owner here, of this epoch, is ended.
   void GiveUp(const std::string& pool, std::uint64_t epoch);
   void Reconcile();
-  bool HandOver(const std::string& pool, std::uint64_t epoch,
-                time_point deadline);
   std::shared_ptr<pool_owner> MakeOwner(const std::string& pool,
                                         std::uint64_t epoch);
   void WorkerChanged(const kv_event& event);
@@ -66,10 +69,19 @@
   wire_message Answer(const wire_message& request);
   gate_reply AnswerJobCall(const wire::pool_callT& call);
   wire_message AnswerAdvise(const wire::pool_callT& call);
-  wire_message AnswerTake(const wire::pool_callT& call);
   result<approval_desk::approvals> AskThrough(const std::string& member_id,
                                               const approval_request& request);
 
+  // pool_succession.cc
+  enum class take_mode { kLeaving, kStoreLost };
+  // True if the pool has another owner now.
+  bool HandOver(const std::string& pool, std::uint64_t epoch, take_mode mode,
+                time_point deadline);
+  void RunRescue();
+  std::map<std::string, std::uint64_t> PoolsWithoutStore() const;
+  wire_message AnswerTake(const wire::pool_callT& call);
+  wire_message AnswerOwner(const wire::pool_callT& call);
+
   const pool_host_options options_;
   std::unique_ptr<kv_follower> worker_follower_;  // Used by Run only.
 
@@ -80,6 +92,8 @@
   std::map<std::string, pool_worker> workers_;  // By key.
   bool workers_listed_ = false;
   bool needs_work_ = false;
+  bool is_store_lost_ = false;  // Some owner's; looked into by RunRescue.
+  std::size_t next_asked_ = 0;  // Rotates among the other daemons.
   bool is_stopped_ = false;
   thread_group threads_;
 };
--- a/src/pools/pool_owner.cc
+++ b/src/pools/pool_owner.cc
@@ -126,6 +126,7 @@
     WakeLoop();
   };
   calls.succeeded = [this] { options_.succeeded(); };
+  calls.store_lost = options_.store_lost;
   return calls;
 }
 
--- a/src/pools/pool_owner.h
+++ b/src/pools/pool_owner.h
@@ -35,8 +35,9 @@
   const service_ports* ports = nullptr;
   approval_desk::member_source members;
   approval_desk::asker ask_through;
-  std::function<void()> succeeded;  // Another owner has been seen.
-  pool_metrics* metrics = nullptr;  // Outlives the owner.
+  std::function<void()> succeeded;   // Another owner has been seen.
+  std::function<void()> store_lost;  // See `IsStoreLost`; may repeat.
+  pool_metrics* metrics = nullptr;   // Outlives the owner.
   clock_ptr clock;
   log_sink log;
 };
@@ -62,6 +63,8 @@
 
   void SetWorkers(std::map<std::string, pool_worker> workers);
   std::uint64_t Epoch() const { return options_.epoch; }
+  // The store does not answer this daemon, so no jobs can be accepted here.
+  bool IsStoreLost() const { return journal_ && journal_->IsStoreLost(); }
 
  private:
   void Run();
--- a/src/pools/queue_gate.cc
+++ b/src/pools/queue_gate.cc
@@ -15,6 +15,8 @@
 constexpr auto kOwnerPatience = milliseconds(1200);
 constexpr auto kLongestCall = milliseconds(1500);
 constexpr auto kRetryPause = milliseconds(40);
+// A pool without an owner has one soon; others are asked for it this often.
+constexpr auto kAskPause = milliseconds(250);
 constexpr std::int64_t kComeBackMs = 1000;
 // States are read from the store if the owner has not answered by then.
 constexpr auto kStatePatience = milliseconds(600);
@@ -87,6 +89,7 @@
   call.topic = topic;
   call.body = body;
   const wire_message request = MakeMessage(std::move(call));
+  auto ask_at = clock_->Now();
   while (clock_->Now() < deadline) {
     const auto owner = parts.directory->OwnerOf(pool);
     if (owner && owner->member_id == parts.directory->SelfId()) {
@@ -116,6 +119,11 @@
             may_have_arrived || answered.failure.kind == error_kind::kTimeout;
       }
     }
+    // The store may not answer this daemon, which then misses changes.
+    if (clock_->Now() >= ask_at) {
+      parts.host->AskForOwner(pool);
+      ask_at = clock_->Now() + duration(kAskPause);
+    }
     clock_->SleepFor(kRetryPause);
   }
   return Answer(
--- a/tests/pools/fake_store.h
+++ b/tests/pools/fake_store.h
@@ -4,6 +4,7 @@
 #include <atomic>
 #include <condition_variable>
 #include <deque>
+#include <functional>
 #include <map>
 #include <memory>
 #include <mutex>
@@ -26,17 +27,25 @@
 // A key-value service in memory, with faults of its answers.
 class fake_store {
  public:
-  std::unique_ptr<kv_client> Client() {
+  // While `is_cut` is set, the store refuses this client and no other.
+  std::unique_ptr<kv_client> Client(
+      std::shared_ptr<std::atomic<bool>> is_cut = nullptr) {
+    const auto refuses = [is_cut] { return is_cut && *is_cut; };
+    const auto refuse = [] {
+      return Fail(error_kind::kUnavailable, "turned away", "wait");
+    };
     kv_protocol calls;
-    calls.get = [this](std::string_view key,
-                       duration) -> result<std::optional<kv_entry>> {
+    calls.get = [=, this](std::string_view key,
+                          duration) -> result<std::optional<kv_entry>> {
+      if (refuses()) return refuse();
       const std::lock_guard lock(mutex_);
       if (is_silent_) return Fail(error_kind::kTimeout, "silent", "wait");
       const auto found = entries_.find(std::string(key));
       if (found == entries_.end()) return std::optional<kv_entry>();
       return std::optional<kv_entry>(found->second);
     };
-    calls.list = [this](std::string_view prefix) -> result<kv_listing> {
+    calls.list = [=, this](std::string_view prefix) -> result<kv_listing> {
+      if (refuses()) return refuse();
       const std::lock_guard lock(mutex_);
       kv_listing all;
       all.revision = revision_;
@@ -45,25 +54,17 @@
       }
       return all;
     };
-    calls.commit = [this](const kv_transaction& writes,
-                          duration timeout) -> result<std::uint64_t> {
-      duration delay{};
-      {
-        const std::lock_guard lock(mutex_);
-        delay = delay_;
-      }
-      clock_->SleepFor(std::min(delay, timeout));
-      if (delay > timeout) {
-        return Fail(error_kind::kTimeout, "slow", "wait");
-      }
-      return Commit(writes);
+    calls.commit = [=, this](const kv_transaction& writes,
+                             duration timeout) -> result<std::uint64_t> {
+      if (refuses()) return refuse();
+      return CommitSlowly(writes, timeout);
     };
     const auto is_interrupted = std::make_shared<std::atomic<bool>>(false);
-    calls.watch = [this, is_interrupted](
-                      std::string_view prefix, std::uint64_t revision,
-                      duration wait) -> result<kv_watch_result> {
+    calls.watch = [=, this](std::string_view prefix, std::uint64_t revision,
+                            duration wait) -> result<kv_watch_result> {
       const auto until = clock_->Now() + wait;
       while (true) {
+        if (refuses()) return refuse();
         auto seen = EventsAfter(prefix, revision);
         if (!seen.events.empty() || *is_interrupted || clock_->Now() >= until) {
           return seen;
@@ -72,22 +73,7 @@
       }
     };
     calls.interrupt_watches = [is_interrupted] { *is_interrupted = true; };
-    // Leases last until they are revoked.
-    calls.grant_lease = [this](duration) -> result<std::string> {
-      const std::lock_guard lock(mutex_);
-      return "lease-" + std::to_string(++last_lease_);
-    };
-    calls.renew_lease = [](std::string_view) -> result<void> { return {}; };
-    calls.revoke_lease = [this](std::string_view lease_id,
-                                duration) -> result<void> {
-      const std::lock_guard lock(mutex_);
-      kv_transaction ended;
-      for (const auto& [key, lease] : leases_) {
-        if (lease == lease_id) ended.removals.push_back(key);
-      }
-      Apply(ended);
-      return {};
-    };
+    BindLeases(calls, refuses);
     return kv_client::Create(std::move(calls), milliseconds(3000));
   }
 
@@ -133,6 +119,40 @@
   }
 
  private:
+  // Leases last until they are revoked.
+  void BindLeases(kv_protocol& calls, const std::function<bool()>& refuses) {
+    calls.grant_lease = [this](duration) -> result<std::string> {
+      const std::lock_guard lock(mutex_);
+      return "lease-" + std::to_string(++last_lease_);
+    };
+    calls.renew_lease = [refuses](std::string_view) -> result<void> {
+      if (refuses()) return Fail(error_kind::kUnavailable, "turned away", "");
+      return {};
+    };
+    calls.revoke_lease = [this](std::string_view lease_id,
+                                duration) -> result<void> {
+      const std::lock_guard lock(mutex_);
+      kv_transaction ended;
+      for (const auto& [key, lease] : leases_) {
+        if (lease == lease_id) ended.removals.push_back(key);
+      }
+      Apply(ended);
+      return {};
+    };
+  }
+
+  result<std::uint64_t> CommitSlowly(const kv_transaction& writes,
+                                     duration timeout) {
+    duration delay{};
+    {
+      const std::lock_guard lock(mutex_);
+      delay = delay_;
+    }
+    clock_->SleepFor(std::min(delay, timeout));
+    if (delay > timeout) return Fail(error_kind::kTimeout, "slow", "wait");
+    return Commit(writes);
+  }
+
   result<std::uint64_t> Commit(const kv_transaction& writes) {
     const std::lock_guard lock(mutex_);
     if (is_silent_) return Fail(error_kind::kTimeout, "silent", "wait");
--- a/tests/pools/hand_over_test.cc
+++ b/tests/pools/hand_over_test.cc
@@ -25,6 +25,8 @@
 // What a daemon runs for pools, without its listeners.
 struct daemon_parts {
   clock_ptr clock = runtime_clock::Running();
+  std::shared_ptr<std::atomic<bool>> is_cut =
+      std::make_shared<std::atomic<bool>>(false);
   std::unique_ptr<kv_client> kv;
   std::unique_ptr<peer_node> peers;
   service_ports ports;
@@ -34,7 +36,7 @@
   queue_gate gate{clock, {}};
 
   daemon_parts(fake_store& store, const std::string& id)
-      : kv(store.Client()), peers(StartNode(id)) {
+      : kv(store.Client(is_cut)), peers(StartNode(id)) {
     ports.workers_prefix = "workers/";
     pool_directory_options names;
     names.self = {id, id, "a", "", peers->ListenAddress(), false};
@@ -144,6 +146,46 @@
   BOOST_TEST(second->directory->Successors(kPool).empty());
 }
 
+// Pattern: the store turns the owner's daemon away, or is cut off from it, and
+// serves the others. Jobs were refused until the owner's lease had ended.
+BOOST_FIXTURE_TEST_CASE(an_owner_without_the_store_hands_its_pool_over, rig) {
+  *first.is_cut = true;
+  BOOST_TEST(Eventually(
+      [&] { return second->Submit("job").answer == job_answer::kAccepted; }));
+  BOOST_TEST(second->Owns());
+  // The former owner has missed the change in the store.
+  BOOST_TEST((first.Submit("next").answer == job_answer::kAccepted));
+}
+
+// Pattern: the store turns several daemons away while a pool changes hands.
+// Callers of a daemon that missed the change were refused as long as that
+// lasted.
+BOOST_FIXTURE_TEST_CASE(a_daemon_without_the_store_learns_of_the_owner, rig) {
+  *second->is_cut = true;
+  daemon_parts third(store, "third");
+  BOOST_REQUIRE(Eventually([&] {
+    return first.directory->Members().size() == 3 &&
+           third.directory->OwnerOf(kPool);
+  }));
+  first.host->Leave(first.clock->Now() + duration(kLeaveTime));
+  BOOST_REQUIRE(Eventually([&] { return third.Owns() && third.Serves(); }));
+  BOOST_TEST((second->Submit("job").answer == job_answer::kAccepted));
+}
+
+// While nobody gets an answer from the store, the pool stays where it is.
+BOOST_FIXTURE_TEST_CASE(an_outage_of_the_store_moves_no_pool, rig) {
+  *first.is_cut = true;
+  *second->is_cut = true;
+  const auto reply = second->Submit("job");
+  BOOST_TEST((reply.answer != job_answer::kAccepted));
+  second->clock->SleepFor(milliseconds(1500));
+  BOOST_TEST(first.Owns());
+  *first.is_cut = false;
+  *second->is_cut = false;
+  BOOST_TEST(Eventually(
+      [&] { return second->Submit("job").answer == job_answer::kAccepted; }));
+}
+
 // Without a successor the pool is given up, for whoever joins next.
 BOOST_AUTO_TEST_CASE(the_last_daemon_gives_its_pools_up) {
   fake_store store;
