--- a/src/pools/pool_events.h
+++ b/src/pools/pool_events.h
@@ -47,7 +47,7 @@
                                             severity::kInfo};
 inline constexpr log_event_kind kHandOverFailed{2220, "pool_hand_over_failed",
                                                 severity::kWarning};
-inline constexpr log_event_kind kOwnerUnanswered{
-    2221, "pool_owner_unanswered", severity::kDebug};
+inline constexpr log_event_kind kOwnerUnanswered{2221, "pool_owner_unanswered",
+                                                 severity::kDebug};
 
 }  // namespace apricotwheel::pool_events
