--- a/src/pools/pool_directory.cc
+++ b/src/pools/pool_directory.cc
@@ -276,6 +276,7 @@
   }
   std::sort(ranked.begin(), ranked.end());
   std::vector<std::string> ids;
+  ids.reserve(ranked.size());
   for (auto& [order, id] : ranked) ids.push_back(std::move(id));
   return ids;
 }
