Show an owner's decision delay and the wait for approvals

The logs could not tell an owner without processor time from a slow store or a busy advisor. An owner now logs every 2 s what it did and how long the oldest event waited for its pass, and metrics show the duration of passes and the wait for a daemon that is free to call the advisor.

--- a/src/pools/approval_dispatcher.cc
+++ b/src/pools/approval_dispatcher.cc
@@ -1,6 +1,7 @@
 #include "pools/approval_dispatcher.h"
 
 #include <algorithm>
+#include <utility>
 
 #include "pools/pool_events.h"
 
@@ -70,11 +71,16 @@
   {
     const std::lock_guard lock(mutex_);
     const std::pair key(request.priority, ++last_sequence_);
-    pending_[key] = {std::move(request), key.second, 0};
+    pending_[key] = {std::move(request), key.second, 0, clock_->Now()};
   }
   changed_.notify_one();
 }
 
+approval_dispatcher::wait_statistics approval_dispatcher::TakeWaitStatistics() {
+  const std::lock_guard lock(mutex_);
+  return {pending_.size(), std::exchange(longest_wait_, {})};
+}
+
 approval_dispatcher::free_members approval_dispatcher::FindFreeMembers() {
   const auto now = clock_->Now();
   const auto members = members_();
@@ -123,7 +129,10 @@
     pending_request next = std::move(it->second);
     pending_.erase(it);
     busy_members_.insert(member);
+    const duration waited = clock_->Now() - next.enqueued_at;
+    longest_wait_ = std::max(longest_wait_, waited);
     lock.unlock();
+    if (on_wait_ && next.attempts == 0) on_wait_(waited);
     const auto response = Attempt([&] { return send_(member, next.request); });
     lock.lock();
     busy_members_.erase(member);
--- a/src/pools/approval_dispatcher.h
+++ b/src/pools/approval_dispatcher.h
@@ -51,11 +51,24 @@
   // Queues a request; its result is passed to the callback.
   void Enqueue(approval_request request);
 
+  struct wait_statistics {
+    std::size_t pending = 0;
+    duration longest_wait{};  // Of the requests sent since the last call.
+  };
+  // Returns the statistics and starts a new interval.
+  wait_statistics TakeWaitStatistics();
+  // Called with the time that each request waited before it was sent. Must be
+  // set before `Start`.
+  void SetWaitCallback(std::function<void(duration)> callback) {
+    on_wait_ = std::move(callback);
+  }
+
  private:
   struct pending_request {
     approval_request request;
     std::uint64_t sequence = 0;
     int attempts = 0;
+    time_point enqueued_at{};
   };
 
   void Run();
@@ -71,6 +84,7 @@
   const member_source members_;
   const approval_call send_;
   const approval_callback on_result_;
+  std::function<void(duration)> on_wait_;
   std::mutex mutex_;
   std::condition_variable changed_;
   // By priority, then by arrival.
@@ -78,6 +92,7 @@
   std::set<std::string> busy_members_;
   std::map<std::string, time_point> backoff_until_;
   std::uint64_t last_sequence_ = 0;
+  duration longest_wait_{};
   bool is_stopped_ = false;
   thread_group threads_;
 };
--- a/src/pools/pool_events.h
+++ b/src/pools/pool_events.h
@@ -49,5 +49,7 @@
                                                 severity::kWarning};
 inline constexpr log_event_kind kOwnerQueryFailed{2221, "pool_owner_unanswered",
                                                   severity::kDebug};
+inline constexpr log_event_kind kOwnerLoad{2222, "pool_owner_load",
+                                           severity::kInfo};
 
 }  // namespace apricotwheel::pool_events
--- a/src/pools/pool_metrics.cc
+++ b/src/pools/pool_metrics.cc
@@ -36,11 +36,30 @@
                            .Help("Workers looked at for a step that waits")
                            .Register(*registry)
                            .Add({})),
+      decision_delay_seconds(
+          prometheus::BuildHistogram()
+              .Name("apricotwheel_pool_decision_delay_seconds")
+              .Help("Time from an event to the start of the pass that handles "
+                    "it")
+              .Register(*registry)
+              .Add({}, LatencyBuckets())),
+      pass_seconds(prometheus::BuildHistogram()
+                       .Name("apricotwheel_pool_pass_seconds")
+                       .Help("Duration of a scheduling pass")
+                       .Register(*registry)
+                       .Add({}, LatencyBuckets())),
       approval_seconds(prometheus::BuildHistogram()
                            .Name("apricotwheel_approval_seconds")
                            .Help("Time of a call to the policy advisor")
                            .Register(*registry)
                            .Add({}, LatencyBuckets())),
+      approval_wait_seconds(
+          prometheus::BuildHistogram()
+              .Name("apricotwheel_approval_wait_seconds")
+              .Help("Time that a request waits for a member that is free to "
+                    "call the policy advisor")
+              .Register(*registry)
+              .Add({}, LatencyBuckets())),
       owned_pools(prometheus::BuildGauge()
                       .Name("apricotwheel_owned_pools")
                       .Help("Pools that this daemon owns")
--- a/src/pools/pool_metrics.h
+++ b/src/pools/pool_metrics.h
@@ -24,7 +24,10 @@
   prometheus::Counter& commit_failures;
   prometheus::Counter& worker_reports;
   prometheus::Counter& workers_examined;
+  prometheus::Histogram& decision_delay_seconds;
+  prometheus::Histogram& pass_seconds;
   prometheus::Histogram& approval_seconds;
+  prometheus::Histogram& approval_wait_seconds;
   prometheus::Gauge& owned_pools;
 };
 
--- a/src/pools/pool_owner.cc
+++ b/src/pools/pool_owner.cc
@@ -15,6 +15,7 @@
 // Shorter for the result of a job, which callers see only after it is stored.
 constexpr auto kResultCommitDelay = milliseconds(10);
 constexpr auto kLoadRetryInterval = milliseconds(150);
+constexpr auto kActivityReportInterval = milliseconds(2000);
 // Range of run numbers reserved for each owner. An owner starts fewer runs of
 // one task than this.
 constexpr std::uint64_t kRunsPerTenure = 100'000;
@@ -74,6 +75,10 @@
              const outcome<approval_dispatcher::approvals>& approved) {
         OnApprovalResult(request, approved);
       });
+  approval_dispatcher_->SetWaitCallback([this](duration waited) {
+    options_.metrics->approval_wait_seconds.Observe(
+        std::chrono::duration<double>(waited).count());
+  });
   BOOST_LEAF_CHECK(approval_dispatcher_->Start());
   return threads_.Spawn("pool-owner", [this] { Run(); });
 }
@@ -137,7 +142,9 @@
 }
 
 void pool_owner::RequestDecision() {
-  needs_decision_ = true;
+  if (!std::exchange(needs_decision_, true)) {
+    decision_requested_at_ = options_.clock->Now();
+  }
   changed_.notify_all();
 }
 
@@ -196,6 +203,7 @@
   scheduler_ = std::move(scheduler);
   worker_list_ = contents.workers;
   is_loaded_ = true;
+  RequestDecision();
 }
 
 void pool_owner::Run() {
@@ -219,12 +227,9 @@
         return is_stopped_ || needs_decision_ || workers_changed_;
       });
       if (is_stopped_) return;
-      needs_decision_ = false;
+      decisions = DecideNow();
       const auto now = options_.clock->Now();
-      const auto examined = scheduler_->WorkersExamined();
-      decisions = scheduler_->Decide(now, WallClockMs());
-      options_.metrics->workers_examined.Increment(
-          static_cast<double>(scheduler_->WorkersExamined() - examined));
+      ReportActivityIfDue(now);
       if (!is_takeover_logged && scheduler_->IsTakeoverComplete(now) &&
           !scheduled_workers_.empty()) {
         is_takeover_logged = true;
@@ -242,6 +247,48 @@
   }
 }
 
+pool_decisions pool_owner::DecideNow() {
+  const auto started_at = options_.clock->Now();
+  if (std::exchange(needs_decision_, false)) {
+    const duration delay = started_at - decision_requested_at_;
+    activity_.longest_decision_delay =
+        std::max(activity_.longest_decision_delay, delay);
+    options_.metrics->decision_delay_seconds.Observe(
+        std::chrono::duration<double>(delay).count());
+  }
+  const auto examined = scheduler_->WorkersExamined();
+  pool_decisions decisions = scheduler_->Decide(started_at, WallClockMs());
+  options_.metrics->workers_examined.Increment(
+      static_cast<double>(scheduler_->WorkersExamined() - examined));
+  const duration took = options_.clock->Now() - started_at;
+  options_.metrics->pass_seconds.Observe(
+      std::chrono::duration<double>(took).count());
+  ++activity_.passes;
+  activity_.starts += decisions.starts.size();
+  activity_.pass_time += took;
+  return decisions;
+}
+
+void pool_owner::ReportActivityIfDue(time_point now) {
+  if (now - activity_reported_at_ < kActivityReportInterval) return;
+  activity_reported_at_ = now;
+  const auto to_ms = [](duration span) {
+    return std::chrono::duration_cast<milliseconds>(span).count();
+  };
+  const auto approvals = approval_dispatcher_->TakeWaitStatistics();
+  Emit(
+      options_.log, pool_events::kOwnerLoad,
+      {Field("pool", options_.pool), Field("epoch", options_.epoch),
+       Field("passes", activity_.passes),
+       Field("pass_ms", to_ms(activity_.pass_time)),
+       Field("decision_delay_ms", to_ms(activity_.longest_decision_delay)),
+       Field("reports", activity_.reports),
+       Field("requests", activity_.requests), Field("starts", activity_.starts),
+       Field("approvals_pending", approvals.pending),
+       Field("approval_wait_ms", to_ms(approvals.longest_wait))});
+  activity_ = {};
+}
+
 void pool_owner::SendDecisions(pool_decisions decisions) {
   // Called with mutex_ held; `Send` only queues an order.
   const auto send = [&](auto order) {
@@ -251,7 +298,7 @@
     } else if constexpr (std::is_same_v<decltype(order), start_order>) {
       scheduler_->OnStartResult(order, start_result::kUnreachable,
                                 options_.clock->Now());
-      needs_decision_ = true;
+      RequestDecision();
     }
   };
   for (auto& order : decisions.stops) send(std::move(order));
@@ -280,6 +327,7 @@
                                      time_point deadline) {
   {
     std::unique_lock lock(mutex_);
+    ++activity_.requests;
     const auto is_free = [&] {
       return is_stopped_ || (is_loaded_ && !submitting_jobs_.contains(job.id));
     };
@@ -317,6 +365,7 @@
                                      time_point deadline) {
   {
     std::unique_lock lock(mutex_);
+    ++activity_.requests;
     if (!options_.clock->WaitUntil(lock, changed_, deadline, [&] {
           return is_stopped_ || is_quiesced_ ||
                  (is_loaded_ && !submitting_jobs_.contains(job_id));
@@ -337,6 +386,7 @@
 
 job_call_response pool_owner::State(std::string_view job_id) const {
   const std::lock_guard lock(mutex_);
+  ++activity_.requests;
   if (!is_loaded_ || is_stopped_) return Unavailable("the pool is loading");
   const auto state = scheduler_->FindStoredJobState(job_id);
   if (!state) return MakeResponse(job_call_status::kAbsent);
@@ -347,6 +397,7 @@
 
 job_call_response pool_owner::Pending(std::string_view queue) const {
   const std::lock_guard lock(mutex_);
+  ++activity_.requests;
   if (!is_loaded_ || is_stopped_) return Unavailable("the pool is loading");
   job_call_response response = MakeResponse(job_call_status::kCount);
   response.count = scheduler_->CountPendingJobs(queue);
--- a/src/pools/pool_owner.h
+++ b/src/pools/pool_owner.h
@@ -76,6 +76,10 @@
   // Loads the stored state, with retries. Returns false if the owner was
   // stopped.
   bool LoadWithRetries();
+  // Executes one scheduling pass. Called with mutex_ held.
+  pool_decisions DecideNow();
+  // Logs the activity of the owner if it is due. Called with mutex_ held.
+  void ReportActivityIfDue(time_point now);
   // Creates the scheduler from the stored state.
   void Restore(const journal_contents& contents);
   // Queues the decisions of the scheduler. Called with mutex_ held.
@@ -114,7 +118,19 @@
   std::set<std::string, std::less<>> submitting_jobs_;
   bool workers_changed_ = false;
   bool is_loaded_ = false;
-  bool needs_decision_ = true;
+  bool needs_decision_ = false;
+  time_point decision_requested_at_{};  // Valid if `needs_decision_` is set.
+  // Since the last report of the activity.
+  struct activity {
+    std::uint64_t passes = 0;
+    std::uint64_t reports = 0;
+    std::uint64_t starts = 0;
+    std::uint64_t requests = 0;  // Of callers, through any daemon.
+    duration pass_time{};
+    duration longest_decision_delay{};
+  };
+  mutable activity activity_;
+  time_point activity_reported_at_{};
   bool is_quiesced_ = false;
   bool is_stopped_ = false;
   thread_group threads_;
--- a/src/pools/pool_owner_workers.cc
+++ b/src/pools/pool_owner_workers.cc
@@ -73,7 +73,7 @@
           known->second.incarnation == worker.incarnation;
       if (known == scheduled_workers_.end() || !(known->second == worker)) {
         scheduler_->SetWorker(worker, now);
-        needs_decision_ = true;
+        RequestDecision();
       }
       if (is_same_agent) continue;
       const auto session = sessions_.find(id);
@@ -89,7 +89,7 @@
       // may run its tasks until their leases expire, which its session detects.
       if (worker.is_draining) scheduler_->ExpireWorkerLeases(id, now);
       scheduler_->RemoveWorker(id);
-      needs_decision_ = true;
+      RequestDecision();
     }
     scheduled_workers_ = listed;
     for (pool_worker& worker : AddUnlistedWorkers(now)) {
@@ -159,6 +159,7 @@
                                    time_point sent_at) {
     options_.metrics->worker_reports.Increment();
     const std::lock_guard lock(mutex_);
+    ++activity_.reports;
     scheduler_->ApplyReport(id, report, sent_at, options_.clock->Now());
     if (!listed_workers_.contains(id)) workers_changed_ = true;
     RequestDecision();
