Read a job's record before its progress, so that an ended job is not absent

Callers saw: 410 for accepted jobs (LOST).

Cause: without an answer of the owner, a daemon read the progress record and then the job record. The commit of a result writes the first and removes the second. A commit between the two reads made both look absent.

Fix: ReadStoredJobState reads the job record first. If that is gone, the commit that removed it has written the progress.

Test: a_job_that_ends_between_two_reads_is_not_absent.

Not ruled out for the same jobs: an owner that answers absent itself.

--- a/src/pools/job_journal.cc
+++ b/src/pools/job_journal.cc
@@ -48,6 +48,22 @@
   return Prefix("progress", pool) + std::string(job_id);
 }
 
+result<std::optional<job_state>> ReadStoredJobState(kv_client& kv,
+                                                    std::string_view pool,
+                                                    std::string_view job_id) {
+  // The commit that stores the result of a job removes its job record. In this
+  // order a missing job record proves that the result is already stored; in the
+  // other order, a commit between the two reads makes the job look absent.
+  BOOST_LEAF_AUTO(job, kv.Get(JobKey(pool, job_id)));
+  BOOST_LEAF_AUTO(progress, kv.Get(ProgressKey(pool, job_id)));
+  if (progress) {
+    BOOST_LEAF_AUTO(state, DecodeProgressState(progress->value));
+    return std::optional<job_state>(state);
+  }
+  if (!job) return std::optional<job_state>();
+  return std::optional<job_state>(job_state::kQueued);
+}
+
 std::string job_journal::JournalKey() const {
   return "apricotwheel/journals/" + options_.pool;
 }
--- a/src/pools/job_journal.h
+++ b/src/pools/job_journal.h
@@ -6,6 +6,7 @@
 #include <functional>
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -24,6 +25,12 @@
 std::string JobKey(std::string_view pool, std::string_view job_id);
 std::string ProgressKey(std::string_view pool, std::string_view job_id);
 
+// Reads the stored state of a job without its owner. Returns null for a job
+// that is not stored.
+result<std::optional<job_state>> ReadStoredJobState(kv_client& kv,
+                                                    std::string_view pool,
+                                                    std::string_view job_id);
+
 struct stored_job {
   job_submission submission;
   job_progress progress;
--- a/src/pools/queue_gateway.cc
+++ b/src/pools/queue_gateway.cc
@@ -169,21 +169,13 @@
 
 std::optional<job_call_response> queue_gateway::ReadStoredState(
     const std::string& pool, const std::string& job_id) {
+  const auto state =
+      Attempt([&] { return ReadStoredJobState(*options_->kv, pool, job_id); });
+  if (!state) return std::nullopt;
+  if (!*state.value) return MakeResponse(job_call_status::kAbsent);
   job_call_response response = MakeResponse(job_call_status::kState);
-  const auto progress =
-      Attempt([&] { return options_->kv->Get(ProgressKey(pool, job_id)); });
-  if (!progress) return std::nullopt;
-  if (*progress.value) {
-    const auto state =
-        Attempt([&] { return DecodeProgressState((*progress.value)->value); });
-    if (!state) return std::nullopt;
-    response.state = *state;
-    return response;
-  }
-  const auto job =
-      Attempt([&] { return options_->kv->Get(JobKey(pool, job_id)); });
-  if (!job) return std::nullopt;
-  return *job.value ? response : MakeResponse(job_call_status::kAbsent);
+  response.state = **state.value;
+  return response;
 }
 
 job_call_response queue_gateway::FindStateInOtherPools(
--- a/src/pools/queue_gateway.h
+++ b/src/pools/queue_gateway.h
@@ -74,10 +74,7 @@
   job_call_response CallOwner(const std::string& pool, std::string_view topic,
                               const std::string& body, time_point deadline,
                               const local_call& local);
-  job_call_response TryOwner(const std::string& pool, std::string_view topic,
-                             const std::string& body, time_point deadline,
-                             const local_call& local);
-  // Reads the state of a job from the store. Absent if the store does not
+  // Reads the state of a job from the store. Returns null if the store does not
   // respond.
   std::optional<job_call_response> ReadStoredState(const std::string& pool,
                                                    const std::string& job_id);
--- a/tests/pools/fake_store.h
+++ b/tests/pools/fake_store.h
@@ -10,6 +10,7 @@
 #include <mutex>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "clients/kv_client.h"
@@ -39,12 +40,18 @@
     calls.get = [=, this](std::string_view key,
                           duration) -> result<std::optional<kv_entry>> {
       if (rejects()) return reject();
-      const std::lock_guard lock(mutex_);
-      if (is_unresponsive_)
-        return Fail(error_kind::kTimeout, "no response", "wait");
-      const auto found = entries_.find(std::string(key));
-      if (found == entries_.end()) return std::optional<kv_entry>();
-      return std::optional<kv_entry>(found->second);
+      std::optional<kv_entry> entry;
+      std::function<void()> after_get;
+      {
+        const std::lock_guard lock(mutex_);
+        if (is_unresponsive_)
+          return Fail(error_kind::kTimeout, "no response", "wait");
+        const auto found = entries_.find(std::string(key));
+        if (found != entries_.end()) entry = found->second;
+        after_get = std::exchange(after_next_get_, nullptr);
+      }
+      if (after_get) after_get();
+      return entry;
     };
     calls.list = [=, this](std::string_view prefix) -> result<kv_listing> {
       if (rejects()) return reject();
@@ -85,6 +92,12 @@
     for (int i = 0; i < times; ++i) faults_.push_back(fault);
   }
 
+  // Calls `action` once, after the next get has read its value.
+  void AfterNextGet(std::function<void()> action) {
+    const std::lock_guard lock(mutex_);
+    after_next_get_ = std::move(action);
+  }
+
   // Sets the duration of commits.
   void SetDelay(duration delay) {
     const std::lock_guard lock(mutex_);
@@ -224,6 +237,7 @@
   mutable std::mutex mutex_;
   const clock_ptr clock_ = runtime_clock::Running();
   duration delay_{};
+  std::function<void()> after_next_get_;
   bool is_unresponsive_ = false;
   std::map<std::string, kv_entry> entries_;
   // Lease ids by key; empty for none.
--- a/tests/pools/job_journal_test.cc
+++ b/tests/pools/job_journal_test.cc
@@ -317,5 +317,31 @@
       owner.Eventually([&] { return owner.journal->IsStoreUnreachable(); }));
 }
 
+// Guards against a job that is answered as absent when it ends during the
+// request. Its progress was read before, and its job record after, the commit
+// that stores the result and removes the job record.
+BOOST_AUTO_TEST_CASE(a_job_that_ends_between_two_reads_is_not_absent) {
+  fake_store store;
+  const auto kv = store.Client();
+  store.Put(JobKey("pool", "job"), "stored");
+  job_progress progress;
+  progress.state = job_state::kCompleted;
+  store.AfterNextGet([&] {
+    kv_transaction result;
+    result.puts.push_back(
+        {ProgressKey("pool", "job"), EncodeProgress(progress), {}});
+    result.removals.push_back(JobKey("pool", "job"));
+    BOOST_REQUIRE(Attempt([&] { return kv->Commit(result); }));
+  });
+  const auto during =
+      Attempt([&] { return ReadStoredJobState(*kv, "pool", "job"); });
+  BOOST_REQUIRE(during);
+  BOOST_TEST(during.value->has_value());
+  const auto after =
+      Attempt([&] { return ReadStoredJobState(*kv, "pool", "job"); });
+  BOOST_REQUIRE(after);
+  BOOST_TEST((*after.value == job_state::kCompleted));
+}
+
 }  // namespace
 }  // namespace apricotwheel
