Let a forwarded request carry its timeout, and drop it once it has expired

Callers saw: submissions and cancellations with an unknown outcome (504) after 1.2 s and 2.9 s, refusals after a second.

Cause: a forwarded request said nothing about its sender's time. The owner executed each for up to 0.9 s from the moment a handler thread got to it, also after its sender had given up, and the sender had sent another one by then.

Fix: pool_call carries timeout_ms, the time that is left at the sender as a duration, since clocks differ. The owner counts it from the moment the request was read from its connection, reserves 100 ms for the response, and does not execute what has expired. The response says that it was not executed, which is true of this copy; a sender whose earlier copy may have arrived still reports an unknown outcome. Requests of an earlier build have no timeout and get 0.9 s as before. The time that a request waits in the socket is not counted.

--- a/src/peer/node_context.h
+++ b/src/peer/node_context.h
@@ -24,7 +24,7 @@
   // Guards `handlers`, which may be set while peers are connected.
   std::mutex handler_mutex;
   // Indexed by message type (`wire::body`); null for a type without a handler.
-  std::array<std::shared_ptr<const peer_handler>,
+  std::array<std::shared_ptr<const timed_peer_handler>,
              static_cast<std::size_t>(wire::body::MAX) + 1>
       handlers;
   // Includes connections over the limit, which the metric's help text omits.
--- a/src/peer/peer_node.cc
+++ b/src/peer/peer_node.cc
@@ -32,8 +32,8 @@
 constexpr auto kOverloadResponseTimeout = milliseconds(50);
 
 wire_message RunHandler(node_context& context, const std::string& sender,
-                        const wire_message& request) {
-  std::shared_ptr<const peer_handler> handler;
+                        const wire_message& request, time_point received_at) {
+  std::shared_ptr<const timed_peer_handler> handler;
   {
     std::lock_guard guard(context.handler_mutex);
     handler = context.handlers[static_cast<std::size_t>(request.body.type)];
@@ -45,7 +45,7 @@
          "run the same release on all daemons"});
   }
   try {
-    return (*handler)(sender, request);
+    return (*handler)(sender, request, received_at);
   } catch (const std::exception& failure) {
     return MakeFailure(
         {error_kind::kInternal, failure.what(), "report this as a bug"});
@@ -124,7 +124,14 @@
 }
 
 void peer_node::SetHandler(wire::body type, peer_handler handler) {
-  auto stored = std::make_shared<const peer_handler>(std::move(handler));
+  SetTimedHandler(type,
+                  [handler = std::move(handler)](
+                      const std::string& sender, const wire_message& request,
+                      time_point) { return handler(sender, request); });
+}
+
+void peer_node::SetTimedHandler(wire::body type, timed_peer_handler handler) {
+  auto stored = std::make_shared<const timed_peer_handler>(std::move(handler));
   std::lock_guard guard(state_->context->handler_mutex);
   state_->context->handlers[static_cast<std::size_t>(type)] = std::move(stored);
 }
@@ -353,11 +360,13 @@
     const std::shared_ptr<peer_connection>& connection,
     const std::string& sender, wire_message request) {
   const auto correlation_id = request.correlation_id;
-  const auto work = [this, connection, sender,
+  const auto received_at = context->options.clock->Now();
+  const auto work = [this, connection, sender, received_at,
                      message =
                          std::make_shared<wire_message>(std::move(request))] {
     Reply(*context, *connection, message->correlation_id,
-          RunHandler(*context, sender, *message), kResponseTimeout);
+          RunHandler(*context, sender, *message, received_at),
+          kResponseTimeout);
   };
   if (context->pool.Submit(work)) return;
   context->overloaded_requests->Increment();
--- a/src/peer/peer_node.h
+++ b/src/peer/peer_node.h
@@ -22,6 +22,12 @@
 using peer_handler = std::function<wire_message(const std::string& sender,
                                                 const wire_message& request)>;
 
+// Like `peer_handler`, with the time at which the request was read from its
+// connection. It may have waited for a handler thread since.
+using timed_peer_handler = std::function<wire_message(
+    const std::string& sender, const wire_message& request,
+    time_point received_at)>;
+
 struct peer_node_options {
   std::string member_id;
   std::string listen_address;  // ip:port; port 0 takes a free one.
@@ -50,6 +56,7 @@
   // Sets the handler of a message type, at any time. A request without a
   // handler receives a `failure`.
   void SetHandler(wire::body type, peer_handler handler);
+  void SetTimedHandler(wire::body type, timed_peer_handler handler);
 
   // Sets the address of a peer; an empty address removes the peer and closes
   // its connection. Calls to unknown peers fail with `not_found`.
--- a/src/pools/pool_host.cc
+++ b/src/pools/pool_host.cc
@@ -12,10 +12,14 @@
 
 using nlohmann::json;
 
-// Timeout of a job request that another daemon forwards. It is shorter than the
-// timeout of that daemon, so that the response arrives before the daemon has to
-// report an unknown outcome.
-constexpr auto kForwardedCallTimeout = milliseconds(900);
+// Timeout of a forwarded job request whose sender, an earlier build, does not
+// say how long it waits.
+constexpr auto kDefaultCallTimeout = milliseconds(1000);
+// Part of the sender's timeout that is reserved for the response, so that it
+// arrives before the sender has to report an unknown outcome.
+constexpr auto kForwardReserve = milliseconds(100);
+// Limit of a timeout that a sender states.
+constexpr std::int64_t kMaxCallTimeoutMs = 60'000;
 // Workers write heartbeats continuously; changes are read in batches at this
 // interval.
 constexpr auto kWorkerWatchInterval = milliseconds(400);
@@ -52,10 +56,11 @@
       [this](const std::string& pool, std::uint64_t epoch) {
         DropOwner(pool, epoch);
       });
-  options_.peers->SetHandler(
+  options_.peers->SetTimedHandler(
       wire::body::pool_call,
-      [this](const std::string&, const wire_message& request) {
-        return HandleRequest(request);
+      [this](const std::string&, const wire_message& request,
+             time_point received_at) {
+        return HandleRequest(request, received_at);
       });
   BOOST_LEAF_CHECK(
       threads_.Spawn("pool-rescue", [this] { RunStoreFailover(); }));
@@ -220,9 +225,22 @@
   for (const auto& [pool, owner] : owners) owner->SetWorkers(by_pool[pool]);
 }
 
-job_call_response pool_host::HandleJobCall(const wire::pool_callT& call) {
-  const auto deadline = options_.clock->Now() + duration(kForwardedCallTimeout);
+job_call_response pool_host::HandleJobCall(const wire::pool_callT& call,
+                                           time_point received_at) {
+  const duration timeout =
+      call.timeout_ms > 0
+          ? milliseconds(std::min(call.timeout_ms, kMaxCallTimeoutMs))
+          : kDefaultCallTimeout;
+  const auto deadline =
+      received_at + timeout - std::min<duration>(kForwardReserve, timeout / 2);
   job_call_response response;
+  // The sender does not wait any more, or repeats the request. Executing what
+  // nobody waits for would delay the requests behind it until they expire too.
+  if (options_.clock->Now() >= deadline) {
+    options_.metrics->expired_requests.Increment();
+    response.reason = "the request expired before it was executed";
+    return response;
+  }
   if (call.topic == kSubmitTopic) {
     const auto job = Attempt([&] { return DecodeSubmission(call.body); });
     if (!job) {
@@ -273,7 +291,8 @@
   return MakePoolReply(approved.dump());
 }
 
-wire_message pool_host::HandleRequest(const wire_message& request) {
+wire_message pool_host::HandleRequest(const wire_message& request,
+                                      time_point received_at) {
   const wire::pool_callT* call = request.body.Aspool_call();
   if (call == nullptr) {
     return MakeFailure({error_kind::kInvalidArgument, "empty pool request",
@@ -282,7 +301,7 @@
   if (call->topic == kApprovalTopic) return HandleApprovalCall(*call);
   if (call->topic == kTakeoverTopic) return HandleTakeoverCall(*call);
   if (call->topic == kOwnerTopic) return HandleOwnerCall(*call);
-  return MakePoolReply(EncodeResponse(HandleJobCall(*call)));
+  return MakePoolReply(EncodeResponse(HandleJobCall(*call, received_at)));
 }
 
 result<approval_dispatcher::approvals> pool_host::RequestApprovals(
--- a/src/pools/pool_host.h
+++ b/src/pools/pool_host.h
@@ -59,6 +59,11 @@
   // Returns null if this daemon does not own the pool now.
   std::shared_ptr<pool_owner> OwnerOf(std::string_view pool) const;
 
+  // Executes a job request that another daemon forwarded and that was received
+  // at `received_at`. A request that has expired since is not executed.
+  job_call_response HandleJobCall(const wire::pool_callT& call,
+                                  time_point received_at);
+
  private:
   void Run();
   // Another daemon owns the pool: drops the local owner of this epoch.
@@ -70,8 +75,8 @@
   void ApplyWorkerEvent(const kv_event& event);
   // Passes each owner the workers of its pool.
   void DistributeWorkers();
-  wire_message HandleRequest(const wire_message& request);
-  job_call_response HandleJobCall(const wire::pool_callT& call);
+  wire_message HandleRequest(const wire_message& request,
+                             time_point received_at);
   wire_message HandleApprovalCall(const wire::pool_callT& call);
   // Sends an approval request to the advisor, directly or through a member.
   result<approval_dispatcher::approvals> RequestApprovals(
--- a/src/pools/pool_metrics.cc
+++ b/src/pools/pool_metrics.cc
@@ -64,7 +64,13 @@
                       .Name("apricotwheel_owned_pools")
                       .Help("Pools that this daemon owns")
                       .Register(*registry)
-                      .Add({})) {}
+                      .Add({})),
+      expired_requests(
+          prometheus::BuildCounter()
+              .Name("apricotwheel_pool_expired_requests_total")
+              .Help("Forwarded requests that expired before they were executed")
+              .Register(*registry)
+              .Add({})) {}
 
 void pool_metrics::RecordResponse(const std::string& verb,
                                   const std::string& status, double seconds) {
--- a/src/pools/pool_metrics.h
+++ b/src/pools/pool_metrics.h
@@ -29,6 +29,7 @@
   prometheus::Histogram& approval_seconds;
   prometheus::Histogram& approval_wait_seconds;
   prometheus::Gauge& owned_pools;
+  prometheus::Counter& expired_requests;
 };
 
 }  // namespace apricotwheel
--- a/src/pools/queue_gateway.cc
+++ b/src/pools/queue_gateway.cc
@@ -93,7 +93,7 @@
   wire::pool_callT call;
   call.topic = topic;
   call.body = body;
-  const wire_message request = MakeMessage(std::move(call));
+  wire_message request = MakeMessage(std::move(call));
   auto query_at = clock_->Now();
   while (clock_->Now() < deadline) {
     const auto owner = options.directory->OwnerOf(pool);
@@ -104,11 +104,13 @@
         reason = response.reason;
       }
     } else if (owner) {
-      const auto remaining = deadline - clock_->Now();
+      const auto timeout =
+          std::min<duration>(deadline - clock_->Now(), kMaxCallTimeout);
+      // 0 would mean that the timeout is not known.
+      request.body.Aspool_call()->timeout_ms = std::max<std::int64_t>(
+          1, std::chrono::duration_cast<milliseconds>(timeout).count());
       const auto message = Attempt([&] {
-        return options.peers->Call(
-            owner->member_id, request,
-            std::min<duration>(remaining, kMaxCallTimeout));
+        return options.peers->Call(owner->member_id, request, timeout);
       });
       if (message) {
         const wire::pool_replyT* text = message->body.Aspool_reply();
