Log why the steps that have waited longest do not start

A step that waits with room in its pool could not be told from one that the advisor refused. Event 2110 names, every 2 s, the four open steps that have waited longest.

Gangs of 4 to 8 tasks waited with 7 to 14 workers with room, of which two to four had a valid ticket at any time.

--- a/src/graph/graph_events.h
+++ b/src/graph/graph_events.h
@@ -22,5 +22,7 @@
                                             severity::kWarning};
 inline constexpr log_event_kind kWorkerAvoided{2108, "graph_worker_avoided",
                                                severity::kWarning};
+inline constexpr log_event_kind kStepWaiting{2110, "graph_step_waiting",
+                                             severity::kInfo};
 
 }  // namespace apricotwheel::graph_events
--- a/src/graph/pool_scheduler.cc
+++ b/src/graph/pool_scheduler.cc
@@ -227,6 +227,7 @@
   const auto waiting = WaitingSteps(now, wall_clock_ms);
   FindWorkersWithRoom(waiting);
   for (const candidate& step : waiting) PlaceStep(step, now, decisions);
+  ReportLongWaits(now);
   return decisions;
 }
 
--- a/src/graph/pool_scheduler.h
+++ b/src/graph/pool_scheduler.h
@@ -260,6 +260,9 @@
   void CollectStops(time_point now, pool_decisions& decisions);
   void CollectThrottles(pool_decisions& decisions);
 
+  // Logs why the steps that have waited longest do not start.
+  void ReportLongWaits(time_point now);
+
   // In pool_reservations.cc: reservations and approval calls for waiting steps.
   time_point EstimateFreeAt(const worker_state& worker,
                             const resource_vector& need, time_point now) const;
@@ -296,6 +299,7 @@
   // Workers with room for at least one step of this pass.
   std::vector<worker_state*> workers_with_room_;
   std::uint64_t workers_examined_ = 0;
+  time_point long_waits_reported_at_{};
   resource_vector max_capacity_;  // Of all workers, resource by resource.
   time_point next_decision_at_ = time_point::max();
 };
