Renew all tickets of a reserved gang in one call

Cause: a call for reserved workers named only those without a valid ticket. The tickets that were valid when it was planned had expired when it returned, the next call named those, and so on.

A call now names every reserved worker whose ticket ends before the call can return, unless all are valid already. The new test made ten calls without a start before the fix (rig.starts.size() 0 != 2, calls 10 != 1), one after it.

--- a/src/graph/pool_reservations.cc
+++ b/src/graph/pool_reservations.cc
@@ -131,17 +131,28 @@
       worker->reserved_from = *ready_at;
     }
     if (!advisor) continue;
-    const time_point request_at =
-        *ready_at - CallDuration(*advisor, room.size()) - kApprovalLeadTime;
+    const duration call_time = CallDuration(*advisor, room.size());
+    const time_point request_at = *ready_at - call_time - kApprovalLeadTime;
     if (now < request_at) {
       next_decision_at_ = std::min(next_decision_at_, request_at);
       continue;
     }
+    const auto has_ticket_at = [&](const worker_state& worker,
+                                   time_point time) {
+      return FindApproval(step.approvals, worker.info, time) ==
+             approval_status::kValid;
+    };
+    if (std::all_of(room.begin(), room.end(), [&](const auto& row) {
+          return has_ticket_at(*row.first, now);
+        })) {
+      continue;
+    }
+    // All tickets must be valid at the same time. A call that left out those
+    // that expire before its response would have to be followed by another one.
+    const time_point start_at =
+        std::max(*ready_at, now + call_time + kApprovalLeadTime);
     for (const auto& [worker, need] : room) {
-      if (FindApproval(step.approvals, worker->info, now) !=
-          approval_status::kValid) {
-        unapproved.push_back(worker->info);
-      }
+      if (!has_ticket_at(*worker, start_at)) unapproved.push_back(worker->info);
     }
   }
   if (unapproved.empty() || step.approvals.is_call_in_flight ||
--- a/tests/graph/approvals_test.cc
+++ b/tests/graph/approvals_test.cc
@@ -72,6 +72,46 @@
   BOOST_TEST(decisions.starts[0].ticket == "t3");
 }
 
+// Guards against a gang whose workers never have valid tickets together. A call
+// for the one that had expired took so long that the ticket of the other one
+// expired meanwhile, and so on by turns, with both workers free.
+BOOST_AUTO_TEST_CASE(tickets_of_a_gang_are_renewed_together) {
+  constexpr auto kCallTime = milliseconds(1400);
+  scheduler_rig rig;
+  rig.AddWorker("w1", kWorker);
+  rig.AddWorker("w2", kWorker);
+  auto gang = MakeJob("gang", {MakeStep(2, kSmall)});
+  gang.graph.steps[0].is_gang = true;
+  gang.queue.advisor = advisor_settings{1'400'000, 0, kLifetime};
+  rig.scheduler.AdmitJob(gang, rig.now);
+  rig.DecideAndCarryOut();
+  BOOST_REQUIRE_EQUAL(rig.approvals.size(), 1);
+  // Both are approved; the ticket of w1 expires and that of w2 is renewed.
+  rig.scheduler.OnApprovalResult(
+      rig.approvals[0], std::vector<approved_worker>{{"w1", "t"}, {"w2", "t"}},
+      true, rig.now - kLifetime, rig.now);
+  rig.DecideAndCarryOut();
+  approval_request call = rig.approvals.back();
+  call.workers = {rig.agents["w2"].info};
+  rig.AdvanceClock(kCallTime);
+  Answer(rig, call, {{"w2", "t"}});
+  int calls = 0;
+  while (rig.starts.empty() && calls < 10) {
+    const auto decisions = rig.DecideAndCarryOut();
+    for (const approval_request& request : decisions.approvals) {
+      ++calls;
+      rig.AdvanceClock(kCallTime);
+      std::vector<approved_worker> approved;
+      for (const pool_worker& worker : request.workers) {
+        approved.push_back({worker.id, "t"});
+      }
+      Answer(rig, request, approved);
+    }
+  }
+  BOOST_TEST(rig.starts.size() == 2);
+  BOOST_TEST(calls == 1);
+}
+
 // Guards against repeated starts with a ticket that the worker has refused. A
 // new ticket must be requested first.
 BOOST_AUTO_TEST_CASE(a_refused_ticket_is_renewed) {
