Let as many calls for approval run at once as there are members

Cause: a pool made at most ten calls at a time, whatever the number of members, while the advisor serves one call at a time for each calling machine. 37 daemons could carry 28 long and 9 short ones.

Threads start when calls wait and a member may be free, so that a small cell has no more than before. The new test enqueues 28 calls in a cell of 37; ten ran before the fix.

--- a/src/pools/approval_dispatcher.cc
+++ b/src/pools/approval_dispatcher.cc
@@ -9,8 +9,8 @@
 
 namespace {
 
-// Limit of concurrent calls. A cell with more members uses them in turn.
-constexpr int kMaxConcurrentCalls = 10;
+// Limit of threads, and so of concurrent calls, in a very large cell.
+constexpr std::size_t kMaxConcurrentCalls = 48;
 constexpr int kMaxAttempts = 3;
 // A member whose call failed gets no other one for this time.
 constexpr auto kFailedMemberBackoff = milliseconds(1500);
@@ -52,12 +52,24 @@
       on_result_(std::move(on_result)) {}
 
 result<void> approval_dispatcher::Start() {
-  for (int i = 0; i < kMaxConcurrentCalls; ++i) {
-    BOOST_LEAF_CHECK(threads_.Spawn("approvals", [this] { Run(); }));
-  }
+  const std::lock_guard lock(mutex_);
+  return SpawnThread();
+}
+
+result<void> approval_dispatcher::SpawnThread() {
+  BOOST_LEAF_CHECK(threads_.Spawn("approvals", [this] { Run(); }));
+  ++thread_count_;
   return {};
 }
 
+void approval_dispatcher::SpawnThreadIfNeeded() {
+  if (is_stopped_ || thread_count_ == 0) return;
+  if (thread_count_ - running_calls_ >= pending_.size()) return;
+  if (thread_count_ >= std::min(kMaxConcurrentCalls, members_().size())) return;
+  // The threads that exist go on if the system cannot start another one.
+  static_cast<void>(Attempt([&] { return SpawnThread(); }));
+}
+
 void approval_dispatcher::Stop() {
   {
     const std::lock_guard lock(mutex_);
@@ -72,6 +84,7 @@
     const std::lock_guard lock(mutex_);
     const std::pair key(request.priority, ++last_sequence_);
     pending_[key] = {std::move(request), key.second, 0, clock_->Now()};
+    SpawnThreadIfNeeded();
   }
   changed_.notify_one();
 }
@@ -129,6 +142,7 @@
     pending_request next = std::move(it->second);
     pending_.erase(it);
     busy_members_.insert(member);
+    ++running_calls_;
     const duration waited = clock_->Now() - next.enqueued_at;
     longest_wait_ = std::max(longest_wait_, waited);
     lock.unlock();
@@ -145,12 +159,14 @@
       if (++next.attempts < kMaxAttempts && !is_stopped_) {
         const std::pair key(next.request.priority, next.sequence);
         pending_[key] = std::move(next);
+        --running_calls_;
         continue;
       }
     }
     lock.unlock();
     on_result_(next.request, response);
     lock.lock();
+    --running_calls_;
   }
 }
 
--- a/src/pools/approval_dispatcher.h
+++ b/src/pools/approval_dispatcher.h
@@ -72,6 +72,11 @@
   };
 
   void Run();
+  // Called with mutex_ held.
+  result<void> SpawnThread();
+  // Starts a thread if all are in calls and a member may be free. Called with
+  // mutex_ held.
+  void SpawnThreadIfNeeded();
   struct free_members {
     std::string for_short;  // Both are empty if no member is free.
     std::string for_long;
@@ -93,6 +98,8 @@
   std::map<std::string, time_point> backoff_until_;
   std::uint64_t last_sequence_ = 0;
   duration longest_wait_{};
+  std::size_t thread_count_ = 0;
+  std::size_t running_calls_ = 0;  // Including their callbacks.
   bool is_stopped_ = false;
   thread_group threads_;
 };
--- a/tests/pools/approval_desk_test.cc
+++ b/tests/pools/approval_desk_test.cc
@@ -86,6 +86,20 @@
   BOOST_TEST(rig.member_by_job["short"] == "m1");
 }
 
+// Guards against calls that wait while members are free. At most ten calls were
+// in flight in a cell of 37 members, and calls waited for up to 32 s.
+BOOST_AUTO_TEST_CASE(all_members_of_a_large_cell_carry_calls) {
+  std::vector<std::string> members;
+  for (int i = 0; i < 37; ++i) members.push_back("m" + std::to_string(i));
+  blocking_dispatcher rig(members);
+  const std::size_t unreserved = 37 - MembersForShortCalls(37);
+  for (std::size_t i = 0; i < unreserved; ++i) {
+    rig.dispatcher.Enqueue(
+        RequestOf("long-" + std::to_string(i), kLongCall, 0));
+  }
+  BOOST_TEST(rig.WaitForCalls(unreserved));
+}
+
 BOOST_AUTO_TEST_CASE(a_small_cell_reserves_no_member) {
   BOOST_TEST(MembersForShortCalls(1) == 0);
   BOOST_TEST(MembersForShortCalls(3) == 0);
