--- a/src/config/fields.cc
+++ b/src/config/fields.cc
@@ -4,6 +4,7 @@
 
 #include <array>
 #include <charconv>
+#include <sstream>
 #include <unordered_map>
 
 namespace apricotwheel {
@@ -134,6 +135,28 @@
   return true;
 }
 
+bool ReadDecimal(const yaml_node& node, std::string_view key, double low,
+                 double high, double& target, fault_list& faults) {
+  std::ostringstream range;
+  range << "write a decimal number from " << low << " to " << high
+        << ", without a unit";
+  const char* end = node.scalar.data() + node.scalar.size();
+  double number = 0;
+  const auto parsed = std::from_chars(node.scalar.data(), end, number,
+                                      std::chars_format::fixed);
+  const bool is_number = node.kind == node_kind::kScalar &&
+                         parsed.ec == std::errc() && parsed.ptr == end;
+  // Written so that it rejects NaN as well.
+  if (!is_number || !(number >= low && number <= high)) {
+    faults.Add(node.line, key,
+               Quoted(node.scalar) + " is no decimal number in range",
+               range.str());
+    return false;
+  }
+  target = number;
+  return true;
+}
+
 bool ReadBool(const yaml_node& node, std::string_view key, bool& target,
               fault_list& faults) {
   if (node.kind == node_kind::kScalar &&
--- a/src/config/fields.h
+++ b/src/config/fields.h
@@ -41,6 +41,8 @@
                  std::int64_t high, std::int64_t& target, fault_list& faults);
 bool ReadInteger(const yaml_node& node, std::string_view key, std::uint32_t low,
                  std::uint32_t high, std::uint32_t& target, fault_list& faults);
+bool ReadDecimal(const yaml_node& node, std::string_view key, double low,
+                 double high, double& target, fault_list& faults);
 bool ReadBool(const yaml_node& node, std::string_view key, bool& target,
               fault_list& faults);
 bool ReadText(const yaml_node& node, std::string_view key, std::string& target,
--- a/src/config/settings.cc
+++ b/src/config/settings.cc
@@ -12,9 +12,10 @@
 using text_member = std::string daemon_settings::*;
 using number_member = std::int64_t daemon_settings::*;
 using duration_member = duration daemon_settings::*;
+using decimal_member = double daemon_settings::*;
 using list_member = std::vector<std::string> daemon_settings::*;
-using setting_member =
-    std::variant<text_member, number_member, duration_member, list_member>;
+using setting_member = std::variant<text_member, number_member, duration_member,
+                                    decimal_member, list_member>;
 
 enum class setting_type {
   kName,
@@ -23,6 +24,7 @@
   kPath,
   kChoice,
   kNumber,
+  kDecimal,
   kDuration
 };
 
@@ -44,11 +46,12 @@
 constexpr auto kName = setting_type::kName;
 constexpr auto kAddress = setting_type::kAddress;
 constexpr auto kNumber = setting_type::kNumber;
+constexpr auto kDecimal = setting_type::kDecimal;
 constexpr auto kDuration = setting_type::kDuration;
 using s = daemon_settings;
 
 // clang-format off
-constexpr std::array<setting_row, 34> kSettings = {{
+constexpr std::array<setting_row, 36> kSettings = {{
     {"name", kName, "", &s::name, true, 0, 0,
      "name of this daemon, unique in the cell"},
     {"failure_domain", kName, "", &s::failure_domain, true, 0, 0,
@@ -115,6 +118,10 @@
      "failures of different jobs that put a worker into quarantine"},
     {"quarantine_ms", kDuration, "ms", &s::quarantine, false, 1000, 3'600'000,
      "first quarantine of a worker; each further one lasts twice as long"},
+    {"processor_share", kDecimal, "cores", &s::processor_share, false, 0, 1024,
+     "share of a core of the VM that the daemon gets; larger members own pools"},
+    {"processor_cores", kDecimal, "cores", &s::processor_cores, false, 0, 1024,
+     "factor of processor_share: cores that the VM provides together"},
     {"log_level", setting_type::kChoice, "", &s::log_level, false, 0, 0,
      "lowest level that is logged: debug, info, warning or error"},
 }};
@@ -137,6 +144,12 @@
     settings.** duration_field = milliseconds(count);
     return;
   }
+  if (const auto* decimal_field = std::get_if<decimal_member>(&row.member)) {
+    ReadDecimal(node, row.key, static_cast<double>(row.low),
+                static_cast<double>(row.high), settings.**decimal_field,
+                faults);
+    return;
+  }
   if (const auto* list_field = std::get_if<list_member>(&row.member)) {
     ReadAddressList(node, row.key, settings.**list_field, faults);
     return;
@@ -267,6 +280,8 @@
       return "path";
     case setting_type::kChoice:
       return "word";
+    case setting_type::kDecimal:
+      return "decimal";
     default:
       return "integer";
   }
@@ -281,6 +296,11 @@
   if (const auto* duration_field = std::get_if<duration_member>(&row.member)) {
     return std::to_string(ToMs(defaults.**duration_field));
   }
+  if (const auto* decimal_field = std::get_if<decimal_member>(&row.member)) {
+    std::ostringstream text;
+    text << defaults.**decimal_field;
+    return text.str();
+  }
   if (std::holds_alternative<list_member>(row.member)) return "none";
   return defaults.*std::get<text_member>(row.member);
 }
--- a/src/config/settings.h
+++ b/src/config/settings.h
@@ -57,6 +57,10 @@
   // First quarantine of a worker. It is short because jobs that only this
   // worker can run wait until it ends.
   duration quarantine = milliseconds(10'000);
+  // The processor of the VM: the share of a core that the daemon gets, and how
+  // many times as fast as one core it is.
+  double processor_share = 1;
+  double processor_cores = 1;
   std::string log_level = "info";  // debug, info, warning or error
 };
 
--- a/tests/config/settings_test.cc
+++ b/tests/config/settings_test.cc
@@ -35,6 +35,12 @@
       {kBase + "lease_ttl_ms: [3000]\n", 8, "lease_ttl_ms"},
       {kBase + "retry_budget_percent: 101\n", 8, "retry_budget_percent"},
       {kBase + "log_level: loud\n", 8, "log_level"},
+      {kBase + "processor_share: half\n", 8, "processor_share"},
+      {kBase + "processor_share: 0.5 cores\n", 8, "processor_share"},
+      {kBase + "processor_share: -0.5\n", 8, "processor_share"},
+      {kBase + "processor_share: nan\n", 8, "processor_share"},
+      {kBase + "processor_share: [0.5]\n", 8, "processor_share"},
+      {kBase + "processor_cores: 1025\n", 8, "processor_cores"},
       {kBase + "seed_peers: 127.0.0.1:1, host:2\n", 8, "seed_peers"},
       {kBase + "seed_peers: 127.0.0.1:1,\n", 8, "seed_peers"},
       {kBase + "seed_peers:\n  - 127.0.0.1:1\n  - 127.0.0.1:0\n", 10,
@@ -94,6 +100,16 @@
   BOOST_TEST((check.settings->task_lease == daemon_settings().task_lease));
 }
 
+// Guards against a processor of a fraction of a core that is rounded or
+// rejected.
+BOOST_AUTO_TEST_CASE(the_processor_is_a_decimal_number) {
+  const auto check =
+      CheckSettings("f", kBase + "processor_share: 0.12\nprocessor_cores: 2\n");
+  BOOST_REQUIRE(bool(check.settings));
+  BOOST_TEST(check.settings->processor_share == 0.12);
+  BOOST_TEST(check.settings->processor_cores == 2.0);
+}
+
 // Guards against an address list that can be written only as a YAML list or
 // only as comma-separated text.
 BOOST_AUTO_TEST_CASE(seed_peers_are_a_list_or_a_text) {
