--- a/tests/pools/daemon_parts.h
+++ b/tests/pools/daemon_parts.h
@@ -30,10 +30,12 @@
   std::unique_ptr<pool_host> host;
   queue_gateway gateway{clock, {}};
 
-  daemon_parts(fake_store& store, const std::string& id)
+  daemon_parts(fake_store& store, const std::string& id,
+               double processor_share = 1)
       : kv(store.Client(is_cut_off)), peers(StartNode(id)) {
     platform.workers_prefix = "workers/";
     pool_directory_options directory_options;
+    directory_options.settings.processor_share = processor_share;
     directory_options.self = {id, id, "a", "", peers->ListenAddress(), false};
     directory_options.kv = kv.get();
     directory_options.peers = peers.get();
