Acknowledge ends and store results while more progress waits than fits a commit

Cause: a commit has 32 entries. Submissions took all of them first. The progress that did not fit went back to the scheduler, which keeps it in a set ordered by address, so the same jobs could be left over each time. Ends were acknowledged, and a flush was complete, only if all progress fitted into one commit. With more changes per commit than fit, neither happened at all, and the workers listed the same ends in each report.

Results and cancellations go first, then the oldest progress; while submissions wait they have 14 entries and what is left over.

Tests: ends_are_acknowledged_while_more_changes_than_fits and a_result_is_in_the_next_commit. Before the fix: 'AcknowledgedEnd("w1") == 7 has failed' after 5 s and 'revision_of(cancelled) == first_commit has failed [17 != 13]'.

--- a/src/pools/job_journal.cc
+++ b/src/pools/job_journal.cc
@@ -1,6 +1,7 @@
 #include "pools/job_journal.h"
 
 #include <algorithm>
+#include <iterator>
 #include <map>
 #include <nlohmann/json.hpp>
 
@@ -16,6 +17,9 @@
 // journal key and the worker list are part of each.
 constexpr std::size_t kMaxTransactionEntries = 32;
 constexpr std::size_t kFixedEntries = 4;
+// Entries that are kept for submissions while some wait, so that neither they
+// nor the progress of running jobs can hold the other up.
+constexpr std::size_t kSubmissionEntries = 14;
 // Limit of the bytes of values in a transaction. A value that exceeds it is the
 // last of its transaction.
 constexpr std::size_t kMaxTransactionBytes = 256 << 10;
@@ -239,14 +243,83 @@
   return stored_worker_list_version_ >= target;
 }
 
-job_journal::commit_group job_journal::CollectGroup() {
+void job_journal::TakeSnapshot(std::uint64_t flush) {
+  progress_batch batch = callbacks_.take_progress();
+  progress_snapshot snapshot;
+  snapshot.number = ++last_snapshot_;
+  snapshot.ends_by_worker = std::move(batch.ends_by_worker);
+  snapshot.flush = flush;
+  std::map<std::string_view, waiting_progress*> waiting;
+  for (waiting_progress& entry : waiting_progress_) {
+    waiting[entry.job.job_id] = &entry;
+  }
+  std::vector<waiting_progress> added;
+  for (progress_batch::entry& job : batch.jobs) {
+    const auto found = waiting.find(job.job_id);
+    if (found != waiting.end()) {
+      // Keeps its place, so that a job that changes often is stored too.
+      found->second->job.progress = std::move(job.progress);
+    } else {
+      added.push_back({std::move(job), snapshot.number});
+    }
+  }
+  std::move(added.begin(), added.end(), std::back_inserter(waiting_progress_));
+  std::move(batch.jobs_to_delete.begin(), batch.jobs_to_delete.end(),
+            std::back_inserter(waiting_deletions_));
+  snapshots_.push_back(std::move(snapshot));
+}
+
+std::size_t job_journal::AddProgress(commit_group& group, std::size_t entries,
+                                     std::size_t max_entries) {
+  // Callers wait for results and cancellations, so these come first.
+  std::stable_partition(waiting_progress_.begin(), waiting_progress_.end(),
+                        [](const waiting_progress& entry) {
+                          return IsFinal(entry.job.progress.state);
+                        });
+  std::vector<waiting_progress> left;
+  for (waiting_progress& entry : waiting_progress_) {
+    const bool is_final = IsFinal(entry.job.progress.state);
+    const std::size_t needed = is_final ? 2 : 1;
+    if (entries + needed > max_entries) {
+      left.push_back(std::move(entry));
+      continue;
+    }
+    group.writes.puts.push_back({ProgressKey(options_.pool, entry.job.job_id),
+                                 EncodeProgress(entry.job.progress),
+                                 {}});
+    if (is_final) {
+      group.writes.removals.push_back(JobKey(options_.pool, entry.job.job_id));
+    }
+    entries += needed;
+    group.progress.jobs.push_back(std::move(entry.job));
+  }
+  waiting_progress_ = std::move(left);
+  return entries;
+}
+
+void job_journal::AddCompletedSnapshots(commit_group& group) {
+  std::uint64_t first_incomplete = last_snapshot_ + 1;
+  for (const waiting_progress& entry : waiting_progress_) {
+    first_incomplete = std::min(first_incomplete, entry.snapshot);
+  }
+  while (!snapshots_.empty() && snapshots_.front().number < first_incomplete) {
+    progress_snapshot& snapshot = snapshots_.front();
+    for (const auto& [worker, position] : snapshot.ends_by_worker) {
+      group.progress.ends_by_worker[worker] = position;
+    }
+    group.flush = snapshot.flush;
+    snapshots_.pop_front();
+  }
+}
+
+job_journal::commit_group job_journal::CollectGroup(std::uint64_t flush) {
   commit_group group;
   group.number = ++last_number_;
   group.writes.conditions = {{options_.owner_key, options_.epoch},
                              {JournalKey(), journal_revision_}};
   group.writes.puts.push_back({JournalKey(), JournalValue(group.number), {}});
-  std::size_t entries = kFixedEntries;
-  std::size_t bytes = 0;
+  TakeSnapshot(flush);
+  std::size_t reserved = 0;
   {
     const std::lock_guard lock(mutex_);
     group.worker_list_version = worker_list_version_;
@@ -254,6 +327,13 @@
       group.writes.puts.push_back(
           {WorkerListKey(), json(worker_list_).dump(), {}});
     }
+    reserved = std::min(pending_submissions_.size(), kSubmissionEntries);
+  }
+  std::size_t entries =
+      AddProgress(group, kFixedEntries, kMaxTransactionEntries - reserved);
+  {
+    const std::lock_guard lock(mutex_);
+    std::size_t bytes = 0;
     while (!pending_submissions_.empty() && entries < kMaxTransactionEntries &&
            bytes < kMaxTransactionBytes) {
       submission_ptr next = pending_submissions_.front();
@@ -267,39 +347,17 @@
       group.submissions.push_back(std::move(next));
     }
   }
-  progress_batch batch = callbacks_.take_progress();
-  progress_batch deferred;
-  for (auto& entry : batch.jobs) {
-    const bool is_final = IsFinal(entry.progress.state);
-    const std::size_t needed = is_final ? 2 : 1;
-    if (entries + needed > kMaxTransactionEntries) {
-      deferred.jobs.push_back(std::move(entry));
-      continue;
-    }
-    group.writes.puts.push_back({ProgressKey(options_.pool, entry.job_id),
-                                 EncodeProgress(entry.progress),
-                                 {}});
-    if (is_final) {
-      group.writes.removals.push_back(JobKey(options_.pool, entry.job_id));
-    }
-    entries += needed;
-    group.progress.jobs.push_back(std::move(entry));
-  }
-  for (std::string& id : batch.jobs_to_delete) {
-    if (entries >= kMaxTransactionEntries) {
-      deferred.jobs_to_delete.push_back(std::move(id));
-      continue;
-    }
+  // A job whose progress still waits is deleted after that is stored.
+  while (!waiting_deletions_.empty() && waiting_progress_.empty() &&
+         entries < kMaxTransactionEntries) {
+    std::string& id = waiting_deletions_.back();
     group.writes.removals.push_back(ProgressKey(options_.pool, id));
     group.progress.jobs_to_delete.push_back(std::move(id));
+    waiting_deletions_.pop_back();
     ++entries;
   }
-  // Ends may be acknowledged only after the progress of all jobs is stored.
-  group.is_partial = !deferred.jobs.empty() || !deferred.jobs_to_delete.empty();
-  (group.is_partial ? deferred : group.progress).ends_by_worker =
-      std::move(batch.ends_by_worker);
-  if (group.is_partial) {
-    callbacks_.on_progress_failed(deferred);
+  AddCompletedSnapshots(group);
+  if (!waiting_progress_.empty() || !waiting_deletions_.empty()) {
     ScheduleCommit({});
   }
   return group;
@@ -456,7 +514,7 @@
       commit_due_at_ = time_point::max();
       flush = requested_flushes_;  // A later flush needs another group.
     }
-    commit_group group = CollectGroup();
+    commit_group group = CollectGroup(flush);
     const bool is_empty =
         group.submissions.empty() && group.progress.jobs.empty() &&
         group.writes.puts.size() == 1 && group.writes.removals.empty();
@@ -471,8 +529,7 @@
     {
       const std::lock_guard lock(mutex_);
       if (is_stored) {
-        if (!group.is_partial)
-          completed_flushes_ = std::max(completed_flushes_, flush);
+        completed_flushes_ = std::max(completed_flushes_, group.flush);
         stored_worker_list_version_ =
             std::max(stored_worker_list_version_, group.worker_list_version);
       }
--- a/src/pools/job_journal.h
+++ b/src/pools/job_journal.h
@@ -132,15 +132,35 @@
     progress_batch progress;
     std::uint64_t number = 0;  // Counts the groups of this owner from 1.
     std::uint64_t worker_list_version = 0;
-    bool is_partial = false;  // Some progress is left for the next commit.
+    std::uint64_t flush = 0;  // Last call of `Flush` that the group completes.
+  };
+  // Progress that was taken and is not in a group yet.
+  struct waiting_progress {
+    progress_batch::entry job;
+    std::uint64_t snapshot = 0;  // Number of the first one that contains it.
+  };
+  // One result of `take_progress`. Its ends may be acknowledged, and its flush
+  // is complete, only after the progress of all its jobs is stored.
+  struct progress_snapshot {
+    std::uint64_t number = 0;
+    std::map<std::string, end_position> ends_by_worker;
+    std::uint64_t flush = 0;
   };
 
   // The commit thread: calls `RunCommits` and then wakes the waiting callers.
   void Run();
   // Commits groups until the journal stops or a group cannot be committed.
   void RunCommits();
+  // Takes the current progress, as the snapshot that completes `flush`.
+  void TakeSnapshot(std::uint64_t flush);
   // Builds a transaction from the pending submissions and the progress.
-  commit_group CollectGroup();
+  commit_group CollectGroup(std::uint64_t flush);
+  // Moves waiting progress into the group, up to `max_entries` entries, and
+  // returns the new number of entries.
+  std::size_t AddProgress(commit_group& group, std::size_t entries,
+                          std::size_t max_entries);
+  // Moves the ends and flushes that the group completes into it.
+  void AddCompletedSnapshots(commit_group& group);
   enum class commit_state {
     kCommitted,
     kNotCommitted,  // The journal key is unchanged; no effect so far.
@@ -169,13 +189,17 @@
 
   const job_journal_options options_;
   const callbacks callbacks_;
-  // The next four are used by `Load` and then by the commit thread only.
+  // The next eight are used by `Load` and then by the commit thread only.
   std::uint64_t journal_revision_ = 0;
   std::uint64_t last_number_ = 0;  // Number of the last group.
   std::uint64_t tenure_ = 0;
   // Duration of the last commit that the store confirmed. Determines the
   // timeout of the next one.
   duration last_commit_duration_{};
+  std::vector<waiting_progress> waiting_progress_;  // Oldest first.
+  std::vector<std::string> waiting_deletions_;
+  std::deque<progress_snapshot> snapshots_;  // Not complete, oldest first.
+  std::uint64_t last_snapshot_ = 0;
 
   mutable std::mutex mutex_;
   std::condition_variable changed_;
--- a/tests/pools/job_journal_test.cc
+++ b/tests/pools/job_journal_test.cc
@@ -26,7 +26,10 @@
   std::mutex mutex;
   std::vector<std::string> accepted;
   progress_batch next_progress;
+  // Adds to the progress each time that it is taken.
+  std::function<void(progress_batch&)> refill;
   int stored_batches = 0;
+  std::map<std::string, std::uint64_t> acknowledged_ends;
   std::atomic<bool> is_superseded = false;
   pool_metrics metrics{std::make_shared<prometheus::Registry>()};
   std::unique_ptr<job_journal> journal;
@@ -43,11 +46,15 @@
     job_journal::callbacks callbacks;
     callbacks.take_progress = [this] {
       const std::lock_guard lock(mutex);
+      if (refill) refill(next_progress);
       return std::exchange(next_progress, {});
     };
-    callbacks.on_progress_stored = [this](const progress_batch&) {
+    callbacks.on_progress_stored = [this](const progress_batch& batch) {
       const std::lock_guard lock(mutex);
       ++stored_batches;
+      for (const auto& [worker, position] : batch.ends_by_worker) {
+        acknowledged_ends[worker] = position.sequence;
+      }
     };
     callbacks.on_progress_failed = [this](const progress_batch& batch) {
       const std::lock_guard lock(mutex);
@@ -80,6 +87,10 @@
     }
     return false;
   }
+  std::uint64_t AcknowledgedEnd(const std::string& worker) {
+    const std::lock_guard lock(mutex);
+    return acknowledged_ends[worker];
+  }
   std::size_t AcceptedCount() {
     const std::lock_guard lock(mutex);
     return accepted.size();
@@ -317,6 +328,79 @@
       owner.Eventually([&] { return owner.journal->IsStoreUnreachable(); }));
 }
 
+progress_batch::entry ProgressOf(const std::string& id, job_state state) {
+  job_progress progress;
+  progress.state = state;
+  return {id, progress};
+}
+
+// Guards against ends that an overloaded owner never acknowledges: they waited
+// for a commit that holds the progress of all jobs that had changed, and there
+// were always more than fit. The workers listed the ends in each report.
+BOOST_AUTO_TEST_CASE(ends_are_acknowledged_while_more_changes_than_fits) {
+  constexpr int kBusyJobs = 60;
+  fake_store store;
+  rig owner(store, store.Put(kOwnerKey, "first"));
+  {
+    const std::lock_guard lock(owner.mutex);
+    owner.refill = [](progress_batch& batch) {
+      for (int i = 0; i < kBusyJobs; ++i) {
+        batch.jobs.push_back(
+            ProgressOf("busy-" + std::to_string(i), job_state::kActive));
+      }
+      batch.ends_by_worker["w1"] = {1, 7};
+    };
+  }
+  owner.LoadAndStart();
+  owner.journal->ScheduleCommit({});
+  BOOST_TEST(
+      owner.Eventually([&] { return owner.AcknowledgedEnd("w1") == 7; }));
+  BOOST_TEST(store.Has(ProgressKey("pool", "busy-0")));
+  BOOST_TEST(store.Has(ProgressKey("pool", "busy-59")));
+}
+
+// Guards against results and cancellations that wait behind the progress of
+// jobs that only run on, or behind submissions. Submissions must not wait for
+// all progress either.
+BOOST_AUTO_TEST_CASE(a_result_is_in_the_next_commit) {
+  constexpr int kWaiting = 60;
+  fake_store store;
+  rig owner(store, store.Put(kOwnerKey, "first"));
+  {
+    const std::lock_guard lock(owner.mutex);
+    for (int i = 0; i < kWaiting; ++i) {
+      owner.next_progress.jobs.push_back(
+          ProgressOf("busy-" + std::to_string(i), job_state::kActive));
+    }
+    owner.next_progress.jobs.push_back(
+        ProgressOf("cancelled", job_state::kCancelled));
+  }
+  // The journal has not started, so these all wait for its first commit.
+  std::vector<std::thread> callers;
+  for (int i = 0; i < kWaiting; ++i) {
+    callers.emplace_back(
+        [&, i] { owner.Submit("submitted-" + std::to_string(i)); });
+  }
+  BOOST_REQUIRE(Attempt([&] { return owner.journal->Load(); }));
+  owner.clock->SleepFor(milliseconds(100));
+  const auto revision_of = [&](const std::string& key) {
+    const auto entry = Attempt([&] { return owner.kv->Get(key); });
+    return entry && *entry.value ? (**entry.value).revision : 0;
+  };
+  const auto first_commit = revision_of("apricotwheel/journals/pool") + 1;
+  BOOST_REQUIRE(Attempt([&] { return owner.journal->Start(); }));
+  for (std::thread& caller : callers) caller.join();
+  BOOST_TEST(owner.Eventually(
+      [&] { return store.Has(ProgressKey("pool", "cancelled")); }));
+  BOOST_TEST(revision_of(ProgressKey("pool", "cancelled")) == first_commit);
+  int submitted = 0;
+  for (int i = 0; i < kWaiting; ++i) {
+    const auto key = JobKey("pool", "submitted-" + std::to_string(i));
+    submitted += revision_of(key) == first_commit ? 1 : 0;
+  }
+  BOOST_TEST(submitted > 0);
+}
+
 // Guards against a job that is answered as absent when it ends during the
 // request. Its progress was read before, and its job record after, the commit
 // that stores the result and removes the job record.
