Answer a cancellation when its own result is stored

Cause: Cancel waited for a flush, that is until the progress of all jobs that had changed was stored; a repeated cancellation waited for the next flush.

Fix: Cancel waits until the result of its job is stored, and answers at once if it is.

Test: a_cancellation_waits_only_for_its_own_result. Before the fix: 'repeated.status == job_call_status::kCancelled has failed'.

--- a/src/pools/pool_owner.cc
+++ b/src/pools/pool_owner.cc
@@ -122,6 +122,7 @@
   callbacks.on_progress_stored = [this](const progress_batch& batch) {
     const std::lock_guard lock(mutex_);
     scheduler_->OnProgressStored(batch);
+    if (waiting_cancellations_ > 0) changed_.notify_all();
     for (const auto& [id, mark] : batch.ends_by_worker) {
       const auto found = sessions_.find(id);
       if (found != sessions_.end()) found->second->Wake();
@@ -378,10 +379,21 @@
     if (!scheduler_->CancelJob(job_id, options_.clock->Now())) {
       return MakeResponse(job_call_status::kAbsent);
     }
+    // A repeated cancellation finds the result stored and waits for nothing.
+    const auto is_stored = [&] {
+      const auto state = scheduler_->FindStoredJobState(job_id);
+      return !state || IsFinal(*state);
+    };
+    if (is_stored()) return MakeResponse(job_call_status::kCancelled);
     RequestDecision();
+    journal_->ScheduleCommit({});
+    ++waiting_cancellations_;
+    options_.clock->WaitUntil(lock, changed_, deadline,
+                              [&] { return is_stopped_ || is_stored(); });
+    --waiting_cancellations_;
+    return MakeResponse(is_stored() ? job_call_status::kCancelled
+                                    : job_call_status::kUnknown);
   }
-  return journal_->Flush(deadline) ? MakeResponse(job_call_status::kCancelled)
-                                   : MakeResponse(job_call_status::kUnknown);
 }
 
 job_call_response pool_owner::State(std::string_view job_id) const {
--- a/src/pools/pool_owner.h
+++ b/src/pools/pool_owner.h
@@ -116,6 +116,7 @@
   // The stored worker list, addresses by id.
   std::map<std::string, std::string> worker_list_;
   std::set<std::string, std::less<>> submitting_jobs_;
+  std::size_t waiting_cancellations_ = 0;  // For their result to be stored.
   bool workers_changed_ = false;
   bool is_loaded_ = false;
   bool needs_decision_ = false;
--- a/tests/pools/pool_owner_test.cc
+++ b/tests/pools/pool_owner_test.cc
@@ -244,6 +244,24 @@
              std::string::npos);
 }
 
+// Guards against a cancellation without an answer although its result was
+// stored: it waited until the progress of all other jobs was stored too.
+BOOST_AUTO_TEST_CASE(a_cancellation_waits_only_for_its_own_result) {
+  rig cell;
+  cell.Submit("job");
+  BOOST_TEST((cell.owner->Cancel("job", cell.Deadline()).status ==
+              job_call_status::kCancelled));
+  cell.Submit("other", 2);
+  BOOST_TEST(cell.Eventually([&] { return cell.agent.RunCount() == 2; }));
+  cell.store.SetUnresponsive(true);
+  cell.agent.EndAllRuns(run_outcome::kDone);
+  cell.clock->SleepFor(milliseconds(300));
+  const auto repeated = cell.owner->Cancel(
+      "job", cell.clock->Now() + duration(milliseconds(300)));
+  BOOST_TEST((repeated.status == job_call_status::kCancelled));
+  cell.store.SetUnresponsive(false);
+}
+
 BOOST_AUTO_TEST_CASE(an_unknown_job_is_absent) {
   rig cell;
   cell.Submit("job");
