Refuse submissions at once when an owner executes 64, and wake only whom a commit concerns

Cause: each forwarded submission holds a handler thread of the owner until its commit, up to 256 of them, and each commit woke all of them. An owner without processor time served nobody in time. What was refused for want of a thread was sent again every 40 ms.

Fix: at most 64 forwarded submissions are executed at a time. The rest is refused before it is decoded (503, Retry-After 1 or 2 s in turn), so handler threads are left for cancellations and state requests. A submission waits on a condition of its own. A submission that found no handler thread is answered at once instead of repeated. A refusal (503) after an earlier copy without a response is answered as unknown, since that copy may still be stored. The reason of a request that arrives without time is no longer 'the pool has no owner'.

Tests: submissions_over_the_limit_are_refused_at_once and a_refusal_after_a_lost_response_is_unknown. With the limit at 100,000 and without the check: 'refused > 0 has failed', 'response.status == kUnknown has failed'.

--- a/src/pools/job_journal.cc
+++ b/src/pools/job_journal.cc
@@ -181,6 +181,7 @@
   {
     const std::lock_guard lock(mutex_);
     is_stopped_ = true;
+    WakeSubmissions();
   }
   changed_.notify_all();
   threads_.JoinAll();
@@ -193,12 +194,14 @@
   std::unique_lock lock(mutex_);
   if (is_stopped_ || is_store_unreachable_) return submit_outcome::kNotStored;
   pending_submissions_.push_back(pending);
+  waiting_submissions_.insert(pending);
   changed_.notify_all();
   // After a stop, a submission that was sent still waits for the result of its
   // commit.
-  options_.clock->WaitUntil(lock, changed_, deadline, [&] {
+  options_.clock->WaitUntil(lock, pending->changed, deadline, [&] {
     return pending->is_done || has_ended_ || (is_stopped_ && !pending->is_sent);
   });
+  waiting_submissions_.erase(pending);
   if (pending->is_stored) return submit_outcome::kStored;
   if (pending->is_done) return submit_outcome::kNotStored;
   if (pending->is_sent) return submit_outcome::kUnknown;
@@ -206,6 +209,12 @@
   return submit_outcome::kNotStored;
 }
 
+void job_journal::WakeSubmissions() {
+  for (const submission_ptr& submission : waiting_submissions_) {
+    submission->changed.notify_all();
+  }
+}
+
 bool job_journal::IsStoreUnreachable() const {
   const std::lock_guard lock(mutex_);
   return is_store_unreachable_;
@@ -465,6 +474,7 @@
     for (const submission_ptr& submission :
          std::exchange(pending_submissions_, {})) {
       submission->is_done = true;
+      submission->changed.notify_all();
     }
   }
   changed_.notify_all();
@@ -481,6 +491,7 @@
     for (const auto& submission : group.submissions) {
       submission->is_stored = is_stored;
       submission->is_done = true;
+      submission->changed.notify_all();
     }
   }
   changed_.notify_all();
@@ -491,6 +502,7 @@
   {
     const std::lock_guard lock(mutex_);
     has_ended_ = true;
+    WakeSubmissions();
   }
   changed_.notify_all();
 }
@@ -534,7 +546,10 @@
             std::max(stored_worker_list_version_, group.worker_list_version);
       }
       // If the journal stops, the results of submissions in flight are unknown.
-      if (!is_stored) is_stopped_ = true;
+      if (!is_stored) {
+        is_stopped_ = true;
+        WakeSubmissions();
+      }
     }
     if (is_stored) {
       CompleteSubmissions(group, true);
--- a/src/pools/job_journal.h
+++ b/src/pools/job_journal.h
@@ -120,6 +120,8 @@
  private:
   struct pending_submission {
     job_submission job;
+    // Of its own, so that a commit wakes only the callers that it concerns.
+    std::condition_variable changed;
     // It was put into a group and may be stored. Stays true during retries.
     bool is_sent = false;
     bool is_done = false;  // `is_stored` is final.
@@ -179,6 +181,8 @@
   // it. Called only if they are certainly not stored, now or later.
   void RejectSubmissions(commit_group& group);
   void SetStoreUnreachable(bool is_unreachable);
+  // Wakes all callers of `Submit`. Called with mutex_ held.
+  void WakeSubmissions();
   // Reports the result to the callers of `Submit`.
   void CompleteSubmissions(commit_group& group, bool is_stored);
   // Returns the value of the journal key for the group with this number; 0 is
@@ -204,6 +208,7 @@
   mutable std::mutex mutex_;
   std::condition_variable changed_;
   std::deque<submission_ptr> pending_submissions_;
+  std::set<submission_ptr> waiting_submissions_;  // Those in `Submit`.
   // Counts the calls of `Flush`. A call waits until `completed_flushes_`
   // reaches its number.
   std::uint64_t requested_flushes_ = 0;
--- a/src/pools/pool_host.cc
+++ b/src/pools/pool_host.cc
@@ -18,6 +18,14 @@
 // Part of the sender's timeout that is reserved for the response, so that it
 // arrives before the sender has to report an unknown outcome.
 constexpr auto kForwardReserve = milliseconds(100);
+// Limit of forwarded submissions that are executed at a time. About four
+// commits hold so many; a store that takes 0.3 s for each uses up the time that
+// a submission has.
+constexpr int kMaxExecutingSubmissions = 64;
+// Callers have a few seconds and round up to whole ones, so refused submissions
+// are told to return after one or two, in turn.
+constexpr std::int64_t kRefusedRetryAfterMs = 1000;
+constexpr std::int64_t kRefusedRetrySpread = 2;
 // Limit of a timeout that a sender states.
 constexpr std::int64_t kMaxCallTimeoutMs = 60'000;
 // Workers write heartbeats continuously; changes are read in batches at this
@@ -242,6 +250,21 @@
     return response;
   }
   if (call.topic == kSubmitTopic) {
+    // Handler threads are left for cancellations and state requests, and a
+    // submission is refused before its body is decoded.
+    const int executing = ++executing_submissions_;
+    const auto release = std::shared_ptr<void>(
+        nullptr, [this](void*) { --executing_submissions_; });
+    if (executing > kMaxExecutingSubmissions) {
+      const double refused = options_.metrics->refused_submissions.Value();
+      options_.metrics->refused_submissions.Increment();
+      response.status = job_call_status::kNotStored;
+      response.retry_after_ms =
+          kRefusedRetryAfterMs *
+          (1 + static_cast<std::int64_t>(refused) % kRefusedRetrySpread);
+      response.reason = "the owner of the pool is overloaded";
+      return response;
+    }
     const auto job = Attempt([&] { return DecodeSubmission(call.body); });
     if (!job) {
       response.status = job_call_status::kInvalid;
--- a/src/pools/pool_host.h
+++ b/src/pools/pool_host.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <atomic>
 #include <condition_variable>
 #include <cstddef>
 #include <functional>
@@ -94,6 +95,7 @@
   wire_message HandleOwnerCall(const wire::pool_callT& call);
 
   const pool_host_options options_;
+  std::atomic<int> executing_submissions_ = 0;  // Forwarded by other daemons.
   // Used by the host thread only.
   std::unique_ptr<kv_watcher> worker_watcher_;
 
--- a/src/pools/pool_metrics.cc
+++ b/src/pools/pool_metrics.cc
@@ -70,6 +70,13 @@
               .Name("apricotwheel_pool_expired_requests_total")
               .Help("Forwarded requests that expired before they were executed")
               .Register(*registry)
+              .Add({})),
+      refused_submissions(
+          prometheus::BuildCounter()
+              .Name("apricotwheel_pool_refused_submissions_total")
+              .Help("Forwarded submissions refused because too many are being "
+                    "executed")
+              .Register(*registry)
               .Add({})) {}
 
 void pool_metrics::RecordResponse(const std::string& verb,
--- a/src/pools/pool_metrics.h
+++ b/src/pools/pool_metrics.h
@@ -30,6 +30,7 @@
   prometheus::Histogram& approval_wait_seconds;
   prometheus::Gauge& owned_pools;
   prometheus::Counter& expired_requests;
+  prometheus::Counter& refused_submissions;
 };
 
 }  // namespace apricotwheel
--- a/src/pools/queue_gateway.cc
+++ b/src/pools/queue_gateway.cc
@@ -89,7 +89,9 @@
   }
   const queue_gateway_options& options = *options_;
   bool may_have_arrived = false;
-  std::string reason = "the pool has no owner";
+  std::string reason = clock_->Now() < deadline
+                           ? "the pool has no owner"
+                           : "no time is left for the request";
   wire::pool_callT call;
   call.topic = topic;
   call.body = body;
@@ -116,11 +118,24 @@
         const wire::pool_replyT* text = message->body.Aspool_reply();
         const auto response = Attempt(
             [&] { return DecodeResponse(text == nullptr ? "" : text->body); });
+        if (response && response->status == job_call_status::kNotStored &&
+            may_have_arrived) {
+          // True of this copy only; an earlier one may still be stored.
+          return MakeResponse(job_call_status::kUnknown, response->reason);
+        }
         if (response && response->status != job_call_status::kUnavailable)
           return *response;
         reason = response ? response->reason : Describe(response.failure);
       } else {
         reason = Describe(message.failure);
+        // The owner did not execute it. To repeat it at once would only add to
+        // the load.
+        if (message.failure.kind == error_kind::kOverloaded &&
+            topic == kSubmitTopic) {
+          return MakeResponse(may_have_arrived ? job_call_status::kUnknown
+                                               : job_call_status::kUnavailable,
+                              reason);
+        }
         if (message.failure.kind == error_kind::kUnavailable) {
           options.directory->ReportUnreachable(owner->member_id);
         }
--- a/tests/pools/forwarded_calls_test.cc
+++ b/tests/pools/forwarded_calls_test.cc
@@ -1,5 +1,10 @@
 // Job requests that daemons forward to the owner of a pool.
+#include <atomic>
 #include <boost/test/unit_test.hpp>
+#include <mutex>
+#include <string>
+#include <thread>
+#include <vector>
 
 #include "tests/pools/daemon_parts.h"
 
@@ -45,6 +50,77 @@
   BOOST_TEST(!store.Has(JobKey(kPool, "late")));
 }
 
+// Guards against cancellations that find all handler threads of the owner busy
+// with submissions, and against submissions that wait until their callers give
+// up.
+BOOST_FIXTURE_TEST_CASE(submissions_over_the_limit_are_refused_at_once, rig) {
+  constexpr int kSenders = 80;
+  daemon_parts caller(store, "caller");
+  BOOST_REQUIRE(Eventually([&] {
+    return caller.Submit("first").status == job_call_status::kAccepted;
+  }));
+  store.SetDelay(milliseconds(300));
+  std::atomic<int> accepted = 0;
+  std::atomic<int> refused = 0;
+  std::atomic<int> slow_refusals = 0;
+  std::vector<std::string> refused_ids;
+  std::mutex mutex;
+  std::vector<std::thread> senders;
+  for (int i = 0; i < kSenders; ++i) {
+    senders.emplace_back([&, i] {
+      const std::string id = "job-" + std::to_string(i);
+      const auto started_at = owner.clock->Now();
+      const auto response =
+          owner.host->HandleJobCall(SubmitCall(id, 5000), started_at);
+      if (response.status == job_call_status::kAccepted) ++accepted;
+      if (response.status != job_call_status::kNotStored) return;
+      ++refused;
+      if (owner.clock->Now() - started_at > milliseconds(200)) ++slow_refusals;
+      BOOST_CHECK(response.retry_after_ms >= 1000);
+      const std::lock_guard lock(mutex);
+      refused_ids.push_back(id);
+    });
+  }
+  BOOST_TEST(Eventually([&] { return refused > 0; }));
+  const auto cancelled =
+      caller.gateway.Cancel(daemon_parts::Queue(), "first", milliseconds(3000));
+  BOOST_TEST((cancelled.status == job_call_status::kCancelled));
+  for (std::thread& sender : senders) sender.join();
+  BOOST_TEST(accepted > 0);
+  BOOST_TEST(accepted + refused == kSenders);
+  BOOST_TEST(slow_refusals == 0);
+  BOOST_TEST(owner.metrics.refused_submissions.Value() == refused);
+  for (const std::string& id : refused_ids) {
+    BOOST_TEST(!store.Has(JobKey(kPool, id)));
+  }
+}
+
+// Guards against a refusal that is not true: an earlier copy of the request,
+// which got no response, may still be stored.
+BOOST_FIXTURE_TEST_CASE(a_refusal_after_a_lost_response_is_unknown, rig) {
+  daemon_parts caller(store, "caller");
+  BOOST_REQUIRE(Eventually([&] {
+    return caller.Submit("first").status == job_call_status::kAccepted;
+  }));
+  std::atomic<int> calls = 0;
+  owner.peers->SetHandler(
+      wire::body::pool_call,
+      [&](const std::string&, const wire_message& request) {
+        // Daemons also ask each other for the owner.
+        if (request.body.Aspool_call()->topic == kCancelTopic && ++calls == 1) {
+          // The response of the first copy comes too late.
+          owner.clock->SleepFor(milliseconds(1700));
+        }
+        job_call_response response;
+        response.status = job_call_status::kNotStored;
+        return MakePoolReply(EncodeResponse(response));
+      });
+  const auto response =
+      caller.gateway.Cancel(daemon_parts::Queue(), "job", milliseconds(3000));
+  BOOST_TEST(calls == 2);
+  BOOST_TEST((response.status == job_call_status::kUnknown));
+}
+
 // Guards against the rejection of requests of an earlier build, which do not
 // say how long their sender waits.
 BOOST_FIXTURE_TEST_CASE(a_request_without_a_timeout_is_executed, rig) {
