Call for approval when a member is free, and not by priority alone

Cause: each waiting step queued a call at once. The queue had no bound and was ordered by priority alone, so that a call of a lasting task (priority 1) waited for as long as urgent steps (priority 0) wanted calls, and steps asked with names chosen up to 32 s before, also for jobs that had ended.

The scheduler now passes on only calls that a member can carry now, and chooses the names then. Three of four calls go by the order of placement, one to the step that has wanted one the longest. The dispatcher sends in the order of arrival.

Without the turn of the oldest step a_low_priority_gets_calls_while_urgent_steps_want_some fails (is_asked); against the old dispatcher requests_are_sent_in_the_order_of_arrival fails (urgent != low). The other two tests need the new capacity argument.

--- a/src/graph/approvals.h
+++ b/src/graph/approvals.h
@@ -30,6 +30,8 @@
   std::map<std::string, entry, std::less<>> by_worker;
   bool is_call_in_flight = false;  // A call to the advisor is in flight.
   time_point retry_at{};           // Earliest next call after a failed one.
+  // Since when a call is wanted that has not been made.
+  time_point wanted_since{};
 };
 
 enum class approval_status {
--- a/src/graph/pool_placement.cc
+++ b/src/graph/pool_placement.cc
@@ -282,14 +282,15 @@
   step_state& step = waiting.job->occurrences[waiting.occurrence][waiting.step];
   if (step.waiting == 0) return;
   const graph_step& spec = waiting.job->submission.graph.steps[waiting.step];
-  if (spec.is_gang || IsLarge(spec)) ReserveWorkers(waiting, now, decisions);
+  std::vector<pool_worker> reserved;
+  if (spec.is_gang || IsLarge(spec)) reserved = ReserveWorkers(waiting, now);
   if (!waiting.job->submission.queue.advisor) return;
   if (step.approvals.is_call_in_flight) return;
   if (now < step.approvals.retry_at) {
     next_decision_at_ = std::min(next_decision_at_, step.approvals.retry_at);
     return;
   }
-  RequestApprovalIfNeeded(waiting, now, decisions);
+  wanted_approvals_.push_back({waiting, std::move(reserved)});
 }
 
 void pool_scheduler::ReportLongWaits(time_point now) {
--- a/src/graph/pool_reservations.cc
+++ b/src/graph/pool_reservations.cc
@@ -1,6 +1,7 @@
 // Reservations for waiting gangs and large tasks, and approval calls to the
 // policy advisor.
 #include <algorithm>
+#include <numeric>
 #include <utility>
 
 #include "graph/pool_scheduler.h"
@@ -24,6 +25,12 @@
 // Approvals for reserved workers are requested this long before they are
 // needed, in addition to the expected duration of the call.
 constexpr auto kApprovalLeadTime = milliseconds(250);
+// One in this many calls is made for the step that has wanted one the longest,
+// the others in the order of placement. Without it, steps of a low priority got
+// no call for as long as urgent ones wanted some.
+constexpr std::uint64_t kCallsPerOldest = 4;
+// Interval of passes while calls are wanted and no member is free.
+constexpr auto kCapacityCheckInterval = milliseconds(100);
 
 // Returns the expected duration of a call that names `workers` workers.
 duration CallDuration(const advisor_settings& terms, std::size_t workers) {
@@ -104,14 +111,14 @@
 // Reserves the workers that are free first for a waiting gang or large task.
 // Without a reservation, smaller tasks take each part of the resources as soon
 // as it is free and the large task starves.
-void pool_scheduler::ReserveWorkers(const candidate& waiting, time_point now,
-                                    pool_decisions& decisions) {
+std::vector<pool_worker> pool_scheduler::ReserveWorkers(
+    const candidate& waiting, time_point now) {
   graph_job& job = *waiting.job;
   const graph_step& spec = job.submission.graph.steps[waiting.step];
   step_state& step = job.occurrences[waiting.occurrence][waiting.step];
   const auto& advisor = job.submission.queue.advisor;
   // Before the first response of the advisor, no worker is known to be allowed.
-  if (advisor && step.approvals.by_worker.empty()) return;
+  if (advisor && step.approvals.by_worker.empty()) return {};
   const std::uint32_t tasks_per_start = spec.is_gang ? spec.task_count : 1;
   const std::uint32_t start_count = spec.is_gang ? 1 : step.waiting;
   const auto last_reserved = std::exchange(step.reserved_workers, {});
@@ -155,11 +162,7 @@
       if (!has_ticket_at(*worker, start_at)) unapproved.push_back(worker->info);
     }
   }
-  if (unapproved.empty() || step.approvals.is_call_in_flight ||
-      now < step.approvals.retry_at) {
-    return;
-  }
-  RequestApproval(waiting, std::move(unapproved), decisions);
+  return unapproved;
 }
 
 // Returns true if a task needs at least half of the largest worker: of its
@@ -174,22 +177,81 @@
          twice.memory_mib >= max_capacity_.memory_mib;
 }
 
-void pool_scheduler::RequestApproval(const candidate& waiting,
-                                     std::vector<pool_worker> workers,
-                                     pool_decisions& decisions) {
-  graph_job& job = *waiting.job;
-  job.occurrences[waiting.occurrence][waiting.step]
-      .approvals.is_call_in_flight = true;
-  const duration expected =
-      CallDuration(*job.submission.queue.advisor, workers.size());
-  decisions.approvals.push_back({job.submission.id, waiting.occurrence,
-                                 waiting.step, std::move(workers),
-                                 waiting.order.priority, expected});
+void pool_scheduler::RequestApprovals(time_point now,
+                                      approval_capacity capacity,
+                                      pool_decisions& decisions) {
+  const auto approvals_of = [](const wanted_approval& each) -> step_approvals& {
+    const candidate& waiting = each.waiting;
+    return waiting.job->occurrences[waiting.occurrence][waiting.step].approvals;
+  };
+  for (const wanted_approval& each : wanted_approvals_) {
+    step_approvals& approvals = approvals_of(each);
+    if (approvals.wanted_since == time_point{}) approvals.wanted_since = now;
+  }
+  std::vector<std::size_t> by_age(wanted_approvals_.size());
+  std::iota(by_age.begin(), by_age.end(), std::size_t{0});
+  std::stable_sort(by_age.begin(), by_age.end(),
+                   [&](std::size_t left, std::size_t right) {
+                     return approvals_of(wanted_approvals_[left]).wanted_since <
+                            approvals_of(wanted_approvals_[right]).wanted_since;
+                   });
+  std::vector<bool> is_examined(wanted_approvals_.size(), false);
+  std::vector<wanted_approval> delayed;
+  std::size_t next_by_rank = 0;
+  std::size_t next_by_age = 0;
+  while (capacity.calls > 0) {
+    const bool takes_oldest = (approval_calls_ + 1) % kCallsPerOldest == 0;
+    std::size_t& next = takes_oldest ? next_by_age : next_by_rank;
+    if (next == wanted_approvals_.size()) break;
+    const std::size_t index = takes_oldest ? by_age[next] : next;
+    ++next;
+    if (is_examined[index]) continue;
+    is_examined[index] = true;
+    wanted_approval& wanted = wanted_approvals_[index];
+    const queue_rules& queue = wanted.waiting.job->submission.queue;
+    const bool is_always_long =
+        CallDuration(*queue.advisor, 1) > capacity.max_short_call;
+    if (is_always_long && capacity.long_calls == 0) {
+      delayed.push_back(std::move(wanted));
+      continue;
+    }
+    step_approvals& approvals = approvals_of(wanted);
+    std::vector<pool_worker> workers =
+        wanted.workers.empty() ? ChooseWorkersToName(wanted.waiting, now)
+                               : std::move(wanted.workers);
+    if (workers.empty()) {
+      approvals.wanted_since = {};
+      continue;
+    }
+    const duration expected = CallDuration(*queue.advisor, workers.size());
+    if (expected > capacity.max_short_call) {
+      if (capacity.long_calls == 0) {
+        delayed.push_back(std::move(wanted));
+        continue;
+      }
+      --capacity.long_calls;
+    }
+    --capacity.calls;
+    ++approval_calls_;
+    approvals.is_call_in_flight = true;
+    decisions.approvals.push_back(
+        {wanted.waiting.job->submission.id, wanted.waiting.occurrence,
+         wanted.waiting.step, std::move(workers), wanted.waiting.order.priority,
+         expected, std::exchange(approvals.wanted_since, {})});
+  }
+  for (std::size_t i = 0; i < wanted_approvals_.size(); ++i) {
+    if (!is_examined[i]) delayed.push_back(std::move(wanted_approvals_[i]));
+  }
+  wanted_approvals_ = std::move(delayed);
+  if (!wanted_approvals_.empty()) {
+    // The end of a call leads to a pass; a member that comes back does not.
+    next_decision_at_ =
+        std::min<time_point>(next_decision_at_, now + kCapacityCheckInterval);
+  }
 }
 
-void pool_scheduler::RequestApprovalIfNeeded(const candidate& waiting,
-                                             time_point now,
-                                             pool_decisions& decisions) {
+std::vector<pool_worker> pool_scheduler::ChooseWorkersToName(
+    const candidate& waiting, time_point now) {
   const step_state& step =
       waiting.job->occurrences[waiting.occurrence][waiting.step];
   std::vector<pool_worker> requested;
@@ -204,7 +266,7 @@
     }
   } else {
     const auto possible = ChooseWorkers(waiting, now, false);
-    if (possible.empty()) return;
+    if (possible.empty()) return {};
     std::set<const worker_state*> named;
     for (const placement& each : possible) named.insert(each.worker);
     const std::size_t limit = named.size() + kSpareWorkersPerRenewal;
@@ -217,8 +279,7 @@
         requested.push_back(worker->info);
     }
   }
-  if (requested.empty()) return;
-  RequestApproval(waiting, std::move(requested), decisions);
+  return requested;
 }
 
 }  // namespace apricotwheel
--- a/src/graph/pool_scheduler.cc
+++ b/src/graph/pool_scheduler.cc
@@ -212,7 +212,8 @@
 }
 
 pool_decisions pool_scheduler::Decide(time_point now,
-                                      std::int64_t wall_clock_ms) {
+                                      std::int64_t wall_clock_ms,
+                                      const approval_capacity& capacity) {
   pool_decisions decisions;
   next_decision_at_ = time_point::max();
   DeleteFinishedJobs(now);
@@ -226,7 +227,9 @@
   }
   const auto waiting = WaitingSteps(now, wall_clock_ms);
   FindWorkersWithRoom(waiting);
+  wanted_approvals_.clear();
   for (const candidate& step : waiting) PlaceStep(step, now, decisions);
+  RequestApprovals(now, capacity, decisions);
   ReportLongWaits(now);
   return decisions;
 }
--- a/src/graph/pool_scheduler.h
+++ b/src/graph/pool_scheduler.h
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <deque>
+#include <limits>
 #include <map>
 #include <memory>
 #include <optional>
@@ -51,6 +52,16 @@
   std::vector<pool_worker> workers;
   int priority = 0;
   duration expected_duration{};  // Of the call.
+  time_point wanted_since{};     // When the step first wanted the call.
+};
+
+// How many calls for approval can be sent now. More would only wait, while
+// their steps start or end and their workers fill up.
+struct approval_capacity {
+  std::size_t calls = std::numeric_limits<std::size_t>::max();
+  // Of these, calls that are longer than `max_short_call`.
+  std::size_t long_calls = std::numeric_limits<std::size_t>::max();
+  duration max_short_call{};
 };
 
 // Actions that the pool's owner must carry out, in this order.
@@ -142,7 +153,8 @@
                         bool has_response, time_point sent_at, time_point now);
 
   // Runs one scheduling pass.
-  pool_decisions Decide(time_point now, std::int64_t wall_clock_ms);
+  pool_decisions Decide(time_point now, std::int64_t wall_clock_ms,
+                        const approval_capacity& capacity = {});
   // Returns when the next pass is due if no event comes before.
   time_point NextDecisionAt(time_point now) const;
 
@@ -162,6 +174,9 @@
 
   // Returns how many workers were examined for waiting steps in all passes.
   std::uint64_t WorkersExamined() const { return workers_examined_; }
+  // Counts the steps whose calls for approval did not fit into the capacity of
+  // the last pass.
+  std::size_t CountDelayedApprovals() const { return wanted_approvals_.size(); }
   // Counts the known runs on a worker.
   std::size_t CountRuns(std::string_view worker) const;
   // Returns true if runs of this owner or of an earlier one may exist there.
@@ -177,6 +192,12 @@
     std::uint32_t step = 0;
     waiting_step order;
   };
+  // A step that waits for approvals, and workers to name in the call; if there
+  // are none, they are chosen when the call is made.
+  struct wanted_approval {
+    candidate waiting;
+    std::vector<pool_worker> workers;
+  };
   // The worker chosen for one task of a step.
   struct placement {
     std::uint32_t index = 0;
@@ -272,14 +293,17 @@
       const candidate& waiting, std::uint32_t count,
       const std::set<std::string>& last_reserved, time_point now,
       resources_by_worker& room);
-  void ReserveWorkers(const candidate& waiting, time_point now,
-                      pool_decisions& decisions);
+  // Returns the reserved workers for which tickets must be requested now.
+  std::vector<pool_worker> ReserveWorkers(const candidate& waiting,
+                                          time_point now);
   bool IsLarge(const graph_step& spec) const;
-  void RequestApproval(const candidate& waiting,
-                       std::vector<pool_worker> workers,
-                       pool_decisions& decisions);
-  void RequestApprovalIfNeeded(const candidate& waiting, time_point now,
-                               pool_decisions& decisions);
+  // Makes the calls for approval that fit into `capacity`.
+  void RequestApprovals(time_point now, approval_capacity capacity,
+                        pool_decisions& decisions);
+  // Returns the workers to name in a call for a waiting step; none if a call is
+  // of no use now.
+  std::vector<pool_worker> ChooseWorkersToName(const candidate& waiting,
+                                               time_point now);
 
   pool_scheduler_options options_;
   std::map<std::string, std::unique_ptr<graph_job>, std::less<>> jobs_;
@@ -298,6 +322,9 @@
   std::size_t reservation_count_ = 0;  // Made in this pass.
   // Workers with room for at least one step of this pass.
   std::vector<worker_state*> workers_with_room_;
+  // Calls for approval that the steps want, in the order of placement.
+  std::vector<wanted_approval> wanted_approvals_;
+  std::uint64_t approval_calls_ = 0;
   std::uint64_t workers_examined_ = 0;
   time_point long_waits_reported_at_{};
   resource_vector max_capacity_;  // Of all workers, resource by resource.
--- a/src/pools/approval_dispatcher.cc
+++ b/src/pools/approval_dispatcher.cc
@@ -82,8 +82,11 @@
 void approval_dispatcher::Enqueue(approval_request request) {
   {
     const std::lock_guard lock(mutex_);
-    const std::pair key(request.priority, ++last_sequence_);
-    pending_[key] = {std::move(request), key.second, 0, clock_->Now()};
+    const auto now = clock_->Now();
+    const time_point waits_since =
+        request.wanted_since == time_point{} ? now : request.wanted_since;
+    const std::uint64_t sequence = ++last_sequence_;
+    pending_[sequence] = {std::move(request), sequence, 0, waits_since};
     SpawnThreadIfNeeded();
   }
   changed_.notify_one();
@@ -94,6 +97,39 @@
   return {pending_.size(), std::exchange(longest_wait_, {})};
 }
 
+bool approval_dispatcher::IsFree(const std::string& member,
+                                 time_point now) const {
+  const auto backoff = backoff_until_.find(member);
+  if (backoff != backoff_until_.end() && backoff->second > now) return false;
+  return !busy_members_.contains(member);
+}
+
+approval_capacity approval_dispatcher::Capacity() {
+  const std::lock_guard lock(mutex_);
+  const auto now = clock_->Now();
+  const auto members = members_();
+  const std::size_t reserved = MembersForShortCalls(members.size());
+  // One more call than there are free members lets the next one start without a
+  // pass of the scheduler in between; of short calls, one for each reserved
+  // member.
+  approval_capacity capacity;
+  capacity.calls = reserved + 1;
+  capacity.long_calls = 1;
+  capacity.max_short_call = kMaxShortCall;
+  for (std::size_t i = 0; i < members.size(); ++i) {
+    if (!IsFree(members[i], now)) continue;
+    ++capacity.calls;
+    if (i >= reserved) ++capacity.long_calls;
+  }
+  std::size_t long_pending = 0;
+  for (const auto& [sequence, pending] : pending_) {
+    if (pending.request.expected_duration > kMaxShortCall) ++long_pending;
+  }
+  capacity.calls -= std::min(capacity.calls, pending_.size());
+  capacity.long_calls -= std::min(capacity.long_calls, long_pending);
+  return capacity;
+}
+
 approval_dispatcher::free_members approval_dispatcher::FindFreeMembers() {
   const auto now = clock_->Now();
   const auto members = members_();
@@ -101,9 +137,7 @@
   free_members free;
   for (std::size_t i = 0; i < members.size(); ++i) {
     const std::string& id = members[i];
-    const auto backoff = backoff_until_.find(id);
-    if (backoff != backoff_until_.end() && backoff->second > now) continue;
-    if (busy_members_.contains(id)) continue;
+    if (!IsFree(id, now)) continue;
     if (free.for_short.empty()) free.for_short = id;
     if (i < reserved) continue;
     free.for_long = id;
@@ -143,7 +177,7 @@
     pending_.erase(it);
     busy_members_.insert(member);
     ++running_calls_;
-    const duration waited = clock_->Now() - next.enqueued_at;
+    const duration waited = clock_->Now() - next.waits_since;
     longest_wait_ = std::max(longest_wait_, waited);
     lock.unlock();
     if (on_wait_ && next.attempts == 0) on_wait_(waited);
@@ -157,8 +191,8 @@
             Field("reason", Describe(response.failure))});
       backoff_until_[member] = clock_->Now() + kFailedMemberBackoff;
       if (++next.attempts < kMaxAttempts && !is_stopped_) {
-        const std::pair key(next.request.priority, next.sequence);
-        pending_[key] = std::move(next);
+        const std::uint64_t sequence = next.sequence;
+        pending_[sequence] = std::move(next);
         --running_calls_;
         continue;
       }
--- a/src/pools/approval_dispatcher.h
+++ b/src/pools/approval_dispatcher.h
@@ -29,7 +29,8 @@
 
 // Distributes approval requests over the members. The advisor serves one call
 // at a time from each machine, so each member carries one call at a time. A
-// free member takes the most urgent pending request. Thread-safe.
+// free member takes the oldest pending request that it may carry: the scheduler
+// has put them in order and passes on no more than `Capacity`. Thread-safe.
 class approval_dispatcher {
  public:
   using approvals = std::vector<approved_worker>;
@@ -51,6 +52,10 @@
   // Queues a request; its result is passed to the callback.
   void Enqueue(approval_request request);
 
+  // Returns how many requests can be enqueued so that they wait for a short
+  // time at most.
+  approval_capacity Capacity();
+
   struct wait_statistics {
     std::size_t pending = 0;
     duration longest_wait{};  // Of the requests sent since the last call.
@@ -68,7 +73,7 @@
     approval_request request;
     std::uint64_t sequence = 0;
     int attempts = 0;
-    time_point enqueued_at{};
+    time_point waits_since{};
   };
 
   void Run();
@@ -82,6 +87,7 @@
     std::string for_long;
   };
   // Called with mutex_ held.
+  bool IsFree(const std::string& member, time_point now) const;
   free_members FindFreeMembers();
 
   const clock_ptr clock_;
@@ -92,8 +98,7 @@
   std::function<void(duration)> on_wait_;
   std::mutex mutex_;
   std::condition_variable changed_;
-  // By priority, then by arrival.
-  std::map<std::pair<int, std::uint64_t>, pending_request> pending_;
+  std::map<std::uint64_t, pending_request> pending_;  // By arrival.
   std::set<std::string> busy_members_;
   std::map<std::string, time_point> backoff_until_;
   std::uint64_t last_sequence_ = 0;
--- a/src/pools/pool_owner.cc
+++ b/src/pools/pool_owner.cc
@@ -257,7 +257,8 @@
         std::chrono::duration<double>(delay).count());
   }
   const auto examined = scheduler_->WorkersExamined();
-  pool_decisions decisions = scheduler_->Decide(started_at, WallClockMs());
+  pool_decisions decisions = scheduler_->Decide(
+      started_at, WallClockMs(), approval_dispatcher_->Capacity());
   options_.metrics->workers_examined.Increment(
       static_cast<double>(scheduler_->WorkersExamined() - examined));
   const duration took = options_.clock->Now() - started_at;
@@ -284,7 +285,8 @@
        Field("decision_delay_ms", to_ms(activity_.longest_decision_delay)),
        Field("reports", activity_.reports),
        Field("requests", activity_.requests), Field("starts", activity_.starts),
-       Field("approvals_pending", approvals.pending),
+       Field("approvals_pending",
+             approvals.pending + scheduler_->CountDelayedApprovals()),
        Field("approval_wait_ms", to_ms(approvals.longest_wait))});
   activity_ = {};
 }
--- a/tests/graph/approvals_test.cc
+++ b/tests/graph/approvals_test.cc
@@ -112,6 +112,74 @@
   BOOST_TEST(calls == 1);
 }
 
+// Guards against a queue of calls without bound. All steps asked for the same
+// free workers at once; a call was sent up to 32 s later, when its workers were
+// full or its job had ended.
+BOOST_AUTO_TEST_CASE(calls_are_made_when_they_can_be_sent) {
+  scheduler_rig rig;
+  rig.AddWorker("w1", kWorker);
+  rig.call_capacity = {0, 0, milliseconds(100)};
+  rig.scheduler.AdmitJob(AdvisedJob("first"), rig.now);
+  rig.scheduler.AdmitJob(AdvisedJob("second"), rig.now);
+  BOOST_TEST(rig.Decide().approvals.empty());
+  BOOST_TEST(rig.scheduler.CountDelayedApprovals() == 2);
+  BOOST_TEST(rig.scheduler.CancelJob("first", rig.now));
+  const auto waited_since = rig.now;
+  rig.AdvanceClock(milliseconds(50));
+  rig.call_capacity = {1, 0, milliseconds(100)};
+  const auto decisions = rig.Decide();
+  BOOST_REQUIRE_EQUAL(decisions.approvals.size(), 1);
+  BOOST_TEST(decisions.approvals[0].job_id == "second");
+  BOOST_TEST((decisions.approvals[0].wanted_since <= waited_since));
+  BOOST_TEST(rig.scheduler.CountDelayedApprovals() == 0);
+}
+
+// Guards against long calls that take all the capacity, and against short ones
+// that wait while only short ones can be sent.
+BOOST_AUTO_TEST_CASE(long_calls_have_a_capacity_of_their_own) {
+  scheduler_rig rig;
+  rig.AddWorker("w1", kWorker);
+  for (const char* id : {"long-1", "long-2"}) {
+    auto job = AdvisedJob(id);
+    job.queue.priority = 0;
+    job.queue.advisor = advisor_settings{600'000, 300, kLifetime};
+    rig.scheduler.AdmitJob(job, rig.now);
+  }
+  rig.scheduler.AdmitJob(AdvisedJob("short"), rig.now);
+  rig.call_capacity = {3, 1, milliseconds(100)};
+  const auto decisions = rig.Decide();
+  BOOST_REQUIRE_EQUAL(decisions.approvals.size(), 2);
+  BOOST_TEST(decisions.approvals[0].job_id == "long-1");
+  BOOST_TEST(decisions.approvals[1].job_id == "short");
+}
+
+// Guards against steps of a low priority that get no call while urgent steps
+// want calls all the time. A lasting task did not run for 40 s with room on 158
+// of 252 workers.
+BOOST_AUTO_TEST_CASE(a_low_priority_gets_calls_while_urgent_steps_want_some) {
+  constexpr std::size_t kUrgentJobs = 50;
+  constexpr int kMaxPasses = 8;
+  scheduler_rig rig;
+  rig.AddWorker("w1", kWorker);
+  auto low = AdvisedJob("low");
+  low.queue.priority = 3;
+  rig.scheduler.AdmitJob(low, rig.now);
+  rig.call_capacity = {0, 0, milliseconds(100)};
+  rig.Decide();
+  rig.AdvanceClock(milliseconds(1));
+  rig.call_capacity = {1, 0, milliseconds(100)};
+  for (std::size_t i = 0; i < kUrgentJobs; ++i) {
+    rig.scheduler.AdmitJob(AdvisedJob("urgent-" + std::to_string(i)), rig.now);
+  }
+  bool is_asked = false;
+  for (int i = 0; i < kMaxPasses; ++i) {
+    const auto decisions = rig.Decide();
+    BOOST_REQUIRE_EQUAL(decisions.approvals.size(), 1);
+    is_asked = is_asked || decisions.approvals[0].job_id == "low";
+  }
+  BOOST_TEST(is_asked);
+}
+
 // Guards against repeated starts with a ticket that the worker has refused. A
 // new ticket must be requested first.
 BOOST_AUTO_TEST_CASE(a_refused_ticket_is_renewed) {
--- a/tests/graph/scheduler_rig.h
+++ b/tests/graph/scheduler_rig.h
@@ -56,6 +56,7 @@
   std::vector<stop_order> stops;
   std::vector<throttle_order> throttles;
   std::vector<approval_request> approvals;
+  approval_capacity call_capacity;  // Of each pass.
 
   explicit scheduler_rig(pool_scheduler_options options = {})
       : scheduler(std::move(options)) {}
@@ -99,7 +100,8 @@
 
   // Runs one pass and records its decisions without carrying them out.
   pool_decisions Decide(std::int64_t wall_clock_ms = 0) {
-    pool_decisions decisions = scheduler.Decide(now, wall_clock_ms);
+    pool_decisions decisions =
+        scheduler.Decide(now, wall_clock_ms, call_capacity);
     starts.insert(starts.end(), decisions.starts.begin(),
                   decisions.starts.end());
     stops.insert(stops.end(), decisions.stops.begin(), decisions.stops.end());
--- a/tests/pools/approval_desk_test.cc
+++ b/tests/pools/approval_desk_test.cc
@@ -100,6 +100,43 @@
   BOOST_TEST(rig.WaitForCalls(unreserved));
 }
 
+// Guards against a request of a low priority that waits for as long as urgent
+// ones arrive. Approvals for lasting tasks waited from 16 s to the end of a
+// day.
+BOOST_AUTO_TEST_CASE(requests_are_sent_in_the_order_of_arrival) {
+  const clock_ptr clock = runtime_clock::Running();
+  std::mutex mutex;
+  std::condition_variable changed;
+  bool is_released = false;
+  std::vector<std::string> sent;
+  approval_dispatcher dispatcher(
+      clock, log_sink{}, [] { return std::vector<std::string>{"m1"}; },
+      [&](const std::string&, const approval_request& request)
+          -> result<approval_dispatcher::approvals> {
+        std::unique_lock lock(mutex);
+        changed.wait(lock, [&] { return is_released; });
+        sent.push_back(request.job_id);
+        changed.notify_all();
+        return approval_dispatcher::approvals{};
+      },
+      [](const approval_request&,
+         const outcome<approval_dispatcher::approvals>&) {});
+  BOOST_REQUIRE(Attempt([&] { return dispatcher.Start(); }));
+  dispatcher.Enqueue(RequestOf("first", kShortCall, 0));
+  dispatcher.Enqueue(RequestOf("low", kShortCall, 3));
+  for (int i = 0; i < 5; ++i) {
+    dispatcher.Enqueue(RequestOf("urgent", kShortCall, 0));
+  }
+  std::unique_lock lock(mutex);
+  is_released = true;
+  changed.notify_all();
+  BOOST_REQUIRE(changed.wait_for(lock, std::chrono::seconds(3),
+                                 [&] { return sent.size() == 7; }));
+  BOOST_TEST(sent[1] == "low");
+  lock.unlock();
+  dispatcher.Stop();
+}
+
 BOOST_AUTO_TEST_CASE(a_small_cell_reserves_no_member) {
   BOOST_TEST(MembersForShortCalls(1) == 0);
   BOOST_TEST(MembersForShortCalls(3) == 0);
