--- a/src/pools/job_journal.cc
+++ b/src/pools/job_journal.cc
@@ -33,6 +33,7 @@
 // many the store counts as unreachable.
 constexpr int kRejectionsToUnreachable = 2;
 constexpr auto kRetryInterval = milliseconds(60);
+constexpr auto kLoadReportInterval = milliseconds(2000);
 
 std::string Prefix(std::string_view kind, std::string_view pool) {
   return "apricotwheel/" + std::string(kind) + "/" + std::string(pool) + "/";
@@ -282,7 +283,17 @@
   group.is_partial = !deferred.jobs.empty() || !deferred.jobs_to_delete.empty();
   (group.is_partial ? deferred : group.progress).ends_by_worker =
       std::move(batch.ends_by_worker);
+  const auto now = options_.clock->Now();
+  if (ends_deferred_at_) {
+    load_.ends_waited =
+        std::max<duration>(load_.ends_waited, now - *ends_deferred_at_);
+  }
+  if (!group.is_partial) ends_deferred_at_.reset();
   if (group.is_partial) {
+    if (!ends_deferred_at_ && !deferred.ends_by_worker.empty())
+      ends_deferred_at_ = now;
+    ++load_.partial;
+    load_.most_deferred = std::max(load_.most_deferred, deferred.jobs.size());
     callbacks_.on_progress_failed(deferred);
     ScheduleCommit({});
   }
@@ -397,6 +408,22 @@
   if (callbacks_.on_store_unreachable) callbacks_.on_store_unreachable();
 }
 
+void job_journal::ReportLoadIfDue() {
+  const auto now = options_.clock->Now();
+  if (now - load_reported_at_ < kLoadReportInterval) return;
+  load_reported_at_ = now;
+  const auto to_ms = [](duration span) {
+    return std::chrono::duration_cast<milliseconds>(span).count();
+  };
+  Emit(options_.log, pool_events::kJournalLoad,
+       {Field("pool", options_.pool), Field("commits", load_.commits),
+        Field("partial", load_.partial),
+        Field("most_deferred", load_.most_deferred),
+        Field("commit_ms", to_ms(load_.longest_commit)),
+        Field("ends_waited_ms", to_ms(load_.ends_waited))});
+  load_ = {};
+}
+
 void job_journal::CompleteSubmissions(commit_group& group, bool is_stored) {
   if (is_stored) {
     for (const auto& submission : group.submissions)
@@ -446,7 +473,14 @@
         group.writes.puts.size() == 1 && group.writes.removals.empty();
     // A group with ends only, of jobs whose progress did not change, needs no
     // write.
+    const auto sent_at = options_.clock->Now();
     const bool is_stored = is_empty || CommitGroup(group);
+    if (!is_empty) {
+      ++load_.commits;
+      load_.longest_commit = std::max<duration>(
+          load_.longest_commit, options_.clock->Now() - sent_at);
+    }
+    ReportLoadIfDue();
     if (is_stored) {
       callbacks_.on_progress_stored(group.progress);
     } else {
--- a/src/pools/job_journal.h
+++ b/src/pools/job_journal.h
@@ -6,6 +6,7 @@
 #include <functional>
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -152,6 +153,8 @@
   // it. Called only if they are certainly not stored, now or later.
   void RejectSubmissions(commit_group& group);
   void SetStoreUnreachable(bool is_unreachable);
+  // Logs what the journal has committed since the last line.
+  void ReportLoadIfDue();
   // Reports the result to the callers of `Submit`.
   void CompleteSubmissions(commit_group& group, bool is_stored);
   // Returns the value of the journal key for the group with this number; 0 is
@@ -169,6 +172,18 @@
   // Duration of the last commit that the store confirmed. Determines the
   // timeout of the next one.
   duration last_commit_duration_{};
+  // Since the last log line; used by the commit thread only.
+  struct journal_load {
+    std::uint64_t commits = 0;
+    std::uint64_t partial = 0;  // Commits that left progress for the next one.
+    std::size_t most_deferred = 0;  // Most jobs that one commit left.
+    duration longest_commit{};
+    duration ends_waited{};  // Longest wait of ends for their acknowledgement.
+  };
+  journal_load load_;
+  time_point load_reported_at_{};
+  // When ends were first deferred, if they still are.
+  std::optional<time_point> ends_deferred_at_;
 
   mutable std::mutex mutex_;
   std::condition_variable changed_;
