Wait longer for the response of a worker that was late

A response that takes more than 300 ms is given up, the connection is closed, and the same poll is sent again with the same timeout: it is late again, and what was sent fills the link further.

A poll that timed out now doubles the timeout of the next one, up to 1.2 s, and a response halves it. A retry does not outlast the leases, so that their end is noticed in time. A connection that cannot be opened is given up as before.

Ruled out: workers that were down. They answered at once when the link was free, with the incarnation of before.

The new test fails if the timeout stays as it is: "check polls <= 3 has failed [10 > 3]", and no response is read.

--- a/src/pools/agent_session.cc
+++ b/src/pools/agent_session.cc
@@ -25,6 +25,10 @@
 // which the worker executes only once. If one response in ten is lost, all
 // three attempts fail for one start in 1000.
 constexpr int kMaxStartAttempts = 3;
+// A response that is late because a link is full is late again if the poll is
+// repeated with the same timeout, and fills the link further. Each such failure
+// doubles the timeout up to this one.
+constexpr auto kMaxResponseTimeout = milliseconds(1200);
 // An idle worker is polled at this interval, to detect that its agent has
 // restarted.
 constexpr auto kIdlePollInterval = milliseconds(15'000);
@@ -61,7 +65,8 @@
 agent_session::agent_session(agent_session_options options, callbacks handlers)
     : options_(std::move(options)),
       callbacks_(std::move(handlers)),
-      worker_clock_(options_.lease_duration) {}
+      worker_clock_(options_.lease_duration),
+      response_timeout_(kMinResponseTimeout) {}
 
 result<void> agent_session::Start() {
   started_at_ = options_.clock->Now();
@@ -162,6 +167,13 @@
   // The first poll claims the worker and reads its clock; it does not wait.
   if (is_claimed_ && !is_retry && callbacks_.has_runs())
     request.wait = kLongPollTimeout;
+  request.response_timeout = response_timeout_;
+  if (is_retry && !are_leases_expired_) {
+    // The end of the leases must not be noticed late.
+    request.response_timeout =
+        std::clamp<duration>(LeasesExpireBy() - sent_at, kMinResponseTimeout,
+                             request.response_timeout);
+  }
   const auto report = Attempt([&] { return options_.link->poll(request); });
   const auto now = options_.clock->Now();
   if (!report) return HandlePollFailure(report.failure);
@@ -177,6 +189,8 @@
          {Field("worker", options_.worker.id)});
   }
   is_claimed_ = true;
+  response_timeout_ =
+      std::max<duration>(response_timeout_ / 2, kMinResponseTimeout);
   const bool is_new_agent =
       std::exchange(incarnation_, report->incarnation) != report->incarnation;
   if (is_new_agent) last_reported_end_ = 0;
@@ -199,6 +213,10 @@
     return kIdlePollInterval;
   }
   ++failed_polls_;
+  if (failure.kind == error_kind::kTimeout) {
+    response_timeout_ =
+        std::min<duration>(response_timeout_ * 2, kMaxResponseTimeout);
+  }
   if (is_claimed_ && failure.kind == error_kind::kTimeout &&
       failed_polls_ < kFailedPollsToUnreachable) {
     Emit(options_.log, pool_events::kResponseLost,
@@ -207,21 +225,12 @@
     return kLostResponseBackoff;
   }
   const auto now = options_.clock->Now();
-  time_point expired_by;
   bool becomes_unreachable = false;
   {
     const std::lock_guard lock(mutex_);
     if (is_stopped_) return {};
-    expired_by = worker_clock_.ExpiredBy();
     becomes_unreachable = std::exchange(is_reachable_, false);
   }
-  if (!is_claimed_) {
-    // An earlier session may have granted leases that this one does not know.
-    const auto max_duration = std::chrono::duration_cast<duration>(
-        options_.lease_duration / kMinClockRate);
-    expired_by = std::max(expired_by,
-                          started_at_ + max_duration + duration(kExpiryMargin));
-  }
   if (becomes_unreachable) {
     Emit(options_.log, pool_events::kWorkerUnreachable,
          {Field("worker", options_.worker.id),
@@ -232,7 +241,7 @@
   // first.
   const bool has_exited =
       failure.kind == error_kind::kUnavailable && options_.has_exited();
-  if (has_exited || now >= expired_by) {
+  if (has_exited || now >= LeasesExpireBy()) {
     if (has_exited) {
       Emit(options_.log, pool_events::kAgentExited,
            {Field("worker", options_.worker.id),
@@ -245,6 +254,20 @@
   return kPollRetryInterval;
 }
 
+time_point agent_session::LeasesExpireBy() {
+  time_point expired_by;
+  {
+    const std::lock_guard lock(mutex_);
+    expired_by = worker_clock_.ExpiredBy();
+  }
+  if (is_claimed_) return expired_by;
+  // An earlier session may have granted leases that this one does not know.
+  const auto max_duration = std::chrono::duration_cast<duration>(
+      options_.lease_duration / kMinClockRate);
+  return std::max(expired_by,
+                  started_at_ + max_duration + duration(kExpiryMargin));
+}
+
 void agent_session::RunSender() {
   while (true) {
     worker_order next;
--- a/src/pools/agent_session.h
+++ b/src/pools/agent_session.h
@@ -100,6 +100,8 @@
   // Polls the worker once and returns how long to wait before the next poll.
   duration PollOnce();
   duration HandlePollFailure(const error& failure);
+  // Returns when no lease that was granted to the worker can hold any more.
+  time_point LeasesExpireBy();
   // Returns how often the session was woken. A caller reads it before it checks
   // for work and passes it to `WaitForWake`, which then returns at once if a
   // wake-up came in between.
@@ -123,6 +125,7 @@
   bool is_claimed_ = false;  // From here on: used by the poll thread only.
   bool are_leases_expired_ = false;
   int failed_polls_ = 0;          // Consecutive failures.
+  duration response_timeout_;     // Of the next poll.
   std::int64_t incarnation_ = 0;  // Of the agent that answered the last poll.
   // Highest sequence number in the reports of that agent.
   std::uint64_t last_reported_end_ = 0;
--- a/src/pools/platform_services.h
+++ b/src/pools/platform_services.h
@@ -21,6 +21,10 @@
 
 class queue_gateway;
 
+// A worker responds to a call within milliseconds, or 200 ms later if TCP had
+// to retransmit a segment.
+inline constexpr auto kMinResponseTimeout = milliseconds(300);
+
 // What the owner of a pool sends to a worker to renew the leases and to
 // acknowledge ends.
 struct poll_request {
@@ -31,6 +35,8 @@
   // leases are not renewed.
   std::optional<std::int64_t> lease_until_ms;
   duration wait{};  // Long-poll timeout: the worker responds at the next end.
+  // Time that the response may take beyond that.
+  duration response_timeout = kMinResponseTimeout;
 };
 
 struct run_lease {
--- a/tests/pools/agent_session_test.cc
+++ b/tests/pools/agent_session_test.cc
@@ -291,5 +291,29 @@
   BOOST_TEST((worker.results.at(0) == start_result::kStarted));
 }
 
+// Guards against a worker that is never claimed because each of its responses
+// is late. After a loss of power, the owner of 252 workers had a full link:
+// polls were abandoned after 300 ms and repeated for 17 s without an effect.
+BOOST_AUTO_TEST_CASE(a_late_response_is_awaited_longer) {
+  constexpr auto kResponseTime = milliseconds(450);
+  fake_worker worker;
+  std::atomic<int> polls = 0;
+  std::atomic<int> responses = 0;
+  worker.poll = [&](const poll_request& request) -> result<worker_report> {
+    ++polls;
+    const duration timeout = request.wait + request.response_timeout;
+    worker.clock->SleepFor(std::min<duration>(timeout, kResponseTime));
+    if (timeout < kResponseTime) {
+      return Fail(error_kind::kTimeout, "late", "poll again");
+    }
+    ++responses;
+    return worker_report{};
+  };
+  worker.StartSession();
+  BOOST_TEST(worker.WaitFor([&] { return responses > 0; }));
+  worker.session->Stop();
+  BOOST_TEST(polls <= 3);
+}
+
 }  // namespace
 }  // namespace apricotwheel
