--- a/src/graph/pool_model.h
+++ b/src/graph/pool_model.h
@@ -101,8 +101,6 @@
   bool is_loaded = false;
   // The final state is stored, so that no later owner starts its tasks again.
   bool is_result_stored = false;
-  // Order among the jobs with progress that is not stored; 0 if there is none.
-  std::uint64_t dirty_order = 0;
 };
 
 }  // namespace apricotwheel
--- a/src/graph/pool_scheduler.cc
+++ b/src/graph/pool_scheduler.cc
@@ -53,16 +53,7 @@
   Emit(options_.log, kind, std::move(fields));
 }
 
-void pool_scheduler::MarkDirty(graph_job& job) {
-  if (job.dirty_order != 0) return;
-  job.dirty_order = ++last_dirty_order_;
-  dirty_jobs_[job.dirty_order] = &job;
-}
-
-void pool_scheduler::MarkClean(graph_job& job) {
-  dirty_jobs_.erase(job.dirty_order);
-  job.dirty_order = 0;
-}
+void pool_scheduler::MarkDirty(graph_job& job) { dirty_jobs_.insert(&job); }
 
 void pool_scheduler::SetWorker(const pool_worker& worker, time_point now) {
   auto [found, is_new] = workers_.try_emplace(worker.id);
@@ -205,7 +196,7 @@
       finished_jobs_.emplace_back(now, id);
       continue;
     }
-    MarkClean(*job);
+    dirty_jobs_.erase(job);
     jobs_.erase(id);
     jobs_to_delete_.push_back(id);
   }
@@ -247,9 +238,8 @@
 
 progress_batch pool_scheduler::TakeProgress() {
   progress_batch batch;
-  for (const auto& [order, job] : dirty_jobs_) {
-    batch.jobs.push_back({job->submission.id, job->progress, order});
-    job->dirty_order = 0;
+  for (graph_job* job : dirty_jobs_) {
+    batch.jobs.push_back({job->submission.id, job->progress});
   }
   dirty_jobs_.clear();
   batch.jobs_to_delete = std::exchange(jobs_to_delete_, {});
@@ -283,13 +273,7 @@
   jobs_to_delete_.insert(jobs_to_delete_.end(), batch.jobs_to_delete.begin(),
                          batch.jobs_to_delete.end());
   for (const auto& entry : batch.jobs) {
-    graph_job* job = FindJob(entry.job_id);
-    if (job == nullptr) continue;
-    // It keeps its place, or newer changes of other jobs would pass it again
-    // and again.
-    MarkClean(*job);
-    job->dirty_order = entry.order;
-    dirty_jobs_[entry.order] = job;
+    if (graph_job* job = FindJob(entry.job_id)) MarkDirty(*job);
   }
 }
 
--- a/src/graph/pool_scheduler.h
+++ b/src/graph/pool_scheduler.h
@@ -73,9 +73,8 @@
   struct entry {
     std::string job_id;
     job_progress progress;
-    std::uint64_t order = 0;  // Of the change; kept if it is not stored.
   };
-  std::vector<entry> jobs;  // Oldest change first.
+  std::vector<entry> jobs;
   std::vector<std::string>
       jobs_to_delete;  // Jobs whose records must be deleted.
   std::map<std::string, end_position> ends_by_worker;
@@ -191,7 +190,6 @@
   step_state& StepOf(graph_job& job, const task_key& task);
   const graph_step& SpecOf(const graph_job& job, const task_key& task) const;
   void MarkDirty(graph_job& job);
-  void MarkClean(graph_job& job);
   void FinishJob(graph_job& job, job_state state, time_point now);
   // Removes finished jobs after the retention time.
   void DeleteFinishedJobs(time_point now);
@@ -285,10 +283,8 @@
   std::map<std::string, worker_state, std::less<>> workers_;
   // Workers that may have unknown runs of an earlier owner.
   std::set<std::string, std::less<>> unverified_workers_;
-  std::set<graph_job*> open_jobs_;  // Jobs that are not finished.
-  // Jobs with progress that is not stored, by the order of their changes.
-  std::map<std::uint64_t, graph_job*> dirty_jobs_;
-  std::uint64_t last_dirty_order_ = 0;
+  std::set<graph_job*> open_jobs_;   // Jobs that are not finished.
+  std::set<graph_job*> dirty_jobs_;  // Jobs with progress that is not stored.
   // End times and ids of finished jobs, oldest first.
   std::deque<std::pair<time_point, std::string>> finished_jobs_;
   std::vector<std::string> jobs_to_delete_;
--- a/src/pools/job_journal.cc
+++ b/src/pools/job_journal.cc
@@ -16,10 +16,6 @@
 // journal key and the worker list are part of each.
 constexpr std::size_t kMaxTransactionEntries = 32;
 constexpr std::size_t kFixedEntries = 4;
-// The rest of a transaction is for the oldest progress. Submissions and results
-// come first, because callers wait for them, but ends are acknowledged only
-// after all progress from before them is stored.
-constexpr std::size_t kMaxUrgentEntries = 24;
 // Limit of the bytes of values in a transaction. A value that exceeds it is the
 // last of its transaction.
 constexpr std::size_t kMaxTransactionBytes = 256 << 10;
@@ -228,7 +224,7 @@
   return stored_worker_list_version_ >= target;
 }
 
-job_journal::commit_group job_journal::CollectGroup(std::uint64_t flush) {
+job_journal::commit_group job_journal::CollectGroup() {
   commit_group group;
   group.number = ++last_number_;
   group.writes.conditions = {{options_.owner_key, options_.epoch},
@@ -243,7 +239,7 @@
       group.writes.puts.push_back(
           {WorkerListKey(), json(worker_list_).dump(), {}});
     }
-    while (!pending_submissions_.empty() && entries < kMaxUrgentEntries &&
+    while (!pending_submissions_.empty() && entries < kMaxTransactionEntries &&
            bytes < kMaxTransactionBytes) {
       submission_ptr next = pending_submissions_.front();
       pending_submissions_.pop_front();
@@ -256,48 +252,23 @@
       group.submissions.push_back(std::move(next));
     }
   }
-  progress_batch deferred =
-      AddProgress(callbacks_.take_progress(), entries, group);
-  group.is_partial = !deferred.jobs.empty() || !deferred.jobs_to_delete.empty();
-  AddStoredEnds(deferred, flush, group);
-  if (group.is_partial) {
-    ++load_.partial;
-    load_.most_deferred = std::max(load_.most_deferred, deferred.jobs.size());
-    callbacks_.on_progress_failed(deferred);
-    ScheduleCommit({});
-  }
-  return group;
-}
-
-progress_batch job_journal::AddProgress(progress_batch batch,
-                                        std::size_t entries,
-                                        commit_group& group) const {
+  progress_batch batch = callbacks_.take_progress();
   progress_batch deferred;
-  std::vector<bool> is_added(batch.jobs.size(), false);
-  const auto add_jobs = [&](bool results_only, std::size_t max_entries) {
-    for (std::size_t i = 0; i < batch.jobs.size(); ++i) {
-      progress_batch::entry& entry = batch.jobs[i];
-      const bool is_final = IsFinal(entry.progress.state);
-      const std::size_t needed = is_final ? 2 : 1;
-      if (is_added[i] || (results_only && !is_final) ||
-          entries + needed > max_entries) {
-        continue;
-      }
-      group.writes.puts.push_back({ProgressKey(options_.pool, entry.job_id),
-                                   EncodeProgress(entry.progress),
-                                   {}});
-      if (is_final) {
-        group.writes.removals.push_back(JobKey(options_.pool, entry.job_id));
-      }
-      entries += needed;
-      group.progress.jobs.push_back(std::move(entry));
-      is_added[i] = true;
+  for (auto& entry : batch.jobs) {
+    const bool is_final = IsFinal(entry.progress.state);
+    const std::size_t needed = is_final ? 2 : 1;
+    if (entries + needed > kMaxTransactionEntries) {
+      deferred.jobs.push_back(std::move(entry));
+      continue;
     }
-  };
-  add_jobs(true, kMaxUrgentEntries);
-  add_jobs(false, kMaxTransactionEntries);
-  for (std::size_t i = 0; i < batch.jobs.size(); ++i) {
-    if (!is_added[i]) deferred.jobs.push_back(std::move(batch.jobs[i]));
+    group.writes.puts.push_back({ProgressKey(options_.pool, entry.job_id),
+                                 EncodeProgress(entry.progress),
+                                 {}});
+    if (is_final) {
+      group.writes.removals.push_back(JobKey(options_.pool, entry.job_id));
+    }
+    entries += needed;
+    group.progress.jobs.push_back(std::move(entry));
   }
   for (std::string& id : batch.jobs_to_delete) {
     if (entries >= kMaxTransactionEntries) {
@@ -308,40 +279,25 @@
     group.progress.jobs_to_delete.push_back(std::move(id));
     ++entries;
   }
-  deferred.ends_by_worker = std::move(batch.ends_by_worker);
-  return deferred;
-}
-
-void job_journal::AddStoredEnds(progress_batch& deferred, std::uint64_t flush,
-                                commit_group& group) {
+  // Ends may be acknowledged only after the progress of all jobs is stored.
+  group.is_partial = !deferred.jobs.empty() || !deferred.jobs_to_delete.empty();
+  (group.is_partial ? deferred : group.progress).ends_by_worker =
+      std::move(batch.ends_by_worker);
   const auto now = options_.clock->Now();
-  if (deferred_) {
+  if (ends_deferred_at_) {
     load_.ends_waited =
-        std::max<duration>(load_.ends_waited, now - deferred_->since);
-    std::set<std::string> waiting;
-    for (const auto& entry : deferred.jobs) {
-      if (deferred_->jobs.contains(entry.job_id)) waiting.insert(entry.job_id);
-    }
-    deferred_->jobs = std::move(waiting);
-  }
-  if (deferred.jobs.empty()) {
-    deferred_.reset();
-    group.progress.ends_by_worker = std::exchange(deferred.ends_by_worker, {});
-    group.flush = flush;
-    return;
+        std::max<duration>(load_.ends_waited, now - *ends_deferred_at_);
   }
-  if (!deferred_) {
-    deferred_.emplace();
-    for (const auto& entry : deferred.jobs)
-      deferred_->jobs.insert(entry.job_id);
-    deferred_->ends_by_worker = deferred.ends_by_worker;
-    deferred_->flush = flush;
-    deferred_->since = now;
-  } else if (deferred_->jobs.empty()) {
-    group.progress.ends_by_worker = std::move(deferred_->ends_by_worker);
-    group.flush = deferred_->flush;
-    deferred_.reset();
+  if (!group.is_partial) ends_deferred_at_.reset();
+  if (group.is_partial) {
+    if (!ends_deferred_at_ && !deferred.ends_by_worker.empty())
+      ends_deferred_at_ = now;
+    ++load_.partial;
+    load_.most_deferred = std::max(load_.most_deferred, deferred.jobs.size());
+    callbacks_.on_progress_failed(deferred);
+    ScheduleCommit({});
   }
+  return group;
 }
 
 job_journal::commit_state job_journal::ReadBackCommit(const commit_group& group,
@@ -511,7 +467,7 @@
       commit_due_at_ = time_point::max();
       flush = requested_flushes_;  // A later flush needs another group.
     }
-    commit_group group = CollectGroup(flush);
+    commit_group group = CollectGroup();
     const bool is_empty =
         group.submissions.empty() && group.progress.jobs.empty() &&
         group.writes.puts.size() == 1 && group.writes.removals.empty();
@@ -533,7 +489,8 @@
     {
       const std::lock_guard lock(mutex_);
       if (is_stored) {
-        completed_flushes_ = std::max(completed_flushes_, group.flush);
+        if (!group.is_partial)
+          completed_flushes_ = std::max(completed_flushes_, flush);
         stored_worker_list_version_ =
             std::max(stored_worker_list_version_, group.worker_list_version);
       }
--- a/src/pools/job_journal.h
+++ b/src/pools/job_journal.h
@@ -127,25 +127,14 @@
     std::uint64_t number = 0;  // Counts the groups of this owner from 1.
     std::uint64_t worker_list_version = 0;
     bool is_partial = false;  // Some progress is left for the next commit.
-    // Calls of `Flush` up to this number are complete once the group is stored.
-    std::uint64_t flush = 0;
   };
 
   // The commit thread: calls `RunCommits` and then wakes the waiting callers.
   void Run();
   // Commits groups until the journal stops or a group cannot be committed.
   void RunCommits();
-  // Builds a transaction from the pending submissions and the progress. `flush`
-  // is the number of the last call of `Flush`.
-  commit_group CollectGroup(std::uint64_t flush);
-  // Adds progress to the group, which has `entries` so far. Returns what has to
-  // wait for the next group.
-  progress_batch AddProgress(progress_batch batch, std::size_t entries,
-                             commit_group& group) const;
-  // Adds the ends that may be acknowledged and the calls of `Flush` that are
-  // complete once the group is stored.
-  void AddStoredEnds(progress_batch& deferred, std::uint64_t flush,
-                     commit_group& group);
+  // Builds a transaction from the pending submissions and the progress.
+  commit_group CollectGroup();
   enum class commit_state {
     kCommitted,
     kNotCommitted,  // The journal key is unchanged; no effect so far.
@@ -193,15 +182,8 @@
   };
   journal_load load_;
   time_point load_reported_at_{};
-  // The progress that a partial group had to leave. Once it is stored, the ends
-  // and flushes of that time are done, whatever has changed since.
-  struct deferred_progress {
-    std::set<std::string> jobs;
-    std::map<std::string, end_position> ends_by_worker;
-    std::uint64_t flush = 0;
-    time_point since{};
-  };
-  std::optional<deferred_progress> deferred_;
+  // When ends were first deferred, if they still are.
+  std::optional<time_point> ends_deferred_at_;
 
   mutable std::mutex mutex_;
   std::condition_variable changed_;
--- a/tests/graph/pool_scheduler_test.cc
+++ b/tests/graph/pool_scheduler_test.cc
@@ -293,28 +293,6 @@
   BOOST_TEST(rig.scheduler.LastStoredEnd("w1") == 1);
 }
 
-// Guards against progress that is never stored while more jobs change than fit
-// into a commit: what one commit leaves comes first in the next one.
-BOOST_AUTO_TEST_CASE(progress_that_was_not_stored_keeps_its_place) {
-  for (const std::size_t left : {0, 1}) {
-    scheduler_rig rig;
-    rig.AddWorker("w1", kWorker);
-    rig.scheduler.AdmitJob(MakeJob("a", {MakeStep(1, kSmall)}), rig.now);
-    rig.scheduler.AdmitJob(MakeJob("b", {MakeStep(1, kSmall)}), rig.now);
-    rig.DecideAndCarryOut();
-    progress_batch batch = rig.scheduler.TakeProgress();
-    BOOST_REQUIRE_EQUAL(batch.jobs.size(), 2);
-    const auto kept = batch.jobs[left];
-    rig.EndAll(run_outcome::kDone);
-    progress_batch failed;
-    failed.jobs.push_back(kept);
-    rig.scheduler.OnProgressNotStored(failed);
-    batch = rig.scheduler.TakeProgress();
-    BOOST_REQUIRE_EQUAL(batch.jobs.size(), 2);
-    BOOST_TEST(batch.jobs[0].job_id == kept.job_id);
-  }
-}
-
 // Guards against a job that runs twice because its submission arrives again,
 // also after its end.
 BOOST_AUTO_TEST_CASE(a_repeated_submission_is_one_job) {
--- a/tests/pools/job_journal_test.cc
+++ b/tests/pools/job_journal_test.cc
@@ -1,9 +1,6 @@
 #include "pools/job_journal.h"
 
-#include <algorithm>
 #include <boost/test/unit_test.hpp>
-#include <functional>
-#include <set>
 #include <thread>
 
 #include "tests/graph/scheduler_rig.h"
@@ -29,9 +26,7 @@
   std::mutex mutex;
   std::vector<std::string> accepted;
   progress_batch next_progress;
-  // Takes the place of `next_progress` if it is set.
-  std::function<progress_batch()> take_progress;
-  std::vector<progress_batch> stored;
+  int stored_batches = 0;
   std::atomic<bool> is_superseded = false;
   pool_metrics metrics{std::make_shared<prometheus::Registry>()};
   std::unique_ptr<job_journal> journal;
@@ -48,11 +43,11 @@
     job_journal::callbacks callbacks;
     callbacks.take_progress = [this] {
       const std::lock_guard lock(mutex);
-      return take_progress ? take_progress() : std::exchange(next_progress, {});
+      return std::exchange(next_progress, {});
     };
-    callbacks.on_progress_stored = [this](const progress_batch& batch) {
+    callbacks.on_progress_stored = [this](const progress_batch&) {
       const std::lock_guard lock(mutex);
-      stored.push_back(batch);
+      ++stored_batches;
     };
     callbacks.on_progress_failed = [this](const progress_batch& batch) {
       const std::lock_guard lock(mutex);
@@ -212,7 +207,7 @@
     const std::lock_guard lock(owner.mutex);
     job_progress progress;
     progress.state = job_state::kCompleted;
-    owner.next_progress.jobs.push_back({"job", progress, 0});
+    owner.next_progress.jobs.push_back({"job", progress});
   }
   BOOST_TEST(owner.journal->Flush(owner.clock->Now() + duration(kTimeout)));
   BOOST_TEST(!store.Has(JobKey("pool", "job")));
@@ -234,7 +229,7 @@
     const std::lock_guard lock(owner.mutex);
     for (int i = 0; i < kJobs; ++i) {
       owner.next_progress.jobs.push_back(
-          {"job" + std::to_string(i), job_progress{}, 0});
+          {"job" + std::to_string(i), job_progress{}});
     }
   }
   BOOST_TEST(owner.journal->Flush(owner.clock->Now() + duration(kTimeout)));
@@ -243,70 +238,6 @@
   }
 }
 
-// Guards against ends that are never acknowledged and flushes that never
-// complete while more jobs change than fit into a commit. With 252 workers that
-// lasted for as long as the pool was busy: workers listed up to a hundred ends
-// in each report, and cancellations got no response.
-BOOST_AUTO_TEST_CASE(ends_are_acknowledged_while_progress_keeps_changing) {
-  constexpr int kJobs = 60;
-  fake_store store;
-  rig owner(store, store.Put(kOwnerKey, "first"));
-  // Oldest change first. A job changes again as soon as it is stored.
-  std::vector<std::string> changed;
-  for (int i = 0; i < kJobs; ++i) changed.push_back("job" + std::to_string(i));
-  std::uint64_t taken = 0;
-  owner.take_progress = [&] {
-    if (taken > 0 && !owner.stored.empty()) {
-      for (const auto& entry : owner.stored.back().jobs) {
-        std::erase(changed, entry.job_id);
-        changed.push_back(entry.job_id);
-      }
-    }
-    progress_batch batch;
-    for (const std::string& id : changed) batch.jobs.push_back({id, {}, 0});
-    batch.ends_by_worker["w1"] = {1, ++taken};
-    return batch;
-  };
-  owner.LoadAndStart();
-  BOOST_TEST(owner.journal->Flush(owner.clock->Now() + duration(kTimeout)));
-  owner.journal->Stop();
-  std::set<std::string> stored;
-  std::uint64_t acknowledged = 0;
-  for (const progress_batch& batch : owner.stored) {
-    for (const auto& entry : batch.jobs) stored.insert(entry.job_id);
-    if (!batch.ends_by_worker.contains("w1")) continue;
-    acknowledged = batch.ends_by_worker.at("w1").sequence;
-    // All jobs had changed before the first end.
-    BOOST_TEST(stored.size() == kJobs);
-  }
-  BOOST_TEST(acknowledged >= 1);
-  BOOST_TEST(acknowledged < taken);
-}
-
-// Guards against results that wait behind the progress of other jobs. Callers
-// see a result only after it is stored.
-BOOST_AUTO_TEST_CASE(results_are_stored_before_other_progress) {
-  fake_store store;
-  rig owner(store, store.Put(kOwnerKey, "first"));
-  owner.LoadAndStart();
-  {
-    const std::lock_guard lock(owner.mutex);
-    for (int i = 0; i < 100; ++i) {
-      owner.next_progress.jobs.push_back({"job" + std::to_string(i), {}, 0});
-    }
-    job_progress result;
-    result.state = job_state::kCompleted;
-    owner.next_progress.jobs.push_back({"completed", result, 0});
-  }
-  BOOST_TEST(owner.journal->Flush(owner.clock->Now() + duration(kTimeout)));
-  owner.journal->Stop();
-  BOOST_REQUIRE(!owner.stored.empty());
-  const auto& first = owner.stored.front().jobs;
-  BOOST_TEST(std::any_of(first.begin(), first.end(), [](const auto& entry) {
-    return entry.job_id == "completed";
-  }));
-}
-
 BOOST_AUTO_TEST_CASE(the_worker_list_is_read_by_the_next_owner) {
   const std::map<std::string, std::string> workers = {{"w1", "10.0.0.1:80"},
                                                       {"w2", "10.0.0.2:80"}};
