--- a/src/pools/job_journal.cc
+++ b/src/pools/job_journal.cc
@@ -37,6 +37,7 @@
 // many the store counts as unreachable.
 constexpr int kRejectionsToUnreachable = 2;
 constexpr auto kRetryInterval = milliseconds(60);
+constexpr auto kLoadReportInterval = milliseconds(2000);
 
 std::string Prefix(std::string_view kind, std::string_view pool) {
   return "apricotwheel/" + std::string(kind) + "/" + std::string(pool) + "/";
@@ -258,6 +259,7 @@
   snapshot.number = ++last_snapshot_;
   snapshot.ends_by_worker = std::move(batch.ends_by_worker);
   snapshot.flush = flush;
+  snapshot.taken_at = options_.clock->Now();
   std::map<std::string_view, waiting_progress*> waiting;
   for (waiting_progress& entry : waiting_progress_) {
     waiting[entry.job.job_id] = &entry;
@@ -317,6 +319,8 @@
       group.progress.ends_by_worker[worker] = position;
     }
     group.flush = snapshot.flush;
+    load_.ends_waited = std::max<duration>(
+        load_.ends_waited, options_.clock->Now() - snapshot.taken_at);
     snapshots_.pop_front();
   }
 }
@@ -367,6 +371,9 @@
   }
   AddCompletedSnapshots(group);
   if (!waiting_progress_.empty() || !waiting_deletions_.empty()) {
+    ++load_.partial;
+    load_.most_deferred =
+        std::max(load_.most_deferred, waiting_progress_.size());
     ScheduleCommit({});
   }
   return group;
@@ -481,6 +488,22 @@
   if (callbacks_.on_store_unreachable) callbacks_.on_store_unreachable();
 }
 
+void job_journal::ReportLoadIfDue() {
+  const auto now = options_.clock->Now();
+  if (now - load_reported_at_ < kLoadReportInterval) return;
+  load_reported_at_ = now;
+  const auto to_ms = [](duration span) {
+    return std::chrono::duration_cast<milliseconds>(span).count();
+  };
+  Emit(options_.log, pool_events::kJournalLoad,
+       {Field("pool", options_.pool), Field("commits", load_.commits),
+        Field("partial", load_.partial),
+        Field("most_deferred", load_.most_deferred),
+        Field("commit_ms", to_ms(load_.longest_commit)),
+        Field("ends_waited_ms", to_ms(load_.ends_waited))});
+  load_ = {};
+}
+
 void job_journal::CompleteSubmissions(commit_group& group, bool is_stored) {
   if (is_stored) {
     for (const auto& submission : group.submissions)
@@ -532,7 +555,14 @@
         group.writes.puts.size() == 1 && group.writes.removals.empty();
     // A group with ends only, of jobs whose progress did not change, needs no
     // write.
+    const auto sent_at = options_.clock->Now();
     const bool is_stored = is_empty || CommitGroup(group);
+    if (!is_empty) {
+      ++load_.commits;
+      load_.longest_commit = std::max<duration>(
+          load_.longest_commit, options_.clock->Now() - sent_at);
+    }
+    ReportLoadIfDue();
     if (is_stored) {
       callbacks_.on_progress_stored(group.progress);
     } else {
--- a/src/pools/job_journal.h
+++ b/src/pools/job_journal.h
@@ -147,6 +147,7 @@
     std::uint64_t number = 0;
     std::map<std::string, end_position> ends_by_worker;
     std::uint64_t flush = 0;
+    time_point taken_at{};
   };
 
   // The commit thread: calls `RunCommits` and then wakes the waiting callers.
@@ -183,6 +184,8 @@
   void SetStoreUnreachable(bool is_unreachable);
   // Wakes all callers of `Submit`. Called with mutex_ held.
   void WakeSubmissions();
+  // Logs what the journal has committed since the last line.
+  void ReportLoadIfDue();
   // Reports the result to the callers of `Submit`.
   void CompleteSubmissions(commit_group& group, bool is_stored);
   // Returns the value of the journal key for the group with this number; 0 is
@@ -204,6 +207,16 @@
   std::vector<std::string> waiting_deletions_;
   std::deque<progress_snapshot> snapshots_;  // Not complete, oldest first.
   std::uint64_t last_snapshot_ = 0;
+  // Since the last log line; used by the commit thread only.
+  struct journal_load {
+    std::uint64_t commits = 0;
+    std::uint64_t partial = 0;  // Commits that left progress for the next one.
+    std::size_t most_deferred = 0;  // Most jobs that one commit left.
+    duration longest_commit{};
+    duration ends_waited{};  // Longest wait of ends for their commit.
+  };
+  journal_load load_;
+  time_point load_reported_at_{};
 
   mutable std::mutex mutex_;
   std::condition_variable changed_;
--- a/src/pools/pool_owner.cc
+++ b/src/pools/pool_owner.cc
@@ -127,7 +127,7 @@
   callbacks.on_progress_stored = [this](const progress_batch& batch) {
     const std::lock_guard lock(mutex_);
     scheduler_->OnProgressStored(batch);
-    if (waiting_cancellations_ > 0) changed_.notify_all();
+    if (waiting_cancellations_ > 0) requests_changed_.notify_all();
     for (const auto& [id, mark] : batch.ends_by_worker) {
       const auto found = sessions_.find(id);
       if (found != sessions_.end()) found->second->Wake();
@@ -405,7 +405,7 @@
     RequestDecision();
     journal_->ScheduleCommit({});
     ++waiting_cancellations_;
-    options_.clock->WaitUntil(lock, changed_, deadline,
+    options_.clock->WaitUntil(lock, requests_changed_, deadline,
                               [&] { return is_stopped_ || is_stored(); });
     --waiting_cancellations_;
     return MakeResponse(is_stored() ? job_call_status::kCancelled
