Move a pool from an owner that lacks processor time

Each second the host looks at the pools that it owns. A pool moves, with the takeover call of planned stops, to the best other member if the pool can expect twice the processor there, or if the decisions of the owner were late by more than 40 ms on average in each of three seconds and the other member is of about the same size or larger. The signal is the delay from an event to the pass that handles it, so it sees a slow VM, and no time of workers; time in which the owner thread stores the worker list is left out, so a slow store does not count either (a_slow_store_is_no_lack_of_processor_time).

A pool does not go back and forth: twice the processor cannot hold both ways; an owner that moved a pool for overload publishes that for a minute (twice as long each further time) and ranks by a quarter of its processor; the tenure before a move by overload is 4 s and doubles with each member that was overloaded recently. Event 2223 `pool_move` logs the inputs, 2219 the cause.

Without the thread that moves pools both new cases of owner_choice_test fail: a_pool_moves_once_to_a_much_stronger_member (the weak member keeps the pool) and an_overloaded_owner_hands_its_pool_over_once (the second member never owns it). a_slow_store_is_no_lack_of_processor_time fails if the time of storing the list is not left out. DecideMove and overload_detector are new functions with their own cases in owner_ranking_test.

--- a/src/pools/owner_ranking.cc
+++ b/src/pools/owner_ranking.cc
@@ -24,8 +24,24 @@
 // not be vacant for seconds because there are many members.
 constexpr auto kLateRankDelay = milliseconds(20);
 constexpr auto kMaxElectionDelay = milliseconds(1500);
-// Members count as comparable if the largest is not this many times as large.
+// Scheduling delays above this show that the owner lacks processor time; an
+// owner that keeps up decides within milliseconds.
+constexpr auto kOverloadDelay = milliseconds(40);
+// One period may be slow for other reasons, such as loading the pool.
+constexpr int kOverloadPeriods = 3;
+// A move interrupts the pool for 0.1 to 0.2 s, and a new owner is busy for its
+// first seconds.
+constexpr auto kMinTenure = milliseconds(4000);
+// Doublings of the minimum tenure, one for each member that was overloaded
+// recently: if none can carry a pool, its moves become rare.
+constexpr std::size_t kMaxTenureDoublings = 6;
+// A pool moves without overload only if the processor is this many times as
+// large, which equal members never fulfil.
 constexpr std::int64_t kStrongerFactor = 2;
+// An overloaded owner moves its pool only to a member of about its own size or
+// more, in percent of its own size.
+constexpr std::int64_t kEqualPercent = 75;
+
 std::uint64_t RendezvousScore(std::string_view pool,
                               std::string_view member_id) {
   const std::string text = std::string(pool) + "/" + std::string(member_id);
@@ -106,4 +122,25 @@
   return std::min<duration>(delay, kMaxElectionDelay);
 }
 
+bool overload_detector::AddPeriod(duration mean_delay) {
+  slow_periods_ = mean_delay > kOverloadDelay ? slow_periods_ + 1 : 0;
+  return slow_periods_ >= kOverloadPeriods;
+}
+
+move_cause DecideMove(const move_inputs& inputs) {
+  if (!inputs.best || inputs.tenure < kMinTenure) return move_cause::kNone;
+  const std::int64_t own = NominalProcessorMilli(inputs.owner);
+  const std::int64_t offered = ExpectedProcessorMilli(*inputs.best);
+  if (offered > 0 && offered >= kStrongerFactor * own) {
+    return move_cause::kStrongerMember;
+  }
+  if (!inputs.is_overloaded) return move_cause::kNone;
+  const duration min_tenure =
+      duration(kMinTenure) *
+      (1 << std::min(inputs.overloaded_members, kMaxTenureDoublings));
+  const bool is_equal = offered > 0 && offered * 100 >= own * kEqualPercent;
+  return is_equal && inputs.tenure >= min_tenure ? move_cause::kOverload
+                                                 : move_cause::kNone;
+}
+
 }  // namespace apricotwheel
--- a/src/pools/owner_ranking.h
+++ b/src/pools/owner_ranking.h
@@ -57,4 +57,31 @@
 // those before it.
 duration ElectionDelay(std::size_t rank);
 
+// Whether an owner keeps up, by the delay of its decisions in one period after
+// the other.
+class overload_detector {
+ public:
+  // Adds the mean delay of the decisions of one period of `kPeriod`. Returns
+  // true if enough periods in succession were too slow.
+  bool AddPeriod(duration mean_delay);
+  static constexpr auto kPeriod = milliseconds(1000);
+
+ private:
+  int slow_periods_ = 0;
+};
+
+enum class move_cause { kNone, kOverload, kStrongerMember };
+
+struct move_inputs {
+  owner_candidate owner;
+  std::optional<owner_candidate> best;  // Of the other members.
+  // Members whose record says that they were overloaded.
+  std::size_t overloaded_members = 0;
+  duration tenure{};
+  bool is_overloaded = false;  // By an `overload_detector`.
+};
+
+// Decides whether the owner requests `best` to take the pool over.
+move_cause DecideMove(const move_inputs& inputs);
+
 }  // namespace apricotwheel
--- a/src/pools/pool_directory.cc
+++ b/src/pools/pool_directory.cc
@@ -22,6 +22,10 @@
 // the weakest.
 constexpr auto kSettleTime = milliseconds(500);
 constexpr auto kMaxSettleTime = milliseconds(2000);
+// How long a member counts as overloaded after it gave a pool up. The time
+// doubles with each overload, for VMs that stay slow.
+constexpr auto kOverloadMark = milliseconds(60'000);
+constexpr int kMaxOverloadDoublings = 4;
 // Interval of checks for vacant pools when nothing wakes the election thread.
 constexpr auto kElectionInterval = milliseconds(1000);
 // A machine that is up rejects a connection within milliseconds.
@@ -117,6 +121,7 @@
 
 void pool_directory::RunLease() {
   while (!lease_signal_.StopRequested()) {
+    PublishCapacity();
     const duration wait = lease_.RenewIfDue();
     election_signal_.Wake();
     if (lease_signal_.WaitFor(wait)) return;
@@ -165,8 +170,23 @@
 }
 
 void pool_directory::PublishCapacity() {
+  member_capacity own = ConfiguredCapacity(options_.settings);
+  {
+    const std::lock_guard lock(mutex_);
+    own.is_overloaded = options_.clock->Now() < overloaded_until_;
+  }
   lease_.SetAttribute(std::string(kCapacitiesPrefix) + options_.self.id,
-                      EncodeCapacity(ConfiguredCapacity(options_.settings)));
+                      EncodeCapacity(own));
+}
+
+void pool_directory::MarkOverloaded() {
+  {
+    const std::lock_guard lock(mutex_);
+    const int doublings = std::min(overload_count_++, kMaxOverloadDoublings);
+    overloaded_until_ =
+        options_.clock->Now() + duration(kOverloadMark) * (1 << doublings);
+  }
+  lease_signal_.Wake();
 }
 
 void pool_directory::ApplyOwner(const std::string& pool,
@@ -281,6 +301,8 @@
   candidate.id = id;
   if (id == options_.self.id) {
     candidate.capacity = ConfiguredCapacity(options_.settings);
+    candidate.capacity.is_overloaded =
+        options_.clock->Now() < overloaded_until_;
   } else if (const auto found = capacities_.find(id);
              found != capacities_.end() && found->second.record) {
     candidate.capacity = *found->second.record;
@@ -339,6 +361,19 @@
   return RankSuccessors(pool, std::move(candidates));
 }
 
+move_inputs pool_directory::PrepareMove(std::string_view pool) const {
+  move_inputs inputs;
+  const auto successors = Successors(pool);
+  if (!successors.empty()) inputs.best = successors.front();
+  const std::lock_guard lock(mutex_);
+  inputs.owner = MakeCandidate(options_.self.id, pool);
+  inputs.overloaded_members = static_cast<std::size_t>(std::count_if(
+      capacities_.begin(), capacities_.end(), [](const auto& row) {
+        return row.second.record && row.second.record->is_overloaded;
+      }));
+  return inputs;
+}
+
 void pool_directory::ReportUnreachable(const std::string& member_id) {
   {
     const std::lock_guard lock(mutex_);
--- a/src/pools/pool_directory.h
+++ b/src/pools/pool_directory.h
@@ -109,6 +109,12 @@
   // is ignored. `peer_address` is used if the owner is not a known member.
   void RecordOwner(const std::string& pool, const pool_ownership& owner,
                    const std::string& peer_address = {});
+  // Returns what is known here about a move of an own pool: the owner, the best
+  // other member and the number of overloaded members.
+  move_inputs PrepareMove(std::string_view pool) const;
+  // Publishes for a time that this member was overloaded, so that it gets no
+  // pool while others are as good.
+  void MarkOverloaded();
   // Returns the peer address of a member, or an empty string if it is not
   // known.
   std::string AddressOf(std::string_view member_id) const;
@@ -168,6 +174,8 @@
   std::map<std::string, stored_owner, std::less<>> owners_;
   std::map<std::string, stored_capacity, std::less<>> capacities_;
   time_point last_joined_at_{};  // When the newest member was first seen.
+  time_point overloaded_until_{};
+  int overload_count_ = 0;
   std::vector<std::string> pools_;
   // When this member first saw that a pool is vacant, by pool.
   std::map<std::string, time_point> vacant_since_;
--- a/src/pools/pool_events.h
+++ b/src/pools/pool_events.h
@@ -51,5 +51,6 @@
                                                   severity::kDebug};
 inline constexpr log_event_kind kOwnerLoad{2222, "pool_owner_load",
                                            severity::kInfo};
+inline constexpr log_event_kind kPoolMove{2223, "pool_move", severity::kInfo};
 
 }  // namespace apricotwheel::pool_events
--- a/src/pools/pool_host.cc
+++ b/src/pools/pool_host.cc
@@ -59,6 +59,7 @@
       });
   BOOST_LEAF_CHECK(
       threads_.Spawn("pool-rescue", [this] { RunStoreFailover(); }));
+  BOOST_LEAF_CHECK(threads_.Spawn("pool-move", [this] { RunMoves(); }));
   return threads_.Spawn("pool-host", [this] { Run(); });
 }
 
--- a/src/pools/pool_host.h
+++ b/src/pools/pool_host.h
@@ -32,6 +32,8 @@
   pool_metrics* metrics = nullptr;
   clock_ptr clock;
   log_sink log;
+  // Replaces the measured mean decision delay of the owners here, for tests.
+  std::function<duration()> decision_delay;
 };
 
 // Runs a `pool_owner` for each pool that this daemon owns, watches the workers
@@ -78,7 +80,13 @@
       const std::string& member_id, const approval_request& request);
 
   // Defined in pool_succession.cc.
-  enum class hand_over_cause { kPlannedStop, kStoreUnreachable };
+  enum class hand_over_cause {
+    kPlannedStop,
+    kStoreUnreachable,
+    kOverload,
+    kStrongerMember
+  };
+  static std::string_view ToString(hand_over_cause cause);
   // Returns true if the pool has another owner now.
   bool HandOverPool(const std::string& pool, std::uint64_t epoch,
                     hand_over_cause cause, time_point deadline);
@@ -89,6 +97,17 @@
   // Hands over pools whose owner here gets no response from the store.
   void RunStoreFailover();
   std::map<std::string, std::uint64_t> PoolsWithUnreachableStore() const;
+  // Moves pools from an owner that lacks processor time, or to a member that
+  // has much more of it.
+  void RunMoves();
+  // The state of RunMoves for one pool.
+  struct owner_watch {
+    std::uint64_t epoch = 0;
+    time_point since{};  // Of the tenure, or of the last attempt to move it.
+    overload_detector detector;
+  };
+  void MoveIfNeeded(const std::string& pool, pool_owner& owner,
+                    owner_watch& watch);
   wire_message HandleTakeoverCall(const wire::pool_callT& call);
   wire_message HandleOwnerCall(const wire::pool_callT& call);
 
--- a/src/pools/pool_owner.cc
+++ b/src/pools/pool_owner.cc
@@ -222,6 +222,9 @@
     {
       std::unique_lock lock(mutex_);
       if (is_stopped_) return;
+      if (std::exchange(is_storing_workers_, false)) {
+        decisions_resumed_at_ = options_.clock->Now();
+      }
       const auto due = scheduler_->NextDecisionAt(options_.clock->Now());
       options_.clock->WaitUntil(lock, changed_, due, [&] {
         return is_stopped_ || needs_decision_ || workers_changed_;
@@ -251,6 +254,9 @@
   const auto started_at = options_.clock->Now();
   if (std::exchange(needs_decision_, false)) {
     const duration delay = started_at - decision_requested_at_;
+    decision_delay_sum_ +=
+        started_at - std::max(decision_requested_at_, decisions_resumed_at_);
+    ++decision_delay_count_;
     activity_.longest_decision_delay =
         std::max(activity_.longest_decision_delay, delay);
     options_.metrics->decision_delay_seconds.Observe(
@@ -289,6 +295,18 @@
   activity_ = {};
 }
 
+duration pool_owner::TakeMeanDecisionDelay() {
+  const std::lock_guard lock(mutex_);
+  duration sum = std::exchange(decision_delay_sum_, duration::zero());
+  int count = std::exchange(decision_delay_count_, 0);
+  if (needs_decision_ && !is_storing_workers_) {
+    sum += options_.clock->Now() -
+           std::max(decision_requested_at_, decisions_resumed_at_);
+    ++count;
+  }
+  return count == 0 ? duration::zero() : sum / count;
+}
+
 void pool_owner::SendDecisions(pool_decisions decisions) {
   // Called with mutex_ held; `Send` only queues an order.
   const auto send = [&](auto order) {
--- a/src/pools/pool_owner.h
+++ b/src/pools/pool_owner.h
@@ -62,6 +62,10 @@
   job_call_response State(std::string_view job_id) const;
   job_call_response Pending(std::string_view queue) const;
 
+  // Returns the mean time that an event waited for the scheduling pass since
+  // the last call. Times in which the owner waited for the store do not count.
+  duration TakeMeanDecisionDelay();
+
   // Sets the workers that discovery lists for the pool.
   void SetWorkers(std::map<std::string, pool_worker> workers);
   std::uint64_t Epoch() const { return options_.epoch; }
@@ -130,6 +134,12 @@
     duration longest_decision_delay{};
   };
   mutable activity activity_;
+  // The owner thread stores the worker list, so it takes no decisions.
+  bool is_storing_workers_ = false;
+  time_point decisions_resumed_at_{};  // After the list was stored.
+  // Since the last call of TakeMeanDecisionDelay.
+  duration decision_delay_sum_{};
+  int decision_delay_count_ = 0;
   time_point activity_reported_at_{};
   bool is_quiesced_ = false;
   bool is_stopped_ = false;
--- a/src/pools/pool_owner_workers.cc
+++ b/src/pools/pool_owner_workers.cc
@@ -35,6 +35,7 @@
       worker_list[id] = worker.address;
       has_new = has_new || !worker_list_.contains(id);
     }
+    is_storing_workers_ = true;
     // Workers of earlier owners stay on the list until their runs are known.
     for (const auto& [id, address] : worker_list_) {
       const bool may_run =
--- a/src/pools/pool_succession.cc
+++ b/src/pools/pool_succession.cc
@@ -1,5 +1,6 @@
 // Changes of ownership that daemons negotiate with each other: planned stops,
-// and owners that the store does not respond to while it responds to others.
+// owners that the store does not respond to while it responds to others, and
+// owners that lack processor time.
 #include <algorithm>
 #include <utility>
 
@@ -84,6 +85,20 @@
   options_.directory->ReleasePools(now + duration(kReleaseTimeout));
 }
 
+std::string_view pool_host::ToString(hand_over_cause cause) {
+  switch (cause) {
+    case hand_over_cause::kPlannedStop:
+      return "stop";
+    case hand_over_cause::kStoreUnreachable:
+      return "the store does not respond";
+    case hand_over_cause::kOverload:
+      return "overload";
+    case hand_over_cause::kStrongerMember:
+      break;
+  }
+  return "a stronger member";
+}
+
 std::vector<std::string> pool_host::ChooseSuccessors(const std::string& pool,
                                                      std::uint64_t epoch,
                                                      hand_over_cause cause) {
@@ -103,6 +118,8 @@
                 first + static_cast<std::ptrdiff_t>(skipped % ranked.size()),
                 ranked.end());
     limit = kFailoverCandidates;
+  } else if (cause != hand_over_cause::kPlannedStop) {
+    limit = 1;  // The move is worth its interruption for the best member only.
   }
   std::vector<std::string> ids;
   for (auto& candidate : ranked) {
@@ -128,8 +145,7 @@
       Emit(options_.log, pool_events::kPoolHandedOver,
            {Field("pool", pool), Field("epoch", epoch),
             Field("member", successor), Field("next", new_owner->epoch),
-            Field("cause",
-                  is_failover ? "the store does not respond" : "stop")});
+            Field("cause", ToString(cause))});
       options_.directory->RecordOwner(pool,
                                       {new_owner->member_id, new_owner->epoch});
       return true;
@@ -190,6 +206,66 @@
   }
 }
 
+void pool_host::RunMoves() {
+  std::map<std::string, owner_watch> watches;
+  while (true) {
+    std::map<std::string, std::shared_ptr<pool_owner>, std::less<>> owners;
+    {
+      std::unique_lock lock(mutex_);
+      options_.clock->WaitFor(lock, changed_, overload_detector::kPeriod,
+                              [this] { return is_stopped_; });
+      if (is_stopped_) return;
+      for (const auto& [pool, owner] : owners_) {
+        if (owned_epochs_.contains(pool)) owners[pool] = owner;
+      }
+    }
+    std::erase_if(watches,
+                  [&](const auto& row) { return !owners.contains(row.first); });
+    for (const auto& [pool, owner] : owners) {
+      owner_watch& watch = watches[pool];
+      if (watch.epoch != owner->Epoch()) {
+        watch = {owner->Epoch(), options_.clock->Now(), {}};
+      }
+      MoveIfNeeded(pool, *owner, watch);
+    }
+  }
+}
+
+void pool_host::MoveIfNeeded(const std::string& pool, pool_owner& owner,
+                             owner_watch& watch) {
+  const duration measured = owner.TakeMeanDecisionDelay();
+  const duration delay =
+      options_.decision_delay ? options_.decision_delay() : measured;
+  const auto now = options_.clock->Now();
+  move_inputs inputs = options_.directory->PrepareMove(pool);
+  inputs.is_overloaded = watch.detector.AddPeriod(delay);
+  inputs.tenure = now - watch.since;
+  const move_cause move = DecideMove(inputs);
+  // A write to an unreachable store would fail at the successor as well.
+  if (move == move_cause::kNone || owner.IsStoreUnreachable()) return;
+  const auto cause = move == move_cause::kOverload
+                         ? hand_over_cause::kOverload
+                         : hand_over_cause::kStrongerMember;
+  const auto to_ms = [](duration span) {
+    return std::chrono::duration_cast<milliseconds>(span).count();
+  };
+  Emit(options_.log, pool_events::kPoolMove,
+       {Field("pool", pool), Field("epoch", watch.epoch),
+        Field("cause", ToString(cause)), Field("member", inputs.best->id),
+        Field("decision_delay_ms", to_ms(delay)),
+        Field("tenure_ms", to_ms(inputs.tenure)),
+        Field("processor_milli", ExpectedProcessorMilli(inputs.owner)),
+        Field("member_processor_milli", ExpectedProcessorMilli(*inputs.best)),
+        Field("overloaded_members", inputs.overloaded_members)});
+  // A failed attempt is repeated after the minimum tenure.
+  watch = {watch.epoch, now, {}};
+  const bool has_moved =
+      HandOverPool(pool, watch.epoch, cause, now + duration(kTakeoverTimeout));
+  if (has_moved && move == move_cause::kOverload) {
+    options_.directory->MarkOverloaded();
+  }
+}
+
 wire_message pool_host::HandleTakeoverCall(const wire::pool_callT& call) {
   const auto request = Attempt([&] { return DecodeTakeover(call.body); });
   if (!request) return MakeFailure(request.failure);
--- a/tests/pools/daemon_parts.h
+++ b/tests/pools/daemon_parts.h
@@ -2,6 +2,7 @@
 
 #include <atomic>
 #include <boost/test/unit_test.hpp>
+#include <functional>
 #include <memory>
 #include <string>
 
@@ -31,7 +32,8 @@
   queue_gateway gateway{clock, {}};
 
   daemon_parts(fake_store& store, const std::string& id,
-               double processor_share = 1)
+               double processor_share = 1,
+               std::function<duration()> decision_delay = {})
       : kv(store.Client(is_cut_off)), peers(StartNode(id)) {
     platform.workers_prefix = "workers/";
     pool_directory_options directory_options;
@@ -48,6 +50,7 @@
     host_options.platform = &platform;
     host_options.metrics = &metrics;
     host_options.clock = clock;
+    host_options.decision_delay = std::move(decision_delay);
     host = std::make_unique<pool_host>(host_options);
     BOOST_REQUIRE(Attempt([&] { return host->Start(); }));
     directory->SetPools({kPool});
--- a/tests/pools/owner_choice_test.cc
+++ b/tests/pools/owner_choice_test.cc
@@ -18,6 +18,10 @@
 constexpr double kStrong = 0.5;
 // Long enough for a move of an owner of minimum tenure.
 constexpr auto kMoveTimeout = milliseconds(9000);
+// In this time an owner would move again if it could.
+constexpr auto kNoMoveTime = milliseconds(6000);
+constexpr auto kSlowDecisions = milliseconds(500);
+
 using daemon_list = std::vector<std::unique_ptr<daemon_parts>>;
 
 bool KnowAll(const daemon_list& daemons) {
@@ -109,5 +113,43 @@
   BOOST_TEST(successors.front().id == "old");
 }
 
+// Guards against a pool that stays with a weak owner after a strong VM has
+// started again, and against further moves after the first.
+BOOST_AUTO_TEST_CASE(a_pool_moves_once_to_a_much_stronger_member) {
+  fake_store store;
+  daemon_parts weak(store, "weak", kWeak);
+  BOOST_REQUIRE(WaitUntilOwned(weak));
+  daemon_parts strong(store, "strong", kStrong);
+  daemon_parts equal(store, "equal", kStrong);
+  BOOST_REQUIRE(
+      Eventually([&] { return weak.directory->Members().size() == 3; }));
+  const auto until = weak.clock->Now() + duration(kMoveTimeout);
+  while (weak.Owns() && weak.clock->Now() < until) {
+    weak.clock->SleepFor(milliseconds(10));
+  }
+  BOOST_REQUIRE((strong.Owns() || equal.Owns()));
+  const auto moved = *weak.directory->OwnerOf(kPool);
+  weak.clock->SleepFor(kNoMoveTime);
+  BOOST_TEST((*weak.directory->OwnerOf(kPool) == moved));
+}
+
+// Guards against an owner that lacks processor time and keeps its pool, and
+// against members that hand an overload to each other in circles: here each of
+// the two is too slow.
+BOOST_AUTO_TEST_CASE(an_overloaded_owner_hands_its_pool_over_once) {
+  const auto slow = [] { return duration(kSlowDecisions); };
+  fake_store store;
+  daemon_parts first(store, "first", kStrong, slow);
+  BOOST_REQUIRE(WaitUntilOwned(first));
+  daemon_parts second(store, "second", kStrong, slow);
+  daemon_parts weak(store, "weak", kWeak, slow);
+  BOOST_REQUIRE(WaitUntilOwned(second));
+  const auto moved = *second.directory->OwnerOf(kPool);
+  second.clock->SleepFor(kNoMoveTime);
+  BOOST_TEST((*second.directory->OwnerOf(kPool) == moved));
+  BOOST_TEST(store.Value("apricotwheel/cluster/capacities/first")
+                 .find("\"overloaded\":true") != std::string::npos);
+}
+
 }  // namespace
 }  // namespace apricotwheel
--- a/tests/pools/owner_ranking_test.cc
+++ b/tests/pools/owner_ranking_test.cc
@@ -109,5 +109,87 @@
   BOOST_TEST(!Attempt([] { return DecodeCapacity("500"); }));
 }
 
+// Guards against a move because of one slow period, and against an overload
+// that is not recognised because no single period is extreme.
+BOOST_AUTO_TEST_CASE(an_overload_lasts_several_periods) {
+  overload_detector detector;
+  BOOST_TEST(!detector.AddPeriod(seconds(2)));
+  BOOST_TEST(!detector.AddPeriod(milliseconds(5)));
+  BOOST_TEST(!detector.AddPeriod(milliseconds(100)));
+  BOOST_TEST(!detector.AddPeriod(milliseconds(100)));
+  BOOST_TEST(detector.AddPeriod(milliseconds(100)));
+}
+
+struct move_case {
+  std::string what;
+  std::int64_t own_milli;
+  std::int64_t best_milli;
+  bool is_overloaded;
+  std::size_t overloaded_members;
+  duration tenure;
+  move_cause expected;
+};
+
+// Guards against an owner that stays on a VM that cannot carry it, and against
+// pools that move back and forth.
+BOOST_AUTO_TEST_CASE(a_pool_moves_to_a_better_member_only) {
+  const std::vector<move_case> cases = {
+      {"equal, keeps up", 250, 250, false, 0, seconds(600), move_cause::kNone},
+      {"somewhat larger, keeps up", 250, 400, false, 0, seconds(600),
+       move_cause::kNone},
+      {"much larger", 120, 500, false, 0, seconds(5),
+       move_cause::kStrongerMember},
+      {"much larger, but a new owner", 120, 500, true, 0, seconds(1),
+       move_cause::kNone},
+      {"equal, overloaded", 250, 250, true, 0, seconds(5),
+       move_cause::kOverload},
+      {"smaller, overloaded", 500, 120, true, 0, seconds(600),
+       move_cause::kNone},
+      {"equal, the previous owner was overloaded too", 250, 250, true, 1,
+       seconds(5), move_cause::kNone},
+      {"the same, later", 250, 250, true, 1, seconds(9), move_cause::kOverload},
+      {"equal, all were overloaded", 250, 250, true, 50, seconds(200),
+       move_cause::kNone},
+      {"nothing is known of either", 0, 0, true, 0, seconds(600),
+       move_cause::kNone},
+  };
+  for (const auto& one : cases) {
+    move_inputs inputs;
+    inputs.owner = MakeCandidate("owner", one.own_milli);
+    inputs.best = MakeCandidate("best", one.best_milli);
+    inputs.is_overloaded = one.is_overloaded;
+    inputs.overloaded_members = one.overloaded_members;
+    inputs.tenure = one.tenure;
+    BOOST_TEST((DecideMove(inputs) == one.expected), one.what);
+  }
+  move_inputs alone;
+  alone.owner = MakeCandidate("owner", 120);
+  alone.is_overloaded = true;
+  alone.tenure = seconds(600);
+  BOOST_TEST((DecideMove(alone) == move_cause::kNone));
+}
+
+// Guards against two overloaded owners that swap their pools in circles: the
+// record of the one that gave its pool up lowers its rank.
+BOOST_AUTO_TEST_CASE(two_overloaded_members_do_not_swap) {
+  move_inputs inputs;
+  inputs.owner = MakeCandidate("second", 250);
+  inputs.best = MakeCandidate("first", 250);
+  inputs.best->capacity.is_overloaded = true;
+  inputs.overloaded_members = 1;
+  inputs.is_overloaded = true;
+  inputs.tenure = seconds(600);
+  BOOST_TEST((DecideMove(inputs) == move_cause::kNone));
+}
+
+// Guards against a member that carries two pools while an equal one has none.
+BOOST_AUTO_TEST_CASE(the_second_pool_of_a_member_moves_to_a_free_one) {
+  move_inputs inputs;
+  inputs.owner = MakeCandidate("both", 500, 1);
+  inputs.best = MakeCandidate("free", 500);
+  inputs.tenure = seconds(5);
+  BOOST_TEST((DecideMove(inputs) == move_cause::kStrongerMember));
+}
+
 }  // namespace
 }  // namespace apricotwheel
--- a/tests/pools/pool_owner_test.cc
+++ b/tests/pools/pool_owner_test.cc
@@ -197,6 +197,27 @@
       cell.Eventually([&] { return cell.agent.AcknowledgedEnd() == 2; }));
 }
 
+// Guards against a pool that moves because the store is slow: while the worker
+// list is stored, the owner takes no decisions.
+BOOST_AUTO_TEST_CASE(a_slow_store_is_no_lack_of_processor_time) {
+  constexpr auto kStoreDelay = milliseconds(400);
+  rig cell;
+  BOOST_TEST((cell.Submit("job").status == job_call_status::kAccepted));
+  BOOST_TEST(cell.Eventually([&] { return cell.agent.RunCount() == 1; }));
+  cell.owner->TakeMeanDecisionDelay();
+  cell.store.SetDelay(kStoreDelay);
+  cell.owner->SetWorkers(
+      {{"w1", rig::WorkerOf("w1", "")}, {"w2", rig::WorkerOf("w2", "")}});
+  cell.clock->SleepFor(kStoreDelay / 4);
+  cell.agent.EndAllRuns(run_outcome::kDone);
+  duration longest{};
+  BOOST_TEST(cell.Eventually([&] {
+    longest = std::max(longest, cell.owner->TakeMeanDecisionDelay());
+    return cell.owner->State("job").state == job_state::kCompleted;
+  }));
+  BOOST_TEST((longest < kStoreDelay / 4));
+}
+
 // Guards against waiting for the leases of a worker that left before a
 // takeover. Discovery does not list it for the next owner, whose loaded jobs
 // waited although nothing listens at the stored address.
