Answer that a job is absent only if the store holds no record of it

Callers could see: 410 for an accepted job from an owner that has been superseded and does not know it yet. It does not know the jobs that its successor has accepted, and its answer was passed on (State) or was final (Cancel). Found by reading; not seen in a log so far.

Fix: an owner's 'absent' is confirmed from the store, in the pool of the route first and then in the others. A cancellation of a job in another pool is sent to the owner of that pool, one of a job that has ended is answered as cancelled, and one of a job that its owner does not know yet is answered as unavailable.

Test: a_stored_job_is_not_absent. Before the fix: 'state_of("job") == kState has failed', 'cancel("job") == kUnavailable has failed'.

--- a/src/pools/queue_gateway.cc
+++ b/src/pools/queue_gateway.cc
@@ -1,6 +1,8 @@
 #include "pools/queue_gateway.h"
 
 #include <algorithm>
+#include <utility>
+#include <vector>
 
 #include "pools/pool_events.h"
 
@@ -195,20 +197,24 @@
   return response;
 }
 
-job_call_response queue_gateway::FindStateInOtherPools(
+queue_gateway::stored_state queue_gateway::FindStoredState(
     const std::string& pool, const std::string& job_id) {
   // The route may have led to another pool when the job was accepted.
-  const auto table = Table();
-  for (const pool_rules& other : table->pools) {
-    if (other.name == pool) continue;
-    const auto stored = ReadStoredState(other.name, job_id);
+  std::vector<std::string> pools{pool};
+  for (const pool_rules& other : Table()->pools) {
+    if (other.name != pool) pools.push_back(other.name);
+  }
+  for (const std::string& candidate : pools) {
+    auto stored = ReadStoredState(candidate, job_id);
     if (!stored) {
-      return MakeResponse(job_call_status::kUnavailable,
-                          "the store does not respond");
+      return {candidate, MakeResponse(job_call_status::kUnavailable,
+                                      "the store does not respond")};
+    }
+    if (stored->status == job_call_status::kState) {
+      return {candidate, std::move(*stored)};
     }
-    if (stored->status == job_call_status::kState) return *stored;
   }
-  return MakeResponse(job_call_status::kAbsent);
+  return {pool, MakeResponse(job_call_status::kAbsent)};
 }
 
 job_call_response queue_gateway::State(const queue_rules& queue,
@@ -222,27 +228,50 @@
       [&](pool_owner& owner, time_point) { return owner.State(job_id); });
   if (response.status == job_call_status::kState) return response;
   if (!IsOpen()) return response;
-  if (response.status != job_call_status::kAbsent) {
-    const auto stored = ReadStoredState(queue.pool, job_id);
-    if (!stored) return response;
-    if (stored->status == job_call_status::kState) return *stored;
-  }
-  return FindStateInOtherPools(queue.pool, job_id);
+  // An owner that has been superseded does not know the jobs that its successor
+  // has accepted, so only the store can tell that a job is absent.
+  stored_state stored = FindStoredState(queue.pool, job_id);
+  const bool is_known = stored.response.status != job_call_status::kUnavailable;
+  return is_known || response.status == job_call_status::kAbsent
+             ? stored.response
+             : response;
+}
+
+job_call_response queue_gateway::CancelAtOwner(const std::string& pool,
+                                               const std::string& job_id,
+                                               time_point deadline) {
+  return CallOwner(pool, kCancelTopic, EncodeReference({pool, job_id}),
+                   deadline, [&](pool_owner& owner, time_point until) {
+                     return owner.Cancel(job_id, until);
+                   });
 }
 
 job_call_response queue_gateway::Cancel(const queue_rules& queue,
                                         const std::string& job_id,
                                         duration timeout) {
   const auto started_at = clock_->Now();
-  job_call_response response =
-      CallOwner(queue.pool, kCancelTopic, EncodeReference({queue.pool, job_id}),
-                started_at + timeout - kResponseReserve,
-                [&](pool_owner& owner, time_point deadline) {
-                  return owner.Cancel(job_id, deadline);
-                });
+  const auto deadline = started_at + timeout - kResponseReserve;
+  job_call_response response = CancelAtOwner(queue.pool, job_id, deadline);
+  if (response.status == job_call_status::kAbsent) {
+    // See `State`.
+    const stored_state stored = FindStoredState(queue.pool, job_id);
+    if (stored.response.status != job_call_status::kState) {
+      response = stored.response;
+    } else if (IsFinal(stored.response.state)) {
+      response = MakeResponse(job_call_status::kCancelled);
+    } else if (stored.pool != queue.pool) {
+      response = CancelAtOwner(stored.pool, job_id, deadline);
+    } else {
+      response = MakeResponse(job_call_status::kUnavailable,
+                              "the owner of the pool does not know the job");
+    }
+  }
   Emit(log_, pool_events::kJobRequestCompleted,
        {Field("job", job_id), Field("queue", queue.name),
         Field("verb", "cancel"), Field("answer", ToString(response.status)),
+        Field("ms", std::chrono::duration_cast<milliseconds>(clock_->Now() -
+                                                             started_at)
+                        .count()),
         Field("reason", response.reason)});
   return response;
 }
--- a/src/pools/queue_gateway.h
+++ b/src/pools/queue_gateway.h
@@ -78,8 +78,17 @@
   // respond.
   std::optional<job_call_response> ReadStoredState(const std::string& pool,
                                                    const std::string& job_id);
-  job_call_response FindStateInOtherPools(const std::string& pool,
-                                          const std::string& job_id);
+  struct stored_state {
+    std::string pool;  // The pool of the job, if it is found.
+    // kState, kAbsent, or kUnavailable if the store does not respond.
+    job_call_response response;
+  };
+  // Looks a job up in the store, in `pool` first.
+  stored_state FindStoredState(const std::string& pool,
+                               const std::string& job_id);
+  job_call_response CancelAtOwner(const std::string& pool,
+                                  const std::string& job_id,
+                                  time_point deadline);
 
   const clock_ptr clock_;
   const log_sink log_;
--- a/tests/pools/forwarded_calls_test.cc
+++ b/tests/pools/forwarded_calls_test.cc
@@ -121,6 +121,33 @@
   BOOST_TEST((response.status == job_call_status::kUnknown));
 }
 
+// Guards against a job that is answered as absent by an owner that has been
+// superseded: it does not know the jobs that its successor has accepted.
+BOOST_FIXTURE_TEST_CASE(a_stored_job_is_not_absent, rig) {
+  daemon_parts caller(store, "caller");
+  BOOST_REQUIRE(Eventually([&] {
+    return caller.Submit("job").status == job_call_status::kAccepted;
+  }));
+  owner.peers->SetHandler(wire::body::pool_call,
+                          [&](const std::string&, const wire_message&) {
+                            job_call_response response;
+                            response.status = job_call_status::kAbsent;
+                            return MakePoolReply(EncodeResponse(response));
+                          });
+  const auto state_of = [&](const std::string& id) {
+    return caller.gateway.State(daemon_parts::Queue(), id, milliseconds(3000))
+        .status;
+  };
+  const auto cancel = [&](const std::string& id) {
+    return caller.gateway.Cancel(daemon_parts::Queue(), id, milliseconds(3000))
+        .status;
+  };
+  BOOST_TEST((state_of("job") == job_call_status::kState));
+  BOOST_TEST((state_of("other") == job_call_status::kAbsent));
+  BOOST_TEST((cancel("job") == job_call_status::kUnavailable));
+  BOOST_TEST((cancel("other") == job_call_status::kAbsent));
+}
+
 // Guards against the rejection of requests of an earlier build, which do not
 // say how long their sender waits.
 BOOST_FIXTURE_TEST_CASE(a_request_without_a_timeout_is_executed, rig) {
