Name workers with room, and as many as a step can use

Callers saw short jobs late on the grown sites; most workers of a pool of 252 were hardly used.

Cause: the first call of a step named the first 100 workers by id, with room or not, and later calls named two more than the waiting tasks, though the advisor approves 0.3 to 0.7 of them.

Steps that reserve workers name up to 100 still. Later calls renew first and add undecided workers with room only if the approved ones do not suffice.

a_first_call_names_workers_with_room failed before (with room 0, named 100); a_later_call_names_free_workers_without_a_decision passed before as well.

--- a/src/graph/pool_reservations.cc
+++ b/src/graph/pool_reservations.cc
@@ -1,7 +1,10 @@
 // Reservations for waiting gangs and large tasks, and approval calls to the
 // policy advisor.
 #include <algorithm>
+#include <functional>
+#include <iterator>
 #include <numeric>
+#include <tuple>
 #include <utility>
 
 #include "graph/pool_scheduler.h"
@@ -12,9 +15,16 @@
 
 // The advisor accepts at most this many workers in a call.
 constexpr std::size_t kMaxWorkersPerCall = 100;
-// Extra workers in a renewal of tickets, because other tasks may take the
-// resources of some workers while the call is in flight.
-constexpr std::size_t kSpareWorkersPerRenewal = 2;
+// A call names workers with room for this multiple of the waiting tasks,
+// because other tasks take some of it while the call is in flight.
+constexpr double kRoomToAskFor = 1.5;
+// Tasks of one step on a worker that are counted at most.
+constexpr std::uint32_t kMaxTasksPerWorker = 64;
+// A call also names workers without room if naming all of them takes at most
+// this part of the fixed time of a call. A first call decides on workers for
+// the life of a step, a later one only renews tickets.
+constexpr std::int64_t kFirstCallDivisor = 2;
+constexpr std::int64_t kLaterCallDivisor = 4;
 // Limits reservations to one for each three workers of the pool, because
 // reserved resources stay idle until all resources of the reservation are free.
 constexpr std::size_t kWorkersPerReservation = 3;
@@ -39,6 +49,19 @@
                                        static_cast<std::int64_t>(workers));
 }
 
+// Returns how many tasks with this need fit into `room`, at most `limit` unless
+// that is 0.
+std::uint32_t CountFits(const resource_vector& need, resource_vector room,
+                        std::uint32_t limit) {
+  std::uint32_t count = 0;
+  while (Fits(need, room) && count < kMaxTasksPerWorker &&
+         (limit == 0 || count < limit)) {
+    room = room - need;
+    ++count;
+  }
+  return count;
+}
+
 }  // namespace
 
 // Estimates when the worker has `need` free from the estimates of its runs.
@@ -252,34 +275,86 @@
 
 std::vector<pool_worker> pool_scheduler::ChooseWorkersToName(
     const candidate& waiting, time_point now) {
-  const step_state& step =
-      waiting.job->occurrences[waiting.occurrence][waiting.step];
-  std::vector<pool_worker> requested;
-  if (step.approvals.by_worker.empty()) {
-    // Decisions do not change, so the first call names all workers that may
-    // ever run the step.
-    for (const auto& [id, worker] : workers_) {
-      if (CanHost(waiting, worker, now) &&
-          requested.size() < kMaxWorkersPerCall) {
-        requested.push_back(worker.info);
-      }
-    }
-  } else {
-    const auto possible = ChooseWorkers(waiting, now, false);
-    if (possible.empty()) return {};
-    std::set<const worker_state*> named;
-    for (const placement& each : possible) named.insert(each.worker);
-    const std::size_t limit = named.size() + kSpareWorkersPerRenewal;
-    for (worker_state* worker : FindAllowedWorkers(waiting, now, false)) {
-      if (named.size() >= limit) break;
-      named.insert(worker);
-    }
-    for (const worker_state* worker : named) {
-      if (requested.size() < kMaxWorkersPerCall)
-        requested.push_back(worker->info);
+  const graph_job& job = *waiting.job;
+  const graph_step& spec = job.submission.graph.steps[waiting.step];
+  const step_state& step = job.occurrences[waiting.occurrence][waiting.step];
+  const advisor_settings& terms = *job.submission.queue.advisor;
+  const bool is_first_call = step.approvals.by_worker.empty();
+  const double share = ApprovedShare(job.submission.queue.name);
+  struct option {
+    const worker_state* worker = nullptr;
+    std::uint32_t tasks = 0;
+    bool is_approved = false;
+  };
+  std::vector<option> options;
+  std::uint32_t room = 0;
+  for (const worker_state* worker : FindAllowedWorkers(waiting, now, false)) {
+    const std::uint32_t tasks = std::min(
+        step.waiting,
+        CountFits(spec.need,
+                  FreeCapacityFor(*worker, milliseconds(spec.estimate_ms), now),
+                  spec.max_per_worker));
+    room += tasks;
+    options.push_back({worker, tasks,
+                       FindApproval(step.approvals, worker->info, now) !=
+                           approval_status::kUndecided});
+  }
+  if (!is_first_call && (room == 0 || (spec.is_gang && room < spec.task_count)))
+    return {};
+  std::stable_sort(options.begin(), options.end(),
+                   [](const option& left, const option& right) {
+                     return std::tuple(left.is_approved, left.tasks) >
+                            std::tuple(right.is_approved, right.tasks);
+                   });
+  std::vector<pool_worker> named;
+  std::set<std::string_view> named_ids;
+  const auto name = [&](const worker_state& worker) {
+    if (named.size() >= kMaxWorkersPerCall) return;
+    if (!named_ids.insert(worker.info.id).second) return;
+    named.push_back(worker.info);
+  };
+  const double wanted = step.waiting * kRoomToAskFor;
+  double expected = 0;
+  for (const option& each : options) {
+    if (expected >= wanted) break;
+    expected += each.tasks * (each.is_approved ? 1 : share);
+    name(*each.worker);
+  }
+  // Workers without room may have some while the tickets are valid. They are
+  // named as long as that adds little to the time of the call. Steps for which
+  // workers are reserved need the decisions on all of them.
+  std::size_t fill = kMaxWorkersPerCall;
+  const bool is_reserving = spec.is_gang || IsLarge(spec);
+  if (!(is_first_call && is_reserving) && terms.per_worker_us > 0) {
+    const std::int64_t divisor =
+        terms.per_worker_us *
+        (is_first_call ? kFirstCallDivisor : kLaterCallDivisor);
+    fill = static_cast<std::size_t>(terms.decision_us / divisor);
+  }
+  // Each step begins at another worker, so that steps do not all wait for the
+  // same ones.
+  auto next = workers_.begin();
+  std::advance(next, std::hash<std::string>()(job.submission.id) %
+                         std::max<std::size_t>(workers_.size(), 1));
+  for (std::size_t i = 0; i < workers_.size() && named.size() < fill; ++i) {
+    const worker_state& worker = next->second;
+    if (++next == workers_.end()) next = workers_.begin();
+    if (!CanHost(waiting, worker, now)) continue;
+    if (!is_first_call && FindApproval(step.approvals, worker.info, now) ==
+                              approval_status::kUndecided) {
+      continue;
     }
+    name(worker);
   }
-  return requested;
+  return named;
+}
+
+double pool_scheduler::ApprovedShare(const std::string& queue) const {
+  const auto found = decisions_by_queue_.find(queue);
+  const decision_count count =
+      found == decisions_by_queue_.end() ? decision_count{} : found->second;
+  // Half of the workers until decisions are known; a few do not outweigh that.
+  return (count.approved + 1.0) / (count.decided + 2.0);
 }
 
 }  // namespace apricotwheel
--- a/src/graph/pool_runs.cc
+++ b/src/graph/pool_runs.cc
@@ -450,6 +450,16 @@
   }
   const auto& advisor = job->submission.queue.advisor;
   if (!advisor) return;
+  decision_count& count = decisions_by_queue_[job->submission.queue.name];
+  for (const pool_worker& worker : request.workers) {
+    if (FindApproval(approvals, worker, now) == approval_status::kUndecided) {
+      ++count.decided;
+      count.approved += std::any_of(approved.begin(), approved.end(),
+                                    [&](const approved_worker& each) {
+                                      return each.worker == worker.id;
+                                    });
+    }
+  }
   RecordApprovals(approvals, request.workers, approved,
                   advisor->ticket_lifetime, sent_at);
 }
--- a/src/graph/pool_scheduler.h
+++ b/src/graph/pool_scheduler.h
@@ -198,6 +198,11 @@
     candidate waiting;
     std::vector<pool_worker> workers;
   };
+  // Decisions of the advisor on workers for steps of a queue.
+  struct decision_count {
+    double decided = 0;
+    double approved = 0;
+  };
   // The worker chosen for one task of a step.
   struct placement {
     std::uint32_t index = 0;
@@ -304,6 +309,8 @@
   // of no use now.
   std::vector<pool_worker> ChooseWorkersToName(const candidate& waiting,
                                                time_point now);
+  // Returns the expected share of workers that the advisor approves for a step.
+  double ApprovedShare(const std::string& queue) const;
 
   pool_scheduler_options options_;
   std::map<std::string, std::unique_ptr<graph_job>, std::less<>> jobs_;
@@ -325,6 +332,7 @@
   // Calls for approval that the steps want, in the order of placement.
   std::vector<wanted_approval> wanted_approvals_;
   std::uint64_t approval_calls_ = 0;
+  std::map<std::string, decision_count> decisions_by_queue_;
   std::uint64_t workers_examined_ = 0;
   time_point long_waits_reported_at_{};
   resource_vector max_capacity_;  // Of all workers, resource by resource.
--- a/tests/graph/approvals_test.cc
+++ b/tests/graph/approvals_test.cc
@@ -180,6 +180,54 @@
   BOOST_TEST(is_asked);
 }
 
+// Guards against calls that name workers by their ids. The first call of a step
+// named the first 100 of 252 workers, whether they had room or not, and the
+// others were hardly used; a call of 100 names also takes twice the time of one
+// of 30, and its bytes filled the owner's link.
+BOOST_AUTO_TEST_CASE(a_first_call_names_workers_with_room) {
+  constexpr int kFullWorkers = 120;
+  constexpr int kFreeWorkers = 132;
+  constexpr std::size_t kMaxNamed = 60;
+  scheduler_rig rig;
+  for (int i = 0; i < kFullWorkers; ++i) {
+    rig.AddWorker("a" + std::to_string(i), kWorker);
+  }
+  rig.scheduler.AdmitJob(MakeJob("first", {MakeStep(kFullWorkers, kSmall)}),
+                         rig.now);
+  rig.DecideAndCarryOut();
+  for (int i = 0; i < kFreeWorkers; ++i) {
+    rig.AddWorker("b" + std::to_string(i), kWorker);
+  }
+  auto job = AdvisedJob("job");
+  constexpr resource_vector kHalf{450, 1024, 0};
+  job.graph.steps = {MakeStep(10, kHalf)};
+  rig.scheduler.AdmitJob(job, rig.now);
+  const auto decisions = rig.DecideAndCarryOut();
+  BOOST_REQUIRE_EQUAL(decisions.approvals.size(), 1);
+  const auto& named = decisions.approvals[0].workers;
+  const auto with_room = std::count_if(
+      named.begin(), named.end(),
+      [](const pool_worker& worker) { return worker.id.front() == 'b'; });
+  BOOST_TEST(with_room >= 10);
+  BOOST_TEST(named.size() <= kMaxNamed);
+}
+
+// Guards against a step that asks only for the workers of its first call. If
+// those are full, the ones that were never named must be.
+BOOST_AUTO_TEST_CASE(a_later_call_names_free_workers_without_a_decision) {
+  scheduler_rig rig;
+  rig.AddWorker("w1", kWorker);
+  rig.scheduler.AdmitJob(AdvisedJob("job"), rig.now);
+  rig.DecideAndCarryOut();
+  Answer(rig, rig.approvals[0], {});
+  BOOST_TEST(rig.DecideAndCarryOut().approvals.empty());
+  rig.AddWorker("w2", kWorker);
+  const auto decisions = rig.DecideAndCarryOut();
+  BOOST_REQUIRE_EQUAL(decisions.approvals.size(), 1);
+  BOOST_REQUIRE_EQUAL(decisions.approvals[0].workers.size(), 1);
+  BOOST_TEST(decisions.approvals[0].workers[0].id == "w2");
+}
+
 // Guards against repeated starts with a ticket that the worker has refused. A
 // new ticket must be requested first.
 BOOST_AUTO_TEST_CASE(a_refused_ticket_is_renewed) {
