Limit the starts that have no answer yet

Cause, as far as shown: the owner ordered starts at once for all room, up to 2077 in 2 s. Starts queued, reached their workers after the ticket's end, were ordered again with new calls, and so on. Processor time is ruled out: it was not charged, and the decision delay is below 13 ms. That it is the link and not something else on the way is computed (about 1.2 kB a start), not measured.

At most 100 starts may have no answer; one counts for 0.3 s at most, so that silent workers do not hold up others.

--- a/src/graph/pool_placement.cc
+++ b/src/graph/pool_placement.cc
@@ -20,6 +20,14 @@
 // Weight of an accelerator in thousandths of a core, to compare resource
 // amounts of different kinds.
 constexpr std::int64_t kCpuMilliPerAccelerator = 8000;
+// Limit of starts without an answer. More would queue on the owner's link or
+// processor and reach their workers after their tickets have expired: a start
+// and its answer take about 1.2 kB, so that 100 take 0.1 s at 10 Mbit/s.
+constexpr std::size_t kMaxUnansweredStarts = 100;
+// A start without an answer after this time no longer counts, so that silent
+// workers do not hold up the others.
+constexpr auto kMaxTimeOfUnansweredStart = milliseconds(300);
+constexpr auto kStartLimitCheckInterval = milliseconds(10);
 // The steps that have waited longest are logged if they wait this long, at this
 // interval and at most so many.
 constexpr auto kLongWait = milliseconds(10'000);
@@ -275,13 +283,29 @@
   return chosen;
 }
 
+std::size_t pool_scheduler::CountStartsAllowed(time_point now) {
+  unanswered_starts_.erase(
+      unanswered_starts_.begin(),
+      unanswered_starts_.lower_bound(now - kMaxTimeOfUnansweredStart));
+  return kMaxUnansweredStarts -
+         std::min(kMaxUnansweredStarts, unanswered_starts_.size());
+}
+
 void pool_scheduler::PlaceStep(const candidate& waiting, time_point now,
                                pool_decisions& decisions) {
-  const auto chosen = ChooseWorkers(waiting, now, true);
+  const std::size_t starts_allowed = CountStartsAllowed(now);
+  if (starts_allowed == 0) {
+    next_decision_at_ =
+        std::min<time_point>(next_decision_at_, now + kStartLimitCheckInterval);
+    return;
+  }
+  const graph_step& spec = waiting.job->submission.graph.steps[waiting.step];
+  auto chosen = ChooseWorkers(waiting, now, true);
+  const bool is_limited = !spec.is_gang && chosen.size() > starts_allowed;
+  if (is_limited) chosen.resize(starts_allowed);
   if (!chosen.empty()) StartTasks(waiting, chosen, now, decisions);
   step_state& step = waiting.job->occurrences[waiting.occurrence][waiting.step];
-  if (step.waiting == 0) return;
-  const graph_step& spec = waiting.job->submission.graph.steps[waiting.step];
+  if (step.waiting == 0 || is_limited) return;
   std::vector<pool_worker> reserved;
   if (spec.is_gang || IsLarge(spec)) reserved = ReserveWorkers(waiting, now);
   if (!waiting.job->submission.queue.advisor) return;
@@ -365,6 +389,7 @@
     run.job = &job;
     run.ordered_at = now;
     run.checkpoint = spec.is_gang ? step.gang_checkpoint : task.checkpoint;
+    unanswered_starts_.insert(now);
     task.phase = task_phase::kPlaced;
     task.last_run = run.number;
     task.worker = placed.worker->info.id;
--- a/src/graph/pool_runs.cc
+++ b/src/graph/pool_runs.cc
@@ -379,6 +379,10 @@
   const auto found = worker->runs.find(order.task);
   if (found == worker->runs.end() || found->second.number != order.run) return;
   task_run& run = found->second;
+  const auto unanswered = unanswered_starts_.find(run.ordered_at);
+  if (unanswered != unanswered_starts_.end()) {
+    unanswered_starts_.erase(unanswered);
+  }
   graph_job* job = run.job;
   if (result == start_result::kStarted) {
     run.confirmed_at = now;
--- a/src/graph/pool_scheduler.h
+++ b/src/graph/pool_scheduler.h
@@ -286,6 +286,8 @@
   void CollectStops(time_point now, pool_decisions& decisions);
   void CollectThrottles(pool_decisions& decisions);
 
+  // Returns how many starts may be ordered now.
+  std::size_t CountStartsAllowed(time_point now);
   // Logs why the steps that have waited longest do not start.
   void ReportLongWaits(time_point now);
 
@@ -329,6 +331,8 @@
   std::size_t reservation_count_ = 0;  // Made in this pass.
   // Workers with room for at least one step of this pass.
   std::vector<worker_state*> workers_with_room_;
+  // When the starts without a result were ordered.
+  std::multiset<time_point> unanswered_starts_;
   // Calls for approval that the steps want, in the order of placement.
   std::vector<wanted_approval> wanted_approvals_;
   std::uint64_t approval_calls_ = 0;
--- a/tests/graph/pool_scheduler_test.cc
+++ b/tests/graph/pool_scheduler_test.cc
@@ -381,5 +381,31 @@
       boost::test_tools::per_element());
 }
 
+// Guards against starts that are ordered faster than the owner can send them.
+// Hundreds queued on a link of 10 Mbit/s, and workers refused them since their
+// tickets had expired on the way.
+BOOST_AUTO_TEST_CASE(starts_without_an_answer_are_limited) {
+  constexpr int kWorkers = 252;
+  constexpr std::size_t kMaxStarts = 100;
+  constexpr resource_vector kCapacity{16'000, 65'536, 0};
+  scheduler_rig rig;
+  for (int i = 0; i < kWorkers; ++i) {
+    rig.AddWorker("w" + std::to_string(i), kCapacity);
+  }
+  rig.scheduler.AdmitJob(MakeJob("wide", {MakeStep(1000, {1000, 1024, 0})}),
+                         rig.now);
+  const auto first = rig.Decide();
+  BOOST_TEST(first.starts.size() == kMaxStarts);
+  BOOST_TEST(rig.Decide().starts.empty());
+  BOOST_TEST(
+      (rig.scheduler.NextDecisionAt(rig.now) <= rig.now + milliseconds(10)));
+  // Answers make room for as many starts.
+  for (std::size_t i = 0; i < 40; ++i) rig.CarryOutStart(first.starts[i]);
+  BOOST_TEST(rig.Decide().starts.size() == 40);
+  // Silent workers do not hold up the others.
+  rig.AdvanceClock(milliseconds(301));
+  BOOST_TEST(rig.Decide().starts.size() == kMaxStarts);
+}
+
 }  // namespace
 }  // namespace apricotwheel
