--- a/src/graph/pool_runs.cc
+++ b/src/graph/pool_runs.cc
@@ -379,6 +379,10 @@
   const auto found = worker->runs.find(order.task);
   if (found == worker->runs.end() || found->second.number != order.run) return;
   task_run& run = found->second;
+  const auto unanswered = unanswered_starts_.find(run.ordered_at);
+  if (unanswered != unanswered_starts_.end()) {
+    unanswered_starts_.erase(unanswered);
+  }
   graph_job* job = run.job;
   if (result == start_result::kStarted) {
     run.confirmed_at = now;
@@ -450,6 +454,16 @@
   }
   const auto& advisor = job->submission.queue.advisor;
   if (!advisor) return;
+  decision_count& count = decisions_by_queue_[job->submission.queue.name];
+  for (const pool_worker& worker : request.workers) {
+    if (FindApproval(approvals, worker, now) == approval_status::kUndecided) {
+      ++count.decided;
+      count.approved += std::any_of(approved.begin(), approved.end(),
+                                    [&](const approved_worker& each) {
+                                      return each.worker == worker.id;
+                                    });
+    }
+  }
   RecordApprovals(approvals, request.workers, approved,
                   advisor->ticket_lifetime, sent_at);
 }
