Wake only the order thread of a session for an order

Both waited on one condition, so each order also woke the poll thread, also while that waited only for the commit of ends, asked the owner under its lock whether they are stored, and slept again.

The order thread and the two waits of the poll thread have conditions of their own. An order still ends the waits of an idle worker and of a failed poll; it no longer ends the wait for a commit.

orders_do_not_wake_a_poll_that_waits_for_a_commit counts the checks for stored ends during 20 orders. On the old code: 'check checks <= 2 has failed [21 > 2]'.

--- a/src/pools/agent_session.cc
+++ b/src/pools/agent_session.cc
@@ -75,7 +75,9 @@
     const std::lock_guard lock(mutex_);
     is_stopped_ = true;
   }
-  changed_.notify_all();
+  stored_.notify_one();
+  events_changed_.notify_one();
+  orders_changed_.notify_one();
   options_.link->interrupt();
   threads_.JoinAll();
   // The threads have ended, so pending_orders_ needs no lock.
@@ -89,29 +91,37 @@
 void agent_session::Wake() {
   {
     const std::lock_guard lock(mutex_);
-    ++wake_count_;
+    ++event_counts_.stored;
   }
-  changed_.notify_all();
+  stored_.notify_one();
+  events_changed_.notify_one();
 }
 
 void agent_session::Enqueue(worker_order order) {
   {
     const std::lock_guard lock(mutex_);
     pending_orders_.push_back(std::move(order));
-    ++wake_count_;
+    ++event_counts_.orders;
   }
-  changed_.notify_all();
+  orders_changed_.notify_one();
+  events_changed_.notify_one();
 }
 
-std::uint64_t agent_session::WakeCount() {
+agent_session::event_counts agent_session::EventCounts() {
   const std::lock_guard lock(mutex_);
-  return wake_count_;
+  return event_counts_;
 }
 
-void agent_session::WaitForWake(std::uint64_t seen_wakes, duration timeout) {
+void agent_session::WaitForEvent(event_counts seen, duration timeout) {
   std::unique_lock lock(mutex_);
-  options_.clock->WaitFor(lock, changed_, timeout, [&] {
-    return is_stopped_ || wake_count_ != seen_wakes;
+  options_.clock->WaitFor(lock, events_changed_, timeout,
+                          [&] { return is_stopped_ || event_counts_ != seen; });
+}
+
+void agent_session::WaitForStored(event_counts seen, duration timeout) {
+  std::unique_lock lock(mutex_);
+  options_.clock->WaitFor(lock, stored_, timeout, [&] {
+    return is_stopped_ || event_counts_.stored != seen.stored;
   });
 }
 
@@ -123,24 +133,24 @@
     }
     const duration delay = PollOnce();
     if (delay > duration::zero()) {
-      WaitForWake(WakeCount(), delay);
+      WaitForEvent(EventCounts(), delay);
       continue;
     }
     const auto resume_at =
         options_.clock->Now() + (has_new_ends_ ? duration(kNewEndsCommitWait)
                                                : duration(kOldEndsCommitWait));
     while (true) {
-      const std::uint64_t seen_wakes = WakeCount();
+      const event_counts seen = EventCounts();
       const auto wait = resume_at - options_.clock->Now();
       if (wait <= duration::zero() || !callbacks_.has_unstored_ends()) break;
-      WaitForWake(seen_wakes, wait);
+      WaitForStored(seen, wait);
       const std::lock_guard lock(mutex_);
       if (is_stopped_) return;
     }
-    const std::uint64_t seen_wakes = WakeCount();
+    const event_counts seen = EventCounts();
     const bool is_idle =
         acknowledged_end_ >= last_reported_end_ && !callbacks_.has_runs();
-    if (is_idle) WaitForWake(seen_wakes, kIdlePollInterval);
+    if (is_idle) WaitForEvent(seen, kIdlePollInterval);
   }
 }
 
@@ -250,7 +260,7 @@
     worker_order next;
     {
       std::unique_lock lock(mutex_);
-      options_.clock->WaitUntil(lock, changed_, time_point::max(), [&] {
+      options_.clock->WaitUntil(lock, orders_changed_, time_point::max(), [&] {
         return is_stopped_ || !pending_orders_.empty();
       });
       if (is_stopped_) return;
--- a/src/pools/agent_session.h
+++ b/src/pools/agent_session.h
@@ -87,8 +87,7 @@
   void Send(start_order order) { Enqueue(std::move(order)); }
   void Send(stop_order order) { Enqueue(std::move(order)); }
   void Send(throttle_order order) { Enqueue(std::move(order)); }
-  // Wakes the poll thread: ends were stored, or an order was sent to the
-  // worker.
+  // Wakes the poll thread: ends were stored.
   void Wake();
 
  private:
@@ -100,11 +99,18 @@
   // Polls the worker once and returns how long to wait before the next poll.
   duration PollOnce();
   duration HandlePollFailure(const error& failure);
-  // Returns how often the session was woken. A caller reads it before it checks
-  // for work and passes it to `WaitForWake`, which then returns at once if a
-  // wake-up came in between.
-  std::uint64_t WakeCount();
-  void WaitForWake(std::uint64_t seen_wakes, duration timeout);
+  // Events for which the poll thread may wait. A caller reads them before it
+  // checks for work and passes them to a wait, which then returns at once if an
+  // event came in between.
+  struct event_counts {
+    std::uint64_t stored = 0;  // Calls of `Wake`.
+    std::uint64_t orders = 0;
+    bool operator==(const event_counts&) const = default;
+  };
+  event_counts EventCounts();
+  void WaitForEvent(event_counts seen, duration timeout);
+  // Orders do not end this wait.
+  void WaitForStored(event_counts seen, duration timeout);
   // Sends a start order once.
   start_response SendStart(const start_order& order);
   // Sends a start order, with retries until a response arrives or the attempts
@@ -114,11 +120,15 @@
   agent_session_options options_;
   const callbacks callbacks_;
   std::mutex mutex_;
-  std::condition_variable changed_;
+  // The poll thread waits on it until ends are stored, and ...
+  std::condition_variable stored_;
+  // ... on this one until any event.
+  std::condition_variable events_changed_;
+  std::condition_variable orders_changed_;  // The order thread waits on it.
   std::deque<worker_order> pending_orders_;
   worker_clock worker_clock_;  // Guarded by mutex_, like the next three.
   bool is_reachable_ = true;
-  std::uint64_t wake_count_ = 0;
+  event_counts event_counts_;
   bool is_stopped_ = false;
   bool is_claimed_ = false;  // From here on: used by the poll thread only.
   bool are_leases_expired_ = false;
--- a/tests/pools/agent_session_test.cc
+++ b/tests/pools/agent_session_test.cc
@@ -16,6 +16,7 @@
 // A session with one worker whose behavior the test defines.
 struct fake_worker {
   clock_ptr clock = runtime_clock::Running();
+  clock_ptr session_clock = clock;
   std::function<result<worker_report>(const poll_request&)> poll =
       [this](const poll_request&) -> result<worker_report> {
     clock->SleepFor(milliseconds(5));
@@ -40,7 +41,7 @@
   void StartSession() {
     agent_session_options options;
     options.worker.id = "w1";
-    options.clock = clock;
+    options.clock = session_clock;
     options.lease_duration = lease_duration;
     options.link = std::make_unique<agent_link>();
     options.link->poll = [this](const poll_request& request) {
@@ -256,6 +257,41 @@
   worker.session->Stop();
 }
 
+// Guards against orders that wake both threads of a session: while ends were
+// being stored, each order also woke the poll thread, which found nothing to
+// do.
+BOOST_AUTO_TEST_CASE(orders_do_not_wake_a_poll_that_waits_for_a_commit) {
+  constexpr int kOrders = 20;
+  fake_worker worker;
+  std::atomic<int> polls = 0;
+  std::atomic<int> checks = 0;
+  std::atomic<bool> is_stored = false;
+  worker.has_unstored_ends = [&] {
+    if (polls == 1) ++checks;
+    return polls > 0 && !is_stored;
+  };
+  worker.poll = [&](const poll_request&) -> result<worker_report> {
+    ++polls;
+    worker.clock->SleepFor(milliseconds(5));
+    return worker_report{};
+  };
+  // The session waits on a paused clock, so that its wait for the commit ends
+  // only when the test says so.
+  worker.session_clock = runtime_clock::Paused();
+  worker.StartSession();
+  BOOST_TEST(worker.WaitFor([&] { return checks > 0; }));
+  for (int i = 0; i < kOrders; ++i) {
+    worker.session->Send(start_order{"w1", {"job", 0, 0, 0}, 1, "", "", ""});
+    worker.clock->SleepFor(milliseconds(3));
+  }
+  BOOST_TEST(checks <= 2);
+  is_stored = true;
+  worker.session->Wake();
+  BOOST_TEST(worker.WaitFor([&] { return polls > 1; }));
+  worker.session->Stop();
+  BOOST_TEST(worker.results.size() == kOrders);
+}
+
 // Guards against treating a worker as unreachable after one lost response, with
 // one response in twenty lost: starts were rejected and leases not renewed
 // until the next response.
