--- a/src/pools/job_journal.cc
+++ b/src/pools/job_journal.cc
@@ -162,7 +162,8 @@
     const std::lock_guard lock(mutex_);
     is_stopped_ = true;
   }
-  changed_.notify_all();
+  work_changed_.notify_one();
+  result_changed_.notify_all();
   threads_.JoinAll();
 }
 
@@ -173,10 +174,10 @@
   std::unique_lock lock(mutex_);
   if (is_stopped_ || is_store_unreachable_) return submit_outcome::kNotStored;
   pending_submissions_.push_back(pending);
-  changed_.notify_all();
+  work_changed_.notify_one();
   // After a stop, a submission that was sent still waits for the result of its
   // commit.
-  options_.clock->WaitUntil(lock, changed_, deadline, [&] {
+  options_.clock->WaitUntil(lock, result_changed_, deadline, [&] {
     return pending->is_done || has_ended_ || (is_stopped_ && !pending->is_sent);
   });
   if (pending->is_stored) return submit_outcome::kStored;
@@ -195,8 +196,8 @@
   std::unique_lock lock(mutex_);
   const std::uint64_t target = ++requested_flushes_;
   commit_due_at_ = {};
-  changed_.notify_all();
-  options_.clock->WaitUntil(lock, changed_, deadline, [&] {
+  work_changed_.notify_one();
+  options_.clock->WaitUntil(lock, result_changed_, deadline, [&] {
     return completed_flushes_ >= target || is_stopped_;
   });
   return completed_flushes_ >= target;
@@ -207,7 +208,7 @@
   const auto due = options_.clock->Now() + delay;
   if (due >= commit_due_at_) return;
   commit_due_at_ = due;
-  changed_.notify_all();
+  work_changed_.notify_one();
 }
 
 bool job_journal::StoreWorkerList(
@@ -216,8 +217,8 @@
   worker_list_ = workers;
   const std::uint64_t target = ++worker_list_version_;
   commit_due_at_ = {};
-  changed_.notify_all();
-  options_.clock->WaitUntil(lock, changed_, deadline, [&] {
+  work_changed_.notify_one();
+  options_.clock->WaitUntil(lock, result_changed_, deadline, [&] {
     return stored_worker_list_version_ >= target || is_stopped_;
   });
   return stored_worker_list_version_ >= target;
@@ -367,7 +368,7 @@
       }
     }
     std::unique_lock lock(mutex_);
-    options_.clock->WaitFor(lock, changed_, kRetryInterval,
+    options_.clock->WaitFor(lock, work_changed_, kRetryInterval,
                             [&] { return is_stopped_; });
     if (is_stopped_) return false;
   }
@@ -393,7 +394,7 @@
       submission->is_done = true;
     }
   }
-  changed_.notify_all();
+  result_changed_.notify_all();
   if (callbacks_.on_store_unreachable) callbacks_.on_store_unreachable();
 }
 
@@ -409,7 +410,7 @@
       submission->is_done = true;
     }
   }
-  changed_.notify_all();
+  result_changed_.notify_all();
 }
 
 void job_journal::Run() {
@@ -418,7 +419,7 @@
     const std::lock_guard lock(mutex_);
     has_ended_ = true;
   }
-  changed_.notify_all();
+  result_changed_.notify_all();
 }
 
 void job_journal::RunCommits() {
@@ -432,7 +433,7 @@
       };
       while (!due()) {
         const auto until = commit_due_at_;
-        options_.clock->WaitUntil(lock, changed_, until, [&] {
+        options_.clock->WaitUntil(lock, work_changed_, until, [&] {
           return due() || commit_due_at_ != until;
         });
       }
@@ -467,7 +468,7 @@
       CompleteSubmissions(group, true);
       continue;
     }
-    changed_.notify_all();
+    result_changed_.notify_all();
     callbacks_.on_superseded();
     return;
   }
--- a/src/pools/job_journal.h
+++ b/src/pools/job_journal.h
@@ -171,7 +171,8 @@
   duration last_commit_duration_{};
 
   mutable std::mutex mutex_;
-  std::condition_variable changed_;
+  std::condition_variable work_changed_;    // The commit thread waits on it.
+  std::condition_variable result_changed_;  // Waiting callers wait on it.
   std::deque<submission_ptr> pending_submissions_;
   // Counts the calls of `Flush`. A call waits until `completed_flushes_`
   // reaches its number.
--- a/tests/pools/job_journal_test.cc
+++ b/tests/pools/job_journal_test.cc
@@ -1,5 +1,7 @@
 #include "pools/job_journal.h"
 
+#include <sys/resource.h>
+
 #include <boost/test/unit_test.hpp>
 #include <thread>
 
@@ -317,5 +319,32 @@
       owner.Eventually([&] { return owner.journal->IsStoreUnreachable(); }));
 }
 
+// Guards against events of the journal that wake every caller of `Submit`: each
+// scheduled commit and each commit of others woke all callers that waited.
+BOOST_AUTO_TEST_CASE(a_waiting_caller_sleeps_until_its_result) {
+  constexpr int kEvents = 20;
+  // Two waits for the result, and a few for contended locks.
+  constexpr long kMaxSleeps = kEvents / 2;
+  fake_store store;
+  rig owner(store, store.Put(kOwnerKey, "first"));
+  owner.LoadAndStart();
+  store.SetDelay(milliseconds(300));
+  long sleeps = 0;
+  std::thread caller([&] {
+    rusage before{};
+    rusage after{};
+    getrusage(RUSAGE_THREAD, &before);
+    owner.Submit("job");
+    getrusage(RUSAGE_THREAD, &after);
+    sleeps = after.ru_nvcsw - before.ru_nvcsw;
+  });
+  for (int i = 1; i <= kEvents; ++i) {
+    owner.clock->SleepFor(milliseconds(5));
+    owner.journal->ScheduleCommit(std::chrono::minutes(2 * kEvents - i));
+  }
+  caller.join();
+  BOOST_TEST(sleeps <= kMaxSleeps);
+}
+
 }  // namespace
 }  // namespace apricotwheel
