Ask the owner once for each poll of a worker

Before each poll a session asked the owner four times, each time under the owner's lock: for unstored ends, for runs (twice) and for the last stored end. After a commit the owner woke all sessions with stored ends while it held that lock, on which they then blocked at once. Sessions now ask once, and are woken after the lock is released.

the_owner_is_asked_once_for_each_poll counts the calls.

--- a/src/pools/agent_session.cc
+++ b/src/pools/agent_session.cc
@@ -126,38 +126,45 @@
 }
 
 void agent_session::RunPoll() {
+  worker_progress progress = callbacks_.progress();
   while (true) {
     {
       const std::lock_guard lock(mutex_);
       if (is_stopped_) return;
     }
-    const duration delay = PollOnce();
+    const duration delay = PollOnce(progress);
     if (delay > duration::zero()) {
       WaitForEvent(EventCounts(), delay);
+      progress = callbacks_.progress();
       continue;
     }
     const auto resume_at =
         options_.clock->Now() + (has_new_ends_ ? duration(kNewEndsCommitWait)
                                                : duration(kOldEndsCommitWait));
+    event_counts seen;
     while (true) {
-      const event_counts seen = EventCounts();
+      seen = EventCounts();
+      progress = callbacks_.progress();
+      if (!progress.has_unstored_ends) break;
       const auto wait = resume_at - options_.clock->Now();
-      if (wait <= duration::zero() || !callbacks_.has_unstored_ends()) break;
+      if (wait <= duration::zero()) break;
       WaitForStored(seen, wait);
       const std::lock_guard lock(mutex_);
       if (is_stopped_) return;
     }
-    const event_counts seen = EventCounts();
     const bool is_idle =
-        acknowledged_end_ >= last_reported_end_ && !callbacks_.has_runs();
-    if (is_idle) WaitForEvent(seen, kIdlePollInterval);
+        acknowledged_end_ >= last_reported_end_ && !progress.has_runs;
+    if (is_idle) {
+      WaitForEvent(seen, kIdlePollInterval);
+      progress = callbacks_.progress();
+    }
   }
 }
 
-duration agent_session::PollOnce() {
+duration agent_session::PollOnce(const worker_progress& progress) {
   poll_request request;
   request.epoch = options_.epoch;
-  request.acknowledged_end = callbacks_.last_stored_end();
+  request.acknowledged_end = progress.last_stored_end;
   const auto sent_at = options_.clock->Now();
   // A poll without a response may have renewed the leases. Retries do not renew
   // them, because the leases of an unreachable worker would otherwise never
@@ -170,7 +177,7 @@
     }
   }
   // The first poll claims the worker and reads its clock; it does not wait.
-  if (is_claimed_ && !is_retry && callbacks_.has_runs())
+  if (is_claimed_ && !is_retry && progress.has_runs)
     request.wait = kLongPollTimeout;
   const auto report = Attempt([&] { return options_.link->poll(request); });
   const auto now = options_.clock->Now();
--- a/src/pools/agent_session.h
+++ b/src/pools/agent_session.h
@@ -43,6 +43,15 @@
   time_point expired_by_{};
 };
 
+// What the owner knows about the runs and ends of a worker.
+struct worker_progress {
+  // Last end that is stored; the next poll acknowledges it.
+  std::uint64_t last_stored_end = 0;
+  bool has_runs = false;
+  // The scheduler has applied ends that are not stored yet.
+  bool has_unstored_ends = false;
+};
+
 struct agent_session_options {
   pool_worker worker;
   std::uint64_t epoch = 0;
@@ -68,12 +77,8 @@
     std::function<void(const stop_order&, bool is_accepted)> on_stop_result;
     // The worker has obeyed the owner of a higher epoch.
     std::function<void()> on_epoch_rejected;
-    // Returns the last end that is stored; the next poll acknowledges it.
-    std::function<std::uint64_t()> last_stored_end;
-    // Returns true if the worker has runs.
-    std::function<bool()> has_runs;
-    // Returns true if the scheduler has applied ends that are not stored yet.
-    std::function<bool()> has_unstored_ends;
+    // Called once before each poll, and again while ends are being stored.
+    std::function<worker_progress()> progress;
   };
 
   agent_session(agent_session_options options, callbacks handlers);
@@ -97,7 +102,7 @@
   void RunPoll();
   void RunSender();
   // Polls the worker once and returns how long to wait before the next poll.
-  duration PollOnce();
+  duration PollOnce(const worker_progress& progress);
   duration HandlePollFailure(const error& failure);
   // Events for which the poll thread may wait. A caller reads them before it
   // checks for work and passes them to a wait, which then returns at once if an
--- a/src/pools/pool_owner.cc
+++ b/src/pools/pool_owner.cc
@@ -125,12 +125,17 @@
     return scheduler_ ? scheduler_->TakeProgress() : progress_batch{};
   };
   callbacks.on_progress_stored = [this](const progress_batch& batch) {
-    const std::lock_guard lock(mutex_);
-    scheduler_->OnProgressStored(batch);
-    for (const auto& [id, mark] : batch.ends_by_worker) {
-      const auto found = sessions_.find(id);
-      if (found != sessions_.end()) found->second->Wake();
+    std::vector<std::shared_ptr<agent_session>> waiting;
+    {
+      const std::lock_guard lock(mutex_);
+      scheduler_->OnProgressStored(batch);
+      for (const auto& [id, mark] : batch.ends_by_worker) {
+        const auto found = sessions_.find(id);
+        if (found != sessions_.end()) waiting.push_back(found->second);
+      }
     }
+    // A session that is woken takes mutex_ at once.
+    for (const auto& session : waiting) session->Wake();
   };
   callbacks.on_progress_failed = [this](const progress_batch& batch) {
     const std::lock_guard lock(mutex_);
--- a/src/pools/pool_owner_workers.cc
+++ b/src/pools/pool_owner_workers.cc
@@ -188,17 +188,11 @@
           Field("epoch", options_.epoch)});
     options_.on_superseded();
   };
-  callbacks.last_stored_end = [this, id] {
+  callbacks.progress = [this, id] {
     const std::lock_guard lock(mutex_);
-    return scheduler_->LastStoredEnd(id);
-  };
-  callbacks.has_runs = [this, id] {
-    const std::lock_guard lock(mutex_);
-    return scheduler_->CountRuns(id) > 0;
-  };
-  callbacks.has_unstored_ends = [this, id] {
-    const std::lock_guard lock(mutex_);
-    return scheduler_->HasUnstoredEnds(id);
+    return worker_progress{scheduler_->LastStoredEnd(id),
+                           scheduler_->CountRuns(id) > 0,
+                           scheduler_->HasUnstoredEnds(id)};
   };
   return callbacks;
 }
--- a/tests/pools/agent_session_test.cc
+++ b/tests/pools/agent_session_test.cc
@@ -34,6 +34,7 @@
   std::function<bool()> has_runs = [] { return true; };
   duration lease_duration = kLease;
   std::atomic<int> expirations = 0;
+  std::atomic<int> progress_calls = 0;
   std::mutex mutex;
   std::vector<start_result> results;
   std::unique_ptr<agent_session> session;
@@ -62,9 +63,11 @@
     };
     callbacks.on_stop_result = [](const stop_order&, bool) {};
     callbacks.on_epoch_rejected = [] {};
-    callbacks.last_stored_end = [this] { return last_stored_end(); };
-    callbacks.has_unstored_ends = [this] { return has_unstored_ends(); };
-    callbacks.has_runs = [this] { return has_runs(); };
+    callbacks.progress = [this] {
+      ++progress_calls;
+      return worker_progress{last_stored_end(), has_runs(),
+                             has_unstored_ends()};
+    };
     session = std::make_unique<agent_session>(std::move(options), callbacks);
     BOOST_REQUIRE(Attempt([&] { return session->Start(); }));
   }
@@ -257,6 +260,23 @@
   worker.session->Stop();
 }
 
+// Guards against several calls to the owner for a poll, each under its lock: a
+// session asked four times.
+BOOST_AUTO_TEST_CASE(the_owner_is_asked_once_for_each_poll) {
+  fake_worker worker;
+  std::atomic<int> polls = 0;
+  worker.poll = [&](const poll_request&) -> result<worker_report> {
+    ++polls;
+    worker.clock->SleepFor(milliseconds(2));
+    return worker_report{};
+  };
+  worker.StartSession();
+  BOOST_TEST(worker.WaitFor([&] { return polls >= 20; }));
+  worker.session->Stop();
+  // One more before the first poll.
+  BOOST_TEST(worker.progress_calls <= polls + 1);
+}
+
 // Guards against orders that wake both threads of a session: while ends were
 // being stored, each order also woke the poll thread, which found nothing to
 // do.
