--- a/src/pools/agent_session.cc
+++ b/src/pools/agent_session.cc
@@ -80,7 +80,9 @@
     const std::lock_guard lock(mutex_);
     is_stopped_ = true;
   }
-  changed_.notify_all();
+  stored_.notify_one();
+  events_changed_.notify_one();
+  orders_changed_.notify_one();
   options_.link->interrupt();
   threads_.JoinAll();
   // The threads have ended, so pending_orders_ needs no lock.
@@ -94,65 +96,80 @@
 void agent_session::Wake() {
   {
     const std::lock_guard lock(mutex_);
-    ++wake_count_;
+    ++event_counts_.stored;
   }
-  changed_.notify_all();
+  stored_.notify_one();
+  events_changed_.notify_one();
 }
 
 void agent_session::Enqueue(worker_order order) {
   {
     const std::lock_guard lock(mutex_);
     pending_orders_.push_back(std::move(order));
-    ++wake_count_;
+    ++event_counts_.orders;
   }
-  changed_.notify_all();
+  orders_changed_.notify_one();
+  events_changed_.notify_one();
 }
 
-std::uint64_t agent_session::WakeCount() {
+agent_session::event_counts agent_session::EventCounts() {
   const std::lock_guard lock(mutex_);
-  return wake_count_;
+  return event_counts_;
 }
 
-void agent_session::WaitForWake(std::uint64_t seen_wakes, duration timeout) {
+void agent_session::WaitForEvent(event_counts seen, duration timeout) {
   std::unique_lock lock(mutex_);
-  options_.clock->WaitFor(lock, changed_, timeout, [&] {
-    return is_stopped_ || wake_count_ != seen_wakes;
+  options_.clock->WaitFor(lock, events_changed_, timeout,
+                          [&] { return is_stopped_ || event_counts_ != seen; });
+}
+
+void agent_session::WaitForStored(event_counts seen, duration timeout) {
+  std::unique_lock lock(mutex_);
+  options_.clock->WaitFor(lock, stored_, timeout, [&] {
+    return is_stopped_ || event_counts_.stored != seen.stored;
   });
 }
 
 void agent_session::RunPoll() {
+  worker_progress progress = callbacks_.progress();
   while (true) {
     {
       const std::lock_guard lock(mutex_);
       if (is_stopped_) return;
     }
-    const duration delay = PollOnce();
+    const duration delay = PollOnce(progress);
     if (delay > duration::zero()) {
-      WaitForWake(WakeCount(), delay);
+      WaitForEvent(EventCounts(), delay);
+      progress = callbacks_.progress();
       continue;
     }
     const auto resume_at =
         options_.clock->Now() + (has_new_ends_ ? duration(kNewEndsCommitWait)
                                                : duration(kOldEndsCommitWait));
+    event_counts seen;
     while (true) {
-      const std::uint64_t seen_wakes = WakeCount();
+      seen = EventCounts();
+      progress = callbacks_.progress();
+      if (!progress.has_unstored_ends) break;
       const auto wait = resume_at - options_.clock->Now();
-      if (wait <= duration::zero() || !callbacks_.has_unstored_ends()) break;
-      WaitForWake(seen_wakes, wait);
+      if (wait <= duration::zero()) break;
+      WaitForStored(seen, wait);
       const std::lock_guard lock(mutex_);
       if (is_stopped_) return;
     }
-    const std::uint64_t seen_wakes = WakeCount();
     const bool is_idle =
-        acknowledged_end_ >= last_reported_end_ && !callbacks_.has_runs();
-    if (is_idle) WaitForWake(seen_wakes, kIdlePollInterval);
+        acknowledged_end_ >= last_reported_end_ && !progress.has_runs;
+    if (is_idle) {
+      WaitForEvent(seen, kIdlePollInterval);
+      progress = callbacks_.progress();
+    }
   }
 }
 
-duration agent_session::PollOnce() {
+duration agent_session::PollOnce(const worker_progress& progress) {
   poll_request request;
   request.epoch = options_.epoch;
-  request.acknowledged_end = callbacks_.last_stored_end();
+  request.acknowledged_end = progress.last_stored_end;
   const auto sent_at = options_.clock->Now();
   // A poll without a response may have renewed the leases. Retries do not renew
   // them, because the leases of an unreachable worker would otherwise never
@@ -165,7 +182,7 @@
     }
   }
   // The first poll claims the worker and reads its clock; it does not wait.
-  if (is_claimed_ && !is_retry && callbacks_.has_runs())
+  if (is_claimed_ && !is_retry && progress.has_runs)
     request.wait = kLongPollTimeout;
   request.response_timeout = response_timeout_;
   if (is_retry && !are_leases_expired_) {
@@ -273,7 +290,7 @@
     worker_order next;
     {
       std::unique_lock lock(mutex_);
-      options_.clock->WaitUntil(lock, changed_, time_point::max(), [&] {
+      options_.clock->WaitUntil(lock, orders_changed_, time_point::max(), [&] {
         return is_stopped_ || !pending_orders_.empty();
       });
       if (is_stopped_) return;
--- a/src/pools/agent_session.h
+++ b/src/pools/agent_session.h
@@ -43,6 +43,15 @@
   time_point expired_by_{};
 };
 
+// What the owner knows about the runs and ends of a worker.
+struct worker_progress {
+  // Last end that is stored; the next poll acknowledges it.
+  std::uint64_t last_stored_end = 0;
+  bool has_runs = false;
+  // The scheduler has applied ends that are not stored yet.
+  bool has_unstored_ends = false;
+};
+
 struct agent_session_options {
   pool_worker worker;
   std::uint64_t epoch = 0;
@@ -68,12 +77,8 @@
     std::function<void(const stop_order&, bool is_accepted)> on_stop_result;
     // The worker has obeyed the owner of a higher epoch.
     std::function<void()> on_epoch_rejected;
-    // Returns the last end that is stored; the next poll acknowledges it.
-    std::function<std::uint64_t()> last_stored_end;
-    // Returns true if the worker has runs.
-    std::function<bool()> has_runs;
-    // Returns true if the scheduler has applied ends that are not stored yet.
-    std::function<bool()> has_unstored_ends;
+    // Called once before each poll, and again while ends are being stored.
+    std::function<worker_progress()> progress;
   };
 
   agent_session(agent_session_options options, callbacks handlers);
@@ -87,8 +92,7 @@
   void Send(start_order order) { Enqueue(std::move(order)); }
   void Send(stop_order order) { Enqueue(std::move(order)); }
   void Send(throttle_order order) { Enqueue(std::move(order)); }
-  // Wakes the poll thread: ends were stored, or an order was sent to the
-  // worker.
+  // Wakes the poll thread: ends were stored.
   void Wake();
 
  private:
@@ -98,15 +102,22 @@
   void RunPoll();
   void RunSender();
   // Polls the worker once and returns how long to wait before the next poll.
-  duration PollOnce();
+  duration PollOnce(const worker_progress& progress);
   duration HandlePollFailure(const error& failure);
   // Returns when no lease that was granted to the worker can hold any more.
   time_point LeasesExpireBy();
-  // Returns how often the session was woken. A caller reads it before it checks
-  // for work and passes it to `WaitForWake`, which then returns at once if a
-  // wake-up came in between.
-  std::uint64_t WakeCount();
-  void WaitForWake(std::uint64_t seen_wakes, duration timeout);
+  // Events for which the poll thread may wait. A caller reads them before it
+  // checks for work and passes them to a wait, which then returns at once if an
+  // event came in between.
+  struct event_counts {
+    std::uint64_t stored = 0;  // Calls of `Wake`.
+    std::uint64_t orders = 0;
+    bool operator==(const event_counts&) const = default;
+  };
+  event_counts EventCounts();
+  void WaitForEvent(event_counts seen, duration timeout);
+  // Orders do not end this wait.
+  void WaitForStored(event_counts seen, duration timeout);
   // Sends a start order once.
   start_response SendStart(const start_order& order);
   // Sends a start order, with retries until a response arrives or the attempts
@@ -116,11 +127,15 @@
   agent_session_options options_;
   const callbacks callbacks_;
   std::mutex mutex_;
-  std::condition_variable changed_;
+  // The poll thread waits on it until ends are stored, and ...
+  std::condition_variable stored_;
+  // ... on this one until any event.
+  std::condition_variable events_changed_;
+  std::condition_variable orders_changed_;  // The order thread waits on it.
   std::deque<worker_order> pending_orders_;
   worker_clock worker_clock_;  // Guarded by mutex_, like the next three.
   bool is_reachable_ = true;
-  std::uint64_t wake_count_ = 0;
+  event_counts event_counts_;
   bool is_stopped_ = false;
   bool is_claimed_ = false;  // From here on: used by the poll thread only.
   bool are_leases_expired_ = false;
--- a/src/pools/job_journal.cc
+++ b/src/pools/job_journal.cc
@@ -184,7 +184,8 @@
     is_stopped_ = true;
     WakeSubmissions();
   }
-  changed_.notify_all();
+  work_changed_.notify_one();
+  result_changed_.notify_all();
   threads_.JoinAll();
 }
 
@@ -196,7 +197,7 @@
   if (is_stopped_ || is_store_unreachable_) return submit_outcome::kNotStored;
   pending_submissions_.push_back(pending);
   waiting_submissions_.insert(pending);
-  changed_.notify_all();
+  work_changed_.notify_one();
   // After a stop, a submission that was sent still waits for the result of its
   // commit.
   options_.clock->WaitUntil(lock, pending->changed, deadline, [&] {
@@ -225,8 +226,8 @@
   std::unique_lock lock(mutex_);
   const std::uint64_t target = ++requested_flushes_;
   commit_due_at_ = {};
-  changed_.notify_all();
-  options_.clock->WaitUntil(lock, changed_, deadline, [&] {
+  work_changed_.notify_one();
+  options_.clock->WaitUntil(lock, result_changed_, deadline, [&] {
     return completed_flushes_ >= target || is_stopped_;
   });
   return completed_flushes_ >= target;
@@ -237,7 +238,7 @@
   const auto due = options_.clock->Now() + delay;
   if (due >= commit_due_at_) return;
   commit_due_at_ = due;
-  changed_.notify_all();
+  work_changed_.notify_one();
 }
 
 bool job_journal::StoreWorkerList(
@@ -246,8 +247,8 @@
   worker_list_ = workers;
   const std::uint64_t target = ++worker_list_version_;
   commit_due_at_ = {};
-  changed_.notify_all();
-  options_.clock->WaitUntil(lock, changed_, deadline, [&] {
+  work_changed_.notify_one();
+  options_.clock->WaitUntil(lock, result_changed_, deadline, [&] {
     return stored_worker_list_version_ >= target || is_stopped_;
   });
   return stored_worker_list_version_ >= target;
@@ -457,7 +458,7 @@
       }
     }
     std::unique_lock lock(mutex_);
-    options_.clock->WaitFor(lock, changed_, kRetryInterval,
+    options_.clock->WaitFor(lock, work_changed_, kRetryInterval,
                             [&] { return is_stopped_; });
     if (is_stopped_) return false;
   }
@@ -484,7 +485,7 @@
       submission->changed.notify_all();
     }
   }
-  changed_.notify_all();
+  result_changed_.notify_all();
   if (callbacks_.on_store_unreachable) callbacks_.on_store_unreachable();
 }
 
@@ -517,7 +518,7 @@
       submission->changed.notify_all();
     }
   }
-  changed_.notify_all();
+  result_changed_.notify_all();
 }
 
 void job_journal::Run() {
@@ -527,7 +528,7 @@
     has_ended_ = true;
     WakeSubmissions();
   }
-  changed_.notify_all();
+  result_changed_.notify_all();
 }
 
 void job_journal::RunCommits() {
@@ -541,7 +542,7 @@
       };
       while (!due()) {
         const auto until = commit_due_at_;
-        options_.clock->WaitUntil(lock, changed_, until, [&] {
+        options_.clock->WaitUntil(lock, work_changed_, until, [&] {
           return due() || commit_due_at_ != until;
         });
       }
@@ -585,7 +586,7 @@
       CompleteSubmissions(group, true);
       continue;
     }
-    changed_.notify_all();
+    result_changed_.notify_all();
     callbacks_.on_superseded();
     return;
   }
--- a/src/pools/job_journal.h
+++ b/src/pools/job_journal.h
@@ -219,7 +219,8 @@
   time_point load_reported_at_{};
 
   mutable std::mutex mutex_;
-  std::condition_variable changed_;
+  std::condition_variable work_changed_;    // The commit thread waits on it.
+  std::condition_variable result_changed_;  // Waiting callers wait on it.
   std::deque<submission_ptr> pending_submissions_;
   std::set<submission_ptr> waiting_submissions_;  // Those in `Submit`.
   // Counts the calls of `Flush`. A call waits until `completed_flushes_`
