Exempt lasting tasks and calls for approval from the limit of starts

Cause: at the limit a step was passed over as a whole, with its call for approval, and the steps are looked at in the order of priority.

At the limit only starts are held back now, and not those of lasting tasks. the_limit_of_starts_holds_up_no_lasting_task fails without the change (0 starts instead of 3).

--- a/src/graph/pool_placement.cc
+++ b/src/graph/pool_placement.cc
@@ -293,16 +293,19 @@
 
 void pool_scheduler::PlaceStep(const candidate& waiting, time_point now,
                                pool_decisions& decisions) {
-  const std::size_t starts_allowed = CountStartsAllowed(now);
-  if (starts_allowed == 0) {
+  const graph_step& spec = waiting.job->submission.graph.steps[waiting.step];
+  auto chosen = ChooseWorkers(waiting, now, true);
+  // Lasting tasks are few and must run again soon, also while urgent tasks use
+  // up the limit. A gang starts as a whole.
+  const std::size_t starts_allowed =
+      spec.is_service ? chosen.size() : CountStartsAllowed(now);
+  const bool is_limited = spec.is_gang ? starts_allowed == 0 && !chosen.empty()
+                                       : chosen.size() > starts_allowed;
+  if (is_limited) {
     next_decision_at_ =
         std::min<time_point>(next_decision_at_, now + kStartLimitCheckInterval);
-    return;
+    chosen.resize(spec.is_gang ? 0 : starts_allowed);
   }
-  const graph_step& spec = waiting.job->submission.graph.steps[waiting.step];
-  auto chosen = ChooseWorkers(waiting, now, true);
-  const bool is_limited = !spec.is_gang && chosen.size() > starts_allowed;
-  if (is_limited) chosen.resize(starts_allowed);
   if (!chosen.empty()) StartTasks(waiting, chosen, now, decisions);
   step_state& step = waiting.job->occurrences[waiting.occurrence][waiting.step];
   if (step.waiting == 0 || is_limited) return;
--- a/tests/graph/pool_scheduler_test.cc
+++ b/tests/graph/pool_scheduler_test.cc
@@ -407,5 +407,30 @@
   BOOST_TEST(rig.Decide().starts.size() == kMaxStarts);
 }
 
+// Guards against lasting tasks that do not run, and steps that ask for no
+// approval, for as long as urgent starts use up the limit.
+BOOST_AUTO_TEST_CASE(the_limit_of_starts_holds_up_no_lasting_task) {
+  constexpr int kWorkers = 252;
+  constexpr resource_vector kCapacity{16'000, 65'536, 0};
+  scheduler_rig rig;
+  for (int i = 0; i < kWorkers; ++i) {
+    rig.AddWorker("w" + std::to_string(i), kCapacity);
+  }
+  rig.scheduler.AdmitJob(
+      MakeJob("urgent", {MakeStep(1000, {1000, 1024, 0})}, 0), rig.now);
+  rig.Decide();
+  auto lasting = MakeJob("lasting", {MakeStep(3, {1000, 1024, 0})}, 1);
+  lasting.graph.steps[0].is_service = true;
+  rig.scheduler.AdmitJob(lasting, rig.now);
+  auto advised = MakeJob("advised", {MakeStep(3, {1000, 1024, 0})}, 2);
+  advised.queue.advisor = advisor_settings{20'000, 300, milliseconds(1500)};
+  rig.scheduler.AdmitJob(advised, rig.now);
+  const auto decisions = rig.Decide();
+  BOOST_REQUIRE_EQUAL(decisions.starts.size(), 3);
+  BOOST_TEST(decisions.starts[0].task.job_id == "lasting");
+  BOOST_REQUIRE_EQUAL(decisions.approvals.size(), 1);
+  BOOST_TEST(decisions.approvals[0].job_id == "advised");
+}
+
 }  // namespace
 }  // namespace apricotwheel
