--- a/src/pools/queue_gateway.cc
+++ b/src/pools/queue_gateway.cc
@@ -93,7 +93,7 @@
   wire::pool_callT call;
   call.topic = topic;
   call.body = body;
-  const wire_message request = MakeMessage(std::move(call));
+  wire_message request = MakeMessage(std::move(call));
   auto query_at = clock_->Now();
   while (clock_->Now() < deadline) {
     const auto owner = options.directory->OwnerOf(pool);
@@ -104,11 +104,13 @@
         reason = response.reason;
       }
     } else if (owner) {
-      const auto remaining = deadline - clock_->Now();
+      const auto timeout =
+          std::min<duration>(deadline - clock_->Now(), kMaxCallTimeout);
+      // 0 would mean that the timeout is not known.
+      request.body.Aspool_call()->timeout_ms = std::max<std::int64_t>(
+          1, std::chrono::duration_cast<milliseconds>(timeout).count());
       const auto message = Attempt([&] {
-        return options.peers->Call(
-            owner->member_id, request,
-            std::min<duration>(remaining, kMaxCallTimeout));
+        return options.peers->Call(owner->member_id, request, timeout);
       });
       if (message) {
         const wire::pool_replyT* text = message->body.Aspool_reply();
@@ -169,21 +171,13 @@
 
 std::optional<job_call_response> queue_gateway::ReadStoredState(
     const std::string& pool, const std::string& job_id) {
+  const auto state =
+      Attempt([&] { return ReadStoredJobState(*options_->kv, pool, job_id); });
+  if (!state) return std::nullopt;
+  if (!*state.value) return MakeResponse(job_call_status::kAbsent);
   job_call_response response = MakeResponse(job_call_status::kState);
-  const auto progress =
-      Attempt([&] { return options_->kv->Get(ProgressKey(pool, job_id)); });
-  if (!progress) return std::nullopt;
-  if (*progress.value) {
-    const auto state =
-        Attempt([&] { return DecodeProgressState((*progress.value)->value); });
-    if (!state) return std::nullopt;
-    response.state = *state;
-    return response;
-  }
-  const auto job =
-      Attempt([&] { return options_->kv->Get(JobKey(pool, job_id)); });
-  if (!job) return std::nullopt;
-  return *job.value ? response : MakeResponse(job_call_status::kAbsent);
+  response.state = **state.value;
+  return response;
 }
 
 job_call_response queue_gateway::FindStateInOtherPools(
