--- a/src/pools/job_journal.h
+++ b/src/pools/job_journal.h
@@ -145,6 +145,7 @@
   // is complete, only after the progress of all its jobs is stored.
   struct progress_snapshot {
     std::uint64_t number = 0;
+    time_point taken_at{};
     std::map<std::string, end_position> ends_by_worker;
     std::uint64_t flush = 0;
     time_point taken_at{};
