Send stops before pending starts, and withdraw starts that were stopped

A stop waited behind starts, each of which takes three timeouts of 0.3 s if the worker does not respond; many starts without a response stand near the time of the late stops.

Stops are sent first. A start that was not sent when its stop was ordered is withdrawn, because a worker that restarts forgets the stop. The test a_stop_overtakes_the_starts_that_wait fails on the code before: the stop is sent last and no start is withdrawn ([0 != 1]).

--- a/src/pools/agent_session.cc
+++ b/src/pools/agent_session.cc
@@ -85,7 +85,11 @@
   orders_changed_.notify_one();
   options_.link->interrupt();
   threads_.JoinAll();
-  // The threads have ended, so pending_orders_ needs no lock.
+  // The threads have ended, so the pending orders need no lock.
+  for (start_order& withdrawn : withdrawn_starts_) {
+    pending_orders_.emplace_back(std::move(withdrawn));
+  }
+  withdrawn_starts_.clear();
   for (const worker_order& unsent : std::exchange(pending_orders_, {})) {
     if (const auto* start = std::get_if<start_order>(&unsent)) {
       callbacks_.on_start_result(*start, start_result::kUnreachable);
@@ -105,13 +109,54 @@
 void agent_session::Enqueue(worker_order order) {
   {
     const std::lock_guard lock(mutex_);
-    pending_orders_.push_back(std::move(order));
+    if (const auto* stop = std::get_if<stop_order>(&order)) {
+      WithdrawStart(*stop);
+      pending_stops_.push_back(*stop);
+    } else {
+      pending_orders_.push_back(std::move(order));
+    }
     ++event_counts_.orders;
   }
   orders_changed_.notify_one();
   events_changed_.notify_one();
 }
 
+void agent_session::WithdrawStart(const stop_order& stop) {
+  const auto found = std::find_if(
+      pending_orders_.begin(), pending_orders_.end(), [&](const auto& order) {
+        const auto* start = std::get_if<start_order>(&order);
+        return start && start->task == stop.task && start->run == stop.run;
+      });
+  if (found == pending_orders_.end()) return;
+  withdrawn_starts_.push_back(std::get<start_order>(std::move(*found)));
+  pending_orders_.erase(found);
+}
+
+std::optional<agent_session::worker_order> agent_session::NextOrder() {
+  std::unique_lock lock(mutex_);
+  while (true) {
+    options_.clock->WaitUntil(lock, orders_changed_, time_point::max(), [&] {
+      return is_stopped_ || !pending_orders_.empty() ||
+             !pending_stops_.empty() || !withdrawn_starts_.empty();
+    });
+    if (is_stopped_) return std::nullopt;
+    if (withdrawn_starts_.empty()) break;
+    const start_order withdrawn = std::move(withdrawn_starts_.front());
+    withdrawn_starts_.pop_front();
+    lock.unlock();
+    callbacks_.on_start_result(withdrawn, start_result::kOutdatedRun);
+    lock.lock();
+  }
+  if (!pending_stops_.empty()) {
+    const stop_order stop = std::move(pending_stops_.front());
+    pending_stops_.pop_front();
+    return stop;
+  }
+  worker_order next = std::move(pending_orders_.front());
+  pending_orders_.pop_front();
+  return next;
+}
+
 agent_session::event_counts agent_session::EventCounts() {
   const std::lock_guard lock(mutex_);
   return event_counts_;
@@ -286,23 +331,13 @@
 }
 
 void agent_session::RunSender() {
-  while (true) {
-    worker_order next;
-    {
-      std::unique_lock lock(mutex_);
-      options_.clock->WaitUntil(lock, orders_changed_, time_point::max(), [&] {
-        return is_stopped_ || !pending_orders_.empty();
-      });
-      if (is_stopped_) return;
-      next = std::move(pending_orders_.front());
-      pending_orders_.pop_front();
-    }
-    if (const auto* start = std::get_if<start_order>(&next)) {
+  while (const auto next = NextOrder()) {
+    if (const auto* start = std::get_if<start_order>(&*next)) {
       SendStartWithRetries(*start);
-    } else if (const auto* stop = std::get_if<stop_order>(&next)) {
+    } else if (const auto* stop = std::get_if<stop_order>(&*next)) {
       const bool is_accepted = options_.link->stop(*stop, options_.epoch);
       callbacks_.on_stop_result(*stop, is_accepted);
-    } else if (const auto* throttle = std::get_if<throttle_order>(&next)) {
+    } else if (const auto* throttle = std::get_if<throttle_order>(&*next)) {
       options_.link->throttle(*throttle, options_.epoch);
     }
   }
--- a/src/pools/agent_session.h
+++ b/src/pools/agent_session.h
@@ -118,6 +118,11 @@
   void WaitForEvent(event_counts seen, duration timeout);
   // Orders do not end this wait.
   void WaitForStored(event_counts seen, duration timeout);
+  // Withdraws the pending start of the run. Called with mutex_ held.
+  void WithdrawStart(const stop_order& stop);
+  // Waits for an order and reports the starts that were withdrawn. Returns null
+  // if the session was stopped.
+  std::optional<worker_order> NextOrder();
   // Sends a start order once.
   start_response SendStart(const start_order& order);
   // Sends a start order, with retries until a response arrives or the attempts
@@ -132,7 +137,13 @@
   // ... on this one until any event.
   std::condition_variable events_changed_;
   std::condition_variable orders_changed_;  // The order thread waits on it.
+  // Starts and throttles, which stops overtake: a start that gets no response
+  // takes up to a second, and the rules bound the time of a stop.
   std::deque<worker_order> pending_orders_;
+  std::deque<stop_order> pending_stops_;
+  // Starts whose stop was ordered before they were sent. They are never sent,
+  // because the worker may restart and forget the stop.
+  std::deque<start_order> withdrawn_starts_;
   worker_clock worker_clock_;  // Guarded by mutex_, like the next three.
   bool is_reachable_ = true;
   event_counts event_counts_;
--- a/src/pools/job_journal.cc
+++ b/src/pools/job_journal.cc
@@ -371,6 +371,10 @@
     ++entries;
   }
   AddCompletedSnapshots(group);
+  if (!snapshots_.empty()) {
+    load_.ends_waited = std::max<duration>(
+        load_.ends_waited, options_.clock->Now() - snapshots_.front().taken_at);
+  }
   if (!waiting_progress_.empty() || !waiting_deletions_.empty()) {
     ++load_.partial;
     load_.most_deferred =
--- a/src/pools/job_journal.h
+++ b/src/pools/job_journal.h
@@ -148,7 +148,6 @@
     time_point taken_at{};
     std::map<std::string, end_position> ends_by_worker;
     std::uint64_t flush = 0;
-    time_point taken_at{};
   };
 
   // The commit thread: calls `RunCommits` and then wakes the waiting callers.
--- a/tests/pools/agent_session_test.cc
+++ b/tests/pools/agent_session_test.cc
@@ -1,11 +1,13 @@
 #include "pools/agent_session.h"
 
+#include <algorithm>
 #include <atomic>
 #include <boost/test/unit_test.hpp>
 #include <functional>
 #include <memory>
 #include <mutex>
 #include <set>
+#include <string>
 #include <vector>
 
 namespace apricotwheel {
@@ -26,6 +28,9 @@
       [](const start_order&) {
         return start_response{start_result::kStarted, 1};
       };
+  std::function<bool(const stop_order&)> stop = [](const stop_order&) {
+    return true;
+  };
   std::function<bool()> has_exited = [] { return false; };
   std::function<std::uint64_t()> last_stored_end = [] {
     return std::uint64_t{0};
@@ -51,6 +56,9 @@
     options.link->start = [this](const start_order& order, const run_lease&) {
       return start(order);
     };
+    options.link->stop = [this](const stop_order& order, std::uint64_t) {
+      return stop(order);
+    };
     options.link->interrupt = [] {};
     options.has_exited = has_exited;
     agent_session::callbacks callbacks;
@@ -371,5 +379,45 @@
   BOOST_TEST(polls <= 3);
 }
 
+// Guards against tasks of a cancelled job that run on because their stops wait
+// behind starts: each start without a response takes three timeouts.
+BOOST_AUTO_TEST_CASE(a_stop_overtakes_the_starts_that_wait) {
+  fake_worker worker;
+  std::atomic<bool> may_respond = false;
+  std::vector<std::string> orders;
+  worker.start = [&](const start_order& order) {
+    while (!may_respond) worker.clock->SleepFor(milliseconds(1));
+    const std::lock_guard lock(worker.mutex);
+    orders.push_back("start " + order.task.job_id);
+    return start_response{start_result::kStarted, 1};
+  };
+  worker.stop = [&](const stop_order& order) {
+    const std::lock_guard lock(worker.mutex);
+    orders.push_back("stop " + order.task.job_id);
+    return true;
+  };
+  worker.StartSession();
+  for (const std::string id : {"first", "second", "third"}) {
+    worker.session->Send(start_order{"w1", {id, 0, 0, 0}, 1, "", "", ""});
+  }
+  // The start of "third" has not been sent, so it is withdrawn.
+  for (const std::string id : {"cancelled", "third"}) {
+    worker.session->Send(stop_order{"w1", {id, 0, 0, 0}, 1});
+  }
+  may_respond = true;
+  BOOST_TEST(worker.WaitFor([&] {
+    const std::lock_guard lock(worker.mutex);
+    return worker.results.size() == 3 && orders.size() == 4;
+  }));
+  worker.session->Stop();
+  // The first start may be sent before or after the stops.
+  std::erase(orders, "start first");
+  const std::vector<std::string> expected = {"stop cancelled", "stop third",
+                                             "start second"};
+  BOOST_TEST(orders == expected);
+  BOOST_TEST(std::count(worker.results.begin(), worker.results.end(),
+                        start_result::kOutdatedRun) == 1);
+}
+
 }  // namespace
 }  // namespace apricotwheel
