--- a/testing/load/owner_load.cc
+++ b/testing/load/owner_load.cc
@@ -19,6 +19,7 @@
 #include <mutex>
 #include <nlohmann/json.hpp>
 #include <thread>
+#include <tuple>
 
 #include "graph/graph_events.h"
 #include "platform/minion_agent.h"
@@ -57,7 +58,9 @@
     sockaddr_in address{};
     address.sin_family = AF_INET;
     address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    bind(listener_, reinterpret_cast<sockaddr*>(&address), sizeof address);
+    // A failure shows as port 0, to which no owner can connect.
+    std::ignore =
+        bind(listener_, reinterpret_cast<sockaddr*>(&address), sizeof address);
     listen(listener_, SOMAXCONN);
     socklen_t size = sizeof address;
     getsockname(listener_, reinterpret_cast<sockaddr*>(&address), &size);
@@ -156,15 +159,18 @@
   }
   void EndRuns() {
     const std::int64_t now = NowMs();
-    for (auto& [id, agent] : agents_) {
-      std::erase_if(agent.running, [&](const auto& row) {
-        if (row.second.ends_at_ms > now) return false;
-        ++agent.last_end;
-        agent.ended.emplace_back(agent.last_end,
-                                 json::array({agent.last_end, row.first,
-                                              row.second.number, "done", ""}));
-        return true;
-      });
+    for (auto& [id, state] : agents_) {
+      for (auto row = state.running.begin(); row != state.running.end();) {
+        if (row->second.ends_at_ms > now) {
+          ++row;
+          continue;
+        }
+        ++state.last_end;
+        state.ended.emplace_back(state.last_end,
+                                 json::array({state.last_end, row->first,
+                                              row->second.number, "done", ""}));
+        row = state.running.erase(row);
+      }
     }
   }
   void AnswerPoll(agent_state& target) {
@@ -251,13 +257,15 @@
 
   void Run() {
     std::atomic<bool> is_stopped = false;
-    std::vector<std::thread> callers;
     constexpr int kCallers = 8;
+    std::vector<std::thread> callers;
+    callers.reserve(kCallers);
     for (int i = 0; i < kCallers; ++i) {
       callers.emplace_back([&, i] {
-        const auto interval = std::chrono::duration_cast<duration>(
-            std::chrono::duration<double>(kCallers * FLAGS_tasks_per_job /
-                                          double(FLAGS_starts_per_second)));
+        const auto interval =
+            std::chrono::duration_cast<duration>(std::chrono::duration<double>(
+                kCallers * FLAGS_tasks_per_job /
+                static_cast<double>(FLAGS_starts_per_second)));
         auto next = kClock->Now() + interval * i / kCallers;
         for (int n = 0; !is_stopped; ++n) {
           kClock->SleepUntil(next);
@@ -281,9 +289,9 @@
     std::printf(
         "%.0f starts/s; for each start: %.0f us of processor time, %.2f "
         "voluntary context switches, %.2f reports, %.2f passes\n",
-        starts * 1000 / double(after.at_ms - before.at_ms),
+        starts * 1000 / static_cast<double>(after.at_ms - before.at_ms),
         (after.processor_us - before.processor_us) / starts,
-        double(after.switches - before.switches) / starts,
+        static_cast<double>(after.switches - before.switches) / starts,
         (after.reports - before.reports) / starts,
         (after.passes - before.passes) / starts);
   }
@@ -294,7 +302,8 @@
     getrusage(RUSAGE_SELF, &spent);
     usage measured;
     const auto to_us = [](const timeval& time) {
-      return double(time.tv_sec) * 1e6 + double(time.tv_usec);
+      return static_cast<double>(time.tv_sec) * 1e6 +
+             static_cast<double>(time.tv_usec);
     };
     measured.processor_us = to_us(spent.ru_utime) + to_us(spent.ru_stime);
     measured.switches = spent.ru_nvcsw;
