Keep entries of each commit for the oldest progress

The six oldest entries are stored before results now. old_progress_is_stored_while_results_fill_commits failed before: neither was the old progress stored nor the end acknowledged within 5 s.

--- a/src/pools/job_journal.cc
+++ b/src/pools/job_journal.cc
@@ -20,6 +20,9 @@
 // Entries that are kept for submissions while some wait, so that neither they
 // nor the progress of running jobs can hold the other up.
 constexpr std::size_t kSubmissionEntries = 14;
+// Entries of a commit that the oldest progress gets before results. Ends are
+// acknowledged only after all progress of their time is stored.
+constexpr std::size_t kOldestProgressEntries = 6;
 // Limit of the bytes of values in a transaction. A value that exceeds it is the
 // last of its transaction.
 constexpr std::size_t kMaxTransactionBytes = 256 << 10;
@@ -283,19 +286,12 @@
 
 std::size_t job_journal::AddProgress(commit_group& group, std::size_t entries,
                                      std::size_t max_entries) {
-  // Callers wait for results and cancellations, so these come first.
-  std::stable_partition(waiting_progress_.begin(), waiting_progress_.end(),
-                        [](const waiting_progress& entry) {
-                          return IsFinal(entry.job.progress.state);
-                        });
-  std::vector<waiting_progress> left;
-  for (waiting_progress& entry : waiting_progress_) {
+  std::vector<bool> is_added(waiting_progress_.size(), false);
+  const auto add = [&](std::size_t index, std::size_t limit) {
+    waiting_progress& entry = waiting_progress_[index];
     const bool is_final = IsFinal(entry.job.progress.state);
     const std::size_t needed = is_final ? 2 : 1;
-    if (entries + needed > max_entries) {
-      left.push_back(std::move(entry));
-      continue;
-    }
+    if (is_added[index] || entries + needed > limit) return;
     group.writes.puts.push_back({ProgressKey(options_.pool, entry.job.job_id),
                                  EncodeProgress(entry.job.progress),
                                  {}});
@@ -303,7 +299,22 @@
       group.writes.removals.push_back(JobKey(options_.pool, entry.job.job_id));
     }
     entries += needed;
+    is_added[index] = true;
     group.progress.jobs.push_back(std::move(entry.job));
+  };
+  const std::size_t oldest_limit =
+      std::min(entries + kOldestProgressEntries, max_entries);
+  for (std::size_t i = 0; i < is_added.size(); ++i) add(i, oldest_limit);
+  // Callers wait for results and cancellations, so these come next.
+  for (std::size_t i = 0; i < is_added.size(); ++i) {
+    if (!is_added[i] && IsFinal(waiting_progress_[i].job.progress.state)) {
+      add(i, max_entries);
+    }
+  }
+  for (std::size_t i = 0; i < is_added.size(); ++i) add(i, max_entries);
+  std::vector<waiting_progress> left;
+  for (std::size_t i = 0; i < is_added.size(); ++i) {
+    if (!is_added[i]) left.push_back(std::move(waiting_progress_[i]));
   }
   waiting_progress_ = std::move(left);
   return entries;
--- a/tests/pools/job_journal_test.cc
+++ b/tests/pools/job_journal_test.cc
@@ -361,6 +361,35 @@
   BOOST_TEST(store.Has(ProgressKey("pool", "busy-59")));
 }
 
+// Guards against old progress that is never stored because new results fill
+// each commit. No end was acknowledged meanwhile.
+BOOST_AUTO_TEST_CASE(old_progress_is_stored_while_results_fill_commits) {
+  fake_store store;
+  rig owner(store, store.Put(kOwnerKey, "first"));
+  int taken = 0;
+  {
+    const std::lock_guard lock(owner.mutex);
+    owner.next_progress.jobs.push_back(ProgressOf("busy", job_state::kActive));
+    owner.refill = [&taken](progress_batch& batch) {
+      ++taken;
+      for (int i = 0; i < 40; ++i) {
+        batch.jobs.insert(batch.jobs.begin(),
+                          ProgressOf("result-" + std::to_string(taken) + "-" +
+                                         std::to_string(i),
+                                     job_state::kCompleted));
+      }
+      batch.ends_by_worker["w1"] = {1, 7};
+    };
+  }
+  owner.LoadAndStart();
+  owner.journal->ScheduleCommit({});
+  BOOST_TEST(
+      owner.Eventually([&] { return store.Has(ProgressKey("pool", "busy")); }));
+  BOOST_TEST(
+      owner.Eventually([&] { return owner.AcknowledgedEnd("w1") == 7; }));
+  owner.journal->Stop();
+}
+
 // Guards against results and cancellations that wait behind the progress of
 // jobs that only run on, or behind submissions. Submissions must not wait for
 // all progress either.
