Do not refuse a request whose effect at the owner is unknown

Found by the review, by reading: a handler that failed after its commit, or a response that could not be read, counted as not arrived, so that the caller could get 503 for a job that is stored (REFUSED).

a_failed_handler_leaves_the_outcome_unknown failed before for both: 'caller.Submit("job").status == job_call_status::kUnknown has failed'.

--- a/src/pools/queue_gateway.cc
+++ b/src/pools/queue_gateway.cc
@@ -34,6 +34,13 @@
   return response;
 }
 
+// Returns true if the owner may have executed a request that failed so.
+bool MayHaveEffect(const error& failure) {
+  return failure.kind == error_kind::kTimeout ||
+         failure.kind == error_kind::kCorrupt ||
+         failure.kind == error_kind::kInternal;
+}
+
 }  // namespace
 
 std::optional<queue_match> FindQueue(const queue_table& table,
@@ -127,6 +134,7 @@
         }
         if (response && response->status != job_call_status::kUnavailable)
           return *response;
+        may_have_arrived = may_have_arrived || !response;
         reason = response ? response->reason : Describe(response.failure);
       } else {
         reason = Describe(message.failure);
@@ -141,8 +149,7 @@
         if (message.failure.kind == error_kind::kUnavailable) {
           options.directory->ReportUnreachable(owner->member_id);
         }
-        may_have_arrived =
-            may_have_arrived || message.failure.kind == error_kind::kTimeout;
+        may_have_arrived = may_have_arrived || MayHaveEffect(message.failure);
       }
     }
     // The store may not respond to this daemon, which then misses changes.
--- a/tests/pools/forwarded_calls_test.cc
+++ b/tests/pools/forwarded_calls_test.cc
@@ -2,6 +2,7 @@
 #include <atomic>
 #include <boost/test/unit_test.hpp>
 #include <mutex>
+#include <stdexcept>
 #include <string>
 #include <thread>
 #include <vector>
@@ -148,6 +149,24 @@
   BOOST_TEST((cancel("other") == job_call_status::kAbsent));
 }
 
+// Guards against a refusal of a request that the owner may have executed before
+// its handler failed or its response could not be read.
+BOOST_FIXTURE_TEST_CASE(a_failed_handler_leaves_the_outcome_unknown, rig) {
+  daemon_parts caller(store, "caller");
+  BOOST_REQUIRE(Eventually([&] {
+    return caller.Submit("first").status == job_call_status::kAccepted;
+  }));
+  for (const bool has_reply : {false, true}) {
+    owner.peers->SetHandler(
+        wire::body::pool_call,
+        [&](const std::string&, const wire_message&) -> wire_message {
+          if (!has_reply) throw std::runtime_error("failed after the commit");
+          return MakePoolReply("not a response");
+        });
+    BOOST_TEST((caller.Submit("job").status == job_call_status::kUnknown));
+  }
+}
+
 // Guards against the rejection of requests of an earlier build, which do not
 // say how long their sender waits.
 BOOST_FIXTURE_TEST_CASE(a_request_without_a_timeout_is_executed, rig) {
