Queue each stop once, and tell withdrawn starts from refused ones

Found by the review: stops are ordered again every 2.5 s while a worker does not respond, and overtake starts, so that copies would delay the first starts when it is back. A withdrawn start was counted and logged as a refusal of the worker.

a_stop_overtakes_the_starts_that_wait orders one stop twice; before, it was sent twice ('orders == expected has failed').

--- a/src/graph/pool_runs.cc
+++ b/src/graph/pool_runs.cc
@@ -415,7 +415,8 @@
   if (result == start_result::kOutdatedRun) task.last_run += kRunNumberStep;
   if (result == start_result::kNoTicket) {
     step.approvals.by_worker[order.worker].valid_until = {};
-  } else if (result != start_result::kOutdatedRun) {
+  } else if (result != start_result::kOutdatedRun &&
+             result != start_result::kWithdrawn) {
     worker->avoid_until =
         std::max(worker->avoid_until, now + kAvoidRefusingTime);
   }
--- a/src/graph/worker_report.cc
+++ b/src/graph/worker_report.cc
@@ -26,6 +26,8 @@
       return "started";
     case start_result::kStaleEpoch:
       return "stale_epoch";
+    case start_result::kWithdrawn:
+      return "withdrawn";
     case start_result::kOutdatedRun:
       return "outdated_run";
     case start_result::kExpired:
--- a/src/graph/worker_report.h
+++ b/src/graph/worker_report.h
@@ -91,6 +91,7 @@
   kInvalid,           // The worker rejected the order as malformed.
   kUnhealthy,         // The worker refused the order and did nothing.
   kOtherIncarnation,  // Another incarnation of the worker responded.
+  kWithdrawn,         // Not sent, because a stop of the run was ordered first.
   kUnreachable,       // The order certainly did not reach the worker.
   kUnknown,           // No response: the run may have started or may start.
 };
--- a/src/pools/agent_session.cc
+++ b/src/pools/agent_session.cc
@@ -111,7 +111,13 @@
     const std::lock_guard lock(mutex_);
     if (const auto* stop = std::get_if<stop_order>(&order)) {
       WithdrawStart(*stop);
-      pending_stops_.push_back(*stop);
+      // A stop is ordered again while the worker does not respond.
+      const bool is_pending = std::any_of(
+          pending_stops_.begin(), pending_stops_.end(),
+          [&](const stop_order& pending) {
+            return pending.task == stop->task && pending.run == stop->run;
+          });
+      if (!is_pending) pending_stops_.push_back(*stop);
     } else {
       pending_orders_.push_back(std::move(order));
     }
@@ -144,7 +150,7 @@
     const start_order withdrawn = std::move(withdrawn_starts_.front());
     withdrawn_starts_.pop_front();
     lock.unlock();
-    callbacks_.on_start_result(withdrawn, start_result::kOutdatedRun);
+    callbacks_.on_start_result(withdrawn, start_result::kWithdrawn);
     lock.lock();
   }
   if (!pending_stops_.empty()) {
--- a/tests/pools/agent_session_test.cc
+++ b/tests/pools/agent_session_test.cc
@@ -400,8 +400,9 @@
   for (const std::string id : {"first", "second", "third"}) {
     worker.session->Send(start_order{"w1", {id, 0, 0, 0}, 1, "", "", ""});
   }
-  // The start of "third" has not been sent, so it is withdrawn.
-  for (const std::string id : {"cancelled", "third"}) {
+  // The start of "third" has not been sent, so it is withdrawn. A stop that
+  // waits is not sent twice.
+  for (const std::string id : {"cancelled", "third", "cancelled"}) {
     worker.session->Send(stop_order{"w1", {id, 0, 0, 0}, 1});
   }
   may_respond = true;
@@ -416,7 +417,7 @@
                                              "start second"};
   BOOST_TEST(orders == expected);
   BOOST_TEST(std::count(worker.results.begin(), worker.results.end(),
-                        start_result::kOutdatedRun) == 1);
+                        start_result::kWithdrawn) == 1);
 }
 
 }  // namespace
