Name no worker that may run no more tasks of the step

Cause: a call for approval counted the room of workers that run a task of the step already and may run no second one. That covered the waiting task, so no undecided worker was named.

The new test fails before: no call names the free worker ('approvals.size() == 1 has failed [0 != 1]').

--- a/src/graph/pool_model.h
+++ b/src/graph/pool_model.h
@@ -65,6 +65,10 @@
   time_point avoid_until{};  // No task is placed here before.
 };
 
+// Counts the runs on the worker of the step whose first task is `first`.
+std::uint32_t CountRunsOfStep(const worker_state& worker,
+                              const task_key& first);
+
 enum class task_phase { kWaiting, kPlaced, kDone };
 
 // State of one task of a job.
--- a/src/graph/pool_placement.cc
+++ b/src/graph/pool_placement.cc
@@ -59,7 +59,8 @@
       });
 }
 
-// Counts the runs on the worker of the step whose first task is `first`.
+}  // namespace
+
 std::uint32_t CountRunsOfStep(const worker_state& worker,
                               const task_key& first) {
   std::uint32_t count = 0;
@@ -75,8 +76,6 @@
   return count;
 }
 
-}  // namespace
-
 bool pool_scheduler::IsReady(const graph_job& job, std::uint32_t occurrence,
                              std::uint32_t step,
                              std::int64_t wall_clock_ms) const {
--- a/src/graph/pool_reservations.cc
+++ b/src/graph/pool_reservations.cc
@@ -288,12 +288,16 @@
   };
   std::vector<option> options;
   std::uint32_t room = 0;
+  const task_key first{job.submission.id, waiting.occurrence, waiting.step, 0};
   for (const worker_state* worker : FindAllowedWorkers(waiting, now, false)) {
+    const std::uint32_t running =
+        spec.max_per_worker == 0 ? 0 : CountRunsOfStep(*worker, first);
+    if (spec.max_per_worker > 0 && running >= spec.max_per_worker) continue;
     const std::uint32_t tasks = std::min(
         step.waiting,
         CountFits(spec.need,
                   FreeCapacityFor(*worker, milliseconds(spec.estimate_ms), now),
-                  spec.max_per_worker));
+                  spec.max_per_worker - running));
     room += tasks;
     options.push_back({worker, tasks,
                        FindApproval(step.approvals, worker->info, now) !=
--- a/tests/graph/approvals_test.cc
+++ b/tests/graph/approvals_test.cc
@@ -259,5 +259,32 @@
   BOOST_TEST(rig.Decide().approvals.size() == 1);
 }
 
+// Guards against a task that never starts because calls name only workers that
+// run another task of the step already, and may run no more than one. Tickets
+// for these were renewed over and over, with other workers free.
+BOOST_AUTO_TEST_CASE(
+    workers_that_may_run_no_more_tasks_of_a_step_are_not_named) {
+  constexpr resource_vector kLarge{8000, 65'536, 0};
+  scheduler_rig rig;
+  for (const std::string id : {"w1", "w2", "w3"}) rig.AddWorker(id, kLarge);
+  auto job = AdvisedJob("job");
+  job.graph.steps[0].task_count = 4;
+  job.graph.steps[0].is_service = true;
+  job.graph.steps[0].max_per_worker = 1;
+  rig.scheduler.AdmitJob(job, rig.now);
+  rig.DecideAndCarryOut();
+  BOOST_REQUIRE_EQUAL(rig.approvals.size(), 1);
+  Answer(rig, rig.approvals[0], {{"w1", "t"}, {"w2", "t"}, {"w3", "t"}});
+  BOOST_REQUIRE_EQUAL(rig.DecideAndCarryOut().starts.size(), 3);
+  rig.AddWorker("w4", kLarge);
+  rig.AdvanceClock(std::chrono::seconds(2));
+  const auto decisions = rig.DecideAndCarryOut();
+  BOOST_REQUIRE_EQUAL(decisions.approvals.size(), 1);
+  BOOST_REQUIRE(!decisions.approvals[0].workers.empty());
+  BOOST_TEST(decisions.approvals[0].workers[0].id == "w4");
+  Answer(rig, decisions.approvals[0], {{"w4", "t"}});
+  BOOST_TEST(rig.DecideAndCarryOut().starts.size() == 1);
+}
+
 }  // namespace
 }  // namespace apricotwheel
