--- a/src/config/settings.cc
+++ b/src/config/settings.cc
@@ -129,10 +129,6 @@
 }};
 // clang-format on
 
-std::int64_t ToMs(duration value) {
-  return std::chrono::duration_cast<milliseconds>(value).count();
-}
-
 void ReadSetting(const setting_row& row, const yaml_node& node,
                  daemon_settings& settings, fault_list& faults) {
   if (const auto* number_field = std::get_if<number_member>(&row.member)) {
--- a/src/dispatch/dispatch_wire.cc
+++ b/src/dispatch/dispatch_wire.cc
@@ -4,14 +4,6 @@
 
 namespace apricotwheel {
 
-namespace {
-
-std::int64_t ToMs(duration span) {
-  return std::chrono::duration_cast<milliseconds>(span).count();
-}
-
-}  // namespace
-
 wire_headers HeadersToWire(const header_list& headers) {
   wire_headers converted;
   for (const auto& [name, value] : headers) {
--- a/src/dispatch/key_registry.cc
+++ b/src/dispatch/key_registry.cc
@@ -10,10 +10,6 @@
 
 namespace {
 
-std::int64_t ToMs(duration span) {
-  return std::chrono::duration_cast<milliseconds>(span).count();
-}
-
 // Clock values are sent in whole milliseconds, which limits the precision of
 // the age of a ticket that was issued by a predecessor.
 constexpr std::int64_t kTicketAgeErrorMs = 2;
--- a/src/graph/graph_codec.cc
+++ b/src/graph/graph_codec.cc
@@ -82,10 +82,6 @@
   return step;
 }
 
-std::int64_t ToMs(duration span) {
-  return std::chrono::duration_cast<milliseconds>(span).count();
-}
-
 json ToJson(const queue_rules& queue) {
   json out = {{"name", queue.name},
               {"pool", queue.pool},
--- a/src/graph/pool_placement.cc
+++ b/src/graph/pool_placement.cc
@@ -356,9 +356,7 @@
     Log(graph_events::kStepWaiting,
         {Field("job", job->submission.id),
          Field("queue", job->submission.queue.name), Field("step", index),
-         Field("age_ms",
-               std::chrono::duration_cast<milliseconds>(now - admitted_at)
-                   .count()),
+         Field("age_ms", ToMs(now - admitted_at)),
          Field("tasks", step.tasks.size()), Field("waiting", step.waiting),
          Field("placed", step.placed), Field("gang", spec.is_gang ? 1 : 0),
          Field("lasting", spec.is_service ? 1 : 0), Field("approved", approved),
--- a/src/graph/pool_scheduler.cc
+++ b/src/graph/pool_scheduler.cc
@@ -174,9 +174,7 @@
   StopJob(job, now);
   Log(graph_events::kJobFinished,
       {Field("job", job.submission.id), Field("state", ToString(state)),
-       Field("age_ms",
-             std::chrono::duration_cast<milliseconds>(now - job.admitted_at)
-                 .count())});
+       Field("age_ms", ToMs(now - job.admitted_at))});
 }
 
 void pool_scheduler::DeleteFinishedJobs(time_point now) {
--- a/src/kernel/clock.h
+++ b/src/kernel/clock.h
@@ -13,6 +13,11 @@
 using time_point = std::chrono::time_point<std::chrono::steady_clock, duration>;
 using milliseconds = std::chrono::milliseconds;
 
+// Returns the whole milliseconds of a span, for records, messages and logs.
+inline std::int64_t ToMs(duration span) {
+  return std::chrono::duration_cast<milliseconds>(span).count();
+}
+
 // The source of time for all code of the project; every timeout and deadline
 // uses it. A running clock reads CLOCK_BOOTTIME, which is monotonic and counts
 // suspended time. A paused clock changes only when a test calls `Advance`.
--- a/src/pools/job_journal.cc
+++ b/src/pools/job_journal.cc
@@ -508,15 +508,12 @@
   const auto now = options_.clock->Now();
   if (now - load_reported_at_ < kLoadReportInterval) return;
   load_reported_at_ = now;
-  const auto to_ms = [](duration span) {
-    return std::chrono::duration_cast<milliseconds>(span).count();
-  };
   Emit(options_.log, pool_events::kJournalLoad,
        {Field("pool", options_.pool), Field("commits", load_.commits),
         Field("partial", load_.partial),
         Field("most_deferred", load_.most_deferred),
-        Field("commit_ms", to_ms(load_.longest_commit)),
-        Field("ends_waited_ms", to_ms(load_.ends_waited))});
+        Field("commit_ms", ToMs(load_.longest_commit)),
+        Field("ends_waited_ms", ToMs(load_.ends_waited))});
   load_ = {};
 }
 
--- a/src/pools/pool_owner.cc
+++ b/src/pools/pool_owner.cc
@@ -299,21 +299,18 @@
 void pool_owner::ReportActivityIfDue(time_point now) {
   if (now - activity_reported_at_ < kActivityReportInterval) return;
   activity_reported_at_ = now;
-  const auto to_ms = [](duration span) {
-    return std::chrono::duration_cast<milliseconds>(span).count();
-  };
   const auto approvals = approval_dispatcher_->TakeWaitStatistics();
   Emit(
       options_.log, pool_events::kOwnerLoad,
       {Field("pool", options_.pool), Field("epoch", options_.epoch),
        Field("passes", activity_.passes),
-       Field("pass_ms", to_ms(activity_.pass_time)),
-       Field("decision_delay_ms", to_ms(activity_.longest_decision_delay)),
+       Field("pass_ms", ToMs(activity_.pass_time)),
+       Field("decision_delay_ms", ToMs(activity_.longest_decision_delay)),
        Field("reports", activity_.reports),
        Field("requests", activity_.requests), Field("starts", activity_.starts),
        Field("approvals_pending",
              approvals.pending + scheduler_->CountDelayedApprovals()),
-       Field("approval_wait_ms", to_ms(approvals.longest_wait))});
+       Field("approval_wait_ms", ToMs(approvals.longest_wait))});
   activity_ = {};
 }
 
--- a/src/pools/pool_succession.cc
+++ b/src/pools/pool_succession.cc
@@ -249,14 +249,11 @@
   const auto cause = move == move_cause::kOverload
                          ? hand_over_cause::kOverload
                          : hand_over_cause::kStrongerMember;
-  const auto to_ms = [](duration span) {
-    return std::chrono::duration_cast<milliseconds>(span).count();
-  };
   Emit(options_.log, pool_events::kPoolMove,
        {Field("pool", pool), Field("epoch", watch.epoch),
         Field("cause", ToString(cause)), Field("member", inputs.best->id),
-        Field("decision_delay_ms", to_ms(delay)),
-        Field("tenure_ms", to_ms(inputs.tenure)),
+        Field("decision_delay_ms", ToMs(delay)),
+        Field("tenure_ms", ToMs(inputs.tenure)),
         Field("processor_milli", ExpectedProcessorMilli(inputs.owner)),
         Field("member_processor_milli", ExpectedProcessorMilli(*inputs.best)),
         Field("overloaded_members", inputs.overloaded_members)});
--- a/src/pools/queue_gateway.cc
+++ b/src/pools/queue_gateway.cc
@@ -118,8 +118,8 @@
       const auto timeout =
           std::min<duration>(deadline - clock_->Now(), kMaxCallTimeout);
       // 0 would mean that the timeout is not known.
-      request.body.Aspool_call()->timeout_ms = std::max<std::int64_t>(
-          1, std::chrono::duration_cast<milliseconds>(timeout).count());
+      request.body.Aspool_call()->timeout_ms =
+          std::max<std::int64_t>(1, ToMs(timeout));
       const auto message = Attempt([&] {
         return options.peers->Call(owner->member_id, request, timeout);
       });
@@ -186,9 +186,7 @@
   Emit(log_, pool_events::kJobRequestCompleted,
        {Field("job", job.id), Field("queue", queue.name),
         Field("answer", ToString(response.status)),
-        Field("ms", std::chrono::duration_cast<milliseconds>(clock_->Now() -
-                                                             received_at)
-                        .count()),
+        Field("ms", ToMs(clock_->Now() - received_at)),
         Field("reason", response.reason)});
   return response;
 }
@@ -276,9 +274,7 @@
   Emit(log_, pool_events::kJobRequestCompleted,
        {Field("job", job_id), Field("queue", queue.name),
         Field("verb", "cancel"), Field("answer", ToString(response.status)),
-        Field("ms", std::chrono::duration_cast<milliseconds>(clock_->Now() -
-                                                             started_at)
-                        .count()),
+        Field("ms", ToMs(clock_->Now() - started_at)),
         Field("reason", response.reason)});
   return response;
 }
