Choose no more workers for a step than may start

At the limit of starts without an answer, each pass chose workers for all waiting tasks of every step and threw most of them away (found by the review). The choice is made task by task, so the first ones are the same; one more than may start still shows that the limit holds the step up. The parameter valid_only had one value left. Behaviour is unchanged; the tests of graph and pools pass. Not measured.

--- a/src/graph/pool_placement.cc
+++ b/src/graph/pool_placement.cc
@@ -259,15 +259,16 @@
 }
 
 std::vector<pool_scheduler::placement> pool_scheduler::ChooseWorkers(
-    const candidate& waiting, time_point now, bool valid_only) {
+    const candidate& waiting, time_point now, std::size_t limit) {
   const step_state& step =
       waiting.job->occurrences[waiting.occurrence][waiting.step];
-  const auto allowed = FindAllowedWorkers(waiting, now, valid_only);
+  const auto allowed = FindAllowedWorkers(waiting, now, true);
   std::vector<placement> chosen;
   if (allowed.empty()) return chosen;
   const task_key first{waiting.job->submission.id, waiting.occurrence,
                        waiting.step, 0};
-  for (std::uint32_t i = 0; i < step.tasks.size(); ++i) {
+  for (std::uint32_t i = 0; i < step.tasks.size() && chosen.size() < limit;
+       ++i) {
     if (step.tasks[i].phase != task_phase::kWaiting) continue;
     worker_state* worker = BestWorker(waiting, allowed, chosen, now);
     if (worker == nullptr) break;
@@ -293,11 +294,13 @@
 void pool_scheduler::PlaceStep(const candidate& waiting, time_point now,
                                pool_decisions& decisions) {
   const graph_step& spec = waiting.job->submission.graph.steps[waiting.step];
-  auto chosen = ChooseWorkers(waiting, now, true);
   // Lasting tasks are few and must run again soon, also while urgent tasks use
   // up the limit. A gang starts as a whole.
   const std::size_t starts_allowed =
-      spec.is_service ? chosen.size() : CountStartsAllowed(now);
+      spec.is_service ? spec.task_count : CountStartsAllowed(now);
+  // One more than may start shows that the limit holds the step up.
+  auto chosen = ChooseWorkers(
+      waiting, now, spec.is_gang ? spec.task_count : starts_allowed + 1);
   const bool is_limited = spec.is_gang ? starts_allowed == 0 && !chosen.empty()
                                        : chosen.size() > starts_allowed;
   if (is_limited) {
--- a/src/graph/pool_scheduler.h
+++ b/src/graph/pool_scheduler.h
@@ -260,10 +260,10 @@
   // and requests approvals for the others.
   void PlaceStep(const candidate& waiting, time_point now,
                  pool_decisions& decisions);
-  // Chooses workers for the waiting tasks of a step; for a gang, for all tasks
-  // or none. `valid_only` demands valid tickets.
+  // Chooses workers with valid tickets for at most `limit` waiting tasks of a
+  // step; for a gang, for all tasks or none.
   std::vector<placement> ChooseWorkers(const candidate& waiting, time_point now,
-                                       bool valid_only);
+                                       std::size_t limit);
   // Returns the best of the allowed workers for one more task of the step, or
   // null if none has room beside the tasks in `chosen`.
   worker_state* BestWorker(const candidate& waiting,
