Replace a shared pointer that only ran a deleter, and a split comment

A forwarded submission allocated a control block to decrement a counter at the end of a scope; a small guard does it now. Behaviour is unchanged.

--- a/src/pools/agent_session.h
+++ b/src/pools/agent_session.h
@@ -132,9 +132,8 @@
   agent_session_options options_;
   const callbacks callbacks_;
   std::mutex mutex_;
-  // The poll thread waits on it until ends are stored, and ...
-  std::condition_variable stored_;
-  // ... on this one until any event.
+  std::condition_variable stored_;  // The poll thread waits on it for `Wake`.
+  // The poll thread waits on it for `Wake` or an order.
   std::condition_variable events_changed_;
   std::condition_variable orders_changed_;  // The order thread waits on it.
   // Starts and throttles, which stops overtake: a start that gets no response
--- a/src/pools/pool_host.cc
+++ b/src/pools/pool_host.cc
@@ -35,6 +35,12 @@
 // another owner may be served first.
 constexpr auto kApprovalTimeout = milliseconds(4000);
 
+// Decrements a counter at the end of a scope.
+struct counter_release {
+  std::atomic<int>& counter;
+  ~counter_release() { --counter; }
+};
+
 std::string EncodeApprovalRequest(const approval_request& request) {
   json workers = json::array();
   for (const pool_worker& worker : request.workers) {
@@ -254,8 +260,7 @@
     // Handler threads are left for cancellations and state requests, and a
     // submission is refused before its body is decoded.
     const int executing = ++executing_submissions_;
-    const auto release = std::shared_ptr<void>(
-        nullptr, [this](void*) { --executing_submissions_; });
+    const counter_release release{executing_submissions_};
     if (executing > kMaxExecutingSubmissions) {
       const double refused = options_.metrics->refused_submissions.Value();
       options_.metrics->refused_submissions.Increment();
