Limit incoming peer connections by the members of the cell

Cause: a node accepted 64 incoming connections.

Members are now never rejected because of others: strangers and connections without a handshake have limits of their own, a member keeps at most four connections, and the whole stays under a quarter of the descriptors. A link that the peer rejected keeps its backoff.

--- a/src/peer/peer_link.cc
+++ b/src/peer/peer_link.cc
@@ -41,7 +41,13 @@
     if (server_id.failure.kind == error_kind::kCorrupt) {
       ReportRejectedConnection(context, server_id.failure);
     }
-    return Fail(server_id.failure);
+    if (server_id.failure.kind == error_kind::kTimeout) {
+      return Fail(server_id.failure);
+    }
+    // The peer closed the connection, as it does if it has too many.
+    return Fail(error_kind::kOverloaded,
+                "the handshake failed: " + server_id.failure.message,
+                server_id.failure.remedy);
   }
   connection->SetMaxFrameBytes(options.max_frame_bytes);
   return authenticated_connection{std::move(connection), std::move(*server_id)};
@@ -161,6 +167,7 @@
   std::unique_lock lock(mutex_);
   connecting_ = false;
   state_changed_.notify_all();
+  was_rejected_ = !opened && opened.failure.kind == error_kind::kOverloaded;
   if (!opened) {
     context_->failed_connects->Increment();
     // The attempt may have failed only because the caller's deadline was near.
@@ -254,6 +261,7 @@
 
 void peer_link::ResetBackoff() {
   std::lock_guard guard(mutex_);
+  if (was_rejected_) return;
   failed_attempts_ = 0;
   retry_at_ = {};
 }
--- a/src/peer/peer_link.h
+++ b/src/peer/peer_link.h
@@ -36,7 +36,7 @@
   void Post(const wire_message& message);
 
   // Ends the reconnect backoff, because an incoming connection has shown that
-  // the peer is alive.
+  // the peer is alive. Has no effect if the peer rejected the last attempt.
   void ResetBackoff();
 
   // Fails the pending calls and rejects later ones.
@@ -65,6 +65,7 @@
   bool closed_ = false;
   int failed_attempts_ = 0;
   time_point retry_at_{};
+  bool was_rejected_ = false;  // The peer closed the last connection.
   random_source random_;
   std::uint64_t last_correlation_id_ = 0;
   std::map<std::uint64_t, std::shared_ptr<pending_call>> pending_;
--- a/src/peer/peer_node.cc
+++ b/src/peer/peer_node.cc
@@ -1,16 +1,17 @@
 #include "peer/peer_node.h"
 
 #include <poll.h>
+#include <sys/resource.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
 #include <algorithm>
 #include <map>
 #include <mutex>
-#include <set>
 
 #include "peer/envelope.h"
 #include "peer/handshake.h"
+#include "peer/incoming_connections.h"
 #include "peer/node_context.h"
 #include "peer/peer_link.h"
 
@@ -19,10 +20,6 @@
 namespace {
 
 constexpr std::size_t kMinKeyBytes = 32;
-// Limit of incoming connections, each of which has a reader thread. A cell has
-// 9 daemons; the rest allows for restarts and for connections that have not
-// closed yet.
-constexpr std::size_t kMaxIncomingConnections = 64;
 // Timeout for writing a response. The connection of a peer that reads no
 // responses for this long is closed, so that the peer cannot occupy handler
 // threads.
@@ -31,6 +28,12 @@
 // order not to delay the reading.
 constexpr auto kOverloadResponseTimeout = milliseconds(50);
 
+std::size_t MaxDescriptors() {
+  rlimit limit{};
+  if (getrlimit(RLIMIT_NOFILE, &limit) != 0) return 0;
+  return static_cast<std::size_t>(limit.rlim_cur);
+}
+
 wire_message RunHandler(node_context& context, const std::string& sender,
                         const wire_message& request, time_point received_at) {
   std::shared_ptr<const timed_peer_handler> handler;
@@ -75,13 +78,15 @@
 
 struct peer_node::state {
   explicit state(peer_node_options options)
-      : context(std::make_shared<node_context>(std::move(options))) {}
+      : context(std::make_shared<node_context>(std::move(options))),
+        incoming(ConnectionsForDescriptors(MaxDescriptors())) {}
   ~state() {
     if (listener >= 0) ::close(listener);
   }
 
   void AcceptConnections();
-  void ServeConnection(const std::shared_ptr<peer_connection>& connection);
+  void ServeConnection(incoming_connections::connection_id id,
+                       const std::shared_ptr<peer_connection>& connection);
   void ReadRequests(const std::shared_ptr<peer_connection>& connection,
                     const std::string& sender);
   void DispatchRequest(const std::shared_ptr<peer_connection>& connection,
@@ -93,7 +98,7 @@
   std::string listen_address;
   std::mutex mutex;
   std::map<std::string, std::shared_ptr<peer_link>, std::less<>> links;
-  std::set<std::shared_ptr<peer_connection>> incoming;
+  incoming_connections incoming;
   std::once_flag stopped;
 };
 
@@ -258,7 +263,7 @@
     {
       std::lock_guard guard(state_->mutex);
       links.swap(state_->links);
-      for (const auto& connection : state_->incoming) connection->Close();
+      state_->incoming.CloseAll();
     }
     for (const auto& [id, link] : links) link->Close();
     context.pool.Stop();
@@ -290,33 +295,32 @@
     ConfigureSocket(socket);
     const auto connection = std::make_shared<peer_connection>(
         socket, kMaxHandshakeFrameBytes, options.clock, context->traffic);
+    std::optional<incoming_connections::connection_id> id;
     {
       std::lock_guard guard(mutex);
       if (context->stopping) return;
-      if (incoming.size() >= kMaxIncomingConnections) {
-        ReportRejectedConnection(
-            *context, {error_kind::kOverloaded, "too many incoming connections",
-                       "check who connects to the peer address"});
-        continue;
-      }
-      incoming.insert(connection);
+      id = incoming.Add(connection, links.size());
+    }
+    if (!id) {
+      ReportRejectedConnection(
+          *context, {error_kind::kOverloaded, "too many incoming connections",
+                     "raise the limit of open files, or run fewer daemons"});
+      continue;
     }
     const auto spawned = Attempt([&] {
-      return context->threads.Spawn("peer-reader", [this, connection] {
-        ServeConnection(connection);
-        connection->Close();
-        std::lock_guard guard(mutex);
-        incoming.erase(connection);
-      });
+      return context->threads.Spawn("peer-reader",
+                                    [this, id = *id, connection] {
+                                      ServeConnection(id, connection);
+                                      connection->Close();
+                                      incoming.Remove(id);
+                                    });
     });
-    if (!spawned) {
-      std::lock_guard guard(mutex);
-      incoming.erase(connection);
-    }
+    if (!spawned) incoming.Remove(*id);
   }
 }
 
 void peer_node::state::ServeConnection(
+    incoming_connections::connection_id id,
     const std::shared_ptr<peer_connection>& connection) {
   const auto& options = context->options;
   const auto deadline = options.clock->Now() + 2 * options.connect_timeout;
@@ -328,8 +332,15 @@
     if (!context->stopping) ReportRejectedConnection(*context, sender.failure);
     return;
   }
+  const auto outgoing = FindLink(*sender);
+  if (!incoming.SetSender(id, *sender, outgoing != nullptr)) {
+    ReportRejectedConnection(
+        *context, {error_kind::kOverloaded, "too many incoming connections",
+                   "check who connects to the peer address"});
+    return;
+  }
   connection->SetMaxFrameBytes(options.max_frame_bytes);
-  if (const auto outgoing = FindLink(*sender)) outgoing->ResetBackoff();
+  if (outgoing) outgoing->ResetBackoff();
   ReadRequests(connection, *sender);
 }
 
--- a/tests/peer/raw_peer.h
+++ b/tests/peer/raw_peer.h
@@ -74,21 +74,24 @@
       .value.value();
 }
 
-// Authenticates to a node as `client.1`. Returns true if the node has the
+// Authenticates to a node as `client_id`. Returns true if the node has the
 // member id `server_id`.
 inline bool Authenticate(peer_connection& connection,
-                         const std::string& server_id) {
+                         const std::string& server_id,
+                         const std::string& client_id = "client.1") {
   const auto server = Attempt([&] {
-    return AuthenticateAsClient(connection, kTestKey, "client.1",
+    return AuthenticateAsClient(connection, kTestKey, client_id,
                                 TestDeadline());
   });
   return server && *server == server_id;
 }
 
 inline std::unique_ptr<peer_connection> ConnectRawClient(
-    const std::string& address, const std::string& server_id) {
+    const std::string& address, const std::string& server_id,
+    const std::string& client_id = "client.1") {
   auto connection = WrapSocket(ConnectRawSocket(address));
-  return Authenticate(*connection, server_id) ? std::move(connection) : nullptr;
+  return Authenticate(*connection, server_id, client_id) ? std::move(connection)
+                                                         : nullptr;
 }
 
 // Listens for connections of a node and authenticates as `raw.1`.
