Divide large pools into partitions with an owner each

Cause: one owner a pool.

A pool with more than partition_workers (192) workers is divided once, by racks. Each partition is owned, stored and succeeded like a pool. The id of a job selects its partition, so that all copies reach the same one; for the time of the division itself, conditions of the store keep two partitions from accepting one job. Racks do not move. A member of an earlier version prevents the division.

Ruled out: tuning of the one owner (its passes were a quarter of its time).

--- a/src/config/settings.cc
+++ b/src/config/settings.cc
@@ -51,7 +51,7 @@
 using s = daemon_settings;
 
 // clang-format off
-constexpr std::array<setting_row, 37> kSettings = {{
+constexpr std::array<setting_row, 38> kSettings = {{
     {"name", kName, "", &s::name, true, 0, 0,
      "name of this daemon, unique in the cell"},
     {"failure_domain", kName, "", &s::failure_domain, true, 0, 0,
@@ -106,6 +106,8 @@
      "largest body of a request or response"},
     {"max_frame_bytes", kNumber, "bytes", &s::max_frame_bytes, false, 65'536, 256 << 20,
      "largest frame between daemons"},
+    {"partition_workers", kNumber, "workers", &s::partition_workers, false, 8, 100'000,
+     "a pool with more workers than this is divided over several owners"},
     {"max_handler_threads", kNumber, "threads", &s::max_handler_threads, false, 1, 4096,
      "threads for peer requests that block"},
     {"recorded_answer_bytes", kNumber, "bytes", &s::recorded_answer_bytes, false, 0, 16 << 20,
--- a/src/config/settings.h
+++ b/src/config/settings.h
@@ -54,6 +54,8 @@
   std::int64_t retry_budget_percent = 10;
   std::int64_t breaker_failures = 5;
   std::int64_t quarantine_failures = 5;
+  // Workers of a pool that one owner carries. A larger pool is divided.
+  std::int64_t partition_workers = 192;
   // First quarantine of a worker. It is short because jobs that only this
   // worker can run wait until it ends.
   duration quarantine = milliseconds(10'000);
--- a/src/pools/job_journal.cc
+++ b/src/pools/job_journal.cc
@@ -5,6 +5,7 @@
 #include <map>
 #include <nlohmann/json.hpp>
 
+#include "pools/partition_table.h"
 #include "pools/pool_events.h"
 
 namespace apricotwheel {
@@ -17,6 +18,9 @@
 // journal key and the worker list are part of each.
 constexpr std::size_t kMaxTransactionEntries = 32;
 constexpr std::size_t kFixedEntries = 4;
+// Conditions of each transaction, which come first: the owner key and the
+// journal key. More come with submissions.
+constexpr std::size_t kGroupConditions = 2;
 // Entries that are kept for submissions while some wait, so that neither they
 // nor the progress of running jobs can hold the other up.
 constexpr std::size_t kSubmissionEntries = 14;
@@ -344,6 +348,9 @@
                              {JournalKey(), journal_revision_}};
   group.writes.puts.push_back({JournalKey(), JournalValue(group.number), {}});
   TakeSnapshot(flush);
+  // A submission has one write and its conditions.
+  const std::size_t submission_entries =
+      1 + (options_.first_partition.empty() ? 0 : 2);
   std::size_t reserved = 0;
   {
     const std::lock_guard lock(mutex_);
@@ -352,26 +359,42 @@
       group.writes.puts.push_back(
           {WorkerListKey(), json(worker_list_).dump(), {}});
     }
-    reserved = std::min(pending_submissions_.size(), kSubmissionEntries);
+    reserved = std::min(pending_submissions_.size() * submission_entries,
+                        kSubmissionEntries);
   }
+  const bool checks_table =
+      !options_.partitions_key.empty() && partition_count_ == 1;
   std::size_t entries =
-      AddProgress(group, kFixedEntries, kMaxTransactionEntries - reserved);
+      AddProgress(group, kFixedEntries + (checks_table ? 1 : 0),
+                  kMaxTransactionEntries - reserved);
   {
     const std::lock_guard lock(mutex_);
     std::size_t bytes = 0;
-    while (!pending_submissions_.empty() && entries < kMaxTransactionEntries &&
+    while (!pending_submissions_.empty() &&
+           entries + submission_entries <= kMaxTransactionEntries &&
            bytes < kMaxTransactionBytes) {
       submission_ptr next = pending_submissions_.front();
       pending_submissions_.pop_front();
+      if (HomePartition(next->job.id, partition_count_) != 0) {
+        next->is_done = true;
+        next->changed.notify_all();
+        continue;
+      }
       next->is_sent = true;
       group.writes.puts.push_back({JobKey(options_.pool, next->job.id),
                                    EncodeSubmission(next->job),
                                    {}});
       bytes += group.writes.puts.back().value.size();
-      ++entries;
+      for (kv_condition& condition : SubmissionConditions(next->job.id)) {
+        group.writes.conditions.push_back(std::move(condition));
+      }
+      entries += submission_entries;
       group.submissions.push_back(std::move(next));
     }
   }
+  if (checks_table && !group.submissions.empty()) {
+    group.writes.conditions.push_back({options_.partitions_key, 0});
+  }
   // A job whose progress still waits is deleted after that is stored.
   while (!waiting_deletions_.empty() && waiting_progress_.empty() &&
          entries < kMaxTransactionEntries) {
@@ -435,6 +458,22 @@
       return report_success();
     }
     const error_kind kind = written.failure.kind;
+    if (kind == error_kind::kConflict &&
+        group.writes.conditions.size() > kGroupConditions) {
+      const auto removed =
+          Attempt([&] { return RemoveForeignSubmissions(group); });
+      if (!removed) {
+        Emit(options_.log, pool_events::kCommitFailed,
+             {Field("pool", options_.pool), Field("number", group.number),
+              Field("reason", Describe(removed.failure))});
+        std::unique_lock lock(mutex_);
+        options_.clock->WaitFor(lock, work_changed_, kRetryInterval,
+                                [&] { return is_stopped_; });
+        if (is_stopped_) return false;
+        continue;
+      }
+      if (*removed) continue;
+    }
     if (kind == error_kind::kConflict && !may_be_applied) {
       RejectSubmissions(group);
       return false;
@@ -486,6 +525,67 @@
   std::erase_if(group.writes.puts, [&](const kv_write& put) {
     return put.key.starts_with(prefix);
   });
+  group.writes.conditions.resize(kGroupConditions);
+}
+
+std::vector<kv_condition> job_journal::SubmissionConditions(
+    std::string_view job_id) const {
+  if (options_.first_partition.empty()) return {};
+  return {{JobKey(options_.first_partition, job_id), 0},
+          {ProgressKey(options_.first_partition, job_id), 0}};
+}
+
+void job_journal::RemoveSubmission(commit_group& group,
+                                   const submission_ptr& submission,
+                                   bool is_stored) {
+  const std::string& id = submission->job.id;
+  std::erase_if(group.writes.puts, [&](const kv_write& put) {
+    return put.key == JobKey(options_.pool, id);
+  });
+  for (const kv_condition& condition : SubmissionConditions(id)) {
+    std::erase_if(group.writes.conditions, [&](const kv_condition& one) {
+      return one.key == condition.key;
+    });
+  }
+  {
+    const std::lock_guard lock(mutex_);
+    submission->is_stored = is_stored;
+    submission->is_done = true;
+    submission->changed.notify_all();
+  }
+  std::erase(group.submissions, submission);
+}
+
+result<bool> job_journal::RemoveForeignSubmissions(commit_group& group) {
+  const auto submissions = group.submissions;
+  bool has_removed = false;
+  if (!options_.partitions_key.empty() && partition_count_ == 1) {
+    BOOST_LEAF_AUTO(record, options_.kv->Get(options_.partitions_key));
+    if (!record) return false;
+    BOOST_LEAF_AUTO(table, DecodePartitions(record->value));
+    partition_count_ = table.count;
+    std::erase_if(group.writes.conditions, [&](const kv_condition& one) {
+      return one.key == options_.partitions_key;
+    });
+    for (const submission_ptr& submission : submissions) {
+      if (HomePartition(submission->job.id, table.count) == 0) continue;
+      RemoveSubmission(group, submission, false);
+    }
+    return true;
+  }
+  if (options_.first_partition.empty()) return false;
+  for (const submission_ptr& submission : submissions) {
+    BOOST_LEAF_AUTO(state,
+                    ReadStoredJobState(*options_.kv, options_.first_partition,
+                                       submission->job.id));
+    if (!state) continue;
+    Emit(options_.log, pool_events::kAcceptedBefore,
+         {Field("pool", options_.pool), Field("job", submission->job.id),
+          Field("partition", options_.first_partition)});
+    RemoveSubmission(group, submission, true);
+    has_removed = true;
+  }
+  return has_removed;
 }
 
 void job_journal::SetStoreUnreachable(bool is_unreachable) {
--- a/src/pools/job_journal.h
+++ b/src/pools/job_journal.h
@@ -56,7 +56,14 @@
 };
 
 struct job_journal_options {
-  std::string pool;
+  std::string pool;  // Or a partition of one.
+  // Set if the pool is divided and this is not its first partition. That one
+  // may have accepted any job before the division, so a job is stored only if
+  // it has no record there.
+  std::string first_partition;
+  // Set for a first partition that may be divided: the key of the partition
+  // table. Until the table is stored, the partition accepts all jobs.
+  std::string partitions_key;
   std::string owner_key;
   std::uint64_t epoch = 0;  // Revision of the owner key.
   std::string writer;       // Member id.
@@ -178,6 +185,15 @@
   // returns false if the journal stops before a retry; the group may then be
   // stored.
   bool CommitGroup(commit_group& group);
+  // Returns the conditions under which a job is stored. They make sure that no
+  // other partition of the pool stores it, too.
+  std::vector<kv_condition> SubmissionConditions(std::string_view job_id) const;
+  // After a conflict: removes the submissions from the group that belong to
+  // another partition or that the first one has accepted before, and reports
+  // their results. Returns false if the conflict has another cause.
+  result<bool> RemoveForeignSubmissions(commit_group& group);
+  void RemoveSubmission(commit_group& group, const submission_ptr& submission,
+                        bool is_stored);
   // Reports the submissions of the group as not stored and removes them from
   // it. Called only if they are certainly not stored, now or later.
   void RejectSubmissions(commit_group& group);
@@ -196,8 +212,10 @@
 
   const job_journal_options options_;
   const callbacks callbacks_;
-  // The next eight are used by `Load` and then by the commit thread only.
+  // The next nine are used by `Load` and then by the commit thread only.
   std::uint64_t journal_revision_ = 0;
+  // Of the pool, if this is its first one; 1 until a table was found.
+  std::uint32_t partition_count_ = 1;
   std::uint64_t last_number_ = 0;  // Number of the last group.
   std::uint64_t tenure_ = 0;
   // Duration of the last commit that the store confirmed. Determines the
--- a/src/pools/owner_ranking.cc
+++ b/src/pools/owner_ranking.cc
@@ -81,7 +81,8 @@
 std::string EncodeCapacity(const member_capacity& capacity) {
   return nlohmann::json{{"processor_milli", capacity.processor_milli},
                         {"overloaded", capacity.is_overloaded},
-                        {"link_kbps", capacity.link_kbps}}
+                        {"link_kbps", capacity.link_kbps},
+                        {"partitions", capacity.knows_partitions}}
       .dump();
 }
 
@@ -90,7 +91,8 @@
       text, [](const nlohmann::json& in) -> result<member_capacity> {
         return member_capacity{in.at("processor_milli").get<std::int64_t>(),
                                in.value("overloaded", false),
-                               in.value("link_kbps", std::int64_t{0})};
+                               in.value("link_kbps", std::int64_t{0}),
+                               in.value("partitions", false)};
       });
 }
 
--- a/src/pools/owner_ranking.h
+++ b/src/pools/owner_ranking.h
@@ -23,6 +23,9 @@
   bool is_overloaded = false;
   // Bandwidth of the link; 0 if it is not known.
   std::int64_t link_kbps = 0;
+  // The version of the member knows partitions. A pool is divided only if all
+  // members do.
+  bool knows_partitions = false;
 
   friend bool operator==(const member_capacity&,
                          const member_capacity&) = default;
--- a/src/pools/pool_directory.cc
+++ b/src/pools/pool_directory.cc
@@ -31,6 +31,8 @@
 constexpr int kMaxOverloadDoublings = 4;
 // Interval of checks for vacant pools when nothing wakes the election thread.
 constexpr auto kElectionInterval = milliseconds(1000);
+// A member publishes its capacity within this time after it has joined.
+constexpr auto kCapacityDelay = milliseconds(2000);
 // A machine that is up rejects a connection within milliseconds.
 constexpr auto kProbeTimeout = milliseconds(300);
 // Read timeout before a conditional takeover. A healthy store responds in a few
@@ -41,7 +43,7 @@
 member_capacity ConfiguredCapacity(const daemon_settings& settings) {
   return {
       std::llround(settings.processor_share * settings.processor_cores * 1000),
-      false, std::llround(settings.link_mbps * 1000)};
+      false, std::llround(settings.link_mbps * 1000), true};
 }
 
 }  // namespace
@@ -54,6 +56,7 @@
     : options_(std::move(options)),
       lease_(options_.kv, options_.clock, options_.settings, options_.self,
              options_.log),
+      partitions_(options_.log),
       lease_signal_(options_.clock),
       election_signal_(options_.clock),
       watcher_({std::string(kWatchedPrefix), options_.kv, options_.clock,
@@ -113,8 +116,54 @@
 }
 
 std::vector<std::string> pool_directory::Pools() const {
+  std::vector<std::string> configured;
+  {
+    const std::lock_guard lock(mutex_);
+    configured = pools_;
+  }
+  std::vector<std::string> pools;
+  for (const std::string& pool : configured) {
+    const auto partitions = partitions_.PartitionsOf(pool);
+    pools.insert(pools.end(), partitions.begin(), partitions.end());
+  }
+  return pools;
+}
+
+partition_support pool_directory::PartitionSupport() const {
   const std::lock_guard lock(mutex_);
-  return pools_;
+  const auto now = options_.clock->Now();
+  auto support = partition_support::kAll;
+  for (const auto& [id, stored] : members_) {
+    if (!stored.record || dead_members_.contains(id)) continue;
+    const auto found = capacities_.find(id);
+    if (found != capacities_.end() && found->second.record) {
+      if (found->second.record->knows_partitions) continue;
+      return partition_support::kNotAll;
+    }
+    // The first versions publish no capacity.
+    if (now - stored.joined_at >= kCapacityDelay) {
+      return partition_support::kNotAll;
+    }
+    support = partition_support::kUnknown;
+  }
+  return support;
+}
+
+result<void> pool_directory::StorePartitions(const std::string& pool,
+                                             std::uint64_t epoch,
+                                             const partition_table& table) {
+  const kv_transaction update =
+      partitions_.MakeUpdate(pool, table, {OwnerKey(pool), epoch});
+  BOOST_LEAF_AUTO(revision, options_.kv->Commit(update));
+  ApplyPartitions(
+      {{update.puts.front().key, update.puts.front().value, revision}, false});
+  return {};
+}
+
+void pool_directory::ApplyPartitions(const kv_event& event) {
+  if (!partitions_.Apply(event)) return;
+  election_signal_.Wake();
+  if (on_partitions_changed_) on_partitions_changed_();
 }
 
 bool pool_directory::IsSynced() const {
@@ -149,6 +198,8 @@
     ApplyMember(key.substr(kMembersPrefix.size()), event);
   } else if (key.starts_with(kCapacitiesPrefix)) {
     ApplyCapacity(key.substr(kCapacitiesPrefix.size()), event);
+  } else if (key.starts_with(partition_directory::kPrefix)) {
+    ApplyPartitions(event);
   }
 }
 
@@ -433,10 +484,11 @@
     ProbeUnreachableMembers();
     std::optional<std::string> due;
     duration wait = kElectionInterval;
+    const auto pools = Pools();
     {
       const std::lock_guard lock(mutex_);
       const auto now = options_.clock->Now();
-      for (const std::string& pool : pools_) {
+      for (const std::string& pool : pools) {
         if (!IsVacant(pool) || !is_synced_ || is_leaving_ || !lease_.IsHeld()) {
           vacant_since_.erase(pool);
           continue;
@@ -509,10 +561,11 @@
 result<std::uint64_t> pool_directory::TakeOver(const std::string& pool,
                                                std::uint64_t epoch,
                                                bool only_if_quick) {
+  const auto pools = Pools();
   {
     const std::lock_guard lock(mutex_);
     const bool is_pool =
-        std::find(pools_.begin(), pools_.end(), pool) != pools_.end();
+        std::find(pools.begin(), pools.end(), pool) != pools.end();
     if (!is_pool || is_leaving_ || !is_synced_ || !lease_.IsHeld()) {
       return Fail(error_kind::kUnavailable,
                   "this daemon takes over no pools now",
--- a/src/pools/pool_directory.h
+++ b/src/pools/pool_directory.h
@@ -20,6 +20,7 @@
 #include "peer/peer_node.h"
 #include "pools/kv_watcher.h"
 #include "pools/owner_ranking.h"
+#include "pools/partition_directory.h"
 
 namespace apricotwheel {
 
@@ -42,12 +43,20 @@
   log_sink log;
 };
 
+// Whether the versions of all members know partitions.
+enum class partition_support {
+  kAll,
+  kNotAll,
+  kUnknown,  // A member that has just joined has not published it yet.
+};
+
 // Membership of daemons and ownership of pools, stored as keys under the lease
 // of a member. A pool without an owner goes to the first member that creates
 // its key; members with more processor try earlier. The owner keeps it until
 // its lease expires, it releases the pool, its process has exited or another
 // member takes it over at the owner's request.
-// Taking a pool over is safe at any time, because the epoch rises. Thread-safe.
+// Taking a pool over is safe at any time, because the epoch rises. Each
+// partition of a divided pool is owned like a pool of its own. Thread-safe.
 class pool_directory {
  public:
   // Called on the directory's threads, in the order of a pool's epochs.
@@ -64,16 +73,29 @@
   void SetLostCallback(ownership_callback callback) {
     on_lost_ = std::move(callback);
   }
+  // Called when the partitions of a pool have changed.
+  void SetPartitionsCallback(std::function<void()> callback) {
+    on_partitions_changed_ = std::move(callback);
+  }
 
   result<void> Start();
   void Stop();
 
   // Sets the pools that must have an owner.
   void SetPools(std::vector<std::string> pools);
+  const partition_directory& Partitions() const { return partitions_; }
+  // Whether all members know partitions.
+  partition_support PartitionSupport() const;
+  // Stores the partitions of a pool whose first partition this member owns with
+  // `epoch`.
+  result<void> StorePartitions(const std::string& pool, std::uint64_t epoch,
+                               const partition_table& table);
 
   std::optional<pool_ownership> OwnerOf(std::string_view pool) const;
   // Returns the members whose process has not exited.
   std::vector<member> Members() const;
+  // Returns the pools that must have an owner; of a divided pool, its
+  // partitions.
   std::vector<std::string> Pools() const;
   const std::string& SelfId() const { return options_.self.id; }
   // Returns true once the keys have been listed.
@@ -145,6 +167,7 @@
   void ApplyOwner(const std::string& pool, const kv_event& event);
   void ApplyMember(const std::string& id, const kv_event& event);
   void ApplyCapacity(const std::string& id, const kv_event& event);
+  void ApplyPartitions(const kv_event& event);
   void PublishCapacity();
   // Calls the callbacks for pools that were acquired or lost.
   void NotifyOwnership();
@@ -168,6 +191,8 @@
   member_lease lease_;
   ownership_callback on_acquired_;
   ownership_callback on_lost_;
+  std::function<void()> on_partitions_changed_;
+  partition_directory partitions_;
 
   mutable std::mutex mutex_;
   std::map<std::string, stored_member, std::less<>> members_;
--- a/src/pools/pool_events.h
+++ b/src/pools/pool_events.h
@@ -59,4 +59,14 @@
 inline constexpr log_event_kind kJournalLoad{2230, "pool_journal_load",
                                              severity::kInfo};
 
+inline constexpr log_event_kind kPoolDivided{2231, "pool_divided",
+                                             severity::kInfo};
+inline constexpr log_event_kind kPartitionsNotStored{
+    2232, "pool_partitions_not_stored", severity::kWarning};
+inline constexpr log_event_kind kDivisionDelayed{2233, "pool_division_delayed",
+                                                 severity::kWarning};
+
+inline constexpr log_event_kind kAcceptedBefore{2234, "pool_accepted_before",
+                                                severity::kInfo};
+
 }  // namespace apricotwheel::pool_events
--- a/src/pools/pool_host.cc
+++ b/src/pools/pool_host.cc
@@ -2,8 +2,10 @@
 
 #include <algorithm>
 #include <nlohmann/json.hpp>
+#include <set>
 #include <utility>
 
+#include "pools/partition_table.h"
 #include "pools/pool_events.h"
 
 namespace apricotwheel {
@@ -70,6 +72,12 @@
       [this](const std::string& pool, std::uint64_t epoch) {
         DropOwner(pool, epoch);
       });
+  options_.directory->SetPartitionsCallback([this] {
+    const std::lock_guard lock(mutex_);
+    needs_distribution_ = true;
+    needs_reconcile_ = true;
+    changed_.notify_all();
+  });
   options_.peers->SetTimedHandler(
       wire::body::pool_call,
       [this](const std::string&, const wire_message& request,
@@ -160,7 +168,13 @@
     const std::lock_guard lock(mutex_);
     owners_[pool] = owner;
   }
-  if (!missing.empty()) DistributeWorkers();
+  bool needs_distribution = !missing.empty();
+  {
+    const std::lock_guard lock(mutex_);
+    needs_distribution =
+        std::exchange(needs_distribution_, false) || needs_distribution;
+  }
+  if (needs_distribution) DistributeWorkers();
   const std::lock_guard lock(mutex_);
   options_.metrics->owned_pools.Set(static_cast<double>(owners_.size()));
 }
@@ -170,6 +184,12 @@
   pool_owner_options owner;
   owner.pool = pool;
   owner.epoch = epoch;
+  const std::string first(PoolOfPartition(pool));
+  if (first != pool) {
+    owner.first_partition = first;
+  } else {
+    owner.partitions_key = partition_directory::KeyOf(pool);
+  }
   owner.owner_key = pool_directory::OwnerKey(pool);
   owner.member_id = options_.directory->SelfId();
   owner.member_lease = options_.settings.lease_ttl;
@@ -227,7 +247,8 @@
 }
 
 void pool_host::DistributeWorkers() {
-  std::map<std::string, std::map<std::string, pool_worker>> by_pool;
+  const std::lock_guard distribution_lock(distribution_mutex_);
+  std::map<std::string, workers_by_id> by_pool;
   std::map<std::string, std::shared_ptr<pool_owner>, std::less<>> owners;
   {
     const std::lock_guard lock(mutex_);
@@ -237,7 +258,17 @@
     }
     owners = owners_;
   }
-  for (const auto& [pool, owner] : owners) owner->SetWorkers(by_pool[pool]);
+  std::set<std::string> pools;
+  for (const auto& [partition, owner] : owners) {
+    pools.emplace(PoolOfPartition(partition));
+  }
+  for (const std::string& pool : pools) {
+    auto by_partition = AssignWorkers(pool, by_pool[pool]);
+    for (const auto& [partition, owner] : owners) {
+      if (PoolOfPartition(partition) != pool) continue;
+      owner->SetWorkers(std::move(by_partition[partition]));
+    }
+  }
 }
 
 job_call_response pool_host::HandleJobCall(const wire::pool_callT& call,
@@ -277,6 +308,7 @@
       response.reason = Describe(job.failure);
       return response;
     }
+    if (auto failure = CheckHome(job->queue.pool, job->id)) return *failure;
     const auto owner = OwnerOf(job->queue.pool);
     return owner ? owner->Submit(*job, deadline) : response;
   }
--- a/src/pools/pool_host.h
+++ b/src/pools/pool_host.h
@@ -78,6 +78,35 @@
   void ApplyWorkerEvent(const kv_event& event);
   // Passes each owner the workers of its pool.
   void DistributeWorkers();
+
+  // Defined in pool_partitioning.cc.
+  // How the number of workers of a pool develops.
+  struct pool_growth {
+    std::uint64_t epoch = 0;
+    std::size_t worker_count = 0;
+    time_point first_seen_at{};
+    time_point grown_at{};
+    bool has_settled = false;  // Once since this owner took the pool over.
+    bool is_delay_logged = false;
+  };
+  using workers_by_id = std::map<std::string, pool_worker>;
+  // Returns the workers of each partition of a pool.
+  std::map<std::string, workers_by_id> AssignWorkers(
+      const std::string& pool, const workers_by_id& workers);
+  // Divides a pool that has too many workers, and adds racks to a divided one.
+  void UpdatePartitions(const std::string& pool, pool_owner& first_owner,
+                        const workers_by_id& workers);
+  // Returns true if the first partition may use all workers of an undivided
+  // pool, which it does until the pool is found to be too large.
+  bool MayUseAllWorkers(const std::string& pool, std::size_t worker_count);
+  // Returns true if the number of workers has not grown for a while. Otherwise
+  // the workers are distributed again later.
+  bool HasSettled(pool_growth& growth, std::size_t worker_count);
+  bool IsTooLarge(std::size_t worker_count) const;
+  // Returns a failure if the partition does not accept this job.
+  std::optional<job_call_response> CheckHome(const std::string& partition,
+                                             const std::string& job_id) const;
+
   wire_message HandleRequest(const wire_message& request,
                              time_point received_at);
   wire_message HandleApprovalCall(const wire::pool_callT& call);
@@ -131,7 +160,12 @@
   std::map<std::string, std::shared_ptr<pool_owner>, std::less<>> owners_;
   std::map<std::string, pool_worker> workers_;  // By key.
   bool are_workers_listed_ = false;
+  std::mutex distribution_mutex_;  // Held while workers are distributed.
+  // Of pools that may have to be divided; guarded by distribution_mutex_.
+  std::map<std::string, pool_growth> growth_;
   bool needs_reconcile_ = false;
+  bool needs_distribution_ = false;   // Of the workers; by the host thread.
+  bool is_division_pending_ = false;  // A pool waits until it has settled.
   // Set if the store is unreachable for some owner; handled by
   // RunStoreFailover.
   bool is_store_unreachable_ = false;
--- a/src/pools/pool_owner.cc
+++ b/src/pools/pool_owner.cc
@@ -67,6 +67,8 @@
 result<void> pool_owner::Start() {
   job_journal_options journal;
   journal.pool = options_.pool;
+  journal.first_partition = options_.first_partition;
+  journal.partitions_key = options_.partitions_key;
   journal.owner_key = options_.owner_key;
   journal.epoch = options_.epoch;
   journal.writer = options_.member_id;
--- a/src/pools/pool_owner.h
+++ b/src/pools/pool_owner.h
@@ -6,6 +6,7 @@
 #include <map>
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <set>
 #include <string>
 #include <string_view>
@@ -26,7 +27,10 @@
 namespace apricotwheel {
 
 struct pool_owner_options {
-  std::string pool;
+  std::string pool;  // Or a partition of one.
+  // See `job_journal_options`.
+  std::string first_partition;
+  std::string partitions_key;
   std::uint64_t epoch = 0;
   std::string owner_key;
   std::string member_id;
@@ -71,6 +75,9 @@
 
   // Sets the workers that discovery lists for the pool.
   void SetWorkers(std::map<std::string, pool_worker> workers);
+  // Returns the ids of the workers that may have tasks of the pool, or nothing
+  // while the stored state is being loaded.
+  std::optional<std::set<std::string>> KnownWorkers() const;
   std::uint64_t Epoch() const { return options_.epoch; }
   // Returns true if the store does not respond to this daemon, so that it
   // cannot accept jobs.
--- a/src/pools/pool_owner_workers.cc
+++ b/src/pools/pool_owner_workers.cc
@@ -23,6 +23,15 @@
   owner_changed_.notify_one();
 }
 
+std::optional<std::set<std::string>> pool_owner::KnownWorkers() const {
+  const std::lock_guard lock(mutex_);
+  if (!is_loaded_) return std::nullopt;
+  std::set<std::string> ids;
+  for (const auto& [id, address] : worker_list_) ids.insert(id);
+  for (const auto& [id, worker] : listed_workers_) ids.insert(id);
+  return ids;
+}
+
 void pool_owner::UpdateWorkers() {
   std::map<std::string, pool_worker> listed;
   std::map<std::string, std::string> worker_list;
--- a/src/pools/pool_succession.cc
+++ b/src/pools/pool_succession.cc
@@ -210,6 +210,7 @@
   std::map<std::string, owner_watch> watches;
   while (true) {
     std::map<std::string, std::shared_ptr<pool_owner>, std::less<>> owners;
+    bool needs_distribution = false;
     {
       std::unique_lock lock(mutex_);
       options_.clock->WaitFor(lock, changed_, overload_detector::kPeriod,
@@ -218,7 +219,9 @@
       for (const auto& [pool, owner] : owners_) {
         if (owned_epochs_.contains(pool)) owners[pool] = owner;
       }
+      needs_distribution = std::exchange(is_division_pending_, false);
     }
+    if (needs_distribution) DistributeWorkers();
     std::erase_if(watches,
                   [&](const auto& row) { return !owners.contains(row.first); });
     for (const auto& [pool, owner] : owners) {
--- a/src/pools/queue_gateway.cc
+++ b/src/pools/queue_gateway.cc
@@ -94,6 +94,12 @@
   table_ = std::make_shared<const queue_table>(std::move(table));
 }
 
+std::string queue_gateway::HomeOf(const std::string& pool,
+                                  const std::string& job_id) const {
+  if (!IsOpen()) return pool;
+  return options_->directory->Partitions().HomeOf(pool, job_id);
+}
+
 job_call_response queue_gateway::CallOwner(const std::string& pool,
                                            std::string_view topic,
                                            const std::string& body,
@@ -104,6 +110,10 @@
                         "this daemon is starting");
   }
   const queue_gateway_options& options = *options_;
+  if (options.directory->Partitions().IsUnreadable(PoolOfPartition(pool))) {
+    return MakeResponse(job_call_status::kUnavailable,
+                        "the partitions of the pool cannot be read");
+  }
   bool may_have_arrived = false;
   std::string reason = clock_->Now() < deadline
                            ? "the pool has no owner"
@@ -183,11 +193,12 @@
   if (const auto fault = FindGraphError(job.graph)) {
     return MakeResponse(job_call_status::kInvalid, *fault);
   }
+  job.queue.pool = HomeOf(queue.pool, job.id);
   const auto received_at = clock_->Now();
   const auto owner_timeout =
       std::min<duration>(timeout - kResponseReserve, kSubmitTimeout);
   job_call_response response = CallOwner(
-      queue.pool, kSubmitTopic, EncodeSubmission(job),
+      job.queue.pool, kSubmitTopic, EncodeSubmission(job),
       received_at + owner_timeout, [&](pool_owner& owner, time_point deadline) {
         return owner.Submit(job, deadline);
       });
@@ -217,7 +228,14 @@
   for (const pool_rules& other : Table()->pools) {
     if (other.name != pool) pools.push_back(other.name);
   }
+  std::vector<std::string> partitions;
   for (const std::string& candidate : pools) {
+    const std::string home = HomeOf(candidate, job_id);
+    partitions.push_back(home);
+    // The first partition accepted all jobs before the pool was divided.
+    if (home != candidate) partitions.push_back(candidate);
+  }
+  for (const std::string& candidate : partitions) {
     auto stored = ReadStoredState(candidate, job_id);
     if (!stored) {
       return {candidate, MakeResponse(job_call_status::kUnavailable,
@@ -236,8 +254,9 @@
   const auto deadline =
       clock_->Now() +
       std::min<duration>(timeout - kResponseReserve, kStateTimeout);
+  const std::string home = HomeOf(queue.pool, job_id);
   job_call_response response = CallOwner(
-      queue.pool, kStateTopic, EncodeReference({queue.pool, job_id}), deadline,
+      home, kStateTopic, EncodeReference({home, job_id}), deadline,
       [&](pool_owner& owner, time_point) { return owner.State(job_id); });
   if (response.status == job_call_status::kState) return response;
   if (!IsOpen()) return response;
@@ -264,7 +283,8 @@
                                         duration timeout) {
   const auto started_at = clock_->Now();
   const auto deadline = started_at + timeout - kResponseReserve;
-  job_call_response response = CancelAtOwner(queue.pool, job_id, deadline);
+  const std::string home = HomeOf(queue.pool, job_id);
+  job_call_response response = CancelAtOwner(home, job_id, deadline);
   if (response.status == job_call_status::kAbsent) {
     // See `State`.
     const stored_state stored = FindStoredState(queue.pool, job_id);
@@ -272,7 +292,7 @@
       response = stored.response;
     } else if (IsFinal(stored.response.state)) {
       response = MakeResponse(job_call_status::kCancelled);
-    } else if (stored.pool != queue.pool) {
+    } else if (stored.pool != home) {
       response = CancelAtOwner(stored.pool, job_id, deadline);
     } else {
       response = MakeResponse(job_call_status::kUnavailable,
@@ -287,13 +307,32 @@
   return response;
 }
 
+job_call_response queue_gateway::PendingAt(const std::string& partition,
+                                           const std::string& queue,
+                                           time_point deadline) {
+  return CallOwner(
+      partition, kPendingTopic, EncodeReference({partition, queue}), deadline,
+      [&](pool_owner& owner, time_point) { return owner.Pending(queue); });
+}
+
 job_call_response queue_gateway::Pending(const queue_rules& queue,
                                          duration timeout) {
-  return CallOwner(
-      queue.pool, kPendingTopic, EncodeReference({queue.pool, queue.name}),
+  if (!IsOpen()) {
+    return MakeResponse(job_call_status::kUnavailable,
+                        "this daemon is starting");
+  }
+  const auto deadline =
       clock_->Now() +
-          std::min<duration>(timeout - kResponseReserve, kStateTimeout),
-      [&](pool_owner& owner, time_point) { return owner.Pending(queue.name); });
+      std::min<duration>(timeout - kResponseReserve, kStateTimeout);
+  job_call_response sum = MakeResponse(job_call_status::kCount);
+  for (const std::string& partition :
+       options_->directory->Partitions().PartitionsOf(queue.pool)) {
+    const job_call_response response =
+        PendingAt(partition, queue.name, deadline);
+    if (response.status != job_call_status::kCount) return response;
+    sum.count += response.count;
+  }
+  return sum;
 }
 
 }  // namespace apricotwheel
--- a/src/pools/queue_gateway.h
+++ b/src/pools/queue_gateway.h
@@ -79,13 +79,17 @@
   std::optional<job_call_response> ReadStoredState(const std::string& pool,
                                                    const std::string& job_id);
   struct stored_state {
-    std::string pool;  // The pool of the job, if it is found.
+    std::string pool;  // The partition of the job, if it is found.
     // kState, kAbsent, or kUnavailable if the store does not respond.
     job_call_response response;
   };
-  // Looks a job up in the store, in `pool` first.
+  // Looks a job up in the store, in the partitions of `pool` first.
   stored_state FindStoredState(const std::string& pool,
                                const std::string& job_id);
+  // Returns the partition of the pool that accepts the job.
+  std::string HomeOf(const std::string& pool, const std::string& job_id) const;
+  job_call_response PendingAt(const std::string& partition,
+                              const std::string& queue, time_point deadline);
   job_call_response CancelAtOwner(const std::string& pool,
                                   const std::string& job_id,
                                   time_point deadline);
--- a/tests/pools/daemon_parts.h
+++ b/tests/pools/daemon_parts.h
@@ -33,17 +33,20 @@
 
   daemon_parts(fake_store& store, const std::string& id,
                double processor_share = 1,
-               std::function<duration()> decision_delay = {})
+               std::function<duration()> decision_delay = {},
+               const std::function<void(daemon_settings&, platform_services&)>&
+                   customise = {})
       : kv(store.Client(is_cut_off)), peers(StartNode(id)) {
     platform.workers_prefix = "workers/";
     pool_directory_options directory_options;
+    pool_host_options host_options;
+    if (customise) customise(host_options.settings, platform);
     directory_options.settings.processor_share = processor_share;
     directory_options.self = {id, id, "a", "", peers->ListenAddress(), false};
     directory_options.kv = kv.get();
     directory_options.peers = peers.get();
     directory_options.clock = clock;
     directory = std::make_unique<pool_directory>(directory_options);
-    pool_host_options host_options;
     host_options.kv = kv.get();
     host_options.peers = peers.get();
     host_options.directory = directory.get();
