Move waiting jobs between the partitions of a pool

Cause: a partition kept its backlog while another one was idle.

Owners exchange their waiting work, and the one with more moves jobs of which no task was ever ordered, in one transaction with a record of where they went. The owner of the target confirms that it has taken them over. An adopted run now marks its job as started, so that such a job is neither shown as queued nor moved.

Ruled out: choosing the partition by load at the submission, because copies of one submission could reach two owners.

--- a/src/graph/admission.h
+++ b/src/graph/admission.h
@@ -55,6 +55,14 @@
 // one.
 void EndLoadInterval(queue_load& load, duration length, time_point now);
 
+// How busy the workers of a pool or partition are.
+struct pool_load {
+  double backlog_seconds = 0;  // Waiting work, in pool-seconds.
+  double busy_share = 0;       // Of the resource that is used most.
+
+  friend bool operator==(const pool_load&, const pool_load&) = default;
+};
+
 struct new_job {
   duration critical_path{};
   duration objective{};
--- a/src/graph/pool_admission.cc
+++ b/src/graph/pool_admission.cc
@@ -48,6 +48,7 @@
   }
   const bool is_settled = IsTakeoverComplete(now);
   for (const graph_job* job : open_jobs_) {
+    if (job->is_moving) continue;
     const job_graph& graph = job->submission.graph;
     const bool is_scheduled = graph.schedule.repetitions > 0;
     queue_load& load = queue_loads_[job->submission.queue.name];
--- a/src/graph/pool_model.h
+++ b/src/graph/pool_model.h
@@ -150,6 +150,8 @@
   time_point kept_until{};
   // The final state is stored, so that no later owner starts its tasks again.
   bool is_result_stored = false;
+  // The job is being moved to another partition and must not start here.
+  bool is_moving = false;
 };
 
 // Returns true if only suspects may be placed on the worker.
--- a/src/graph/pool_placement.cc
+++ b/src/graph/pool_placement.cc
@@ -100,7 +100,7 @@
   const bool is_settled = IsTakeoverComplete(now);
   std::vector<candidate> waiting;
   for (graph_job* job : open_jobs_) {
-    if (job->is_loaded && !is_settled) continue;
+    if (job->is_moving || (job->is_loaded && !is_settled)) continue;
     const job_submission& submission = job->submission;
     if (submission.graph.schedule.repetitions > 0) {
       next_decision_at_ =
--- a/src/graph/pool_runs.cc
+++ b/src/graph/pool_runs.cc
@@ -127,10 +127,18 @@
     task.worker = worker.info.id;
     --step.waiting;
     ++step.placed;
+    MarkStarted(*job);
   }
   worker.runs[run.task] = std::move(adopted);
 }
 
+void pool_scheduler::MarkStarted(graph_job& job) {
+  if (job.progress.has_started || IsFinal(job.progress.state)) return;
+  job.progress.has_started = true;
+  job.progress.state = job_state::kActive;
+  MarkDirty(job);
+}
+
 void pool_scheduler::ApplyEnd(worker_state& worker, const reported_end& end,
                               time_point now) {
   const auto found = worker.runs.find(end.task);
@@ -408,11 +416,7 @@
     run.confirmed_at = now;
     worker->last_contact_at = now;
     if (run.phase == run_phase::kStarting) run.phase = run_phase::kRunning;
-    if (!job->progress.has_started && !IsFinal(job->progress.state)) {
-      job->progress.has_started = true;
-      job->progress.state = job_state::kActive;
-      MarkDirty(*job);
-    }
+    MarkStarted(*job);
     return;
   }
   Log(result == start_result::kUnknown ? graph_events::kRunUnknown
--- a/src/graph/pool_scheduler.h
+++ b/src/graph/pool_scheduler.h
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <deque>
+#include <functional>
 #include <limits>
 #include <map>
 #include <memory>
@@ -142,6 +143,19 @@
   // Returns the waiting work of a queue.
   queue_load LoadOfQueue(std::string_view queue) const;
 
+  // Returns the load of the workers, for the comparison with other partitions.
+  pool_load MeasureLoad() const;
+  // Holds jobs that have not started, so that they can be moved to another
+  // partition: work of about `pool_seconds`, at most `limit` jobs, and only
+  // those that `may_move` accepts by their id. A held job does not start here.
+  std::vector<job_submission> HoldJobs(
+      double pool_seconds, std::size_t limit,
+      const std::function<bool(std::string_view)>& may_move, time_point now);
+  // Ends the hold of a job that was not moved.
+  void ReleaseJob(std::string_view job_id);
+  // Forgets a held job that was moved.
+  void RemoveMovedJob(std::string_view job_id);
+
   // Applies a worker's report. `sent_at` is the time at which the poll was
   // sent.
   void ApplyReport(std::string_view worker, const worker_report& report,
@@ -279,6 +293,8 @@
   void ReleaseMissing(worker_state& worker, const worker_report& report,
                       time_point sent_at, time_point now);
   void ReleaseRun(worker_state& worker, const task_key& task);
+  // A task of the job runs.
+  void MarkStarted(graph_job& job);
   // Removes a run that has ended and updates its task.
   void EndRun(worker_state& worker, const task_key& task, run_outcome outcome,
               std::string_view checkpoint, time_point now);
@@ -464,6 +480,13 @@
   void UpdateQueueLoads(time_point now, std::int64_t wall_clock_ms);
   void CountQueueLoads(time_point now, std::int64_t wall_clock_ms);
   void CountAdmittedJob(const graph_job& job);
+
+  // In pool_moves.cc: jobs that move to another partition.
+
+  // Returns the work of a job that has not started, in pool-seconds, or nothing
+  // if it cannot be moved.
+  std::optional<double> MovableWork(const graph_job& job, time_point now) const;
+
   void CountStarts(const candidate& step, std::size_t count);
 
   // In pool_start_share.cc: the share of the starts for steps that the order
--- a/src/pools/job_journal.cc
+++ b/src/pools/job_journal.cc
@@ -21,6 +21,8 @@
 // Conditions of each transaction, which come first: the owner key and the
 // journal key. More come with submissions.
 constexpr std::size_t kGroupConditions = 2;
+// The records of a moved job in two partitions.
+constexpr std::size_t kMoveEntries = 4;
 // Entries that are kept for submissions while some wait, so that neither they
 // nor the progress of running jobs can hold the other up.
 constexpr std::size_t kSubmissionEntries = 14;
@@ -60,6 +62,10 @@
   return Prefix("progress", pool) + std::string(job_id);
 }
 
+std::string MovedKey(std::string_view partition, std::string_view job_id) {
+  return Prefix("moved", partition) + std::string(job_id);
+}
+
 result<std::optional<job_state>> ReadStoredJobState(kv_client& kv,
                                                     std::string_view pool,
                                                     std::string_view job_id) {
@@ -136,6 +142,12 @@
           address.is_string() ? address.get<std::string>() : std::string();
     }
   }
+  const std::string moved_prefix = Prefix("moved", options_.pool);
+  BOOST_LEAF_AUTO(moved, options_.kv->List(moved_prefix));
+  for (auto& entry : moved) {
+    contents.moved_jobs[entry.key.substr(moved_prefix.size())] =
+        std::move(entry.value);
+  }
   BOOST_LEAF_AUTO(jobs, options_.kv->List(Prefix("jobs", options_.pool)));
   BOOST_LEAF_AUTO(rows, options_.kv->List(Prefix("progress", options_.pool)));
   std::map<std::string, std::string> progress;
@@ -240,6 +252,13 @@
   return completed_flushes_ >= target;
 }
 
+void job_journal::ScheduleMoves(std::vector<job_move> moves) {
+  const std::lock_guard lock(mutex_);
+  std::move(moves.begin(), moves.end(), std::back_inserter(pending_moves_));
+  commit_due_at_ = {};
+  work_changed_.notify_one();
+}
+
 void job_journal::ScheduleCommit(duration delay) {
   const std::lock_guard lock(mutex_);
   const auto due = options_.clock->Now() + delay;
@@ -324,6 +343,41 @@
   return entries;
 }
 
+std::size_t job_journal::AddMoves(commit_group& group, std::size_t entries) {
+  while (!pending_moves_.empty() &&
+         entries + kMoveEntries <= kMaxTransactionEntries) {
+    job_move& move = pending_moves_.front();
+    const std::string& id = move.job.id;
+    job_submission moved = move.job;
+    moved.queue.pool = move.target;
+    group.writes.puts.push_back(
+        {JobKey(move.target, id), EncodeSubmission(moved), {}});
+    group.writes.puts.push_back({MovedKey(options_.pool, id), move.target, {}});
+    group.writes.removals.push_back(JobKey(options_.pool, id));
+    group.writes.removals.push_back(ProgressKey(options_.pool, id));
+    entries += kMoveEntries;
+    group.moves.push_back(std::move(move));
+    pending_moves_.pop_front();
+  }
+  return entries;
+}
+
+void job_journal::RejectMoves(commit_group& group) {
+  if (group.moves.empty()) return;
+  for (const job_move& move : group.moves) {
+    const std::string& id = move.job.id;
+    std::erase_if(group.writes.puts, [&](const kv_write& put) {
+      return put.key == JobKey(move.target, id) ||
+             put.key == MovedKey(options_.pool, id);
+    });
+    std::erase_if(group.writes.removals, [&](const std::string& key) {
+      return key == JobKey(options_.pool, id) ||
+             key == ProgressKey(options_.pool, id);
+    });
+  }
+  callbacks_.on_moves_rejected(std::exchange(group.moves, {}));
+}
+
 void job_journal::AddCompletedSnapshots(commit_group& group) {
   std::uint64_t first_incomplete = last_snapshot_ + 1;
   for (const waiting_progress& entry : waiting_progress_) {
@@ -392,6 +446,11 @@
       group.submissions.push_back(std::move(next));
     }
   }
+  {
+    const std::lock_guard lock(mutex_);
+    entries = AddMoves(group, entries);
+    if (!pending_moves_.empty()) commit_due_at_ = {};
+  }
   if (checks_table && !group.submissions.empty()) {
     group.writes.conditions.push_back({options_.partitions_key, 0});
   }
@@ -485,7 +544,10 @@
     if (kind == error_kind::kUnavailable) {
       if (++rejected_attempts >= kRejectionsToUnreachable)
         SetStoreUnreachable(true);
-      if (!may_be_applied) RejectSubmissions(group);
+      if (!may_be_applied) {
+        RejectSubmissions(group);
+        RejectMoves(group);
+      }
     } else {
       // This attempt, or an earlier one, may have taken effect.
       may_be_applied = true;
@@ -678,6 +740,7 @@
     ReportLoadIfDue();
     if (is_stored) {
       callbacks_.on_progress_stored(group.progress);
+      if (!group.moves.empty()) callbacks_.on_jobs_moved(group.moves);
     } else {
       callbacks_.on_progress_failed(group.progress);
     }
--- a/src/pools/job_journal.h
+++ b/src/pools/job_journal.h
@@ -25,6 +25,9 @@
 std::string JobKey(std::string_view pool, std::string_view job_id);
 std::string ProgressKey(std::string_view pool, std::string_view job_id);
 
+// Key of the record that says which partition a job was moved to.
+std::string MovedKey(std::string_view partition, std::string_view job_id);
+
 // Reads the stored state of a job without its owner. Returns null for a job
 // that is not stored.
 result<std::optional<job_state>> ReadStoredJobState(kv_client& kv,
@@ -47,6 +50,14 @@
   std::vector<std::pair<std::string, job_state>> finished;
   // Addresses, by id, of the workers that earlier owners may have used.
   std::map<std::string, std::string> workers;
+  // Partitions, by id, of the jobs that were accepted here and moved there.
+  std::map<std::string, std::string> moved_jobs;
+};
+
+// A job that has not started, and the partition to which it moves.
+struct job_move {
+  job_submission job;
+  std::string target;
 };
 
 enum class submit_outcome {
@@ -88,6 +99,10 @@
     // The submission is stored. Called before `Submit` returns `kStored`, and
     // possibly after `Submit` returned `kUnknown`.
     std::function<void(const job_submission&)> on_job_accepted;
+    // The jobs belong to their targets now.
+    std::function<void(const std::vector<job_move>&)> on_jobs_moved;
+    // The jobs were certainly not moved, now or later.
+    std::function<void(const std::vector<job_move>&)> on_moves_rejected;
     // The journal commits nothing more: another owner has taken the pool over,
     // or `Stop` ended the retries of a commit.
     std::function<void()> on_superseded;
@@ -115,6 +130,9 @@
   // Waits until all progress made before the call is stored. Returns false if
   // `deadline` passes or the journal stops before that.
   bool Flush(time_point deadline);
+  // Moves jobs to other partitions with the next commits. A move that gets no
+  // result before the journal stops may have taken effect.
+  void ScheduleMoves(std::vector<job_move> moves);
   // Schedules a commit of the pending progress within `delay`.
   void ScheduleCommit(duration delay);
   // Stores the worker list, addresses by id, and waits until that is done. A
@@ -138,6 +156,7 @@
   struct commit_group {
     kv_transaction writes;
     std::vector<submission_ptr> submissions;
+    std::vector<job_move> moves;
     progress_batch progress;
     std::uint64_t number = 0;  // Counts the groups of this owner from 1.
     std::uint64_t worker_list_version = 0;
@@ -169,6 +188,9 @@
   // returns the new number of entries.
   std::size_t AddProgress(commit_group& group, std::size_t entries,
                           std::size_t max_entries);
+  // Moves pending moves of jobs into the group and returns the new number of
+  // entries. Called with mutex_ held.
+  std::size_t AddMoves(commit_group& group, std::size_t entries);
   // Moves the ends and flushes that the group completes into it.
   void AddCompletedSnapshots(commit_group& group);
   enum class commit_state {
@@ -197,6 +219,8 @@
   // Reports the submissions of the group as not stored and removes them from
   // it. Called only if they are certainly not stored, now or later.
   void RejectSubmissions(commit_group& group);
+  // The same for the moves of jobs.
+  void RejectMoves(commit_group& group);
   void SetStoreUnreachable(bool is_unreachable);
   // Wakes all callers of `Submit`. Called with mutex_ held.
   void WakeSubmissions();
@@ -241,6 +265,7 @@
   std::condition_variable result_changed_;  // Waiting callers wait on it.
   std::deque<submission_ptr> pending_submissions_;
   std::set<submission_ptr> waiting_submissions_;  // Those in `Submit`.
+  std::deque<job_move> pending_moves_;
   // Counts the calls of `Flush`. A call waits until `completed_flushes_`
   // reaches its number.
   std::uint64_t requested_flushes_ = 0;
--- a/src/pools/pool_calls.cc
+++ b/src/pools/pool_calls.cc
@@ -34,6 +34,8 @@
       return "no_queue";
     case job_call_status::kInvalid:
       return "invalid";
+    case job_call_status::kMoved:
+      return "moved";
   }
   return "unknown";
 }
@@ -49,7 +51,8 @@
               {"state", ToString(response.state)},
               {"count", response.count},
               {"retry_after_ms", response.retry_after_ms},
-              {"reason", response.reason}}
+              {"reason", response.reason},
+              {"moved_to", response.moved_to}}
       .dump();
 }
 
@@ -57,7 +60,7 @@
   return ReadRecord(text, [](const json& in) -> result<job_call_response> {
     job_call_response response;
     const int status = in.at("answer").get<int>();
-    if (status < 0 || status > static_cast<int>(job_call_status::kInvalid)) {
+    if (status < 0 || status > static_cast<int>(job_call_status::kMoved)) {
       return CorruptRecord("the response has an unknown status");
     }
     response.status = static_cast<job_call_status>(status);
@@ -67,10 +70,42 @@
     in.at("count").get_to(response.count);
     in.at("retry_after_ms").get_to(response.retry_after_ms);
     in.at("reason").get_to(response.reason);
+    response.moved_to = in.value("moved_to", std::string());
     return response;
   });
 }
 
+std::string EncodeReport(const partition_report& report) {
+  return json{{"partition", report.partition},
+              {"backlog_s", report.load.backlog_seconds},
+              {"busy", report.load.busy_share}}
+      .dump();
+}
+
+result<partition_report> DecodeReport(std::string_view text) {
+  return ReadRecord(text, [](const json& in) -> result<partition_report> {
+    partition_report report;
+    in.at("partition").get_to(report.partition);
+    in.at("backlog_s").get_to(report.load.backlog_seconds);
+    in.at("busy").get_to(report.load.busy_share);
+    if (!(report.load.backlog_seconds >= 0) || !(report.load.busy_share >= 0)) {
+      return CorruptRecord("the load of a partition is negative");
+    }
+    return report;
+  });
+}
+
+std::string EncodeJobList(const job_list& list) {
+  return json{{"partition", list.partition}, {"jobs", list.jobs}}.dump();
+}
+
+result<job_list> DecodeJobList(std::string_view text) {
+  return ReadRecord(text, [](const json& in) -> result<job_list> {
+    return job_list{in.at("partition").get<std::string>(),
+                    in.at("jobs").get<std::vector<std::string>>()};
+  });
+}
+
 std::string EncodeReference(const job_reference& reference) {
   return json{{"pool", reference.pool}, {"name", reference.name}}.dump();
 }
--- a/src/pools/pool_calls.h
+++ b/src/pools/pool_calls.h
@@ -4,7 +4,9 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
+#include "graph/admission.h"
 #include "graph/graph_codec.h"
 #include "kernel/error.h"
 #include "peer/envelope.h"
@@ -28,6 +30,7 @@
   kCount,        // `count` is set.
   kNoQueue,      // No route matches a queue.
   kInvalid,      // The request is malformed; `reason` says why.
+  kMoved,        // The job is in the partition `moved_to` now.
 };
 
 struct job_call_response {
@@ -36,6 +39,7 @@
   std::uint64_t count = 0;
   std::int64_t retry_after_ms = 0;
   std::string reason;
+  std::string moved_to;
 };
 
 // Topics of `pool_call` messages and their JSON bodies.
@@ -50,6 +54,11 @@
 // daemon knows.
 inline constexpr std::string_view kOwnerTopic = "owner";
 
+// One-way: the load of a partition, for the owners of the others.
+inline constexpr std::string_view kLoadTopic = "load";
+// A `job_list`; the response says whether the owner has taken the jobs over.
+inline constexpr std::string_view kAdoptTopic = "adopt";
+
 std::string_view ToString(job_call_status status);
 
 wire_message MakePoolReply(std::string body);
@@ -73,6 +82,21 @@
 std::string EncodeTakeover(const takeover_request& call);
 result<takeover_request> DecodeTakeover(std::string_view json);
 
+struct partition_report {
+  std::string partition;
+  pool_load load;
+};
+std::string EncodeReport(const partition_report& report);
+result<partition_report> DecodeReport(std::string_view json);
+
+// Jobs that were moved to a partition.
+struct job_list {
+  std::string partition;
+  std::vector<std::string> jobs;
+};
+std::string EncodeJobList(const job_list& list);
+result<job_list> DecodeJobList(std::string_view json);
+
 struct known_owner {
   std::string member_id;  // Empty if the owner is not known.
   std::uint64_t epoch = 0;
--- a/src/pools/pool_events.h
+++ b/src/pools/pool_events.h
@@ -69,4 +69,9 @@
 inline constexpr log_event_kind kAcceptedBefore{2234, "pool_accepted_before",
                                                 severity::kInfo};
 
+inline constexpr log_event_kind kJobsMoved{2235, "pool_jobs_moved",
+                                           severity::kInfo};
+inline constexpr log_event_kind kAdoptionFailed{2236, "pool_adoption_failed",
+                                                severity::kInfo};
+
 }  // namespace apricotwheel::pool_events
--- a/src/pools/pool_host.cc
+++ b/src/pools/pool_host.cc
@@ -58,7 +58,10 @@
 }  // namespace
 
 pool_host::pool_host(pool_host_options options)
-    : options_(std::move(options)) {}
+    : options_(std::move(options)),
+      balancer_({options_.peers, options_.directory,
+                 [this] { return CurrentOwners(); }, options_.clock,
+                 options_.log}) {}
 
 result<void> pool_host::Start() {
   options_.directory->SetAcquiredCallback(
@@ -87,6 +90,7 @@
   BOOST_LEAF_CHECK(
       threads_.Spawn("pool-rescue", [this] { RunStoreFailover(); }));
   BOOST_LEAF_CHECK(threads_.Spawn("pool-move", [this] { RunMoves(); }));
+  BOOST_LEAF_CHECK(balancer_.Start());
   return threads_.Spawn("pool-host", [this] { Run(); });
 }
 
@@ -98,6 +102,7 @@
     needs_reconcile_ = true;
   }
   changed_.notify_all();
+  balancer_.Stop();
   threads_.JoinAll();
   if (worker_watcher_) worker_watcher_->Stop();
 }
@@ -108,6 +113,15 @@
   return found == owners_.end() ? nullptr : found->second;
 }
 
+owner_map pool_host::CurrentOwners() const {
+  const std::lock_guard lock(mutex_);
+  owner_map current;
+  for (const auto& [partition, owner] : owners_) {
+    if (owned_epochs_.contains(partition)) current[partition] = owner;
+  }
+  return current;
+}
+
 void pool_host::Run() {
   while (true) {
     {
@@ -223,6 +237,7 @@
     is_store_unreachable_ = true;
     changed_.notify_all();
   };
+  owner.on_jobs_moved = [this] { balancer_.OnJobsMoved(); };
   owner.clock = options_.clock;
   owner.log = options_.log;
   return std::make_shared<pool_owner>(std::move(owner));
@@ -352,6 +367,21 @@
   return MakePoolReply(approved.dump());
 }
 
+wire_message pool_host::HandleLoadReport(const wire::pool_callT& call) {
+  const auto report = Attempt([&] { return DecodeReport(call.body); });
+  if (!report) return MakeFailure(report.failure);
+  balancer_.HandleReport(*report);
+  return MakePoolReply("");
+}
+
+wire_message pool_host::HandleAdoptionCall(const wire::pool_callT& call) {
+  const auto list = Attempt([&] { return DecodeJobList(call.body); });
+  if (!list) return MakeFailure(list.failure);
+  const auto adopted = Attempt([&] { return balancer_.HandleAdoption(*list); });
+  if (!adopted) return MakeFailure(adopted.failure);
+  return MakePoolReply("");
+}
+
 wire_message pool_host::HandleRequest(const wire_message& request,
                                       time_point received_at) {
   const wire::pool_callT* call = request.body.Aspool_call();
@@ -362,6 +392,8 @@
   if (call->topic == kApprovalTopic) return HandleApprovalCall(*call);
   if (call->topic == kTakeoverTopic) return HandleTakeoverCall(*call);
   if (call->topic == kOwnerTopic) return HandleOwnerCall(*call);
+  if (call->topic == kLoadTopic) return HandleLoadReport(*call);
+  if (call->topic == kAdoptTopic) return HandleAdoptionCall(*call);
   return MakePoolReply(EncodeResponse(HandleJobCall(*call, received_at)));
 }
 
--- a/src/pools/pool_host.h
+++ b/src/pools/pool_host.h
@@ -17,6 +17,7 @@
 #include "kernel/thread_group.h"
 #include "peer/peer_node.h"
 #include "pools/kv_watcher.h"
+#include "pools/partition_balancer.h"
 #include "pools/platform_services.h"
 #include "pools/pool_directory.h"
 #include "pools/pool_metrics.h"
@@ -110,6 +111,8 @@
   wire_message HandleRequest(const wire_message& request,
                              time_point received_at);
   wire_message HandleApprovalCall(const wire::pool_callT& call);
+  wire_message HandleLoadReport(const wire::pool_callT& call);
+  wire_message HandleAdoptionCall(const wire::pool_callT& call);
   // Sends an approval request to the advisor, directly or through a member.
   result<approval_dispatcher::approvals> RequestApprovals(
       const std::string& member_id, const approval_request& request);
@@ -149,7 +152,10 @@
   wire_message HandleTakeoverCall(const wire::pool_callT& call);
   wire_message HandleOwnerCall(const wire::pool_callT& call);
 
+  owner_map CurrentOwners() const;
+
   const pool_host_options options_;
+  partition_balancer balancer_;
   std::atomic<int> executing_submissions_ = 0;  // Forwarded by other daemons.
   // Used by the host thread only.
   std::unique_ptr<kv_watcher> worker_watcher_;
@@ -157,7 +163,7 @@
   mutable std::mutex mutex_;
   std::condition_variable changed_;
   std::map<std::string, std::uint64_t> owned_epochs_;  // Epochs of own pools.
-  std::map<std::string, std::shared_ptr<pool_owner>, std::less<>> owners_;
+  owner_map owners_;
   std::map<std::string, pool_worker> workers_;  // By key.
   bool are_workers_listed_ = false;
   std::mutex distribution_mutex_;  // Held while workers are distributed.
--- a/src/pools/pool_metrics.cc
+++ b/src/pools/pool_metrics.cc
@@ -94,6 +94,12 @@
               .Name("apricotwheel_pool_overload_refusals_total")
               .Help("Jobs refused because they would complete too late")
               .Register(*registry)
+              .Add({})),
+      moved_jobs(
+          prometheus::BuildCounter()
+              .Name("apricotwheel_pool_moved_jobs_total")
+              .Help("Jobs moved to another partition before they started")
+              .Register(*registry)
               .Add({})) {}
 
 void pool_metrics::RecordResponse(const std::string& verb,
--- a/src/pools/pool_metrics.h
+++ b/src/pools/pool_metrics.h
@@ -34,6 +34,7 @@
   prometheus::Counter& expired_requests;
   prometheus::Counter& refused_submissions;
   prometheus::Counter& overload_refusals;
+  prometheus::Counter& moved_jobs;
 };
 
 }  // namespace apricotwheel
--- a/src/pools/pool_owner.cc
+++ b/src/pools/pool_owner.cc
@@ -152,6 +152,7 @@
     scheduler_->AdmitJob(job, options_.clock->Now());
     RequestDecision();
   };
+  AddMoveCallbacks(callbacks);
   callbacks.on_superseded = [this] { options_.on_superseded(); };
   callbacks.on_store_unreachable = options_.on_store_unreachable;
   return callbacks;
@@ -230,6 +231,9 @@
   const std::lock_guard lock(mutex_);
   scheduler_ = std::move(scheduler);
   worker_list_ = contents.workers;
+  for (const auto& [id, target] : contents.moved_jobs) {
+    moved_jobs_[id] = {target, false};
+  }
   is_loaded_ = true;
   requests_changed_.notify_all();
   RequestDecision();
@@ -402,8 +406,9 @@
     if (is_stopped_ || is_quiesced_) {
       return Unavailable("the pool is being handed over");
     }
-    if (scheduler_->FindJobState(job.id))
+    if (scheduler_->FindJobState(job.id) || FindMoved(job.id)) {
       return MakeResponse(job_call_status::kAccepted);
+    }
     // An earlier copy with an unknown outcome may still be stored, so that a
     // refusal would not be true.
     if (!unresolved_submissions_.contains(job.id)) {
@@ -470,13 +475,15 @@
     ++activity_.requests;
     if (!options_.clock->WaitUntil(lock, requests_changed_, deadline, [&] {
           return is_stopped_ || is_quiesced_ ||
-                 (is_loaded_ && !submitting_jobs_.contains(job_id));
+                 (is_loaded_ && !submitting_jobs_.contains(job_id) &&
+                  !moving_jobs_.contains(job_id));
         })) {
       return MakeResponse(job_call_status::kUnknown);
     }
     if (is_stopped_ || is_quiesced_) {
       return Unavailable("the pool is being handed over");
     }
+    if (const auto moved = FindMoved(job_id)) return *moved;
     if (!scheduler_->CancelJob(job_id, options_.clock->Now())) {
       return MakeResponse(job_call_status::kAbsent);
     }
@@ -501,6 +508,7 @@
   const std::lock_guard lock(mutex_);
   ++activity_.requests;
   if (!is_loaded_ || is_stopped_) return Unavailable("the pool is loading");
+  if (const auto moved = FindMoved(job_id)) return *moved;
   const auto state = scheduler_->FindStoredJobState(job_id);
   if (!state) return MakeResponse(job_call_status::kAbsent);
   job_call_response response = MakeResponse(job_call_status::kState);
--- a/src/pools/pool_owner.h
+++ b/src/pools/pool_owner.h
@@ -8,6 +8,7 @@
 #include <mutex>
 #include <optional>
 #include <set>
+#include <span>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -43,6 +44,7 @@
   approval_dispatcher::approval_call request_approvals;
   std::function<void()> on_superseded;         // Another owner has the pool.
   std::function<void()> on_store_unreachable;  // May be called repeatedly.
+  std::function<void()> on_jobs_moved;         // To another partition.
   pool_metrics* metrics = nullptr;             // Outlives the owner.
   clock_ptr clock;
   log_sink log;
@@ -67,6 +69,20 @@
   job_call_response State(std::string_view job_id) const;
   job_call_response Pending(std::string_view queue) const;
 
+  // Defined in pool_owner_moves.cc.
+  pool_load Load() const;
+  // Moves jobs that have not started to another partition: work of about
+  // `pool_seconds`, and only jobs whose ids `may_move` accepts.
+  void MoveJobs(const std::string& target, double pool_seconds,
+                const std::function<bool(std::string_view)>& may_move);
+  // Returns the jobs that were moved, by target, and that the owner of the
+  // target may not know yet.
+  std::map<std::string, std::vector<std::string>> UnadoptedJobs() const;
+  void OnAdopted(std::span<const std::string> jobs);
+  // Takes over jobs that were moved here. Fails with `unavailable` if this
+  // owner cannot; the next one finds them in the store.
+  result<void> Adopt(std::span<const std::string> jobs);
+
   // Returns true once every run of an earlier owner is known or has expired.
   bool IsTakeoverComplete() const;
   // Returns the mean time that an event waited for the scheduling pass since
@@ -110,6 +126,10 @@
   job_call_response Refuse(const job_submission& job,
                            const admission_estimate& estimate);
   job_journal::callbacks JournalCallbacks();
+  // In pool_owner_moves.cc.
+  void AddMoveCallbacks(job_journal::callbacks& callbacks);
+  // Returns the response for a job that was moved. Called with mutex_ held.
+  std::optional<job_call_response> FindMoved(std::string_view job_id) const;
   void OnApprovalResult(
       const approval_request& request,
       const outcome<approval_dispatcher::approvals>& approved);
@@ -143,6 +163,13 @@
   std::map<std::string, pool_worker> scheduled_workers_;
   // The stored worker list, addresses by id.
   std::map<std::string, std::string> worker_list_;
+  struct moved_job {
+    std::string target;
+    bool is_adopted = false;
+  };
+  // Jobs that were accepted here and moved to another partition.
+  std::map<std::string, moved_job, std::less<>> moved_jobs_;
+  std::set<std::string, std::less<>> moving_jobs_;  // Their commit is pending.
   std::set<std::string, std::less<>> submitting_jobs_;
   // Submissions whose commit got no response.
   std::set<std::string, std::less<>> unresolved_submissions_;
--- a/src/pools/queue_gateway.cc
+++ b/src/pools/queue_gateway.cc
@@ -232,8 +232,12 @@
   for (const std::string& candidate : pools) {
     const std::string home = HomeOf(candidate, job_id);
     partitions.push_back(home);
-    // The first partition accepted all jobs before the pool was divided.
-    if (home != candidate) partitions.push_back(candidate);
+    // The first partition accepted all jobs before the pool was divided, and
+    // any may have jobs that were moved.
+    for (std::string& other :
+         options_->directory->Partitions().PartitionsOf(candidate)) {
+      if (other != home) partitions.push_back(std::move(other));
+    }
   }
   for (const std::string& candidate : partitions) {
     auto stored = ReadStoredState(candidate, job_id);
@@ -258,6 +262,12 @@
   job_call_response response = CallOwner(
       home, kStateTopic, EncodeReference({home, job_id}), deadline,
       [&](pool_owner& owner, time_point) { return owner.State(job_id); });
+  if (response.status == job_call_status::kMoved) {
+    const std::string target = response.moved_to;
+    response = CallOwner(
+        target, kStateTopic, EncodeReference({target, job_id}), deadline,
+        [&](pool_owner& owner, time_point) { return owner.State(job_id); });
+  }
   if (response.status == job_call_status::kState) return response;
   if (!IsOpen()) return response;
   // An owner that has been superseded does not know the jobs that its successor
@@ -285,18 +295,26 @@
   const auto deadline = started_at + timeout - kResponseReserve;
   const std::string home = HomeOf(queue.pool, job_id);
   job_call_response response = CancelAtOwner(home, job_id, deadline);
-  if (response.status == job_call_status::kAbsent) {
+  std::string asked = home;
+  if (response.status == job_call_status::kMoved) {
+    asked = response.moved_to;
+    response = CancelAtOwner(asked, job_id, deadline);
+  }
+  while (response.status == job_call_status::kAbsent) {
     // See `State`.
     const stored_state stored = FindStoredState(queue.pool, job_id);
     if (stored.response.status != job_call_status::kState) {
       response = stored.response;
     } else if (IsFinal(stored.response.state)) {
       response = MakeResponse(job_call_status::kCancelled);
-    } else if (stored.pool != home) {
-      response = CancelAtOwner(stored.pool, job_id, deadline);
-    } else {
+    } else if (stored.pool == home || clock_->Now() >= deadline) {
       response = MakeResponse(job_call_status::kUnavailable,
                               "the owner of the pool does not know the job");
+    } else {
+      // A job that was moved is known to its new owner within milliseconds.
+      if (stored.pool == asked) clock_->SleepFor(kRetryInterval);
+      asked = stored.pool;
+      response = CancelAtOwner(asked, job_id, deadline);
     }
   }
   Emit(log_, pool_events::kJobRequestCompleted,
--- a/tests/pools/partitions_test.cc
+++ b/tests/pools/partitions_test.cc
@@ -247,5 +247,93 @@
   BOOST_TEST(CountPartitions() == 1U);
 }
 
+// Pattern: the ids of the waiting jobs all select one partition while the
+// workers of the other are idle. On a day with trouble such jobs waited 45 s,
+// and some never started.
+BOOST_FIXTURE_TEST_CASE(waiting_jobs_move_to_an_idle_partition, cell) {
+  AddRacks(0, 4);
+  AddDaemon("a");
+  AddDaemon("b");
+  BOOST_REQUIRE(Eventually([&] { return CountPartitions() == 2; }));
+  BOOST_REQUIRE(Eventually([&] { return IsServed() && HasClaimedAll(8); }));
+  // Four workers of eight cores take 32 of these tasks.
+  std::vector<std::string> ids;
+  for (int i = 0; ids.size() < 60; ++i) {
+    const std::string id = "job-" + std::to_string(i);
+    if (HomePartition(id, 2) == 0) ids.push_back(id);
+  }
+  for (const std::string& id : ids) {
+    BOOST_TEST((daemons[1]->Submit(id).status == job_call_status::kAccepted));
+  }
+  BOOST_TEST(Eventually([&] {
+    const std::lock_guard lock(mutex);
+    std::size_t running = 0;
+    for (const auto& [id, agent] : agents) running += agent->RunCount();
+    return running == ids.size();
+  }));
+  int moved = 0;
+  for (const std::string& id : ids) {
+    const bool is_moved = store.Has(MovedKey(kPool, id));
+    moved += is_moved ? 1 : 0;
+    BOOST_TEST(store.Has(JobKey(kPool, id)) != is_moved);
+    BOOST_TEST(store.Has(JobKey(kPool + "~1", id)) == is_moved);
+    for (const auto& daemon : daemons) {
+      BOOST_TEST((daemon->Submit(id).status == job_call_status::kAccepted));
+      BOOST_TEST((State(*daemon, id).state == job_state::kActive));
+    }
+  }
+  BOOST_TEST(moved >= 28);
+  for (const std::string& id : ids) {
+    const auto cancelled = daemons[0]->gateway.Cancel(daemon_parts::Queue(), id,
+                                                      milliseconds(3000));
+    BOOST_TEST((cancelled.status == job_call_status::kCancelled));
+    BOOST_TEST((State(*daemons[1], id).state == job_state::kCancelled));
+  }
+}
+
+// Guards against a job that was moved and is lost or doubled because one of the
+// owners changes before the other has taken the job over.
+BOOST_FIXTURE_TEST_CASE(a_moved_job_survives_changes_of_owners, cell) {
+  AddRacks(0, 4);
+  AddDaemon("a");
+  AddDaemon("b");
+  AddDaemon("c");
+  BOOST_REQUIRE(Eventually([&] { return CountPartitions() == 2; }));
+  BOOST_REQUIRE(Eventually([&] { return IsServed() && HasClaimedAll(8); }));
+  std::vector<std::string> ids;
+  for (int i = 0; ids.size() < 56; ++i) {
+    const std::string id = "job-" + std::to_string(i);
+    if (HomePartition(id, 2) == 0) ids.push_back(id);
+  }
+  for (std::size_t i = 0; i < ids.size(); ++i) {
+    BOOST_TEST(
+        (daemons[0]->Submit(ids[i]).status == job_call_status::kAccepted));
+    // Both partitions change hands again and again while jobs move.
+    if (i % 8 != 0) continue;
+    for (const std::string& partition : PartitionNames(kPool, 2)) {
+      const auto owner = daemons[i / 8 % 3]->directory->OwnerOf(partition);
+      if (!owner) continue;
+      Attempt([&] {
+        return daemons[i / 8 % 3]->directory->TakeOver(partition, owner->epoch,
+                                                       false);
+      });
+    }
+  }
+  BOOST_TEST(Eventually([&] {
+    const std::lock_guard lock(mutex);
+    std::size_t running = 0;
+    for (const auto& [id, agent] : agents) running += agent->RunCount();
+    return running == ids.size();
+  }));
+  for (const std::string& id : ids) {
+    BOOST_TEST((daemons[1]->Submit(id).status == job_call_status::kAccepted));
+    BOOST_TEST(store.Has(JobKey(kPool, id)) !=
+               store.Has(JobKey(kPool + "~1", id)));
+    const auto state = State(*daemons[2], id);
+    BOOST_TEST((state.status == job_call_status::kState));
+    BOOST_TEST(ToString(state.state) == "active");
+  }
+}
+
 }  // namespace
 }  // namespace apricotwheel
