Let partitions without workers give their jobs away

A partition without workers moves all jobs and takes none. Records of moves are deleted after an hour.

--- a/src/graph/admission.h
+++ b/src/graph/admission.h
@@ -59,6 +59,7 @@
 struct pool_load {
   double backlog_seconds = 0;  // Waiting work, in pool-seconds.
   double busy_share = 0;       // Of the resource that is used most.
+  bool has_workers = true;     // Without, waiting work never starts.
 
   friend bool operator==(const pool_load&, const pool_load&) = default;
 };
--- a/src/graph/pool_moves.cc
+++ b/src/graph/pool_moves.cc
@@ -22,6 +22,14 @@
                    share(used.accelerators, capacity.accelerators)});
 }
 
+// Returns true if the work of the job is part of the backlog: lasting tasks and
+// scheduled jobs are not.
+bool IsCountedWork(const job_graph& graph) {
+  return graph.schedule.repetitions == 0 &&
+         std::none_of(graph.steps.begin(), graph.steps.end(),
+                      [](const graph_step& step) { return step.is_service; });
+}
+
 }  // namespace
 
 pool_load pool_scheduler::MeasureLoad() const {
@@ -37,6 +45,7 @@
     capacity = capacity + worker.info.capacity;
   }
   load.busy_share = BusyShare(used, capacity);
+  load.has_workers = capacity != resource_vector{};
   return load;
 }
 
@@ -45,22 +54,23 @@
   const job_graph& graph = job.submission.graph;
   // An earlier owner may have ordered starts that are not known yet.
   if (job.is_loaded && !IsTakeoverComplete(now)) return std::nullopt;
-  if (job.is_moving || graph.schedule.repetitions > 0 ||
-      job.progress.state != job_state::kQueued || job.progress.has_started ||
-      job.occurrences.size() != 1) {
+  if (job.is_moving || job.progress.state != job_state::kQueued ||
+      job.progress.has_started) {
     return std::nullopt;
   }
   double work = 0;
-  for (std::size_t i = 0; i < graph.steps.size(); ++i) {
-    const graph_step& spec = graph.steps[i];
-    const step_state& step = job.occurrences[0][i];
-    // A task that was ever ordered may still start where it was ordered.
-    const bool is_untouched =
-        step.waiting == step.tasks.size() &&
-        std::all_of(step.tasks.begin(), step.tasks.end(),
-                    [](const graph_task& task) { return task.last_run == 0; });
-    if (spec.is_service || !is_untouched) return std::nullopt;
-    work += LoadOf(spec, step.waiting, pool_capacity_).pool_seconds;
+  for (const std::vector<step_state>& steps : job.occurrences) {
+    for (std::size_t i = 0; i < steps.size(); ++i) {
+      // A task that was ever ordered may still start where it was ordered.
+      const bool is_untouched =
+          steps[i].waiting == steps[i].tasks.size() &&
+          std::all_of(
+              steps[i].tasks.begin(), steps[i].tasks.end(),
+              [](const graph_task& task) { return task.last_run == 0; });
+      if (!is_untouched) return std::nullopt;
+      work +=
+          LoadOf(graph.steps[i], steps[i].waiting, pool_capacity_).pool_seconds;
+    }
   }
   return work;
 }
@@ -74,11 +84,14 @@
     bool is_too_late = false;
     bool has_approvals = false;
   };
+  const bool has_workers = pool_capacity_ != resource_vector{};
   std::vector<option> options;
   for (graph_job* job : open_jobs_) {
     if (dirty_jobs_.contains(job) || !may_move(job->submission.id)) continue;
     const auto work = MovableWork(*job, now);
-    if (!work) continue;
+    if (!work || (has_workers && !IsCountedWork(job->submission.graph))) {
+      continue;
+    }
     waiting_step whole;
     whole.submitted_at = job->admitted_at;
     whole.objective =
--- a/src/pools/balance_plan.cc
+++ b/src/pools/balance_plan.cc
@@ -1,7 +1,8 @@
 #include "pools/balance_plan.h"
 
-#include <algorithm>
+#include <limits>
 #include <tuple>
+#include <utility>
 
 namespace apricotwheel {
 
@@ -24,11 +25,15 @@
   };
   for (const auto& other : others) {
     if (now - other.second.received_at > kMaxReportAge) continue;
+    if (!other.second.load.has_workers) continue;
     if (best == nullptr || order(other.second) < order(best->second)) {
       best = &other;
     }
   }
   if (best == nullptr) return std::nullopt;
+  if (!own.has_workers) {
+    return balance_plan{best->first, std::numeric_limits<double>::infinity()};
+  }
   const double difference =
       own.backlog_seconds - best->second.load.backlog_seconds;
   if (difference < kMinDifferenceSeconds) return std::nullopt;
--- a/src/pools/balance_plan.h
+++ b/src/pools/balance_plan.h
@@ -22,8 +22,8 @@
 
 // Decides whether a partition moves waiting work to another one of its pool.
 // Partitions are of about equal size, so the waiting work in pool-seconds is
-// the time for which a new job waits in each. Reports that are too old do not
-// count.
+// the time for which a new job waits in each. A partition without workers moves
+// all of its jobs. Reports that are too old do not count.
 std::optional<balance_plan> PlanMoves(
     const pool_load& own, const std::map<std::string, reported_load>& others,
     time_point now);
--- a/src/pools/job_journal.cc
+++ b/src/pools/job_journal.cc
@@ -259,6 +259,12 @@
   work_changed_.notify_one();
 }
 
+void job_journal::DeleteMoveRecords(std::vector<std::string> job_ids) {
+  const std::lock_guard lock(mutex_);
+  std::move(job_ids.begin(), job_ids.end(),
+            std::back_inserter(move_records_to_delete_));
+}
+
 void job_journal::ScheduleCommit(duration delay) {
   const std::lock_guard lock(mutex_);
   const auto due = options_.clock->Now() + delay;
@@ -450,6 +456,15 @@
     const std::lock_guard lock(mutex_);
     entries = AddMoves(group, entries);
     if (!pending_moves_.empty()) commit_due_at_ = {};
+    // They go with other writes. What a failed commit leaves is deleted by the
+    // next owner.
+    while (!move_records_to_delete_.empty() &&
+           entries < kMaxTransactionEntries) {
+      group.writes.removals.push_back(
+          MovedKey(options_.pool, move_records_to_delete_.back()));
+      move_records_to_delete_.pop_back();
+      ++entries;
+    }
   }
   if (checks_table && !group.submissions.empty()) {
     group.writes.conditions.push_back({options_.partitions_key, 0});
--- a/src/pools/job_journal.h
+++ b/src/pools/job_journal.h
@@ -133,6 +133,8 @@
   // Moves jobs to other partitions with the next commits. A move that gets no
   // result before the journal stops may have taken effect.
   void ScheduleMoves(std::vector<job_move> moves);
+  // Deletes the records of jobs that were moved from here long ago.
+  void DeleteMoveRecords(std::vector<std::string> job_ids);
   // Schedules a commit of the pending progress within `delay`.
   void ScheduleCommit(duration delay);
   // Stores the worker list, addresses by id, and waits until that is done. A
@@ -266,6 +268,7 @@
   std::deque<submission_ptr> pending_submissions_;
   std::set<submission_ptr> waiting_submissions_;  // Those in `Submit`.
   std::deque<job_move> pending_moves_;
+  std::vector<std::string> move_records_to_delete_;  // Ids of their jobs.
   // Counts the calls of `Flush`. A call waits until `completed_flushes_`
   // reaches its number.
   std::uint64_t requested_flushes_ = 0;
--- a/src/pools/partition_balancer.cc
+++ b/src/pools/partition_balancer.cc
@@ -106,7 +106,7 @@
   const auto plan = PlanMoves(load, others, options_.clock->Now());
   if (!plan) return;
   // The next report may not count these jobs yet.
-  {
+  if (load.has_workers) {
     const std::lock_guard lock(mutex_);
     reports_[plan->target].load.backlog_seconds += plan->pool_seconds;
   }
--- a/src/pools/pool_calls.cc
+++ b/src/pools/pool_calls.cc
@@ -78,7 +78,8 @@
 std::string EncodeReport(const partition_report& report) {
   return json{{"partition", report.partition},
               {"backlog_s", report.load.backlog_seconds},
-              {"busy", report.load.busy_share}}
+              {"busy", report.load.busy_share},
+              {"workers", report.load.has_workers}}
       .dump();
 }
 
@@ -88,6 +89,7 @@
     in.at("partition").get_to(report.partition);
     in.at("backlog_s").get_to(report.load.backlog_seconds);
     in.at("busy").get_to(report.load.busy_share);
+    in.at("workers").get_to(report.load.has_workers);
     if (!(report.load.backlog_seconds >= 0) || !(report.load.busy_share >= 0)) {
       return CorruptRecord("the load of a partition is negative");
     }
--- a/src/pools/pool_host.h
+++ b/src/pools/pool_host.h
@@ -87,19 +87,21 @@
     std::size_t worker_count = 0;
     time_point first_seen_at{};
     time_point grown_at{};
-    bool has_settled = false;  // Once since this owner took the pool over.
+    bool is_in_use = false;  // It has settled since this owner took it over.
     bool is_delay_logged = false;
   };
   using workers_by_id = std::map<std::string, pool_worker>;
   // Returns the workers of each partition of a pool.
   std::map<std::string, workers_by_id> AssignWorkers(
       const std::string& pool, const workers_by_id& workers);
-  // Divides a pool that has too many workers, and adds racks to a divided one.
-  void UpdatePartitions(const std::string& pool, pool_owner& first_owner,
-                        const workers_by_id& workers);
-  // Returns true if the first partition may use all workers of an undivided
-  // pool, which it does until the pool is found to be too large.
-  bool MayUseAllWorkers(const std::string& pool, std::size_t worker_count);
+  // Returns the workers that an undivided pool uses now, and divides it if it
+  // has too many.
+  workers_by_id WorkersOfUndivided(const std::string& pool, pool_owner& owner,
+                                   const workers_by_id& workers);
+  // Returns false while a member runs a version that would use all workers.
+  bool MayDivide(const std::string& pool, std::size_t worker_count);
+  void StorePartitions(const std::string& pool, std::uint64_t epoch,
+                       const partition_table& table);
   // Returns true if the number of workers has not grown for a while. Otherwise
   // the workers are distributed again later.
   bool HasSettled(pool_growth& growth, std::size_t worker_count);
--- a/src/pools/pool_owner.cc
+++ b/src/pools/pool_owner.cc
@@ -232,7 +232,7 @@
   scheduler_ = std::move(scheduler);
   worker_list_ = contents.workers;
   for (const auto& [id, target] : contents.moved_jobs) {
-    moved_jobs_[id] = {target, false};
+    RecordMove(id, target, now);
   }
   is_loaded_ = true;
   requests_changed_.notify_all();
@@ -320,6 +320,7 @@
 void pool_owner::ReportActivityIfDue(time_point now) {
   if (now - activity_reported_at_ < kActivityReportInterval) return;
   activity_reported_at_ = now;
+  ForgetOldMoves(now);
   const auto approvals = approval_dispatcher_->TakeWaitStatistics();
   Emit(
       options_.log, pool_events::kOwnerLoad,
--- a/src/pools/pool_owner.h
+++ b/src/pools/pool_owner.h
@@ -2,6 +2,7 @@
 
 #include <condition_variable>
 #include <cstdint>
+#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
@@ -128,7 +129,11 @@
   job_journal::callbacks JournalCallbacks();
   // In pool_owner_moves.cc.
   void AddMoveCallbacks(job_journal::callbacks& callbacks);
-  // Returns the response for a job that was moved. Called with mutex_ held.
+  // Called with mutex_ held, like the next two.
+  void RecordMove(const std::string& job_id, const std::string& target,
+                  time_point now);
+  void ForgetOldMoves(time_point now);
+  // Returns the response for a job that was moved.
   std::optional<job_call_response> FindMoved(std::string_view job_id) const;
   void OnApprovalResult(
       const approval_request& request,
@@ -165,10 +170,13 @@
   std::map<std::string, std::string> worker_list_;
   struct moved_job {
     std::string target;
+    time_point moved_at{};
     bool is_adopted = false;
   };
   // Jobs that were accepted here and moved to another partition.
   std::map<std::string, moved_job, std::less<>> moved_jobs_;
+  // The same, oldest first.
+  std::deque<std::pair<time_point, std::string>> move_times_;
   std::set<std::string, std::less<>> moving_jobs_;  // Their commit is pending.
   std::set<std::string, std::less<>> submitting_jobs_;
   // Submissions whose commit got no response.
--- a/src/pools/pool_owner_moves.cc
+++ b/src/pools/pool_owner_moves.cc
@@ -12,6 +12,9 @@
 // Jobs that one call of `MoveJobs` moves at most; about as many fit into one
 // commit.
 constexpr std::size_t kMaxMoves = 6;
+// Copies of a submission come within seconds. A later request for the state
+// finds the job in the store.
+constexpr auto kMoveRetention = std::chrono::hours(1);
 
 }  // namespace
 
@@ -46,7 +49,7 @@
       for (const job_move& move : moves) {
         scheduler_->RemoveMovedJob(move.job.id);
         moving_jobs_.erase(move.job.id);
-        moved_jobs_[move.job.id] = {move.target, false};
+        RecordMove(move.job.id, move.target, options_.clock->Now());
       }
       requests_changed_.notify_all();
     }
@@ -67,6 +70,23 @@
   };
 }
 
+void pool_owner::RecordMove(const std::string& job_id,
+                            const std::string& target, time_point now) {
+  moved_jobs_[job_id] = {target, now, false};
+  move_times_.emplace_back(now, job_id);
+}
+
+void pool_owner::ForgetOldMoves(time_point now) {
+  std::vector<std::string> forgotten;
+  while (!move_times_.empty() &&
+         move_times_.front().first + duration(kMoveRetention) <= now) {
+    forgotten.push_back(std::move(move_times_.front().second));
+    move_times_.pop_front();
+    moved_jobs_.erase(forgotten.back());
+  }
+  if (!forgotten.empty()) journal_->DeleteMoveRecords(std::move(forgotten));
+}
+
 std::optional<job_call_response> pool_owner::FindMoved(
     std::string_view job_id) const {
   const auto found = moved_jobs_.find(job_id);
--- a/tests/pools/balance_plan_test.cc
+++ b/tests/pools/balance_plan_test.cc
@@ -36,6 +36,19 @@
   BOOST_TEST(!PlanMoves({5.0, 1}, {}, kNow));
 }
 
+// Pattern: all racks of a partition have left, or never joined: its jobs waited
+// for ever, and as it seemed to be idle, others moved there.
+BOOST_AUTO_TEST_CASE(a_partition_without_workers_gives_all_and_takes_none) {
+  reported_load empty = Report(0, 0);
+  empty.load.has_workers = false;
+  BOOST_TEST(!PlanMoves({5.0, 1}, {{"p~1", empty}}, kNow));
+  const auto plan =
+      PlanMoves({0, 0, false}, {{"p~1", empty}, {"p~2", Report(3.0)}}, kNow);
+  BOOST_REQUIRE(plan.has_value());
+  BOOST_TEST(plan->target == "p~2");
+  BOOST_TEST(plan->pool_seconds > 1e9);
+}
+
 // Guards against jobs that move to a partition whose owner is gone.
 BOOST_AUTO_TEST_CASE(old_reports_do_not_count) {
   BOOST_TEST(
--- a/tests/pools/partitions_test.cc
+++ b/tests/pools/partitions_test.cc
@@ -291,6 +291,38 @@
   }
 }
 
+// Guards against jobs whose partition has no workers, of any kind: they waited
+// for ever although the rest of the pool was idle.
+BOOST_FIXTURE_TEST_CASE(jobs_leave_a_partition_without_workers, cell) {
+  AddRacks(0, 4);
+  store.Put(
+      partition_directory::KeyOf(kPool),
+      EncodePartitions({2, {{"r0", 0}, {"r1", 0}, {"r2", 0}, {"r3", 0}}}));
+  daemon_parts& daemon = AddDaemon("a");
+  AddDaemon("b");
+  BOOST_REQUIRE(Eventually([&] { return IsServed() && HasClaimedAll(8); }));
+  job_graph lasting = daemon_parts::SmallJob("x").graph;
+  lasting.steps[0].is_service = true;
+  std::vector<std::string> ids;
+  for (int i = 0; ids.size() < 8; ++i) {
+    const std::string id = "job-" + std::to_string(i);
+    if (HomePartition(id, 2) == 1) ids.push_back(id);
+  }
+  for (std::size_t i = 0; i < ids.size(); ++i) {
+    const job_graph graph =
+        i % 2 == 0 ? lasting : daemon_parts::SmallJob(ids[i]).graph;
+    const auto response = daemon.gateway.Submit(daemon_parts::Queue(), ids[i],
+                                                graph, milliseconds(3000));
+    BOOST_TEST((response.status == job_call_status::kAccepted));
+  }
+  BOOST_TEST(Eventually([&] {
+    const std::lock_guard lock(mutex);
+    std::size_t running = 0;
+    for (const auto& [id, agent] : agents) running += agent->RunCount();
+    return running == ids.size();
+  }));
+}
+
 // Guards against a job that was moved and is lost or doubled because one of the
 // owners changes before the other has taken the job over.
 BOOST_FIXTURE_TEST_CASE(a_moved_job_survives_changes_of_owners, cell) {
