Reject odd numbers, nesting and lengths in what others write

Cause: the conversions of the JSON library wrap around. An entry of the workers with a capacity of 1e300 or 2^64 described a worker, 4,294,967,297 tasks of a job became one, and 4,000,000,000 repetitions were accepted, for each of which the owner allocates the tasks.

Numbers are read with limits, texts nested more than 64 deep are rejected before they are parsed, and values in the log end after 1,000 bytes.

--- /dev/null
+++ b/src/kernel/json_reading.cc
@@ -0,0 +1,74 @@
+#include "kernel/json_reading.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace apricotwheel {
+
+namespace {
+
+constexpr int kMaxDepth = 64;
+
+boost::leaf::error_id OutOfRange() {
+  return Fail(error_kind::kCorrupt, "a number is out of range",
+              "check which program writes it");
+}
+
+}  // namespace
+
+bool IsNestedTooDeep(std::string_view text) {
+  int depth = 0;
+  bool is_in_string = false;
+  for (std::size_t i = 0; i < text.size(); ++i) {
+    const char letter = text[i];
+    if (is_in_string) {
+      if (letter == '\\') ++i;
+      if (letter == '"') is_in_string = false;
+    } else if (letter == '"') {
+      is_in_string = true;
+    } else if (letter == '[' || letter == '{') {
+      if (++depth > kMaxDepth) return true;
+    } else if (letter == ']' || letter == '}') {
+      --depth;
+    }
+  }
+  return false;
+}
+
+result<std::int64_t> ReadInteger(const nlohmann::json& value, std::int64_t low,
+                                 std::int64_t high) {
+  std::int64_t number = 0;
+  if (value.is_number_unsigned()) {
+    const auto wide = value.get<std::uint64_t>();
+    if (wide > static_cast<std::uint64_t>(kMaxJsonInteger)) return OutOfRange();
+    number = static_cast<std::int64_t>(wide);
+  } else if (value.is_number_integer()) {
+    number = value.get<std::int64_t>();
+  } else if (value.is_number_float()) {
+    const double real = value.get<double>();
+    const auto limit = static_cast<double>(kMaxJsonInteger);
+    if (!(std::abs(real) <= limit) || std::trunc(real) != real) {
+      return OutOfRange();
+    }
+    number = static_cast<std::int64_t>(real);
+  } else {
+    return OutOfRange();
+  }
+  if (number < low || number > high) return OutOfRange();
+  return number;
+}
+
+result<std::int64_t> ReadOptionalInteger(const nlohmann::json& object,
+                                         const char* field, std::int64_t low,
+                                         std::int64_t high) {
+  if (!object.contains(field)) return std::int64_t{0};
+  return ReadInteger(object.at(field), low, high);
+}
+
+std::int64_t ToInteger(double value, std::int64_t low, std::int64_t high) {
+  if (!(value > static_cast<double>(low))) return low;
+  if (value >= static_cast<double>(high)) return high;
+  return static_cast<std::int64_t>(value);
+}
+
+}  // namespace apricotwheel
--- a/src/kernel/log.cc
+++ b/src/kernel/log.cc
@@ -4,6 +4,9 @@
 
 namespace {
 
+// Texts of other programs go into the log, and some are megabytes long.
+constexpr std::size_t kMaxValueBytes = 1000;
+
 void AppendEscaped(std::string& line, std::string_view value) {
   constexpr std::string_view kHex = "0123456789abcdef";
   for (const char character : value) {
@@ -51,7 +54,8 @@
     line += ' ';
     line += key;
     line += "=\"";
-    AppendEscaped(line, value);
+    AppendEscaped(line, std::string_view(value).substr(0, kMaxValueBytes));
+    if (value.size() > kMaxValueBytes) line += "...";
     line += '"';
   }
   return line;
--- a/tests/adapter/decoding_test.cc
+++ b/tests/adapter/decoding_test.cc
@@ -80,6 +80,92 @@
   }
 }
 
+// Guards against an odd entry of another writer that ends the process, or that
+// describes a worker with capacity that no machine has.
+BOOST_AUTO_TEST_CASE(odd_entries_describe_no_worker) {
+  const std::string deep(100'000, '[');
+  const std::string text = kEntry.dump();
+  const auto with = [](const char* field, const json& value) {
+    json entry = kEntry;
+    entry[field] = value;
+    return entry.dump();
+  };
+  const auto with_cpu = [&](const std::string& number) {
+    std::string changed = text;
+    const std::string cpu = "\"cpu\":16000";
+    return changed.replace(changed.find(cpu), cpu.size(), "\"cpu\":" + number);
+  };
+  std::vector<std::string> bad = {
+      deep,
+      text.substr(0, text.size() - 1) + ",\"x\":" + deep +
+          std::string(100'000, ']') + "}",
+      with_cpu("1e400"),
+      with_cpu("1e300"),
+      with_cpu("18446744073709551616"),
+      with_cpu("18446744073709551615"),
+      with_cpu("NaN"),
+      with_cpu("-1"),
+      with_cpu("0.5"),
+      with("born", -1),
+      with("born", 1e18),
+      with("remaining_ms", "soon"),
+      with("labels", {"a", std::string(1 << 20, 'r')}),
+      with("labels", std::vector<std::string>(1000, "a")),
+      with("zone", std::string(1 << 20, 'z'))};
+  for (const char* address :
+       {"10.0.0.1:65536", "10.0.0.1:99999", "10.0.0.1:-1",
+        "10.0.0.1:", "10.0.0.1", ":80", "10.0.0.1:99999999999999999999"}) {
+    bad.push_back(with("address", address));
+  }
+  for (const std::string& value : bad) {
+    std::vector<log_event> events;
+    const auto worker = fleet::DecodeMinion(
+        "servers/i-7", value,
+        [&](const log_event& event) { events.push_back(event); });
+    BOOST_TEST(!worker.has_value(), value.substr(0, 200));
+    BOOST_REQUIRE(events.size() == 1U);
+    const std::string line = FormatEvent(events[0]);
+    BOOST_TEST(line.size() < 2500U);
+    BOOST_TEST(line.find("servers/i-7") != std::string::npos);
+  }
+  // A key that is written twice has its last value.
+  BOOST_TEST(fleet::DecodeMinion(
+                 "servers/i-7",
+                 text.substr(0, text.size() - 1) + ",\"zone\":\"z\"}", {})
+                 ->failure_domain == "z");
+}
+
+// Guards against a job whose numbers wrap around or use up the memory: four
+// thousand million occurrences were accepted.
+BOOST_AUTO_TEST_CASE(jobs_with_odd_numbers_are_rejected) {
+  const std::string step = R"("count":1,"cpu":500,"mem_mb":256)";
+  const auto decode = [](const std::string& body) {
+    return Attempt([&] { return fleet::DecodeJob(body); });
+  };
+  BOOST_REQUIRE(decode("{\"phases\":[{" + step + "}]}"));
+  const std::vector<std::string> bad = {
+      R"({"phases":[{"count":4294967297}]})",
+      R"({"phases":[{"count":-1}]})",
+      R"({"phases":[{"count":1e300}]})",
+      R"({"phases":[{"count":1,"cpu":1e300}]})",
+      R"({"phases":[{"count":1,"cpu":9223372036854775807}]})",
+      R"({"phases":[{"count":1,"after":[4294967296]}]})",
+      R"({"phases":[{"count":1,"max_per_server":-1}]})",
+      R"({"phases":[{"count":1}],"repetitions":4000000000})",
+      R"({"phases":[{"count":100}],"repetitions":1000})",
+      R"({"phases":[{"count":1}],"repetitions":2,"interval_ms":9e18})",
+      "{\"phases\":" + std::string(100'000, '[') + "}"};
+  for (const std::string& body : bad) {
+    const auto job = decode(body);
+    BOOST_TEST(!job, body.substr(0, 100));
+    BOOST_TEST((job.failure.kind == error_kind::kCorrupt));
+    BOOST_TEST(!job.failure.remedy.empty());
+  }
+  const auto large = decode(R"({"phases":[{"count":1,"estimate_ms":1e300}]})");
+  BOOST_REQUIRE(large);
+  BOOST_TEST(large->steps[0].estimate_ms > 0);
+}
+
 BOOST_AUTO_TEST_CASE(a_configuration_lists_queues_and_pools) {
   const json config = {
       {"version", 7},
