--- a/tests/pools/partitions_test.cc
+++ b/tests/pools/partitions_test.cc
@@ -44,6 +44,7 @@
           settings.partition_workers = kPartitionWorkers;
           platform.decode_worker = [](std::string_view key,
                                       std::string_view value) {
+            if (value == "odd") return std::optional<pool_worker>();
             pool_worker worker;
             worker.id = key.substr(std::string_view("workers/").size());
             worker.pool = kPool;
@@ -235,6 +236,19 @@
   BOOST_TEST(response.reason.find("~7") != std::string::npos);
 }
 
+// Guards against an owner that no longer follows the list of workers because of
+// one entry that cannot be decoded.
+BOOST_FIXTURE_TEST_CASE(an_odd_entry_costs_only_itself, cell) {
+  AddRacks(0, 1);
+  store.Put("workers/odd", "odd");
+  AddDaemon("a");
+  BOOST_REQUIRE(Eventually([&] { return IsServed() && HasClaimedAll(2); }));
+  AddRacks(1, 1);
+  BOOST_TEST(Eventually([&] { return HasClaimedAll(4); }));
+  store.Put("workers/odd", "r2");
+  BOOST_TEST(Eventually([&] { return HasClaimedAll(5); }));
+}
+
 // Guards against a division that a member of an earlier version does not know
 // of: it would use all workers of the pool.
 BOOST_FIXTURE_TEST_CASE(an_earlier_version_prevents_the_division, cell) {
