--- a/src/kernel/log.cc
+++ b/src/kernel/log.cc
@@ -54,7 +54,8 @@
     line += ' ';
     line += key;
     line += "=\"";
-    AppendEscaped(line, std::string_view(value).substr(0, kMaxValueBytes));
+    const std::string_view shown = value;
+    AppendEscaped(line, shown.substr(0, kMaxValueBytes));
     if (value.size() > kMaxValueBytes) line += "...";
     line += '"';
   }
