--- a/src/pools/queue_gateway.cc
+++ b/src/pools/queue_gateway.cc
@@ -345,8 +345,7 @@
   job_call_response sum = MakeResponse(job_call_status::kCount);
   for (const std::string& partition :
        options_->directory->Partitions().PartitionsOf(queue.pool)) {
-    const job_call_response response =
-        PendingAt(partition, queue.name, deadline);
+    job_call_response response = PendingAt(partition, queue.name, deadline);
     if (response.status != job_call_status::kCount) return response;
     sum.count += response.count;
   }
