Wait for the workers of a pool that has none yet

Cause: a pool without workers counted as settled, so an owner that was elected before the first worker registered claimed each rack as its first worker came, and the pool was divided with almost all racks in the first partition.

Read from the code; the new test failed before the change.

--- a/src/pools/pool_partitioning.cc
+++ b/src/pools/pool_partitioning.cc
@@ -26,6 +26,7 @@
 }
 
 bool pool_host::HasSettled(pool_growth& growth, std::size_t worker_count) {
+  if (worker_count == 0) return false;
   const auto now = options_.clock->Now();
   if (growth.worker_count == 0) growth.first_seen_at = now;
   if (worker_count > growth.worker_count) growth.grown_at = now;
--- a/tests/pools/partitions_test.cc
+++ b/tests/pools/partitions_test.cc
@@ -144,6 +144,26 @@
       (State(*daemons[0], "unknown").status == job_call_status::kAbsent));
 }
 
+// Pattern: a platform starts, and its workers register over some seconds, after
+// the owner of the pool. The owner claimed almost all of them one by one.
+BOOST_FIXTURE_TEST_CASE(workers_that_register_slowly_are_divided_evenly, cell) {
+  AddDaemon("a");
+  AddDaemon("b");
+  BOOST_REQUIRE(Eventually([&] { return IsServed(); }));
+  runtime_clock::Running()->SleepFor(milliseconds(1500));
+  for (int i = 0; i < 12; ++i) {
+    const std::string rack = "r" + std::to_string(i % 6);
+    store.Put("workers/" + rack + "-" + std::to_string(i / 6), rack);
+    runtime_clock::Running()->SleepFor(milliseconds(150));
+  }
+  BOOST_REQUIRE(Eventually([&] { return CountPartitions() == 3; }));
+  BOOST_REQUIRE(Eventually([&] { return IsServed() && HasClaimedAll(12); }));
+  const auto table = daemons.front()->directory->Partitions().TableOf(kPool);
+  std::map<std::uint32_t, int> racks;
+  for (const auto& [rack, partition] : table->racks) ++racks[partition];
+  for (const auto& [partition, count] : racks) BOOST_TEST(count == 2);
+}
+
 // Pattern: a pool grows while it runs. Jobs and workers of the time before stay
 // with the first partition and are found there; a copy of such a job that comes
 // after the division is not a second job.
