End the cancellation of an unknown job; encode moved_to only if it is set

Cause: the loop that waits until a moved job is known to its new owner did not end for a job that is stored nowhere, and held its thread for ever. The response between daemons had a field that earlier versions do not send.

--- a/src/pools/pool_calls.cc
+++ b/src/pools/pool_calls.cc
@@ -47,13 +47,13 @@
 }
 
 std::string EncodeResponse(const job_call_response& response) {
-  return json{{"answer", static_cast<int>(response.status)},
+  json out = {{"answer", static_cast<int>(response.status)},
               {"state", ToString(response.state)},
               {"count", response.count},
               {"retry_after_ms", response.retry_after_ms},
-              {"reason", response.reason},
-              {"moved_to", response.moved_to}}
-      .dump();
+              {"reason", response.reason}};
+  if (!response.moved_to.empty()) out["moved_to"] = response.moved_to;
+  return out.dump();
 }
 
 result<job_call_response> DecodeResponse(std::string_view text) {
--- a/src/pools/queue_gateway.cc
+++ b/src/pools/queue_gateway.cc
@@ -305,7 +305,9 @@
     const stored_state stored = FindStoredState(queue.pool, job_id);
     if (stored.response.status != job_call_status::kState) {
       response = stored.response;
-    } else if (IsFinal(stored.response.state)) {
+      break;
+    }
+    if (IsFinal(stored.response.state)) {
       response = MakeResponse(job_call_status::kCancelled);
     } else if (stored.pool == home || clock_->Now() >= deadline) {
       response = MakeResponse(job_call_status::kUnavailable,
