--- a/tests/pools/daemon_parts.h
+++ b/tests/pools/daemon_parts.h
@@ -72,6 +72,8 @@
     kv->InterruptWatches();
     host->Stop();
     directory->Stop();
+    // Their handlers use the host, which is destroyed first.
+    peers->Stop();
   }
 
   bool Owns() const {
