Build calls between daemons in one place

MakePoolCall stood in two files and was written out in two more; a state is asked for in one function, as a cancellation is. CountStarts is again listed under its own file, and two includes that nothing used are gone. No change of behaviour.

pools/partitions_test, forwarded_calls_test, stored_records_test and hand_over_test pass.

--- a/src/graph/pool_scheduler.h
+++ b/src/graph/pool_scheduler.h
@@ -480,6 +480,7 @@
   void UpdateQueueLoads(time_point now, std::int64_t wall_clock_ms);
   void CountQueueLoads(time_point now, std::int64_t wall_clock_ms);
   void CountAdmittedJob(const graph_job& job);
+  void CountStarts(const candidate& step, std::size_t count);
 
   // In pool_moves.cc: jobs that move to another partition.
 
@@ -487,8 +488,6 @@
   // if it cannot be moved.
   std::optional<double> MovableWork(const graph_job& job, time_point now) const;
 
-  void CountStarts(const candidate& step, std::size_t count);
-
   // In pool_start_share.cc: the share of the starts for steps that the order
   // holds back.
 
--- a/src/kernel/json_reading.cc
+++ b/src/kernel/json_reading.cc
@@ -1,6 +1,5 @@
 #include "kernel/json_reading.h"
 
-#include <algorithm>
 #include <cmath>
 
 namespace apricotwheel {
--- a/src/kernel/json_reading.h
+++ b/src/kernel/json_reading.h
@@ -1,7 +1,6 @@
 #pragma once
 
 #include <cstdint>
-#include <limits>
 #include <nlohmann/json.hpp>
 #include <string_view>
 #include <utility>
--- a/src/pools/partition_balancer.cc
+++ b/src/pools/partition_balancer.cc
@@ -1,6 +1,7 @@
 #include "pools/partition_balancer.h"
 
 #include <algorithm>
+#include <set>
 #include <utility>
 
 #include "pools/partition_table.h"
@@ -15,13 +16,6 @@
 constexpr auto kAdoptionTimeout = milliseconds(600);
 constexpr std::size_t kMaxJobsPerAdoption = 32;
 
-wire_message MakePoolCall(std::string_view topic, std::string body) {
-  wire::pool_callT call;
-  call.topic = topic;
-  call.body = std::move(body);
-  return MakeMessage(std::move(call));
-}
-
 }  // namespace
 
 partition_balancer::partition_balancer(partition_balancer_options options)
--- a/src/pools/pool_calls.cc
+++ b/src/pools/pool_calls.cc
@@ -40,6 +40,13 @@
   return "unknown";
 }
 
+wire_message MakePoolCall(std::string_view topic, std::string body) {
+  wire::pool_callT call;
+  call.topic = topic;
+  call.body = std::move(body);
+  return MakeMessage(std::move(call));
+}
+
 wire_message MakePoolReply(std::string body) {
   wire::pool_replyT reply;
   reply.body = std::move(body);
--- a/src/pools/pool_calls.h
+++ b/src/pools/pool_calls.h
@@ -61,6 +61,7 @@
 
 std::string_view ToString(job_call_status status);
 
+wire_message MakePoolCall(std::string_view topic, std::string body);
 wire_message MakePoolReply(std::string body);
 
 std::string EncodeResponse(const job_call_response& response);
--- a/src/pools/pool_host.cc
+++ b/src/pools/pool_host.cc
@@ -406,12 +406,11 @@
         {request.job_id, request.occurrence, request.step, 0}, ids,
         kApprovalTimeout);
   }
-  wire::pool_callT call;
-  call.topic = kApprovalTopic;
-  call.body = EncodeApprovalRequest(request);
-  BOOST_LEAF_AUTO(response,
-                  options_.peers->Call(member_id, MakeMessage(std::move(call)),
-                                       kApprovalTimeout));
+  BOOST_LEAF_AUTO(response, options_.peers->Call(
+                                member_id,
+                                MakePoolCall(kApprovalTopic,
+                                             EncodeApprovalRequest(request)),
+                                kApprovalTimeout));
   const wire::pool_replyT* body = response.body.Aspool_reply();
   const json rows =
       body == nullptr ? json() : json::parse(body->body, nullptr, false);
--- a/src/pools/pool_succession.cc
+++ b/src/pools/pool_succession.cc
@@ -28,13 +28,6 @@
 constexpr std::size_t kOwnerQueryPeers = 2;
 constexpr auto kOwnerQueryTimeout = milliseconds(200);
 
-wire_message MakePoolCall(std::string_view topic, std::string body) {
-  wire::pool_callT call;
-  call.topic = topic;
-  call.body = std::move(body);
-  return MakeMessage(std::move(call));
-}
-
 // Returns the owner in the response of another daemon.
 outcome<known_owner> DecodeOwnerResponse(
     const outcome<wire_message>& response) {
--- a/src/pools/queue_gateway.cc
+++ b/src/pools/queue_gateway.cc
@@ -118,10 +118,7 @@
   std::string reason = clock_->Now() < deadline
                            ? "the pool has no owner"
                            : "no time is left for the request";
-  wire::pool_callT call;
-  call.topic = topic;
-  call.body = body;
-  wire_message request = MakeMessage(std::move(call));
+  wire_message request = MakePoolCall(topic, body);
   auto query_at = clock_->Now();
   while (clock_->Now() < deadline) {
     const auto owner = options.directory->OwnerOf(pool);
@@ -252,6 +249,14 @@
   return {pool, MakeResponse(job_call_status::kAbsent)};
 }
 
+job_call_response queue_gateway::StateAtOwner(const std::string& pool,
+                                              const std::string& job_id,
+                                              time_point deadline) {
+  return CallOwner(
+      pool, kStateTopic, EncodeReference({pool, job_id}), deadline,
+      [&](pool_owner& owner, time_point) { return owner.State(job_id); });
+}
+
 job_call_response queue_gateway::State(const queue_rules& queue,
                                        const std::string& job_id,
                                        duration timeout) {
@@ -259,14 +264,9 @@
       clock_->Now() +
       std::min<duration>(timeout - kResponseReserve, kStateTimeout);
   const std::string home = HomeOf(queue.pool, job_id);
-  job_call_response response = CallOwner(
-      home, kStateTopic, EncodeReference({home, job_id}), deadline,
-      [&](pool_owner& owner, time_point) { return owner.State(job_id); });
+  job_call_response response = StateAtOwner(home, job_id, deadline);
   if (response.status == job_call_status::kMoved) {
-    const std::string target = response.moved_to;
-    response = CallOwner(
-        target, kStateTopic, EncodeReference({target, job_id}), deadline,
-        [&](pool_owner& owner, time_point) { return owner.State(job_id); });
+    response = StateAtOwner(response.moved_to, job_id, deadline);
   }
   if (response.status == job_call_status::kState) return response;
   if (!IsOpen()) return response;
--- a/src/pools/queue_gateway.h
+++ b/src/pools/queue_gateway.h
@@ -90,6 +90,9 @@
   std::string HomeOf(const std::string& pool, const std::string& job_id) const;
   job_call_response PendingAt(const std::string& partition,
                               const std::string& queue, time_point deadline);
+  job_call_response StateAtOwner(const std::string& pool,
+                                 const std::string& job_id,
+                                 time_point deadline);
   job_call_response CancelAtOwner(const std::string& pool,
                                   const std::string& job_id,
                                   time_point deadline);
