Stop the peers before their handlers lose the host

A start that failed half way destroyed the host while the peers of that attempt still served calls with it. Read from the code; no test forces this race.

--- a/src/daemon/pool_daemon.cc
+++ b/src/daemon/pool_daemon.cc
@@ -120,7 +120,9 @@
 }
 
 result<void> pool_daemon::StartComponents(std::string peer_key) {
-  // Components of a failed attempt still occupy the peer address.
+  // Components of a failed attempt still occupy the peer address, and the
+  // handlers of the peers use the host.
+  if (peers_) peers_->Stop();
   configuration_watcher_.reset();
   host_.reset();
   directory_.reset();
