--- a/src/pools/job_journal.cc
+++ b/src/pools/job_journal.cc
@@ -507,6 +507,13 @@
   return commit_state::kCommitted;
 }
 
+bool job_journal::WaitForRetry() {
+  std::unique_lock lock(mutex_);
+  options_.clock->WaitFor(lock, work_changed_, kRetryInterval,
+                          [&] { return is_stopped_; });
+  return !is_stopped_;
+}
+
 bool job_journal::CommitGroup(commit_group& group) {
   bool may_be_applied = false;
   int rejected_attempts = 0;
@@ -540,10 +547,7 @@
         Emit(options_.log, pool_events::kCommitFailed,
              {Field("pool", options_.pool), Field("number", group.number),
               Field("reason", Describe(removed.failure))});
-        std::unique_lock lock(mutex_);
-        options_.clock->WaitFor(lock, work_changed_, kRetryInterval,
-                                [&] { return is_stopped_; });
-        if (is_stopped_) return false;
+        if (!WaitForRetry()) return false;
         continue;
       }
       if (*removed) continue;
@@ -588,10 +592,7 @@
         timeout = std::min<duration>(timeout * 2, kMaxCommitTimeout);
       }
     }
-    std::unique_lock lock(mutex_);
-    options_.clock->WaitFor(lock, work_changed_, kRetryInterval,
-                            [&] { return is_stopped_; });
-    if (is_stopped_) return false;
+    if (!WaitForRetry()) return false;
   }
 }
 
--- a/src/pools/job_journal.h
+++ b/src/pools/job_journal.h
@@ -204,6 +204,9 @@
   // Reads the journal key to find out whether a commit without a response took
   // effect.
   commit_state ReadBackCommit(const commit_group& group, duration timeout);
+  // Waits until the next attempt to commit is due. Returns false if the journal
+  // was stopped.
+  bool WaitForRetry();
   // Commits the group, with retries. Returns false if the owner key or the
   // journal key has changed, so that this owner can never commit it. Also
   // returns false if the journal stops before a retry; the group may then be
