Keep what has to be adopted, and compute nothing for unchanged workers

An owner walked over all moves of an hour ten times a second to find the jobs that still had to be adopted, and kept the time of each move twice. It now keeps the ids that are left, by target. Every batch of heartbeats also copied and measured the partition table, and the ids of the workers of each undivided pool; both now stop at once if nothing is missing. No change of behaviour.

--- a/src/pools/partition_balancer.cc
+++ b/src/pools/partition_balancer.cc
@@ -127,7 +127,7 @@
       return {};
     });
     if (adopted) {
-      owner.OnAdopted(list.jobs);
+      owner.OnAdopted(target, list.jobs);
       continue;
     }
     Emit(options_.log, pool_events::kAdoptionFailed,
--- a/src/pools/partition_table.cc
+++ b/src/pools/partition_table.cc
@@ -138,9 +138,13 @@
 std::optional<partition_table> AddRacks(
     const partition_table& table,
     const std::map<std::string, pool_worker>& workers) {
+  const bool is_complete =
+      std::all_of(workers.begin(), workers.end(), [&](const auto& row) {
+        return FindPartition(table, row.second).has_value();
+      });
+  if (is_complete) return std::nullopt;
   partition_table extended = table;
   Distribute(MeasureRacks(workers), extended);
-  if (extended == table) return std::nullopt;
   return extended;
 }
 
--- a/src/pools/pool_owner.h
+++ b/src/pools/pool_owner.h
@@ -79,7 +79,7 @@
   // Returns the jobs that were moved, by target, and that the owner of the
   // target may not know yet.
   std::map<std::string, std::vector<std::string>> UnadoptedJobs() const;
-  void OnAdopted(std::span<const std::string> jobs);
+  void OnAdopted(const std::string& target, std::span<const std::string> jobs);
   // Takes over jobs that were moved here. Fails with `unavailable` if this
   // owner cannot; the next one finds them in the store.
   result<void> Adopt(std::span<const std::string> jobs);
@@ -168,15 +168,12 @@
   std::map<std::string, pool_worker> scheduled_workers_;
   // The stored worker list, addresses by id.
   std::map<std::string, std::string> worker_list_;
-  struct moved_job {
-    std::string target;
-    time_point moved_at{};
-    bool is_adopted = false;
-  };
-  // Jobs that were accepted here and moved to another partition.
-  std::map<std::string, moved_job, std::less<>> moved_jobs_;
-  // The same, oldest first.
+  // Targets, by id, of jobs that were accepted here and moved there.
+  std::map<std::string, std::string, std::less<>> moved_jobs_;
+  // Times and ids of the same jobs, oldest first.
   std::deque<std::pair<time_point, std::string>> move_times_;
+  // Those of them, by target, that the owner of the target may not know yet.
+  std::map<std::string, std::set<std::string>> unadopted_jobs_;
   std::set<std::string, std::less<>> moving_jobs_;  // Their commit is pending.
   std::set<std::string, std::less<>> submitting_jobs_;
   // Submissions whose commit got no response.
--- a/src/pools/pool_owner_moves.cc
+++ b/src/pools/pool_owner_moves.cc
@@ -72,8 +72,9 @@
 
 void pool_owner::RecordMove(const std::string& job_id,
                             const std::string& target, time_point now) {
-  moved_jobs_[job_id] = {target, now, false};
+  moved_jobs_[job_id] = target;
   move_times_.emplace_back(now, job_id);
+  unadopted_jobs_[target].insert(job_id);
 }
 
 void pool_owner::ForgetOldMoves(time_point now) {
@@ -82,7 +83,8 @@
          move_times_.front().first + duration(kMoveRetention) <= now) {
     forgotten.push_back(std::move(move_times_.front().second));
     move_times_.pop_front();
-    moved_jobs_.erase(forgotten.back());
+    const auto moved = moved_jobs_.extract(forgotten.back());
+    if (moved) unadopted_jobs_[moved.mapped()].erase(moved.key());
   }
   if (!forgotten.empty()) journal_->DeleteMoveRecords(std::move(forgotten));
 }
@@ -93,7 +95,7 @@
   if (found == moved_jobs_.end()) return std::nullopt;
   job_call_response response;
   response.status = job_call_status::kMoved;
-  response.moved_to = found->second.target;
+  response.moved_to = found->second;
   return response;
 }
 
@@ -101,18 +103,17 @@
     const {
   std::map<std::string, std::vector<std::string>> jobs;
   const std::lock_guard lock(mutex_);
-  for (const auto& [id, moved] : moved_jobs_) {
-    if (!moved.is_adopted) jobs[moved.target].push_back(id);
+  for (const auto& [target, ids] : unadopted_jobs_) {
+    if (!ids.empty()) jobs[target].assign(ids.begin(), ids.end());
   }
   return jobs;
 }
 
-void pool_owner::OnAdopted(std::span<const std::string> jobs) {
+void pool_owner::OnAdopted(const std::string& target,
+                           std::span<const std::string> jobs) {
   const std::lock_guard lock(mutex_);
-  for (const std::string& id : jobs) {
-    const auto found = moved_jobs_.find(id);
-    if (found != moved_jobs_.end()) found->second.is_adopted = true;
-  }
+  std::set<std::string>& unadopted = unadopted_jobs_[target];
+  for (const std::string& id : jobs) unadopted.erase(id);
 }
 
 result<void> pool_owner::Adopt(std::span<const std::string> jobs) {
--- a/src/pools/pool_partitioning.cc
+++ b/src/pools/pool_partitioning.cc
@@ -76,6 +76,7 @@
   }
   if (!MayDivide(pool, workers.size())) return workers;
   const bool has_settled = HasSettled(growth, workers.size());
+  if (growth.is_in_use && !IsTooLarge(workers.size())) return workers;
   const auto known = owner.KnownWorkers();
   std::set<std::string, std::less<>> occupied;
   for (const auto& [id, worker] : workers) {
