Review case 4: the task of a draining minion runs twice after an outage of the store

Cause: a draining minion whose entry is missing counts as gone at once. Change: a script with its claim.

--- a/review/4/run.py
+++ b/review/4/run.py
@@ -1,4 +1,4 @@
-"""Two crashes of minions, one after the other, under one task."""
+"""A draining minion whose entry expires during an outage of the store."""
 
 import asyncio
 import os
@@ -9,51 +9,52 @@
 
 import platform_standin as platform  # noqa: E402
 
-JOB = "00000000000000b2"
-MINIONS = 15
-CRASHES = 2
-DOWN_S = 4.5
+JOB = "00000000000000a1"
+OUTAGE_S = 4.5
 
 
 async def scenario(cell, is_disrupted):
-    await cell.start({"floor": [{"name": f"m{n}", "rack": f"r{n % 5}"}
-                                for n in range(1, MINIONS + 1)]})
-    body = {"spec": '{"ms":12000}', "phases": [
-        {"count": 1, "cpu": 1500, "mem_mb": 512, "estimate_ms": 12000}]}
+    await cell.start({"floor": [{"name": f"m{n}"} for n in range(1, 4)]})
+    body = {"spec": '{"ms":25000}', "phases": [
+        {"count": 1, "cpu": 1500, "mem_mb": 512, "estimate_ms": 25000}]}
 
     async def accepted():
         status, _ = await cell.request(0, "POST", f"/floor/{JOB}", body)
         return status == 200
     await cell.until(20, "the job is accepted", accepted)
 
-    async def is_at_work():
-        return any(run["ended"] is None for run in cell.runs(JOB))
-    for _ in range(CRASHES):
-        await cell.until(12, "the task is at work", is_at_work)
-        await asyncio.sleep(2.0)
-        if not is_disrupted:
-            continue
-        run = [r for r in cell.runs(JOB) if r["ended"] is None][0]
-        minion = cell.minions[run["minion"]]
-        await minion.crash()
-
-        async def restart(crashed=minion):
-            await asyncio.sleep(DOWN_S)
-            await crashed.start()
-        asyncio.create_task(restart())
-        await asyncio.sleep(0.5)
-    # Long enough for another run of 12 s.
-    ends_at = platform.now() + 30
-    while platform.now() < ends_at:
-        status, content = await cell.request(1, "GET", f"/floor/{JOB}")
-        if status == 200 and content.get("state") == "failed":
-            failed = [r for r in cell.runs(JOB) if r["how"] == "failed"]
-            return (f"LOST: the job is shown as failed; {len(failed)} of its "
-                    f"{len(cell.runs(JOB))} runs have ended `failed`")
-        if status == 200 and content.get("state") == "completed":
-            return None
+    async def started():
+        return bool(cell.runs(JOB))
+    await cell.until(10, "the task starts", started)
+    await asyncio.sleep(1.0)
+    minion = cell.minions[cell.runs(JOB)[0]["minion"]]
+    # Planned: it drains, and goes on serving for longer than this script runs.
+    minion.drain(12000)
+    await asyncio.sleep(1.0)
+    if is_disrupted:
+        cell.store.go_down()
+        # The entries of the minions have expired in the outage; they are back
+        # within two seconds of its end.
+        await asyncio.sleep(OUTAGE_S)
+        keys = [k for k in cell.store.items if k.startswith("servers/")]
+        for each in cell.minions.values():
+            each.is_paused_ping = True
+        cell.store.write([], keys)
+        cell.record.add("store: the entries of the minions have expired")
+        cell.store.come_back()
         await asyncio.sleep(1.0)
-    return "LOST: the job has not completed"
+        for each in cell.minions.values():
+            each.is_paused_ping = False
+            each.register()
+        cell.record.add("store: the minions have registered again")
+        await asyncio.sleep(2.0)
+    else:
+        await asyncio.sleep(OUTAGE_S + 3.0)
+    for one, other, seconds in platform.overlaps(cell.runs(JOB)):
+        return (f"TWICE: run {one['run']} on {one['minion']} and run "
+                f"{other['run']} on {other['minion']} of {one['task']} at the "
+                f"same time, for {seconds:.2f} s so far; both minions are up")
+    return None
 
 
 platform.main(FOLDER, scenario)
