--- a/review/standin/platform_standin.py
+++ b/review/standin/platform_standin.py
@@ -9,6 +9,7 @@
 import base64
 import json
 import os
+import random
 import signal
 import socket
 import subprocess
@@ -200,6 +201,8 @@
             answer = await self.before_answer(method, path, query, headers, body)
             if answer == "cut":
                 return None
+            if answer is not None:
+                return answer
         answer = await self.execute(method, path, query, body)
         return answer if self.up.is_set() else None
 
@@ -293,6 +296,7 @@
         self.is_paused_ping = False  # Its pings do not reach the store.
         self.on_start = None  # Called with (minion, task, run).
         self.before_answer = None  # Coroutine; True: the answer is lost.
+        self.relay = None  # Set if the daemons reach it through a proxy.
         self.history = []  # All lives: dicts of runs.
 
     def log(self, text):
@@ -336,7 +340,8 @@
 
     # -- discovery ------------------------------------------------------------
     def entry(self):
-        entry = {"service": self.service, "address": f"{HOST}:{self.port}",
+        port = self.relay.port if self.relay else self.port
+        entry = {"service": self.service, "address": f"{HOST}:{port}",
                  "zone": "zone-a", "version": "1", "slots": 8,
                  "state": self.state, "cold_remaining_ms": 0,
                  "sequence": self.sequence, "born": self.born,
@@ -351,10 +356,12 @@
         self.store.put_json(f"servers/{self.id}", self.entry())
 
     async def _ping(self):
+        pause_s = random.uniform(0, HEARTBEAT_MS / 1000)
         while True:
             if self.store.up.is_set() and not self.is_paused_ping:
                 self.register()
-            await asyncio.sleep(HEARTBEAT_MS / 1000)
+            await asyncio.sleep(pause_s)
+            pause_s = HEARTBEAT_MS / 1000
 
     def unregister(self):
         self.store.write([], [f"servers/{self.id}"])
@@ -462,23 +469,28 @@
 
 
 class Relay:
-    """A TCP proxy of a script. `forward` says what happens to new channels and
-    bytes: True, or False (dropped in silence), or "refuse"."""
+    """A TCP proxy in front of a minion, which its entry names."""
 
     def __init__(self, target_port):
         self.target_port = target_port
-        self.is_cut = False
+        self.server = None
         self.writers = set()
         self.port = 0
 
     async def start(self):
-        self.server = await asyncio.start_server(self._serve, HOST, 0)
+        self.server = await asyncio.start_server(self._serve, HOST, self.port)
         self.port = self.server.sockets[0].getsockname()[1]
 
+    def cut(self):
+        """Resets all channels and refuses new ones."""
+        self.server.close()
+        for writer in list(self.writers):
+            writer.transport.abort()
+
+    async def heal(self):
+        await self.start()
+
     async def _serve(self, reader, writer):
-        if self.is_cut:
-            self.writers.add(writer)
-            return  # Accepted by the kernel, never answered.
         try:
             other_reader, other = await asyncio.open_connection(
                 HOST, self.target_port)
@@ -492,15 +504,13 @@
     async def _pump(self, reader, writer):
         try:
             while data := await reader.read(65536):
-                if self.is_cut:
-                    continue
                 writer.write(data)
                 await writer.drain()
         except (ConnectionError, OSError):
             pass
         finally:
-            if not self.is_cut:
-                writer.close()
+            self.writers.discard(writer)
+            writer.close()
 
 
 class Daemons:
@@ -611,7 +621,8 @@
         self.minions = {}
         self.daemons = None
 
-    async def start(self, services, daemons=3, max_attempts=3, advisor=None):
+    async def start(self, services, daemons=3, max_attempts=3,
+                    is_relayed=False):
         """`services`: service -> list of `Minion` arguments (dicts)."""
         await self.store.start()
         for service, minions in services.items():
@@ -620,6 +631,10 @@
                                 **arguments)
                 self.minions[minion.id] = minion
                 await minion.start()
+                if is_relayed:
+                    minion.relay = Relay(minion.port)
+                    await minion.relay.start()
+                    minion.register()
         self.configure(1, list(services), max_attempts)
         self.daemons = Daemons(self.folder, self.store.http.port, daemons)
         self.daemons.start_all()
