--- a/review/standin/platform_standin.py
+++ b/review/standin/platform_standin.py
@@ -42,14 +42,17 @@
 
 
 def free_ports(count):
-    sockets = []
-    for _ in range(count):
-        one = socket.socket()
-        one.bind((HOST, 0))
-        sockets.append(one)
-    ports = [one.getsockname()[1] for one in sockets]
-    for one in sockets:
-        one.close()
+    """Ports below those that the system gives to outgoing connections."""
+    ports = []
+    while len(ports) < count:
+        port = random.randrange(15000, 32000)
+        with socket.socket() as probe:
+            try:
+                probe.bind((HOST, port))
+            except OSError:
+                continue
+        if port not in ports:
+            ports.append(port)
     return ports
 
 
@@ -64,6 +67,7 @@
         self.writers = set()
 
     async def start(self, port=0):
+        port = port or free_ports(1)[0]
         self.server = await asyncio.start_server(self._serve, HOST, port)
         self.port = self.server.sockets[0].getsockname()[1]
 
@@ -478,6 +482,7 @@
         self.port = 0
 
     async def start(self):
+        self.port = self.port or free_ports(1)[0]
         self.server = await asyncio.start_server(self._serve, HOST, self.port)
         self.port = self.server.sockets[0].getsockname()[1]
 
