--- a/review/5/run.py
+++ b/review/5/run.py
@@ -6,7 +6,7 @@
 import sys
 
 FOLDER = os.path.dirname(os.path.abspath(__file__))
-sys.path.insert(0, os.path.join(FOLDER, "..", "standin"))
+sys.path.insert(0, os.path.join(FOLDER, ".."))
 
 import platform_standin as platform  # noqa: E402
 
@@ -99,4 +99,4 @@
     return None
 
 
-platform.main(FOLDER, scenario)
+platform.main(scenario)
--- a/review/build.sh
+++ b/review/build.sh
@@ -3,7 +3,7 @@
 # and need no compiler; the daemon comes from the build of the deploy file.
 set -euo pipefail
 cd "$(dirname "$0")/.."
-for file in review/standin/*.py review/*/run.py; do
+for file in review/platform_standin.py review/*/run.py; do
   python3 -c 'import ast, sys; ast.parse(open(sys.argv[1]).read())' "$file"
 done
 test -x target/src/daemon/apricotwheeld || {
--- a/review/standin/platform_standin.py
+++ b/review/platform_standin.py
@@ -13,10 +13,12 @@
 import signal
 import socket
 import subprocess
+import sys
+import tempfile
 import time
 import urllib.parse
 
-ROOT = os.path.dirname(os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
+ROOT = os.path.dirname(os.path.dirname(os.path.abspath(__file__)))
 HISTORY_S = 20
 PAGE_ITEMS = 500
 HEARTBEAT_MS = 1500  # `heartbeat_ms`
@@ -715,13 +717,13 @@
     return found
 
 
-def main(folder, scenario):
+def main(scenario):
     """Runs `scenario(cell, is_disrupted)`, which returns a text that says how
-    the rule was broken, or None. Exits with 0, 1 or 2."""
-    import sys
-    import tempfile
-    record = Record(os.path.join(folder, "record.txt"))
-    is_disrupted = os.environ.get("TROUBLE", "1") != "0"
+    the rule was broken, or None. Exits with 0, 1 or 2. The arguments of the
+    program are TROUBLE (0: without the disruption) and the path of the record."""
+    trouble, record_path = sys.argv[1:3]
+    record = Record(record_path)
+    is_disrupted = trouble != "0"
     record.add(f"disruption: {'yes' if is_disrupted else 'no'}")
 
     async def run(temporary):
