A refused connection is no proof that a worker has exited

Cause: the session of a worker took a refused connection for the exit of the process and did not wait for the leases. AdoptRun then ignored runs whose leases had counted as expired, so that the report after the cut changed nothing.

These tests failed on and pass now: - pools/pool_owner_test tasks_of_a_worker_that_refuses_connections_run_once: [2 != 1] - graph/pool_scheduler_test a_run_that_outlives_its_lease_is_adopted_or_stopped: 5 failures; a_gang_member_that_outlives_its_lease_is_stopped: [1 != 0] - graph/crashing_tasks_test a_worker_that_reports_again_has_not_crashed

Change: only a new incarnation or the end of the leases ends the runs of a worker that the owner has claimed. A worker of an earlier owner is gone sooner only if discovery has not listed it for 3 s and it refuses. A run that is listed after its lease counted as expired is adopted or stopped.

--- a/src/graph/pool_crashes.cc
+++ b/src/graph/pool_crashes.cc
@@ -271,6 +271,13 @@
   }
 }
 
+void pool_scheduler::ExcuseSurvivor(std::string_view id) {
+  const auto crash =
+      std::find_if(recent_crashes_.rbegin(), recent_crashes_.rend(),
+                   [&](const worker_crash& each) { return each.worker == id; });
+  if (crash != recent_crashes_.rend()) Excuse(*crash);
+}
+
 void pool_scheduler::GiveUp(graph_job& job, const task_key& task,
                             std::uint64_t run, std::string_view worker,
                             time_point now) {
--- a/src/graph/pool_model.h
+++ b/src/graph/pool_model.h
@@ -82,6 +82,8 @@
   // worker counts against the task.
   std::map<std::pair<task_key, std::uint64_t>, bool> expired_runs;
   time_point leases_expired_at{};
+  // Its exit was counted as a crash; a report of the same agent refutes that.
+  bool is_exit_assumed = false;
   // Last report or confirmed start.
   time_point last_contact_at{};
   // The agent that reported last drains, so that its exit is no crash.
--- a/src/graph/pool_runs.cc
+++ b/src/graph/pool_runs.cc
@@ -48,6 +48,7 @@
                                worker->info.is_draining;
   }
   worker->last_contact_at = now;
+  if (std::exchange(worker->is_exit_assumed, false)) ExcuseSurvivor(id);
   if (!worker->is_claimed) {
     worker->is_claimed = true;
     unverified_workers_.erase(std::string(id));
@@ -86,7 +87,10 @@
   // A newer run of the task is known here. The listed run has already ended and
   // was listed before its end.
   if (worker.runs.contains(run.task)) return;
-  if (worker.expired_runs.contains({run.task, run.run})) return;
+  // Its lease counted as expired, but it has gone on. It uses the worker until
+  // it ends, so it is adopted or stopped like any other run.
+  const bool has_outlived_lease =
+      worker.expired_runs.erase({run.task, run.run}) > 0;
   task_run adopted;
   adopted.task = run.task;
   adopted.number = run.run;
@@ -120,7 +124,11 @@
   graph_task& task = step.tasks[run.task.index];
   task.last_run = std::max(task.last_run, run.run);
   worker.used = worker.used + SpecOf(*job, run.task).need;
-  if (IsFinal(job->progress.state) || task.phase != task_phase::kWaiting) {
+  // The other members of its gang have been stopped.
+  const bool is_gang_broken =
+      has_outlived_lease && SpecOf(*job, run.task).is_gang;
+  if (IsFinal(job->progress.state) || task.phase != task_phase::kWaiting ||
+      is_gang_broken) {
     StopRun(adopted, now);
   } else {
     task.phase = task_phase::kPlaced;
@@ -356,6 +364,7 @@
     EndRun(worker, task, run_outcome::kLeaseExpired, checkpoint, now);
   }
   worker.is_claimed = false;
+  worker.is_exit_assumed = false;
   worker.applied_end = 0;
   worker.stored_end = 0;
   worker.expired_runs.clear();
@@ -377,6 +386,7 @@
   // If the leases only expired, a new incarnation may still show a crash.
   if (has_exited && !worker->is_leave_planned) {
     OnWorkerCrashed(*worker, nullptr, now);
+    worker->is_exit_assumed = true;
   }
   worker->leases_expired_at = now;
   while (!worker->runs.empty()) {
--- a/src/graph/pool_scheduler.h
+++ b/src/graph/pool_scheduler.h
@@ -214,6 +214,10 @@
   std::uint64_t WorkersCrashed() const { return workers_crashed_; }
   // Returns how many tasks were given up because workers crashed under them.
   std::uint64_t TasksGivenUp() const { return tasks_given_up_; }
+  // Returns true if the worker may have unknown runs of an earlier owner.
+  bool IsUnverified(std::string_view worker) const {
+    return unverified_workers_.contains(worker);
+  }
   // Counts the known runs on a worker.
   std::size_t CountRuns(std::string_view worker) const;
   // Returns true if runs of this owner or of an earlier one may exist there.
@@ -357,6 +361,8 @@
   void ExcuseMassFailure(const worker_crash& crash);
   bool IsMassFailure(std::span<worker_crash* const> group) const;
   void Excuse(worker_crash& crash);
+  // Excuses the last crash of a worker that turns out not to have crashed.
+  void ExcuseSurvivor(std::string_view id);
   // Changes the number of crashes of the jobs that had runs there.
   void CountForJobs(const worker_crash& crash, int change);
   // Gives tasks up whose verdict is due, and clears tasks that have run for a
--- a/src/pools/agent_session.cc
+++ b/src/pools/agent_session.cc
@@ -305,8 +305,6 @@
           Field("reason", Describe(failure))});
   }
   if (are_leases_expired_) return kPollRetryInterval;
-  // The runs of an agent end with its process, so its leases need not expire
-  // first.
   const bool has_exited =
       failure.kind == error_kind::kUnavailable && options_.has_exited();
   if (has_exited || now >= LeasesExpireBy()) {
--- a/src/pools/pool_owner.h
+++ b/src/pools/pool_owner.h
@@ -151,7 +151,15 @@
   // held.
   std::vector<pool_worker> AddUnlistedWorkers(time_point now);
   void AddSession(const pool_worker& worker);
-  agent_session::callbacks CallbacksFor(const std::string& id);
+  bool IsListed(const std::string& id) const;
+  // Returns true if the address refuses connections. That is no proof of an
+  // exit: a network that cuts the worker off may refuse them too.
+  bool IsRefused(const std::string& address) const;
+  // Returns true if the worker of an earlier owner has not been listed for so
+  // long that it is gone unless it responds. This owner has granted it no
+  // leases.
+  bool HasLeftBeforeTakeover(const std::string& id);
+  agent_session::callbacks CallbacksFor(const pool_worker& worker);
 
   const pool_owner_options options_;
   std::unique_ptr<job_journal> journal_;
@@ -164,6 +172,8 @@
   std::unique_ptr<pool_scheduler> scheduler_;
   std::map<std::string, std::shared_ptr<agent_session>> sessions_;
   std::map<std::string, pool_worker> listed_workers_;  // From discovery.
+  // When workers of earlier owners were first seen to be missing there.
+  std::map<std::string, time_point> absent_since_;
   // As passed to the scheduler.
   std::map<std::string, pool_worker> scheduled_workers_;
   // The stored worker list, addresses by id.
--- a/src/pools/pool_owner_workers.cc
+++ b/src/pools/pool_owner_workers.cc
@@ -12,6 +12,9 @@
 
 // A machine that is up rejects a connection within milliseconds.
 constexpr auto kProbeTimeout = milliseconds(300);
+// Entries that expired in an outage of the store are back 2 s after its return,
+// and the listing is read every 400 ms.
+constexpr auto kAbsenceToExit = milliseconds(3000);
 constexpr auto kWorkerListTimeout = milliseconds(3000);
 
 }  // namespace
@@ -19,6 +22,7 @@
 void pool_owner::SetWorkers(std::map<std::string, pool_worker> workers) {
   const std::lock_guard lock(mutex_);
   listed_workers_ = std::move(workers);
+  for (const auto& [id, worker] : listed_workers_) absent_since_.erase(id);
   workers_changed_ = true;
   owner_changed_.notify_one();
 }
@@ -158,16 +162,14 @@
   options.worker = worker;
   options.epoch = options_.epoch;
   options.link = options_.platform->connect_agent(worker);
-  options.has_exited = [address = worker.address, clock = options_.clock] {
-    return ProbeListener(address, *clock,
-                         clock->Now() + duration(kProbeTimeout)) ==
-           listener_state::kNotListening;
+  options.has_exited = [this, id = worker.id, address = worker.address] {
+    return HasLeftBeforeTakeover(id) && IsRefused(address);
   };
   options.lease_duration = options_.task_lease;
   options.clock = options_.clock;
   options.log = options_.log;
-  const auto session = std::make_shared<agent_session>(std::move(options),
-                                                       CallbacksFor(worker.id));
+  const auto session =
+      std::make_shared<agent_session>(std::move(options), CallbacksFor(worker));
   {
     const std::lock_guard lock(mutex_);
     sessions_[worker.id] = session;
@@ -179,7 +181,29 @@
   }
 }
 
-agent_session::callbacks pool_owner::CallbacksFor(const std::string& id) {
+bool pool_owner::IsRefused(const std::string& address) const {
+  return ProbeListener(address, *options_.clock,
+                       options_.clock->Now() + duration(kProbeTimeout)) ==
+         listener_state::kNotListening;
+}
+
+bool pool_owner::IsListed(const std::string& id) const {
+  const std::lock_guard lock(mutex_);
+  return listed_workers_.contains(id);
+}
+
+bool pool_owner::HasLeftBeforeTakeover(const std::string& id) {
+  const std::lock_guard lock(mutex_);
+  if (listed_workers_.contains(id) || !scheduler_->IsUnverified(id)) {
+    return false;
+  }
+  const auto now = options_.clock->Now();
+  return now - absent_since_.try_emplace(id, now).first->second >=
+         kAbsenceToExit;
+}
+
+agent_session::callbacks pool_owner::CallbacksFor(const pool_worker& worker) {
+  const std::string& id = worker.id;
   agent_session::callbacks callbacks;
   callbacks.on_report = [this, id](const worker_report& report,
                                    time_point sent_at) {
@@ -190,7 +214,11 @@
     if (!listed_workers_.contains(id)) workers_changed_ = true;
     RequestDecision();
   };
-  callbacks.on_leases_expired = [this, id](bool has_exited) {
+  callbacks.on_leases_expired = [this, id,
+                                 address = worker.address](bool has_left) {
+    // Whether it crashed matters for its tasks only. Nothing runs there in any
+    // case.
+    const bool has_exited = has_left || (!IsListed(id) && IsRefused(address));
     const std::lock_guard lock(mutex_);
     scheduler_->ExpireWorkerLeases(id, has_exited, options_.clock->Now());
     if (!listed_workers_.contains(id)) workers_changed_ = true;
--- a/tests/graph/crashing_tasks_test.cc
+++ b/tests/graph/crashing_tasks_test.cc
@@ -222,6 +222,21 @@
   }
 }
 
+// Guards against a task that is suspected of a crash that did not happen: a
+// worker counted as exited, and its agent reports again.
+BOOST_AUTO_TEST_CASE(a_worker_that_reports_again_has_not_crashed) {
+  crash_rig rig;
+  rig.AddWorkers(1);
+  rig.scheduler.AdmitJob(MakeService("job"), rig.now);
+  rig.DecideAndCarryOut();
+  rig.scheduler.ExpireWorkerLeases("w0", true, rig.now);
+  rig.StoreProgress();
+  rig.ReportWorker("w0");
+  const auto batch = rig.StoreProgress();
+  BOOST_REQUIRE_EQUAL(batch.jobs.size(), 1);
+  BOOST_TEST(batch.jobs[0].progress.occurrences[0][0].crashed_runs[0].empty());
+}
+
 // Guards against a worker that is remembered for ever because its agent never
 // comes back.
 BOOST_AUTO_TEST_CASE(a_worker_that_does_not_come_back_is_forgotten) {
--- a/tests/graph/pool_scheduler_test.cc
+++ b/tests/graph/pool_scheduler_test.cc
@@ -250,6 +250,50 @@
   BOOST_TEST((rig.scheduler.FindJobState("job") == job_state::kCompleted));
 }
 
+// Guards against runs that use a worker although the scheduler does not count
+// them: a worker whose leases had counted as expired listed its runs again, and
+// they were neither adopted nor stopped.
+BOOST_AUTO_TEST_CASE(a_run_that_outlives_its_lease_is_adopted_or_stopped) {
+  for (const bool is_placed_again : {false, true}) {
+    scheduler_rig rig;
+    rig.AddWorker("w1", kWorker);
+    rig.scheduler.AdmitJob(MakeJob("job", {MakeStep(1, kWorker)}), rig.now);
+    rig.DecideAndCarryOut();
+    rig.scheduler.ExpireWorkerLeases("w1", false, rig.now);
+    if (is_placed_again) {
+      rig.AddWorker("w2", kWorker);
+      BOOST_REQUIRE_EQUAL(rig.DecideAndCarryOut().starts.size(), 1);
+    }
+    rig.ReportWorker("w1");
+    BOOST_TEST(rig.scheduler.CountRuns("w1") == 1);
+    rig.scheduler.AdmitJob(MakeJob("next", {MakeStep(1, kWorker)}), rig.now);
+    const auto decisions = rig.DecideAndCarryOut();
+    BOOST_TEST(decisions.starts.empty());
+    BOOST_TEST(decisions.stops.size() == (is_placed_again ? 1 : 0));
+    rig.ReportWorker("w1");
+    rig.EndAll(run_outcome::kDone);
+    BOOST_TEST((rig.scheduler.FindJobState("job") == job_state::kCompleted));
+  }
+}
+
+// Guards against a gang of which one member goes on alone after its leases had
+// counted as expired: its other members had been stopped.
+BOOST_AUTO_TEST_CASE(a_gang_member_that_outlives_its_lease_is_stopped) {
+  scheduler_rig rig;
+  rig.AddWorker("w1", kWorker);
+  rig.AddWorker("w2", kWorker);
+  graph_step gang = MakeStep(2, kWorker);
+  gang.is_gang = true;
+  rig.scheduler.AdmitJob(MakeJob("job", {gang}), rig.now);
+  BOOST_REQUIRE_EQUAL(rig.DecideAndCarryOut().starts.size(), 2);
+  rig.scheduler.ExpireWorkerLeases("w1", false, rig.now);
+  rig.ReportWorker("w1");
+  rig.DecideAndCarryOut();
+  BOOST_TEST(rig.CountRunningTasks() == 0);
+  rig.ReportAll();
+  BOOST_TEST(rig.DecideAndCarryOut().starts.size() == 2);
+}
+
 // Guards against tasks that run twice when a worker restarts. Discovery may
 // list the new incarnation before its first report, and a start order may
 // already have reached the new agent, so that tasks move only after the report.
--- a/tests/graph/takeover_test.cc
+++ b/tests/graph/takeover_test.cc
@@ -94,8 +94,8 @@
 }
 
 // Guards against an unnecessary wait for leases when an owner and a worker are
-// killed within the same second. Connections to the worker's address are
-// refused, which proves that its agent has exited and that no task runs there.
+// killed at about the same time: discovery has not listed the worker for some
+// seconds, and its address refuses connections.
 BOOST_AUTO_TEST_CASE(an_exited_worker_does_not_delay_loaded_jobs) {
   scheduler_rig rig(Successor({"w1", "w2"}));
   rig.AddWorker("w1", kWorker);
--- a/tests/pools/fake_agent.h
+++ b/tests/pools/fake_agent.h
@@ -44,6 +44,16 @@
     const std::lock_guard lock(mutex_);
     return running_.size();
   }
+  // While it refuses connections, the agent runs on.
+  void RefuseConnections(bool refuses) {
+    const std::lock_guard lock(mutex_);
+    refuses_connections_ = refuses;
+  }
+  // Returns the highest run number that was started.
+  std::uint64_t LastRunNumber() const {
+    const std::lock_guard lock(mutex_);
+    return last_run_number_;
+  }
   std::uint64_t AcknowledgedEnd() const {
     const std::lock_guard lock(mutex_);
     return acknowledged_;
@@ -59,6 +69,9 @@
     while (true) {
       {
         const std::lock_guard lock(mutex_);
+        if (refuses_connections_) {
+          return Fail(error_kind::kUnavailable, "refused", "wait");
+        }
         if (request.epoch < epoch_) {
           return Fail(error_kind::kStaleEpoch, "stale", "stop");
         }
@@ -83,7 +96,9 @@
   }
   start_response Start(const start_order& order, const run_lease& lease) {
     const std::lock_guard lock(mutex_);
+    if (refuses_connections_) return {start_result::kUnreachable, {}};
     if (lease.epoch < epoch_) return {start_result::kStaleEpoch, 1000};
+    last_run_number_ = std::max(last_run_number_, order.run);
     reported_run run;
     run.task = order.task;
     run.run = order.run;
@@ -108,6 +123,8 @@
 
   clock_ptr clock_;
   mutable std::mutex mutex_;
+  bool refuses_connections_ = false;
+  std::uint64_t last_run_number_ = 0;
   std::uint64_t epoch_ = 0;
   std::map<task_key, reported_run> running_;
   std::vector<reported_end> ended_;
--- a/tests/pools/pool_owner_test.cc
+++ b/tests/pools/pool_owner_test.cc
@@ -19,6 +19,8 @@
 
 constexpr resource_vector kSmall{1000, 1024, 0};
 constexpr auto kTimeout = std::chrono::seconds(5);
+// Nothing listens there.
+constexpr const char* kClosedAddress = "127.0.0.1:1";
 const std::string kOwnerKey = "owners/pool";
 
 struct rig {
@@ -179,7 +181,6 @@
 // takeover. Discovery does not list it for the next owner, whose loaded jobs
 // waited although nothing listens at the stored address.
 BOOST_AUTO_TEST_CASE(a_worker_that_left_before_a_takeover_blocks_no_job) {
-  constexpr const char* kClosedAddress = "127.0.0.1:1";
   rig cell;
   cell.owner->SetWorkers({{"gone", rig::WorkerOf("gone", kClosedAddress)}});
   BOOST_TEST(cell.Eventually([&] {
@@ -191,6 +192,27 @@
   BOOST_TEST(cell.Eventually([&] { return cell.agent.RunCount() == 1; }));
 }
 
+// Guards against taking a refused connection for the exit of the worker. A cut
+// by resets refused connections to a worker that ran on; its tasks were started
+// again at once, and its own runs were neither counted nor stopped afterwards.
+BOOST_AUTO_TEST_CASE(tasks_of_a_worker_that_refuses_connections_run_once) {
+  constexpr auto kCut = milliseconds(1500);
+  rig cell;
+  cell.owner->SetWorkers({{"w1", rig::WorkerOf("w1", kClosedAddress)}});
+  BOOST_TEST((cell.Submit("job").status == job_call_status::kAccepted));
+  BOOST_TEST(cell.Eventually([&] { return cell.agent.RunCount() == 1; }));
+  const auto run = cell.agent.LastRunNumber();
+  cell.agent.RefuseConnections(true);
+  cell.clock->SleepFor(kCut);
+  cell.agent.RefuseConnections(false);
+  cell.clock->SleepFor(kCut);
+  BOOST_TEST(cell.agent.RunCount() == 1);
+  BOOST_TEST(cell.agent.LastRunNumber() == run);
+  cell.agent.EndAllRuns(run_outcome::kDone);
+  BOOST_TEST(cell.Eventually(
+      [&] { return cell.owner->State("job").state == job_state::kCompleted; }));
+}
+
 // Guards against showing a result before it is stored. While the store rejected
 // an owner, it showed a job as completed; its successor did not know of the
 // ends on a worker that had left, and ran a task again.
