A missing entry does not end the runs of a draining worker

Callers saw a task that ran twice: its worker drained, its entry expired in an outage of the store, and when the store was back the task was started elsewhere while the first run went on (TWICE).

Cause: UpdateWorkers took the missing entry of a draining worker for its exit, although the session with the worker had contact and went on renewing its leases.

Change: such a worker is treated like any other one that is not listed: its tasks move when its leases have expired or a new incarnation reports. An entry can only say that the worker was silent towards the store; leases end by themselves.

--- a/src/pools/pool_owner_workers.cc
+++ b/src/pools/pool_owner_workers.cc
@@ -100,10 +100,8 @@
     }
     for (const auto& [id, worker] : scheduled_workers_) {
       if (listed.contains(id)) continue;
-      // A draining worker that is no longer listed has exited as planned. Any
-      // other worker may run its tasks until their leases expire, which its
-      // session detects.
-      if (worker.is_draining) scheduler_->ExpireWorkerLeases(id, true, now);
+      // The entry may have expired while the worker runs on, also while it
+      // drains. Its session detects when its leases have expired.
       scheduler_->RemoveWorker(id);
       RequestDecision();
     }
--- a/tests/pools/pool_owner_test.cc
+++ b/tests/pools/pool_owner_test.cc
@@ -28,6 +28,7 @@
   std::unique_ptr<kv_client> kv = store.Client();
   clock_ptr clock;
   fake_agent agent{runtime_clock::Running()};
+  fake_agent second_agent{runtime_clock::Running()};  // Of the worker "second".
   platform_services platform;
   std::atomic<int> superseded_count = 0;
   std::uint64_t epoch = 0;
@@ -37,6 +38,7 @@
   explicit rig(clock_ptr owner_clock = runtime_clock::Running())
       : clock(std::move(owner_clock)) {
     platform.connect_agent = [this](const pool_worker& worker) {
+      if (worker.id == "second") return second_agent.Link();
       auto link = agent.Link();
       if (worker.id == "gone") {
         link->poll = [](const poll_request&) -> result<worker_report> {
@@ -213,6 +215,31 @@
       [&] { return cell.owner->State("job").state == job_state::kCompleted; }));
 }
 
+// Guards against taking a missing entry for the exit of a draining worker. The
+// entry had expired in an outage of the store, and the tasks of the worker,
+// which ran on, were started elsewhere at once.
+BOOST_AUTO_TEST_CASE(tasks_of_a_draining_worker_without_an_entry_run_once) {
+  constexpr auto kAbsence = milliseconds(1000);
+  rig cell;
+  BOOST_TEST((cell.Submit("job").status == job_call_status::kAccepted));
+  BOOST_TEST(cell.Eventually([&] { return cell.agent.RunCount() == 1; }));
+  pool_worker draining = rig::WorkerOf("w1", "");
+  draining.is_draining = true;
+  const pool_worker second = rig::WorkerOf("second", "");
+  cell.owner->SetWorkers({{"w1", draining}, {"second", second}});
+  cell.clock->SleepFor(kAbsence);
+  cell.owner->SetWorkers({{"second", second}});
+  cell.clock->SleepFor(kAbsence);
+  BOOST_TEST(cell.second_agent.RunCount() == 0);
+  cell.owner->SetWorkers({{"w1", draining}, {"second", second}});
+  cell.clock->SleepFor(kAbsence);
+  BOOST_TEST(cell.agent.RunCount() == 1);
+  BOOST_TEST(cell.second_agent.RunCount() == 0);
+  cell.agent.EndAllRuns(run_outcome::kDone);
+  BOOST_TEST(cell.Eventually(
+      [&] { return cell.owner->State("job").state == job_state::kCompleted; }));
+}
+
 // Guards against showing a result before it is stored. While the store rejected
 // an owner, it showed a job as completed; its successor did not know of the
 // ends on a worker that had left, and ran a task again.
