A conflict is no proof that an owner is succeeded

Callers saw a pool that nobody owned for good after a planned stop: lasting tasks lapsed and were not started again, accepted jobs did not run, and new ones got 503 (LOST), with the store and all daemons sound.

These tests failed on and pass now: - pools/pool_owner_test an_owner_loads_after_its_own_late_write: [1 != 0] - pools/hand_over_test an_owner_that_gave_up_its_own_pool_comes_back: no job was accepted for 5 s, and the epoch was the same

Change: a conflict of the takeover write is one of ownership only if the owner key has changed. And whatever makes an owner stop (a conflict of a later commit, a worker that obeys a higher epoch), the host reads the key until the store has told who owns the pool; if it still is this daemon, it takes the pool again under a new epoch. The key is the only record of ownership, so this holds for causes that are not known yet; the new epoch keeps late orders of the stopped owner from workers.

--- a/src/pools/job_journal.cc
+++ b/src/pools/job_journal.cc
@@ -99,6 +99,31 @@
       .dump();
 }
 
+result<void> job_journal::TakeOverJournal(std::uint64_t read_revision) {
+  // Writing the journal key stops delayed commits of the previous owner before
+  // its records are read. The owner key already rejects those of another
+  // member; the journal key also rejects those of an earlier run of this
+  // process.
+  kv_transaction takeover;
+  takeover.conditions.push_back({options_.owner_key, options_.epoch});
+  takeover.conditions.push_back({JournalKey(), read_revision});
+  takeover.puts.push_back({JournalKey(), JournalValue(0), {}});
+  const auto written = Attempt([&] { return options_.kv->Commit(takeover); });
+  if (written) {
+    journal_revision_ = *written;
+    return {};
+  }
+  if (written.failure.kind != error_kind::kConflict) {
+    return Fail(written.failure);
+  }
+  // Either condition may have failed; only the owner key tells of a successor.
+  BOOST_LEAF_AUTO(owner, options_.kv->Get(options_.owner_key));
+  if (!owner || owner->revision != options_.epoch) return Fail(written.failure);
+  return Fail(error_kind::kUnavailable,
+              "the journal has changed since it was read",
+              "load again; an earlier write may have been applied late");
+}
+
 result<journal_contents> job_journal::Load() {
   journal_contents contents;
   BOOST_LEAF_AUTO(journal, options_.kv->Get(JournalKey()));
@@ -111,16 +136,7 @@
     contents.tenure = last.value("tenure", std::uint64_t{0}) + 1;
   }
   tenure_ = contents.tenure;
-  // Writing the journal key stops delayed commits of the previous owner before
-  // its records are read. The owner key already rejects those of another
-  // member; the journal key also rejects those of an earlier run of this
-  // process.
-  kv_transaction takeover;
-  takeover.conditions.push_back({options_.owner_key, options_.epoch});
-  takeover.conditions.push_back(
-      {JournalKey(), journal ? journal->revision : 0});
-  takeover.puts.push_back({JournalKey(), JournalValue(0), {}});
-  BOOST_LEAF_ASSIGN(journal_revision_, options_.kv->Commit(takeover));
+  BOOST_LEAF_CHECK(TakeOverJournal(journal ? journal->revision : 0));
 
   BOOST_LEAF_AUTO(worker_list, options_.kv->Get(WorkerListKey()));
   if (worker_list) {
--- a/src/pools/job_journal.h
+++ b/src/pools/job_journal.h
@@ -238,6 +238,9 @@
   std::string JournalValue(std::uint64_t number) const;
   std::string JournalKey() const;
   std::string WorkerListKey() const;
+  // Writes the journal key if it still has the revision that was read. Fails
+  // with `conflict` only if another owner has the pool.
+  result<void> TakeOverJournal(std::uint64_t read_revision);
 
   const job_journal_options options_;
   const callbacks callbacks_;
--- a/src/pools/pool_host.cc
+++ b/src/pools/pool_host.cc
@@ -68,6 +68,7 @@
       [this](const std::string& pool, std::uint64_t epoch) {
         const std::lock_guard lock(mutex_);
         owned_epochs_[pool] = epoch;
+        unsettled_epochs_.erase(pool);
         needs_reconcile_ = true;
         changed_.notify_all();
       });
@@ -89,6 +90,8 @@
       });
   BOOST_LEAF_CHECK(
       threads_.Spawn("pool-rescue", [this] { RunStoreFailover(); }));
+  BOOST_LEAF_CHECK(
+      threads_.Spawn("pool-check", [this] { RunOwnershipChecks(); }));
   BOOST_LEAF_CHECK(threads_.Spawn("pool-move", [this] { RunMoves(); }));
   BOOST_LEAF_CHECK(balancer_.Start());
   return threads_.Spawn("pool-host", [this] { Run(); });
@@ -231,7 +234,7 @@
     return approvals;
   };
   // Called on the owner's threads, which the host joins.
-  owner.on_superseded = [this, pool, epoch] { DropOwner(pool, epoch); };
+  owner.on_superseded = [this, pool, epoch] { OnOwnerSuperseded(pool, epoch); };
   owner.on_store_unreachable = [this] {
     const std::lock_guard lock(mutex_);
     is_store_unreachable_ = true;
@@ -245,9 +248,24 @@
 
 void pool_host::DropOwner(const std::string& pool, std::uint64_t epoch) {
   const std::lock_guard lock(mutex_);
+  const auto unsettled = unsettled_epochs_.find(pool);
+  if (unsettled != unsettled_epochs_.end() && unsettled->second == epoch) {
+    unsettled_epochs_.erase(unsettled);
+  }
+  const auto found = owned_epochs_.find(pool);
+  if (found == owned_epochs_.end() || found->second != epoch) return;
+  owned_epochs_.erase(found);
+  needs_reconcile_ = true;
+  changed_.notify_all();
+}
+
+void pool_host::OnOwnerSuperseded(const std::string& pool,
+                                  std::uint64_t epoch) {
+  const std::lock_guard lock(mutex_);
   const auto found = owned_epochs_.find(pool);
   if (found == owned_epochs_.end() || found->second != epoch) return;
   owned_epochs_.erase(found);
+  unsettled_epochs_[pool] = epoch;
   needs_reconcile_ = true;
   changed_.notify_all();
 }
--- a/src/pools/pool_host.h
+++ b/src/pools/pool_host.h
@@ -72,6 +72,9 @@
   void Run();
   // Another daemon owns the pool: drops the local owner of this epoch.
   void DropOwner(const std::string& pool, std::uint64_t epoch);
+  // The owner of this epoch has stopped because it seems to be succeeded. Drops
+  // it, and has the owner key checked.
+  void OnOwnerSuperseded(const std::string& pool, std::uint64_t epoch);
   // Stops owners of pools that are lost and starts owners of new ones.
   void Reconcile();
   std::shared_ptr<pool_owner> MakeOwner(const std::string& pool,
@@ -137,6 +140,12 @@
   // Hands over pools whose owner here gets no response from the store.
   void RunStoreFailover();
   std::map<std::string, std::uint64_t> PoolsWithUnreachableStore() const;
+  // Takes pools again whose owner has stopped although the owner key still
+  // names this daemon.
+  void RunOwnershipChecks();
+  // Returns true if the pool has another owner than that of this epoch, or has
+  // been taken again under a new epoch.
+  bool SettleOwnership(const std::string& pool, std::uint64_t epoch);
   // Moves pools from an owner that lacks processor time, or to a member that
   // has much more of it.
   void RunMoves();
@@ -166,6 +175,9 @@
   std::condition_variable changed_;
   std::map<std::string, std::uint64_t> owned_epochs_;  // Epochs of own pools.
   owner_map owners_;
+  // Epochs of own pools whose owner seems to be succeeded; handled by
+  // RunOwnershipChecks.
+  std::map<std::string, std::uint64_t> unsettled_epochs_;
   std::map<std::string, pool_worker> workers_;  // By key.
   bool are_workers_listed_ = false;
   std::mutex distribution_mutex_;  // Held while workers are distributed.
--- a/src/pools/pool_succession.cc
+++ b/src/pools/pool_succession.cc
@@ -23,6 +23,9 @@
 // requests to others in one interval, and each request causes one read.
 constexpr auto kFailoverInterval = milliseconds(500);
 constexpr std::size_t kFailoverCandidates = 2;
+// An owner that has stopped is checked again at this interval until the store
+// has told who owns the pool.
+constexpr auto kOwnershipCheckInterval = milliseconds(250);
 // Two daemons are queried for the owner of a pool, because one of them may be
 // cut off from the store as well.
 constexpr std::size_t kOwnerQueryPeers = 2;
@@ -199,6 +202,45 @@
   }
 }
 
+void pool_host::RunOwnershipChecks() {
+  const auto is_stopped = [this] { return is_stopped_; };
+  while (true) {
+    std::map<std::string, std::uint64_t> unsettled;
+    {
+      std::unique_lock lock(mutex_);
+      options_.clock->WaitUntil(lock, changed_, time_point::max(), [&] {
+        return is_stopped_ || !unsettled_epochs_.empty();
+      });
+      if (is_stopped_) return;
+      unsettled = unsettled_epochs_;
+    }
+    for (const auto& [pool, epoch] : unsettled) {
+      if (!SettleOwnership(pool, epoch)) continue;
+      const std::lock_guard lock(mutex_);
+      const auto found = unsettled_epochs_.find(pool);
+      if (found != unsettled_epochs_.end() && found->second == epoch) {
+        unsettled_epochs_.erase(found);
+      }
+    }
+    std::unique_lock lock(mutex_);
+    options_.clock->WaitFor(lock, changed_, kOwnershipCheckInterval,
+                            is_stopped);
+  }
+}
+
+bool pool_host::SettleOwnership(const std::string& pool, std::uint64_t epoch) {
+  options_.directory->RefreshOwner(pool);
+  const pool_ownership own{options_.directory->SelfId(), epoch};
+  if (options_.directory->OwnerOf(pool) != own) return true;
+  // With a new epoch, the workers refuse late orders of the former owner.
+  const auto renewed =
+      Attempt([&] { return options_.directory->TakeOver(pool, epoch, false); });
+  if (!renewed) return false;
+  Emit(options_.log, pool_events::kOwnershipRenewed,
+       {Field("pool", pool), Field("epoch", epoch), Field("next", *renewed)});
+  return true;
+}
+
 void pool_host::RunMoves() {
   std::map<std::string, owner_watch> watches;
   while (true) {
--- a/tests/pools/hand_over_test.cc
+++ b/tests/pools/hand_over_test.cc
@@ -34,6 +34,41 @@
   }
 };
 
+// Guards against a pool that nobody owns for good: its owner took a conflict
+// for a successor's and stopped, but the key went on naming its daemon, which
+// renewed the lease of the key.
+BOOST_FIXTURE_TEST_CASE(an_owner_that_gave_up_its_own_pool_comes_back, rig) {
+  constexpr auto kRecoveryTime = milliseconds(5000);
+  const std::string journal = "apricotwheel/journals/" + kPool;
+  const auto before = *first.directory->OwnerOf(kPool);
+  store.Put(journal, store.Value(journal));
+  first.Submit("lost");
+  const auto until = first.clock->Now() + duration(kRecoveryTime);
+  bool is_accepted = false;
+  while (!is_accepted && first.clock->Now() < until) {
+    is_accepted = second->Submit("next").status == job_call_status::kAccepted;
+  }
+  BOOST_TEST(is_accepted);
+  const auto owner = first.directory->OwnerOf(kPool);
+  BOOST_REQUIRE(owner);
+  // Orders of the owner that gave up are refused by the workers.
+  BOOST_TEST(owner->epoch > before.epoch);
+}
+
+// Guards against a daemon that takes its pool back from a successor.
+BOOST_FIXTURE_TEST_CASE(a_succeeded_owner_leaves_the_pool_to_its_successor,
+                        rig) {
+  constexpr auto kTimeToTakeBack = milliseconds(1500);
+  const auto before = *first.directory->OwnerOf(kPool);
+  BOOST_REQUIRE(Attempt(
+      [&] { return second->directory->TakeOver(kPool, before.epoch, false); }));
+  BOOST_REQUIRE(Eventually([&] { return second->Serves(); }));
+  const auto taken = *second->directory->OwnerOf(kPool);
+  first.clock->SleepFor(kTimeToTakeBack);
+  BOOST_TEST((*second->directory->OwnerOf(kPool) == taken));
+  BOOST_TEST(!first.Serves());
+}
+
 // Guards against rejected jobs during a rolling restart with a slow store. A
 // pool had no owner while its last commit, the deletion of its owner key and
 // the key of its next owner were written one after the other, or until the
--- a/tests/pools/pool_owner_test.cc
+++ b/tests/pools/pool_owner_test.cc
@@ -314,6 +314,38 @@
   BOOST_TEST(cell.agent.RunCount() == 0);
 }
 
+// Guards against a pool that nobody owns for good: the first write of a new
+// owner got no response and was applied late, after the owner had read the
+// journal again. It took the conflict for a successor's and gave the pool up.
+BOOST_AUTO_TEST_CASE(an_owner_loads_after_its_own_late_write) {
+  rig cell;
+  cell.Submit("job");
+  BOOST_TEST(cell.Eventually([&] { return cell.agent.RunCount() == 1; }));
+  int applied = 0;
+  cell.owner->Stop();
+  cell.store.AfterNextGet([&] {
+    cell.store.FailNext(commit_fault::kDelayed);
+    cell.store.AfterNextGet([&] { applied = cell.store.ApplyDelayed(); });
+  });
+  cell.StartOwner();
+  BOOST_TEST(cell.Eventually([&] {
+    return cell.owner->State("job").status == job_call_status::kState;
+  }));
+  BOOST_TEST(applied == 1);
+  BOOST_TEST(cell.superseded_count == 0);
+  BOOST_TEST((cell.Submit("next").status == job_call_status::kAccepted));
+}
+
+// An owner that is succeeded while it loads reports that.
+BOOST_AUTO_TEST_CASE(an_owner_that_is_succeeded_while_it_loads_gives_up) {
+  rig cell;
+  cell.owner->Stop();
+  cell.store.AfterNextGet([&] { cell.store.Put(kOwnerKey, "successor"); });
+  cell.StartOwner();
+  BOOST_TEST(cell.Eventually([&] { return cell.superseded_count > 0; }));
+  BOOST_TEST((cell.Submit("job").status != job_call_status::kAccepted));
+}
+
 // An owner whose worker obeys a higher epoch reports that it is superseded.
 BOOST_AUTO_TEST_CASE(a_refused_epoch_ends_the_ownership) {
   rig cell;
