A refused connection does not make a member dead for good

Cause: a member whose address refused a connection counted as dead, and nothing took that back, so that each of the two held the other's pool for vacant.

On pools/owner_choice_test a_member_that_takes_a_pool_is_not_dead and a_member_that_listens_again_is_not_dead failed.

Change: `exit_tracker` keeps who counts as exited and why. A member that takes a pool, or accepts a connection in a probe every 0.5 s, is alive, and refusals don't count against it any more. Each wrong conclusion can thus be drawn once for a member, which bounds the number of moves.

--- a/src/pools/pool_directory.cc
+++ b/src/pools/pool_directory.cc
@@ -35,6 +35,9 @@
 constexpr auto kCapacityDelay = milliseconds(2000);
 // A machine that is up rejects a connection within milliseconds.
 constexpr auto kProbeTimeout = milliseconds(300);
+// Interval of probes of members that count as exited because they refused
+// connections.
+constexpr auto kRefusingProbeInterval = milliseconds(500);
 // Read timeout before a conditional takeover. A healthy store responds in a few
 // milliseconds; if it is slow for this daemon as well, a new owner gains
 // nothing.
@@ -102,8 +105,7 @@
   const std::lock_guard lock(mutex_);
   std::vector<member> all;
   for (const auto& [id, stored] : members_) {
-    if (stored.record && !dead_members_.contains(id))
-      all.push_back(*stored.record);
+    if (stored.record && !exits_.HasExited(id)) all.push_back(*stored.record);
   }
   return all;
 }
@@ -134,7 +136,7 @@
   const auto now = options_.clock->Now();
   auto support = partition_support::kAll;
   for (const auto& [id, stored] : members_) {
-    if (!stored.record || dead_members_.contains(id)) continue;
+    if (!stored.record || exits_.HasExited(id)) continue;
     const auto found = capacities_.find(id);
     if (found != capacities_.end() && found->second.record) {
       if (found->second.record->knows_partitions) continue;
@@ -256,6 +258,8 @@
   stored.ownership = {};
   if (!event.deleted) {
     stored.ownership = {event.entry.value, event.entry.revision};
+    // A member that has taken a pool is alive.
+    OnMemberAlive(event.entry.value);
   }
 }
 
@@ -294,7 +298,7 @@
     // record has exited.
     if (other != id && earlier.record &&
         earlier.record->peer_address == stored.record->peer_address) {
-      dead_members_.insert(earlier.revision < stored.revision ? other : id);
+      exits_.OnReplaced(earlier.revision < stored.revision ? other : id);
     }
   }
 }
@@ -353,7 +357,7 @@
 bool pool_directory::IsVacant(std::string_view pool) const {
   const auto found = owners_.find(pool);
   return found == owners_.end() || found->second.ownership.member_id.empty() ||
-         dead_members_.contains(found->second.ownership.member_id);
+         exits_.HasExited(found->second.ownership.member_id);
 }
 
 owner_candidate pool_directory::MakeCandidate(const std::string& id,
@@ -382,8 +386,7 @@
     std::string_view pool) const {
   std::vector<owner_candidate> candidates;
   for (const auto& [id, stored] : members_) {
-    if (!stored.record || stored.record->leaving ||
-        dead_members_.contains(id)) {
+    if (!stored.record || stored.record->leaving || exits_.HasExited(id)) {
       continue;
     }
     candidates.push_back(MakeCandidate(id, pool));
@@ -451,37 +454,52 @@
 void pool_directory::ReportUnreachable(const std::string& member_id) {
   {
     const std::lock_guard lock(mutex_);
-    if (dead_members_.contains(member_id)) return;
-    if (!unreachable_members_.insert(member_id).second) return;
+    if (!exits_.ReportUnreachable(member_id)) return;
   }
   election_signal_.Wake();
 }
 
-void pool_directory::ProbeUnreachableMembers() {
+std::map<std::string, std::string> pool_directory::MembersToProbe() {
+  const std::lock_guard lock(mutex_);
+  std::set<std::string> ids = exits_.TakeUnreachable();
+  const auto now = options_.clock->Now();
+  if (now - refusing_probed_at_ >= kRefusingProbeInterval) {
+    refusing_probed_at_ = now;
+    ids.insert(exits_.Refusing().begin(), exits_.Refusing().end());
+  }
   std::map<std::string, std::string> addresses;
-  {
-    const std::lock_guard lock(mutex_);
-    for (const std::string& id : std::exchange(unreachable_members_, {})) {
-      const auto found = members_.find(id);
-      if (found == members_.end() || !found->second.record) continue;
-      addresses[id] = found->second.record->peer_address;
-    }
+  for (const std::string& id : ids) {
+    const auto found = members_.find(id);
+    if (found == members_.end() || !found->second.record) continue;
+    addresses[id] = found->second.record->peer_address;
   }
-  for (const auto& [id, address] : addresses) {
+  return addresses;
+}
+
+void pool_directory::ProbeMembers() {
+  for (const auto& [id, address] : MembersToProbe()) {
     const auto state =
         ProbeListener(address, *options_.clock,
                       options_.clock->Now() + duration(kProbeTimeout));
-    if (state != listener_state::kNotListening) continue;
+    const std::lock_guard lock(mutex_);
+    if (state == listener_state::kListening) OnMemberAlive(id);
+    if (state != listener_state::kNotListening || exits_.HasExited(id)) {
+      continue;
+    }
     Emit(options_.log, pool_events::kMemberDead,
          {Field("member", id), Field("address", address)});
-    const std::lock_guard lock(mutex_);
-    dead_members_.insert(id);
+    exits_.OnRefused(id);
   }
 }
 
+void pool_directory::OnMemberAlive(const std::string& id) {
+  if (!exits_.OnAlive(id)) return;
+  Emit(options_.log, pool_events::kMemberAlive, {Field("member", id)});
+}
+
 void pool_directory::RunElection() {
   while (!election_signal_.StopRequested()) {
-    ProbeUnreachableMembers();
+    ProbeMembers();
     std::optional<std::string> due;
     duration wait = kElectionInterval;
     const auto pools = Pools();
--- a/src/pools/pool_directory.h
+++ b/src/pools/pool_directory.h
@@ -18,6 +18,7 @@
 #include "kernel/log.h"
 #include "kernel/thread_group.h"
 #include "peer/peer_node.h"
+#include "pools/exit_tracker.h"
 #include "pools/kv_watcher.h"
 #include "pools/owner_ranking.h"
 #include "pools/partition_directory.h"
@@ -102,9 +103,9 @@
   bool IsSynced() const;
   static std::string OwnerKey(std::string_view pool);
 
-  // Reports that a request to the member could not be sent. If no process
-  // listens at its address, its pools are taken over without waiting for its
-  // lease to expire.
+  // Reports that a request to the member could not be sent. If its address
+  // refuses connections, its pools are taken over without waiting for its lease
+  // to expire, unless it has shown before that it is alive nevertheless.
   void ReportUnreachable(const std::string& member_id);
   // Reads the owner key of a pool again. Used when another source reports that
   // the owner is superseded.
@@ -174,7 +175,13 @@
   // Passes the addresses of the members to the peer node.
   void UpdatePeers();
   void TryAcquire(const std::string& pool);
-  void ProbeUnreachableMembers();
+  // Probes members that could not be reached, to take their pools over early,
+  // and those that count as exited, which may be alive after all.
+  void ProbeMembers();
+  // Returns their addresses by id.
+  std::map<std::string, std::string> MembersToProbe();
+  // Called with mutex_ held.
+  void OnMemberAlive(const std::string& id);
   // Returns true if the pool has no owner or the process of its owner has
   // exited. Called with mutex_ held.
   bool IsVacant(std::string_view pool) const;
@@ -204,9 +211,8 @@
   std::vector<std::string> pools_;
   // When this member first saw that a pool is vacant, by pool.
   std::map<std::string, time_point> vacant_since_;
-  // Members that the election thread probes.
-  std::set<std::string> unreachable_members_;
-  std::set<std::string> dead_members_;  // Members whose process has exited.
+  exit_tracker exits_;
+  time_point refusing_probed_at_{};
   std::set<std::string> linked_peers_;  // Members with a peer address.
   bool is_synced_ = false;
   bool is_leaving_ = false;
--- a/src/pools/pool_events.h
+++ b/src/pools/pool_events.h
@@ -76,4 +76,7 @@
 inline constexpr log_event_kind kAdoptionFailed{2236, "pool_adoption_failed",
                                                 severity::kInfo};
 
+inline constexpr log_event_kind kMemberAlive{2237, "pool_member_alive",
+                                             severity::kInfo};
+
 }  // namespace apricotwheel::pool_events
--- a/tests/pools/owner_choice_test.cc
+++ b/tests/pools/owner_choice_test.cc
@@ -1,9 +1,12 @@
 // Which member becomes the owner of a pool, and when the pool moves.
+#include <unistd.h>
+
 #include <algorithm>
 #include <atomic>
 #include <boost/test/unit_test.hpp>
 #include <thread>
 
+#include "peer/peer_connection.h"
 #include "tests/pools/daemon_parts.h"
 
 namespace apricotwheel {
@@ -182,6 +185,51 @@
   BOOST_TEST(successors.front().id == "old");
 }
 
+// Guards against two daemons that take a pool from each other in turns for
+// ever: a cut had refused connections between them, and each held the other for
+// dead.
+BOOST_AUTO_TEST_CASE(a_member_that_takes_a_pool_is_not_dead) {
+  constexpr auto kTimeToTakeBack = milliseconds(1500);
+  const std::string owner_key = pool_directory::OwnerKey(kPool);
+  fake_store store;
+  daemon_parts first(store, "first");
+  BOOST_REQUIRE(WaitUntilOwned(first));
+  store.Put(std::string(kMembersPrefix) + "other",
+            EncodeMember({"other", "other", "a", "", "127.0.0.1:1", false}));
+  const auto lose_pool = [&] {
+    store.Put(owner_key, "other");
+    BOOST_REQUIRE(Eventually([&] { return !first.Owns(); }));
+    first.directory->ReportUnreachable("other");
+  };
+  lose_pool();
+  BOOST_TEST(WaitUntilOwned(first));
+  lose_pool();
+  first.clock->SleepFor(kTimeToTakeBack);
+  BOOST_TEST(!first.Owns());
+  BOOST_TEST(first.directory->Members().size() == 2);
+}
+
+// Guards against a member that counts as dead as long as it lives because it
+// once refused a connection.
+BOOST_AUTO_TEST_CASE(a_member_that_listens_again_is_not_dead) {
+  const int reserved = *Attempt([] { return ListenSocket("127.0.0.1:0"); });
+  const std::string address = LocalAddress(reserved);
+  ::close(reserved);
+  fake_store store;
+  daemon_parts first(store, "first");
+  store.Put(std::string(kMembersPrefix) + "other",
+            EncodeMember({"other", "other", "a", "", address, false}));
+  BOOST_REQUIRE(
+      Eventually([&] { return first.directory->Members().size() == 2; }));
+  first.directory->ReportUnreachable("other");
+  BOOST_REQUIRE(
+      Eventually([&] { return first.directory->Members().size() == 1; }));
+  const int listening = *Attempt([&] { return ListenSocket(address); });
+  BOOST_TEST(
+      Eventually([&] { return first.directory->Members().size() == 2; }));
+  ::close(listening);
+}
+
 // Guards against a pool that stays with a weak owner after a strong VM has
 // started again, and against further moves after the first.
 BOOST_AUTO_TEST_CASE(a_pool_moves_once_to_a_much_stronger_member) {
