--- a/src/pools/pool_events.h
+++ b/src/pools/pool_events.h
@@ -54,8 +54,6 @@
 inline constexpr log_event_kind kPoolMove{2223, "pool_move", severity::kInfo};
 inline constexpr log_event_kind kJobsRefused{2224, "pool_jobs_refused",
                                              severity::kWarning};
-inline constexpr log_event_kind kOwnershipRenewed{
-    2229, "pool_ownership_renewed", severity::kWarning};
 inline constexpr log_event_kind kOverloadKept{2228, "pool_overload_kept",
                                               severity::kWarning};
 inline constexpr log_event_kind kJournalLoad{2230, "pool_journal_load",
@@ -78,5 +76,7 @@
 
 inline constexpr log_event_kind kMemberAlive{2237, "pool_member_alive",
                                              severity::kInfo};
+inline constexpr log_event_kind kOwnershipRenewed{
+    2238, "pool_ownership_renewed", severity::kWarning};
 
 }  // namespace apricotwheel::pool_events
--- a/src/pools/pool_host.cc
+++ b/src/pools/pool_host.cc
@@ -246,15 +246,18 @@
   return std::make_shared<pool_owner>(std::move(owner));
 }
 
+bool pool_host::EraseEpoch(epochs_by_pool& epochs, const std::string& pool,
+                           std::uint64_t epoch) {
+  const auto found = epochs.find(pool);
+  if (found == epochs.end() || found->second != epoch) return false;
+  epochs.erase(found);
+  return true;
+}
+
 void pool_host::DropOwner(const std::string& pool, std::uint64_t epoch) {
   const std::lock_guard lock(mutex_);
-  const auto unsettled = unsettled_epochs_.find(pool);
-  if (unsettled != unsettled_epochs_.end() && unsettled->second == epoch) {
-    unsettled_epochs_.erase(unsettled);
-  }
-  const auto found = owned_epochs_.find(pool);
-  if (found == owned_epochs_.end() || found->second != epoch) return;
-  owned_epochs_.erase(found);
+  EraseEpoch(unsettled_epochs_, pool, epoch);
+  if (!EraseEpoch(owned_epochs_, pool, epoch)) return;
   needs_reconcile_ = true;
   changed_.notify_all();
 }
@@ -262,9 +265,7 @@
 void pool_host::OnOwnerSuperseded(const std::string& pool,
                                   std::uint64_t epoch) {
   const std::lock_guard lock(mutex_);
-  const auto found = owned_epochs_.find(pool);
-  if (found == owned_epochs_.end() || found->second != epoch) return;
-  owned_epochs_.erase(found);
+  if (!EraseEpoch(owned_epochs_, pool, epoch)) return;
   unsettled_epochs_[pool] = epoch;
   needs_reconcile_ = true;
   changed_.notify_all();
--- a/src/pools/pool_host.h
+++ b/src/pools/pool_host.h
@@ -70,6 +70,10 @@
 
  private:
   void Run();
+  using epochs_by_pool = std::map<std::string, std::uint64_t>;
+  // Returns true if the pool had this epoch.
+  static bool EraseEpoch(epochs_by_pool& epochs, const std::string& pool,
+                         std::uint64_t epoch);
   // Another daemon owns the pool: drops the local owner of this epoch.
   void DropOwner(const std::string& pool, std::uint64_t epoch);
   // The owner of this epoch has stopped because it seems to be succeeded. Drops
@@ -173,11 +177,11 @@
 
   mutable std::mutex mutex_;
   std::condition_variable changed_;
-  std::map<std::string, std::uint64_t> owned_epochs_;  // Epochs of own pools.
+  epochs_by_pool owned_epochs_;  // Of own pools.
   owner_map owners_;
   // Epochs of own pools whose owner seems to be succeeded; handled by
   // RunOwnershipChecks.
-  std::map<std::string, std::uint64_t> unsettled_epochs_;
+  epochs_by_pool unsettled_epochs_;
   std::map<std::string, pool_worker> workers_;  // By key.
   bool are_workers_listed_ = false;
   std::mutex distribution_mutex_;  // Held while workers are distributed.
--- a/src/pools/pool_succession.cc
+++ b/src/pools/pool_succession.cc
@@ -205,7 +205,7 @@
 void pool_host::RunOwnershipChecks() {
   const auto is_stopped = [this] { return is_stopped_; };
   while (true) {
-    std::map<std::string, std::uint64_t> unsettled;
+    epochs_by_pool unsettled;
     {
       std::unique_lock lock(mutex_);
       options_.clock->WaitUntil(lock, changed_, time_point::max(), [&] {
@@ -217,10 +217,7 @@
     for (const auto& [pool, epoch] : unsettled) {
       if (!SettleOwnership(pool, epoch)) continue;
       const std::lock_guard lock(mutex_);
-      const auto found = unsettled_epochs_.find(pool);
-      if (found != unsettled_epochs_.end() && found->second == epoch) {
-        unsettled_epochs_.erase(found);
-      }
+      EraseEpoch(unsettled_epochs_, pool, epoch);
     }
     std::unique_lock lock(mutex_);
     options_.clock->WaitFor(lock, changed_, kOwnershipCheckInterval,
