A later agent at a worker's address shows that the worker has exited

Tasks that crash their workers were started again and again.

No crash was counted.

Change: two processes cannot listen at one address, so a later agent that discovery lists there proves the exit, also before the leases end, if the session of the former worker fails at that address (a refusal, or another worker responds).

--- a/src/pools/agent_session.cc
+++ b/src/pools/agent_session.cc
@@ -305,8 +305,9 @@
           Field("reason", Describe(failure))});
   }
   if (are_leases_expired_) return kPollRetryInterval;
-  const bool has_exited =
-      failure.kind == error_kind::kUnavailable && options_.has_exited();
+  const bool may_have_exited = failure.kind == error_kind::kUnavailable ||
+                               failure.kind == error_kind::kNotFound;
+  const bool has_exited = may_have_exited && options_.has_exited();
   if (has_exited || now >= LeasesExpireBy()) {
     if (has_exited) {
       Emit(options_.log, pool_events::kAgentExited,
--- a/src/pools/pool_owner.h
+++ b/src/pools/pool_owner.h
@@ -155,6 +155,9 @@
   // Returns true if the address refuses connections. That is no proof of an
   // exit: a network that cuts the worker off may refuse them too.
   bool IsRefused(const std::string& address) const;
+  // Returns true if discovery lists a later agent at the address of the worker.
+  // Two processes cannot listen there, so the worker's has exited.
+  bool IsAddressReused(const pool_worker& worker) const;
   // Returns true if the worker of an earlier owner has not been listed for so
   // long that it is gone unless it responds. This owner has granted it no
   // leases.
--- a/src/pools/pool_owner_workers.cc
+++ b/src/pools/pool_owner_workers.cc
@@ -1,5 +1,6 @@
 // The workers of a pool, listed by discovery or left by earlier owners, and the
 // sessions with them.
+#include <algorithm>
 #include <utility>
 
 #include "peer/peer_connection.h"
@@ -160,8 +161,9 @@
   options.worker = worker;
   options.epoch = options_.epoch;
   options.link = options_.platform->connect_agent(worker);
-  options.has_exited = [this, id = worker.id, address = worker.address] {
-    return HasLeftBeforeTakeover(id) && IsRefused(address);
+  options.has_exited = [this, worker] {
+    return IsAddressReused(worker) ||
+           (HasLeftBeforeTakeover(worker.id) && IsRefused(worker.address));
   };
   options.lease_duration = options_.task_lease;
   options.clock = options_.clock;
@@ -190,6 +192,16 @@
   return listed_workers_.contains(id);
 }
 
+bool pool_owner::IsAddressReused(const pool_worker& worker) const {
+  const std::lock_guard lock(mutex_);
+  return std::any_of(
+      listed_workers_.begin(), listed_workers_.end(), [&](const auto& row) {
+        const pool_worker& other = row.second;
+        return other.id != worker.id && other.address == worker.address &&
+               other.incarnation > worker.incarnation;
+      });
+}
+
 bool pool_owner::HasLeftBeforeTakeover(const std::string& id) {
   const std::lock_guard lock(mutex_);
   if (listed_workers_.contains(id) || !scheduler_->IsUnverified(id)) {
@@ -213,10 +225,10 @@
     RequestDecision();
   };
   callbacks.on_leases_expired = [this, id,
-                                 address = worker.address](bool has_left) {
-    // Whether it crashed matters for its tasks only. Nothing runs there in any
-    // case.
-    const bool has_exited = has_left || (!IsListed(id) && IsRefused(address));
+                                 address = worker.address](bool is_certain) {
+    // Nothing runs there in any case. What looks like an exit counts as a crash
+    // until the same agent reports again.
+    const bool has_exited = is_certain || (!IsListed(id) && IsRefused(address));
     const std::lock_guard lock(mutex_);
     scheduler_->ExpireWorkerLeases(id, has_exited, options_.clock->Now());
     if (!listed_workers_.contains(id)) workers_changed_ = true;
--- a/tests/pools/fake_agent.h
+++ b/tests/pools/fake_agent.h
@@ -5,6 +5,7 @@
 #include <map>
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <utility>
 #include <vector>
 
@@ -44,10 +45,10 @@
     const std::lock_guard lock(mutex_);
     return running_.size();
   }
-  // While it refuses connections, the agent runs on.
-  void RefuseConnections(bool refuses) {
+  // While its calls fail with this kind, the agent runs on.
+  void RejectCalls(std::optional<error_kind> failure) {
     const std::lock_guard lock(mutex_);
-    refuses_connections_ = refuses;
+    failure_ = failure;
   }
   // Returns the highest run number that was started.
   std::uint64_t LastRunNumber() const {
@@ -69,9 +70,7 @@
     while (true) {
       {
         const std::lock_guard lock(mutex_);
-        if (refuses_connections_) {
-          return Fail(error_kind::kUnavailable, "refused", "wait");
-        }
+        if (failure_) return Fail(*failure_, "rejected", "wait");
         if (request.epoch < epoch_) {
           return Fail(error_kind::kStaleEpoch, "stale", "stop");
         }
@@ -96,7 +95,7 @@
   }
   start_response Start(const start_order& order, const run_lease& lease) {
     const std::lock_guard lock(mutex_);
-    if (refuses_connections_) return {start_result::kUnreachable, {}};
+    if (failure_) return {start_result::kUnreachable, {}};
     if (lease.epoch < epoch_) return {start_result::kStaleEpoch, 1000};
     last_run_number_ = std::max(last_run_number_, order.run);
     reported_run run;
@@ -123,7 +122,7 @@
 
   clock_ptr clock_;
   mutable std::mutex mutex_;
-  bool refuses_connections_ = false;
+  std::optional<error_kind> failure_;
   std::uint64_t last_run_number_ = 0;
   std::uint64_t epoch_ = 0;
   std::map<task_key, reported_run> running_;
--- a/tests/pools/pool_owner_test.cc
+++ b/tests/pools/pool_owner_test.cc
@@ -204,9 +204,9 @@
   BOOST_TEST((cell.Submit("job").status == job_call_status::kAccepted));
   BOOST_TEST(cell.Eventually([&] { return cell.agent.RunCount() == 1; }));
   const auto run = cell.agent.LastRunNumber();
-  cell.agent.RefuseConnections(true);
+  cell.agent.RejectCalls(error_kind::kUnavailable);
   cell.clock->SleepFor(kCut);
-  cell.agent.RefuseConnections(false);
+  cell.agent.RejectCalls(std::nullopt);
   cell.clock->SleepFor(kCut);
   BOOST_TEST(cell.agent.RunCount() == 1);
   BOOST_TEST(cell.agent.LastRunNumber() == run);
@@ -215,6 +215,31 @@
       [&] { return cell.owner->State("job").state == job_state::kCompleted; }));
 }
 
+// Guards against tasks that crash one worker after the other without limit: the
+// workers came back under other ids at their addresses, so that neither a new
+// incarnation nor a refused connection showed the crash. It is also proof, so
+// that the leases need not expire.
+BOOST_AUTO_TEST_CASE(a_worker_whose_address_is_reused_has_crashed) {
+  constexpr auto kBelowLease = milliseconds(3000);
+  for (const error_kind failure :
+       {error_kind::kUnavailable, error_kind::kNotFound}) {
+    rig cell;
+    const pool_worker first = rig::WorkerOf("w1", kClosedAddress);
+    cell.owner->SetWorkers({{"w1", first}});
+    BOOST_TEST((cell.Submit("job").status == job_call_status::kAccepted));
+    BOOST_TEST(cell.Eventually([&] { return cell.agent.RunCount() == 1; }));
+    cell.agent.RejectCalls(failure);
+    pool_worker later = rig::WorkerOf("second", kClosedAddress);
+    later.incarnation = first.incarnation + 1;
+    const auto started_at = cell.clock->Now();
+    cell.owner->SetWorkers({{"w1", first}, {"second", later}});
+    BOOST_TEST(
+        cell.Eventually([&] { return cell.second_agent.RunCount() == 1; }));
+    BOOST_TEST((cell.clock->Now() - started_at < kBelowLease));
+    BOOST_TEST(cell.metrics.worker_crashes.Value() == 1);
+  }
+}
+
 // Guards against taking a missing entry for the exit of a draining worker. The
 // entry had expired in an outage of the store, and the tasks of the worker,
 // which ran on, were started elsewhere at once.
