Take another worker's answer for an exit only where the worker has responded

An entry may name a wrong address, though, and then the worker runs on at its own. The session now counts such an answer only if the worker has responded to it at that address.

--- a/src/pools/agent_session.h
+++ b/src/pools/agent_session.h
@@ -58,8 +58,8 @@
   std::unique_ptr<agent_link> link;
   // Returns true if nothing of the worker can run any more, so that its leases
   // need not expire. Called when it refuses connections or another worker
-  // responds at its address. A refusal alone does not prove that: a network
-  // that cuts the worker off may refuse connections too.
+  // responds at the address where it has responded. A refusal alone does not
+  // prove that: a network that cuts the worker off may refuse connections too.
   std::function<bool()> has_exited = [] { return false; };
   duration lease_duration = milliseconds(5900);
   clock_ptr clock;
--- a/tests/pools/agent_session_test.cc
+++ b/tests/pools/agent_session_test.cc
@@ -242,6 +242,25 @@
   }
 }
 
+// Guards against taking the answer of another worker for the exit of this one:
+// its entry may name a wrong address.
+BOOST_AUTO_TEST_CASE(an_agent_that_never_responded_there_has_not_exited) {
+  for (const bool has_responded : {true, false}) {
+    fake_worker worker;
+    std::atomic<int> polls = 0;
+    worker.has_exited = [] { return true; };
+    worker.poll = [&](const poll_request&) -> result<worker_report> {
+      worker.clock->SleepFor(milliseconds(5));
+      if (++polls == 1 && has_responded) return worker_report{};
+      return Fail(error_kind::kNotFound, "another", "wait");
+    };
+    worker.StartSession();
+    BOOST_TEST(worker.WaitFor([&] { return polls >= 4; }));
+    worker.session->Stop();
+    BOOST_TEST(worker.exits == (has_responded ? 1 : 0));
+  }
+}
+
 // Guards against needless waits until an agent that is back is claimed: it is
 // polled at the retry interval, not at that of idle workers, although it has no
 // runs.
