Replace connections between daemons that fall silent without a reset

Cause: a call that times out leaves its connection open, and the detection of dead peers was TCP's alone. A proxy, or a host without the connection's other half, satisfies TCP.

Change: a call that has received nothing for 0.3 s requests an echo, which the peer's reader thread returns however busy its handlers are. Without an echo for 1 s the connection is closed and the next call opens another one.

--- a/src/peer/peer_connection.cc
+++ b/src/peer/peer_connection.cc
@@ -23,10 +23,16 @@
       clock_(std::move(clock)),
       traffic_(std::move(traffic)),
       reader_(max_frame_bytes),
-      receive_buffer_(kReceiveBytes) {}
+      receive_buffer_(kReceiveBytes),
+      last_received_at_(clock_->Now()) {}
 
 peer_connection::~peer_connection() { ::close(socket_); }
 
+bool peer_connection::HasUnreadBytes() const {
+  pollfd entry{socket_, POLLIN, 0};
+  return ::poll(&entry, 1, 0) > 0;
+}
+
 void peer_connection::Close() {
   {
     std::lock_guard guard(mutex_);
@@ -93,6 +99,7 @@
     const auto count =
         ::recv(socket_, receive_buffer_.data(), receive_buffer_.size(), 0);
     if (count > 0) {
+      last_received_at_ = clock_->Now();
       traffic_->bytes_received += static_cast<std::uint64_t>(count);
       reader_.Append(
           byte_view(receive_buffer_).first(static_cast<std::size_t>(count)));
--- a/src/peer/peer_connection.h
+++ b/src/peer/peer_connection.h
@@ -48,6 +48,12 @@
 
   void SetMaxFrameBytes(std::size_t bytes) { reader_.SetMaxFrameBytes(bytes); }
 
+  // Returns when the reader last received bytes, or when the connection was
+  // opened.
+  time_point LastReceivedAt() const { return last_received_at_; }
+  // Returns true if bytes have arrived that the reader has not received yet.
+  bool HasUnreadBytes() const;
+
   // Shuts down both directions and wakes the reader and waiting writers.
   void Close();
   bool IsClosed() const { return closed_; }
@@ -64,6 +70,7 @@
   std::condition_variable write_finished_;
   bool is_writing_ = false;
   std::atomic<bool> closed_ = false;
+  std::atomic<time_point> last_received_at_;
 };
 
 // What an attempt to connect shows about the process at an address.
--- a/src/peer/peer_events.h
+++ b/src/peer/peer_events.h
@@ -11,5 +11,7 @@
 inline constexpr log_event_kind kLinkUp{1302, "peer_link_up", severity::kInfo};
 inline constexpr log_event_kind kLinkDown{1303, "peer_link_down",
                                           severity::kInfo};
+inline constexpr log_event_kind kLinkSilent{1304, "peer_link_silent",
+                                            severity::kWarning};
 
 }  // namespace apricotwheel::peer_events
--- a/src/peer/peer_link.cc
+++ b/src/peer/peer_link.cc
@@ -16,6 +16,12 @@
 // one is dropped rather than delay the sending thread while the socket buffer
 // is full.
 constexpr auto kPostTimeout = milliseconds(50);
+// A call that has received nothing for this long requests an echo. Most
+// responses take less.
+constexpr auto kEchoDelay = milliseconds(300);
+// A peer returns an echo within milliseconds. One that is overloaded or shares
+// its processor may take some hundred.
+constexpr auto kEchoTimeout = milliseconds(1000);
 
 boost::leaf::error_id FailUnavailable(const std::string& member_id,
                                       const char* reason) {
@@ -95,7 +101,7 @@
     return FailUnavailable(member_id_, "the frame was not sent completely");
   }
   std::unique_lock lock(mutex_);
-  clock.WaitUntil(lock, call->changed, deadline, [&] { return call->is_done; });
+  WaitForResponse(lock, *call, deadline);
   remove_pending();
   if (!call->response) {
     return Fail(error_kind::kTimeout,
@@ -110,6 +116,49 @@
   return std::move(*call->response);
 }
 
+void peer_link::WaitForResponse(std::unique_lock<std::mutex>& lock,
+                                pending_call& call, time_point deadline) {
+  auto& clock = *context_->options.clock;
+  const auto waits_since = clock.Now();
+  while (!call.is_done && clock.Now() < deadline) {
+    const auto now = clock.Now();
+    const auto received_at = call.connection->LastReceivedAt();
+    const bool is_current = call.connection == connection_;
+    const bool is_echo_pending = echo_requested_at_ > received_at;
+    auto check_at = std::max(received_at, waits_since) + duration(kEchoDelay);
+    if (is_current && is_echo_pending) {
+      check_at = echo_requested_at_ + duration(kEchoTimeout);
+      if (IsSilent(now)) return DropSilentConnection(now);
+    } else if (is_current && now >= check_at) {
+      echo_requested_at_ = now;
+      check_at = now + duration(kEchoTimeout);
+      const auto request = EncodeMessage(MakeMessage(wire::acknowledgementT{}),
+                                         kEchoCorrelationId, false);
+      lock.unlock();
+      WriteOneWay(call.connection, request);
+      lock.lock();
+    }
+    // What arrives late may still be unread.
+    check_at = std::max(check_at, now + duration(kEchoDelay));
+    clock.WaitUntil(lock, call.changed, std::min(deadline, check_at),
+                    [&] { return call.is_done; });
+  }
+}
+
+bool peer_link::IsSilent(time_point now) const {
+  return connection_ && echo_requested_at_ > connection_->LastReceivedAt() &&
+         now - echo_requested_at_ >= kEchoTimeout &&
+         !connection_->HasUnreadBytes();
+}
+
+void peer_link::DropSilentConnection(time_point now) {
+  Emit(context_->options.log, peer_events::kLinkSilent,
+       {Field("peer", member_id_), Field("address", address_),
+        Field("silent_ms", ToMs(now - connection_->LastReceivedAt()))});
+  connection_->Close();  // The reader fails the pending calls.
+  connection_ = nullptr;
+}
+
 void peer_link::Post(const wire_message& message) {
   auto payload = EncodeMessage(message, 0, false);
   if (payload.size() > context_->options.max_frame_bytes) return;
@@ -154,6 +203,7 @@
     if (!connect_finished)
       return FailUnavailable(member_id_,
                              "the connection is still being opened");
+    if (IsSilent(clock.Now())) DropSilentConnection(clock.Now());
     if (connection_) return connection_;
     if (clock.Now() < retry_at_) {
       return FailUnavailable(member_id_, "waiting for the reconnect backoff");
@@ -197,6 +247,7 @@
     return FailUnavailable(member_id_, "no thread can be started");
   }
   connection_ = connection;
+  echo_requested_at_ = {};
   Emit(context_->options.log, peer_events::kLinkUp,
        {Field("peer", member_id_), Field("address", address_)});
   return connection;
@@ -234,6 +285,7 @@
 }
 
 void peer_link::DeliverResponse(wire_message response) {
+  if (response.correlation_id == kEchoCorrelationId) return;
   std::lock_guard guard(mutex_);
   const auto found = pending_.find(response.correlation_id);
   if (!response.is_response || found == pending_.end() ||
--- a/src/peer/peer_link.h
+++ b/src/peer/peer_link.h
@@ -25,6 +25,11 @@
 
 // The outgoing connection to one peer. It is opened on demand, and concurrent
 // calls share it by correlation id.
+//
+// A connection can stop to deliver without being reset, and TCP does not detect
+// it if a proxy acknowledges the data. So a call that waits without receiving
+// anything requests an echo, which a peer returns at once, however long its
+// handlers take. A connection without an echo is replaced.
 class peer_link : public std::enable_shared_from_this<peer_link> {
  public:
   peer_link(std::shared_ptr<node_context> context, std::string member_id,
@@ -50,6 +55,15 @@
   result<connection_ptr> OpenToMember(time_point deadline);
   void ReadResponses(const connection_ptr& connection);
   void DeliverResponse(wire_message response);
+  // Waits until the call is done or the deadline has passed. Called with mutex_
+  // locked by `lock`.
+  void WaitForResponse(std::unique_lock<std::mutex>& lock, pending_call& call,
+                       time_point deadline);
+  // Returns true if the peer has not returned the echo in time. Called with
+  // mutex_ held.
+  bool IsSilent(time_point now) const;
+  // Closes the connection, which is silent. Called with mutex_ held.
+  void DropSilentConnection(time_point now);
   void DropConnection(const connection_ptr& connection);
   void WriteOneWay(const connection_ptr& connection,
                    const byte_buffer& payload);
@@ -61,6 +75,8 @@
   std::mutex mutex_;
   std::condition_variable state_changed_;
   connection_ptr connection_;
+  // When an echo was requested on `connection_`.
+  time_point echo_requested_at_{};
   bool connecting_ = false;
   bool closed_ = false;
   int failed_attempts_ = 0;
--- a/src/peer/peer_node.cc
+++ b/src/peer/peer_node.cc
@@ -26,7 +26,7 @@
 constexpr auto kResponseTimeout = milliseconds(2000);
 // Timeout for responses that the reader thread writes itself; it is short in
 // order not to delay the reading.
-constexpr auto kOverloadResponseTimeout = milliseconds(50);
+constexpr auto kReaderResponseTimeout = milliseconds(50);
 
 std::size_t MaxDescriptors() {
   rlimit limit{};
@@ -371,6 +371,11 @@
     const std::shared_ptr<peer_connection>& connection,
     const std::string& sender, wire_message request) {
   const auto correlation_id = request.correlation_id;
+  if (request.body.Asacknowledgement() != nullptr) {
+    // An echo shows that the connection works while handlers are busy.
+    return Reply(*context, *connection, correlation_id,
+                 MakeMessage(wire::acknowledgementT{}), kReaderResponseTimeout);
+  }
   const auto received_at = context->options.clock->Now();
   const auto work = [this, connection, sender, received_at,
                      message =
@@ -384,7 +389,7 @@
   Reply(*context, *connection, correlation_id,
         MakeFailure({error_kind::kOverloaded, "all handler threads are busy",
                      "retry later or at another daemon"}),
-        kOverloadResponseTimeout);
+        kReaderResponseTimeout);
 }
 
 }  // namespace apricotwheel
