Probe an owner again before its pool is taken for an early refusal

Each costs the callers of a pool the load and the claims of its workers.

Cause: during the cut the addresses of all peers refuse, and what was found then stands until the next probe, up to 0.5 s later. Once the store is reached again, the election comes first.

Change: before a pool is taken because its owner refused connections, the owner's address is probed. An owner that listens is a member again and keeps its pool.

--- a/src/pools/pool_directory.cc
+++ b/src/pools/pool_directory.cc
@@ -530,17 +530,36 @@
   }
 }
 
+bool pool_directory::IsListening(const std::string& member_id) {
+  const std::string address = AddressOf(member_id);
+  const bool is_listening =
+      !address.empty() &&
+      ProbeListener(address, *options_.clock,
+                    options_.clock->Now() + duration(kProbeTimeout)) ==
+          listener_state::kListening;
+  if (!is_listening) return false;
+  const std::lock_guard lock(mutex_);
+  OnMemberAlive(member_id);
+  return true;
+}
+
 void pool_directory::TryAcquire(const std::string& pool) {
   kv_transaction claim;
   const std::string key = OwnerKey(pool);
   std::uint64_t expected = 0;  // Requires that the key does not exist.
+  std::string refusing_owner;
   {
     const std::lock_guard lock(mutex_);
     const auto found = owners_.find(pool);
     if (found != owners_.end() && !found->second.ownership.member_id.empty()) {
       expected = found->second.revision;
+      const std::string& owner = found->second.ownership.member_id;
+      if (exits_.Refusing().contains(owner)) refusing_owner = owner;
     }
   }
+  // It refused connections a while ago, perhaps because this member was cut
+  // off.
+  if (!refusing_owner.empty() && IsListening(refusing_owner)) return;
   claim.conditions.push_back({key, expected});
   claim.puts.push_back({key, options_.self.id, lease_.LeaseId()});
   const auto written = Attempt([&] { return options_.kv->Commit(claim); });
--- a/src/pools/pool_directory.h
+++ b/src/pools/pool_directory.h
@@ -175,6 +175,9 @@
   // Passes the addresses of the members to the peer node.
   void UpdatePeers();
   void TryAcquire(const std::string& pool);
+  // Probes a member that counts as exited because it refused connections.
+  // Returns true if it is alive after all.
+  bool IsListening(const std::string& member_id);
   // Probes members that could not be reached, to take their pools over early,
   // and those that count as exited, which may be alive after all.
   void ProbeMembers();
--- a/tests/pools/owner_choice_test.cc
+++ b/tests/pools/owner_choice_test.cc
@@ -230,6 +230,36 @@
   ::close(listening);
 }
 
+// Guards against a daemon that takes a pool from a healthy owner when it
+// returns from a cut: during the cut, the owner's address refused its
+// connections.
+BOOST_AUTO_TEST_CASE(a_member_that_returns_from_a_cut_takes_no_pool) {
+  constexpr auto kTimeToTake = milliseconds(700);
+  // The member may learn by chance, from a probe that is due, that the owner is
+  // alive.
+  for (int attempt = 0; attempt < 4; ++attempt) {
+    const int reserved = *Attempt([] { return ListenSocket("127.0.0.1:0"); });
+    const std::string address = LocalAddress(reserved);
+    ::close(reserved);
+    fake_store store;
+    store.Put(std::string(kMembersPrefix) + "owner",
+              EncodeMember({"owner", "owner", "a", "", address, false}));
+    store.Put(pool_directory::OwnerKey(kPool), "owner");
+    daemon_parts first(store, "first");
+    BOOST_REQUIRE(
+        Eventually([&] { return first.directory->Members().size() == 2; }));
+    *first.is_cut_off = true;
+    first.directory->ReportUnreachable("owner");
+    BOOST_REQUIRE(
+        Eventually([&] { return first.directory->Members().size() == 1; }));
+    const int listening = *Attempt([&] { return ListenSocket(address); });
+    *first.is_cut_off = false;
+    first.clock->SleepFor(kTimeToTake);
+    BOOST_TEST(!first.Owns());
+    ::close(listening);
+  }
+}
+
 // Guards against a pool that stays with a weak owner after a strong VM has
 // started again, and against further moves after the first.
 BOOST_AUTO_TEST_CASE(a_pool_moves_once_to_a_much_stronger_member) {
