Count the end of an expired run while its task waits

Cause: ApplyEnd dropped each end of a run whose leases had counted as expired. That is right once the task has been placed again; while it waits, the task runs again although its end was acknowledged. Failures were dropped too, so that a task could start after its last attempt.

Change: an end as done counts unless the task has been placed again. A failure counts in any case.

pool_scheduler_test failed before in four checks of the two new cases. The new case of pool_owner_test, an owner cut off from all workers, passes with the former code, and fails with it if refusals count as exits again ([1 != 0]); it is the missing test of the owner's side.

--- a/src/graph/pool_runs.cc
+++ b/src/graph/pool_runs.cc
@@ -154,17 +154,23 @@
     EndRun(worker, end.task, end.outcome, end.checkpoint, now);
     return;
   }
-  // A run that an earlier owner ordered, or an expired one. The result of a run
-  // whose task was placed again after its lease had expired is ignored.
-  if (worker.expired_runs.erase({end.task, end.run}) > 0) return;
+  // A run that an earlier owner ordered, or one whose leases had counted as
+  // expired.
+  const bool has_expired = worker.expired_runs.erase({end.task, end.run}) > 0;
   graph_job* job = FindJob(end.task.job_id);
   if (job == nullptr || !HasTask(*job, end.task)) return;
   if (IsFinal(job->progress.state)) return;
-  graph_task& task = StepOf(*job, end.task).tasks[end.task.index];
+  step_state& step = StepOf(*job, end.task);
+  graph_task& task = step.tasks[end.task.index];
   task.last_run = std::max(task.last_run, end.run);
   const graph_step& spec = SpecOf(*job, end.task);
   if (end.outcome == run_outcome::kDone) {
-    if (!spec.is_service && task.phase != task_phase::kDone) {
+    // The result of an expired run counts until its task is placed again.
+    const bool is_placed_again =
+        has_expired &&
+        (spec.is_gang ? step.placed > 0 : task.phase == task_phase::kPlaced);
+    if (!spec.is_service && task.phase != task_phase::kDone &&
+        !is_placed_again) {
       CompleteTask(*job, end.task, now);
     }
     return;
--- a/tests/graph/pool_scheduler_test.cc
+++ b/tests/graph/pool_scheduler_test.cc
@@ -250,6 +250,45 @@
   BOOST_TEST((rig.scheduler.FindJobState("job") == job_state::kCompleted));
 }
 
+// Guards against a task that runs again although it has ended: the worker ran
+// on after its leases had counted as expired, and its end was acknowledged and
+// dropped while the task still waited.
+BOOST_AUTO_TEST_CASE(the_end_of_an_expired_run_counts_while_its_task_waits) {
+  for (const bool is_gang : {false, true}) {
+    scheduler_rig rig;
+    rig.AddWorker("w1", kWorker);
+    graph_step step = MakeStep(is_gang ? 2 : 1, kSmall);
+    step.is_gang = is_gang;
+    rig.scheduler.AdmitJob(MakeJob("job", {step}), rig.now);
+    rig.DecideAndCarryOut();
+    rig.scheduler.ExpireWorkerLeases("w1", false, rig.now);
+    rig.EndRun("w1", rig.starts[0].task, run_outcome::kDone);
+    rig.ReportWorker("w1");
+    BOOST_TEST((rig.scheduler.FindJobState("job") == job_state::kCompleted));
+  }
+}
+
+// Guards against starts after the last attempt: the failure of a run whose
+// leases had counted as expired was acknowledged and not counted.
+BOOST_AUTO_TEST_CASE(the_failure_of_an_expired_run_counts) {
+  for (const bool is_placed_again : {false, true}) {
+    scheduler_rig rig;
+    rig.AddWorker("w1", kWorker);
+    job_submission job = MakeJob("job", {MakeStep(1, kSmall)});
+    job.queue.max_attempts = 1;
+    rig.scheduler.AdmitJob(job, rig.now);
+    rig.DecideAndCarryOut();
+    rig.scheduler.ExpireWorkerLeases("w1", false, rig.now);
+    if (is_placed_again) {
+      rig.AddWorker("w2", kWorker);
+      BOOST_REQUIRE_EQUAL(rig.DecideAndCarryOut().starts.size(), 1);
+    }
+    rig.EndRun("w1", rig.starts[0].task, run_outcome::kFailed);
+    rig.ReportWorker("w1");
+    BOOST_TEST((rig.scheduler.FindJobState("job") == job_state::kFailed));
+  }
+}
+
 // Guards against runs that use a worker although the scheduler does not count
 // them: a worker whose leases had counted as expired listed its runs again, and
 // they were neither adopted nor stopped.
--- a/tests/pools/pool_owner_test.cc
+++ b/tests/pools/pool_owner_test.cc
@@ -215,6 +215,33 @@
       [&] { return cell.owner->State("job").state == job_state::kCompleted; }));
 }
 
+// Guards against two runs of a task at once, and against a start after an end
+// that was acknowledged: an owner that was cut off by resets took all of its
+// workers for exited, and started their tasks again when it was back.
+BOOST_AUTO_TEST_CASE(an_owner_cut_off_from_all_workers_starts_nothing_again) {
+  constexpr auto kCut = milliseconds(1500);
+  constexpr std::uint32_t kTasks = 8;  // Both workers are full.
+  rig cell;
+  cell.owner->SetWorkers({{"w1", rig::WorkerOf("w1", kClosedAddress)},
+                          {"second", rig::WorkerOf("second", kClosedAddress)}});
+  BOOST_TEST((cell.Submit("job", kTasks).status == job_call_status::kAccepted));
+  BOOST_TEST(cell.Eventually([&] {
+    return cell.agent.RunCount() + cell.second_agent.RunCount() == kTasks;
+  }));
+  cell.agent.RejectCalls(error_kind::kUnavailable);
+  cell.second_agent.RejectCalls(error_kind::kUnavailable);
+  cell.clock->SleepFor(kCut);
+  cell.agent.EndAllRuns(run_outcome::kDone);
+  cell.agent.RejectCalls(std::nullopt);
+  cell.second_agent.RejectCalls(std::nullopt);
+  cell.clock->SleepFor(kCut);
+  BOOST_TEST(cell.agent.RunCount() == 0);
+  BOOST_TEST(cell.second_agent.RunCount() == kTasks / 2);
+  cell.second_agent.EndAllRuns(run_outcome::kDone);
+  BOOST_TEST(cell.Eventually(
+      [&] { return cell.owner->State("job").state == job_state::kCompleted; }));
+}
+
 // Guards against tasks that crash one worker after the other without limit: the
 // workers came back under other ids at their addresses, so that neither a new
 // incarnation nor a refused connection showed the crash. It is also proof, so
