A script that plays cuts on the daemons of the deploy file

testing/soak/cut_day.py runs nine daemons, 48 workers with tickets and gangs, and a proxy for each pair, cuts two daemons off four times, and reports jobs that stay idle, lasting tasks that stay away, doubled tasks and starts above a worker's room.

--- /dev/null
+++ b/testing/soak/cut_day.py
@@ -0,0 +1,401 @@
+#!/usr/bin/env python3
+"""Plays a load on real daemons while some of them are cut off, and checks what callers
+and workers see. Needs the build of deploy/system.toml.
+
+    testing/soak/cut_day.py SEED [--mode MODE] [--links LINKS] [--help]
+
+Prints one line of JSON and exits with 1 if something was broken:
+idle    accepted jobs that have room and do not run at the end
+away    lasting tasks that were away for 6 s with room
+twice   pairs of runs of a task at once
+again   starts after an end as done was acknowledged within the lease
+faults  starts above a worker's room, or of what nobody submitted
+A run that holds does not prove the absence of a fault.
+"""
+import argparse
+import asyncio
+import base64
+import collections
+import itertools
+import json
+import pathlib
+import random
+import re
+import sys
+import tempfile
+
+ROOT = pathlib.Path(__file__).resolve().parents[2]
+sys.dont_write_bytecode = True
+sys.path[:0] = [str(ROOT / "review"), str(pathlib.Path(__file__).parent)]
+import platform_standin as standin  # noqa: E402
+from fleet import POOLS, QUEUES, Advisor, Fleet, Worker  # noqa: E402
+from links import MODES, Link  # noqa: E402
+
+HOST = standin.HOST
+LINKS = ("peers", "store", "advisor", "workers")
+LEAD_S = 4.0  # From readiness to the load.
+FIRST_CUT_S = 4.0  # From the start of the load.
+FINISH_S = 14.0  # From the end of the load.
+IDLE_S = 3.0
+AWAY_S = 6.0
+ANSWER_S = 3.0
+SHUTDOWN_S = 0.5  # Until the connections of ended daemons are closed.
+GENERAL_SIZES = (1, 1, 0.5, 2)
+
+
+class View:
+    """What one daemon sees of the store: each address is that of its own link."""
+
+    def __init__(self, store):
+        self.store = store
+        self.links = collections.defaultdict(list)  # By what they lead to.
+        self.own_ports, self.real_ports = {}, {}
+
+    def add(self, target, link):
+        self.links[target].append(link)
+        self.own_ports[link.target] = link.port
+        self.real_ports[link.port] = link.target
+
+    async def handle(self, method, path, query, headers, body):
+        if "puts" in body:
+            body = dict(body, puts=[translate(put, self.real_ports)
+                                    for put in body["puts"]])
+        answer = await self.store._handle(method, path, query, headers, body)
+        if answer is None:
+            return None
+        status, content = answer
+        for field in ("items", "events"):
+            if field in content:
+                content = dict(content, **{field: [translate(item, self.own_ports)
+                                                   for item in content[field]]})
+        return status, translate(content, self.own_ports)
+
+
+def translate(item, ports):
+    """Replaces the ports of addresses in the value of a stored item."""
+    if not isinstance(item.get("value"), str):
+        return item
+    value = base64.b64decode(item["value"])
+    value = re.sub(rb"127\.0\.0\.1:(\d+)",
+                   lambda match: b"127.0.0.1:%d" % ports.get(int(match[1]),
+                                                             int(match[1])), value)
+    return dict(item, value=base64.b64encode(value).decode())
+
+
+def allocate_ports(first):
+    """Yields free ports; plays side by side need ranges of their own."""
+    for port in itertools.count(first):
+        with standin.socket.socket() as probe:
+            try:
+                probe.bind((HOST, port))
+            except OSError:
+                continue
+        yield port
+
+
+class Play:
+    def __init__(self, options, folder):
+        self.options = options
+        self.folder = folder
+        self.rng = random.Random(options.seed)
+        self.ports = allocate_ports(options.first_port)
+        standin.free_ports = lambda count: [next(self.ports) for _ in range(count)]
+        self.record = standin.Record(f"{folder}/record.txt")
+        self.cell = standin.Cell(folder, self.record)
+        self.fleet = Fleet(self.rng)
+        self.views = []
+        self.answers = collections.Counter()
+        self.away = {}
+        self.is_over = False
+        self.begin = 0.0
+        self.tasks = []
+
+    def now(self):
+        return standin.now() - self.begin
+
+    # -- the cell ------------------------------------------------------------
+    async def start(self):
+        await self.cell.store.start()
+        await self.start_workers()
+        self.configure()
+        await self.start_daemons()
+        await self.cell.until(30, "all daemons are ready", self.cell._are_ready)
+        await self.cell.until(30, "the pools have owners", self.cell._have_owners(POOLS))
+
+    async def start_workers(self):
+        for i in range(35):
+            size = GENERAL_SIZES[i % len(GENERAL_SIZES)]
+            await self.add_worker(f"general-{i:02d}", "general", f"r0-{i // 5}",
+                                  int(16000 * size), int(65536 * size), 0)
+        for i in range(13):
+            await self.add_worker(f"accelerated-{i:02d}", "accelerated",
+                                  f"r1-{i // 3}", 64000, 262144, 8)
+
+    async def add_worker(self, name, pool, rack, cpu, memory, accelerators):
+        worker = Worker(self.fleet, self.cell.store, self.record, name, pool, rack=rack,
+                        cpu=cpu, mem_mb=memory, gpu=accelerators)
+        self.fleet.workers[name] = worker
+        await worker.start()
+
+    def configure(self):
+        routes = [{"name": queue.name, "host": "jobs.example",
+                   "prefix": f"/{queue.name}/", "service": queue.pool,
+                   "priority": queue.priority, "max_attempts": queue.attempts,
+                   "slowdown_factor": 4.0, "target_duration_ms": 3000,
+                   "advisor": {"decision_ms": queue.decision,
+                               "period_ms": queue.period, "validity_ms": 1500}}
+                  for queue in QUEUES]
+        self.cell.store.put_json("op/config", {
+            "version": 1, "routes": routes,
+            "services": [{"name": pool, "enforce_limits": False} for pool in POOLS],
+            "limits": {"max_body_bytes": 262144}})
+
+    async def link(self, target):
+        link = Link(target, self.ports, self.rng)
+        await link.start()
+        return link
+
+    async def serve(self, handle):
+        server = standin.HttpServer(handle)
+        await server.start()
+        return await self.link(server.port)
+
+    async def start_daemons(self):
+        advisor = Advisor(self.fleet)
+        for _ in range(self.options.daemons):
+            view = View(self.cell.store)
+            view.add("store", await self.serve(view.handle))
+            view.add("advisor", await self.serve(advisor.for_caller()))
+            self.views.append(view)
+        daemons = standin.Daemons(
+            self.folder, 0, self.options.daemons,
+            store_ports=[view.links["store"][0].port for view in self.views])
+        self.cell.daemons = daemons
+        peer_ports = []
+        for n, view in enumerate(self.views):
+            path = pathlib.Path(self.folder, f"{daemons.names[n]}.yaml")
+            text = path.read_text()
+            peer_ports.append({int(port) for port in
+                               re.findall(r"_address: [0-9.]+:(\d+)", text)} -
+                              {daemons.frontends[n], daemons.readiness[n],
+                               view.links["store"][0].port})
+            path.write_text(text + "advisor_address: "
+                            f"{HOST}:{view.links['advisor'][0].port}\n")
+        for n, view in enumerate(self.views):
+            for m, ports in enumerate(peer_ports):
+                for port in ports if m != n else ():
+                    view.add(("peer", m), await self.link(port))
+            for worker in self.fleet.workers.values():
+                view.add("workers", await self.link(worker.port))
+        daemons.start_all()
+
+    # -- load ------------------------------------------------------------------
+    async def call(self, method, job):
+        port = self.rng.choice(self.cell.daemons.frontends)
+        body = {"spec": "{}", "phases": job.phases} if method == "POST" else None
+        status, content = await standin.call(
+            port, method, f"/{job.queue.name}/{job.id}", body, timeout_s=ANSWER_S)
+        self.answers[f"{method} {status}"] += 1
+        if method != "GET" or status != 200:
+            self.record.add(f"{method} {job.id}: {status}")
+        return status, content
+
+    async def follow(self, queue):
+        """Submits a job and asks for its state until it is final."""
+        job = self.fleet.make_job(queue)
+        job.sent_at = standin.now()
+        for _ in range(5):
+            status, _ = await self.call("POST", job)
+            if status == 200:
+                job.accepted_at = standin.now()
+                break
+            await asyncio.sleep(1.0 if status in (429, 503) else 0.3)
+        if job.accepted_at and queue.name == "batch" and self.rng.random() < 0.05:
+            await asyncio.sleep(self.rng.uniform(1, 4))
+            job.is_cancelled = True
+            await self.call("DELETE", job)
+        while job.is_due() and not job.state and not self.is_over:
+            await asyncio.sleep(1 + self.rng.random())
+            status, content = await self.call("GET", job)
+            if status == 410:
+                self.fleet.faults.append(f"{job.id} was accepted and is unknown")
+            if content.get("state") in ("completed", "failed"):
+                job.state = content["state"]
+
+    async def load(self):
+        rates = [queue.per_second for queue in QUEUES]
+        lasting = next(queue for queue in QUEUES if queue.name == "lasting")
+        for queue in (lasting, lasting):
+            self.spawn(self.follow(queue))
+        while self.now() < self.options.load_s:
+            self.spawn(self.follow(self.rng.choices(QUEUES, rates)[0]))
+            await asyncio.sleep(self.rng.expovariate(sum(rates)))
+
+    def spawn(self, work):
+        self.tasks.append(asyncio.create_task(work))
+
+    async def watch_lasting(self):
+        seen_at = {}
+        while not self.is_over:
+            await asyncio.sleep(0.1)
+            now = standin.now()
+            running = self.fleet.running_tasks()
+            for job in list(self.fleet.jobs.values()):
+                if not job.lasts() or not job.accepted_at:
+                    continue
+                has_room = (self.fleet.free_slots(job, 0) >= 2 and
+                            self.fleet.use_of(job.queue.pool) < 0.5)
+                for i in range(job.phases[0]["count"]):
+                    task = f"{job.id}.0.0.{i}"
+                    if task in running or not has_room:
+                        seen_at[task] = now
+                    elif now - seen_at.setdefault(task, now) > AWAY_S:
+                        self.away[task] = round(now - seen_at[task], 1)
+
+    # -- faults ------------------------------------------------------------------
+    def links_of(self, victims):
+        """Returns the links of the daemons that are cut off."""
+        kinds = self.options.links
+        for n, view in enumerate(self.views):
+            for target, links in view.links.items():
+                is_peer = isinstance(target, tuple)
+                is_cut = (n in victims or target[1] in victims) if is_peer else (
+                    n in victims)
+                if is_cut and ("peers" if is_peer else target) in kinds:
+                    yield from links
+
+    def choose_victims(self, cut_before):
+        """An owner, if one was not cut off before, and others."""
+        owners = {self.cell.owner(pool) for pool in POOLS} - {None} - cut_before
+        victims = {self.rng.choice(sorted(owners))} if owners else set()
+        others = [n for n in range(self.options.daemons)
+                  if n not in cut_before and n not in victims]
+        while len(victims) < self.options.victims and others:
+            victims.add(others.pop(self.rng.randrange(len(others))))
+        return victims
+
+    async def cut_repeatedly(self):
+        cut_before = set()
+        for i in range(self.options.cuts):
+            await asyncio.sleep(FIRST_CUT_S + i * self.options.every_s - self.now())
+            victims = self.choose_victims(cut_before)
+            cut_before |= victims
+            if len(cut_before) > self.options.daemons - self.options.victims:
+                cut_before = set()
+            links = list(self.links_of(victims))
+            self.record.add(f"cut: {sorted(n + 1 for n in victims)}")
+            for link in links:
+                link.cut(self.options.mode)
+            await asyncio.sleep(self.options.cut_s)
+            await asyncio.gather(*(link.restore() for link in links))
+            self.record.add("the cut has ended")
+
+    # -- checks ------------------------------------------------------------------
+    async def find_idle_jobs(self):
+        """Returns the jobs of which nothing ran for a while although it could."""
+        idle = {job.id for job in self.fleet.jobs.values()
+                if job.is_due() and not job.state}
+        ends_at = standin.now() + IDLE_S
+        while idle and standin.now() < ends_at:
+            running = {task.split(".")[0] for task in self.fleet.running_tasks()}
+            for job_id in list(idle):
+                job = self.fleet.jobs[job_id]
+                step = job.due_step()
+                phase = job.phases[step]
+                tasks = phase["count"] if phase.get("gang") else 1
+                if (job_id in running or job.state or
+                        self.fleet.free_slots(job, step) < 2 * tasks or
+                        self.fleet.use_of(job.queue.pool) >= 0.5):
+                    idle.discard(job_id)
+            await asyncio.sleep(0.1)
+        return sorted(idle)
+
+    def pair_runs(self):
+        """Returns the pairs of runs of one task, the earlier one first."""
+        by_task = collections.defaultdict(list)
+        for run in sorted(self.fleet.all_runs(), key=lambda run: run["begun"]):
+            by_task[run["task"]].append(run)
+        return [pair for runs in by_task.values()
+                for pair in itertools.combinations(runs, 2)]
+
+    def report(self, idle):
+        pairs = self.pair_runs()
+        end = standin.now()
+        twice = [f"{a['task']} on {a['worker'].id} and {b['worker'].id}"
+                 for a, b in pairs if b["begun"] < (a["ended"] or end)]
+        again = [f"{a['task']} on {b['worker'].id}"
+                 for a, b in pairs if a["acknowledged"] and b["begun"] > a["ended"]]
+        jobs = self.fleet.jobs.values()
+        waits = sorted(job.started_at - job.sent_at for job in jobs if job.started_at)
+        logs = "".join(path.read_text() for path in pathlib.Path(self.folder).glob("*.log"))
+        return {
+            "seed": self.options.seed, "mode": self.options.mode,
+            "links": self.options.links, "jobs": len(jobs),
+            "accepted": sum(1 for job in jobs if job.accepted_at),
+            "idle": idle, "away": self.away, "twice": twice, "again": again,
+            "faults": self.fleet.faults, "answers": dict(sorted(self.answers.items())),
+            "start_s": {"half": round(waits[len(waits) // 2], 2),
+                        "95 of 100": round(waits[len(waits) * 19 // 20], 2),
+                        "longest": round(waits[-1], 2)},
+            "pools acquired": logs.count("name=pool_acquired"),
+            "silent connections": logs.count("name=peer_link_silent")}
+
+    async def run(self):
+        try:
+            await self.start()
+            return await self.play()
+        finally:
+            if self.cell.daemons:
+                self.cell.daemons.end_all()
+            await asyncio.sleep(SHUTDOWN_S)
+
+    async def play(self):
+        await asyncio.sleep(LEAD_S)
+        self.begin = self.record.begin = standin.now()
+        self.spawn(self.load())
+        self.spawn(self.watch_lasting())
+        await self.cut_repeatedly()
+        await asyncio.sleep(self.options.load_s + FINISH_S - self.now())
+        idle = await self.find_idle_jobs()
+        self.is_over = True
+        await asyncio.sleep(ANSWER_S)
+        return self.report(idle)
+
+
+def read_options():
+    parser = argparse.ArgumentParser(description=__doc__.split("\n")[0])
+    parser.add_argument("seed", type=int)
+    parser.add_argument("--mode", choices=MODES, default="refuse")
+    parser.add_argument("--links", default="peers,store",
+                        help=f"what is cut, of {','.join(LINKS)}")
+    parser.add_argument("--daemons", type=int, default=9)
+    parser.add_argument("--victims", type=int, default=2, help="daemons of each cut")
+    parser.add_argument("--cuts", type=int, default=4)
+    parser.add_argument("--cut-s", type=float, default=2.0, help="length of a cut")
+    parser.add_argument("--every-s", type=float, default=6.0)
+    parser.add_argument("--load-s", type=float, default=30.0)
+    parser.add_argument("--first-port", type=int, default=10000,
+                        help="the play uses about 1000 ports from here on")
+    parser.add_argument("--program-root", default=str(ROOT),
+                        help="another checkout with a build of the daemon")
+    parser.add_argument("--folder", help="keeps the logs there")
+    options = parser.parse_args()
+    options.links = options.links.split(",")
+    if unknown := set(options.links) - set(LINKS):
+        parser.error(f"unknown links: {', '.join(sorted(unknown))}")
+    return options
+
+
+def main():
+    options = read_options()
+    standin.ROOT = options.program_root
+    folder = options.folder or tempfile.mkdtemp(prefix="cut-day-")
+    pathlib.Path(folder).mkdir(parents=True, exist_ok=True)
+    report = asyncio.run(Play(options, folder).run())
+    print(json.dumps(report))
+    broken = [report[name] for name in ("idle", "away", "twice", "again", "faults")]
+    return 1 if any(broken) else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/testing/soak/links.py
@@ -0,0 +1,109 @@
+"""TCP proxies between the processes of a play, with the faults of a network."""
+import asyncio
+
+HOST = "127.0.0.1"
+
+# refuse: open connections are reset, new ones are refused.
+# reset:  open connections are reset, new ones are accepted and reset.
+# half:   one side of each open connection is reset and the other stays open, until
+#         it sends; new ones are refused.
+# hold:   bytes and new connections wait until the link is restored.
+# mute:   open connections deliver nothing, also after the link is restored; new
+#         ones are refused meanwhile.
+MODES = ("refuse", "reset", "half", "hold", "mute")
+LISTENING_MODES = ("reset", "hold")  # New connections are accepted.
+
+
+class Connection:
+    def __init__(self, client):
+        self.sides = {"client": client, "server": None}
+        self.reset_sides = set()
+        self.is_mute = False
+        self.is_open = asyncio.Event()
+        self.is_open.set()
+
+
+class Link:
+    """Forwards the connections of one process to one address."""
+
+    def __init__(self, target, ports, random):
+        self.target = target
+        self.ports = ports
+        self.random = random
+        self.mode = None
+        self.connections = set()
+        self.port = 0
+        self.server = None
+
+    async def start(self):
+        self.port = self.port or next(self.ports)
+        self.server = await asyncio.start_server(self._serve, HOST, self.port,
+                                                 backlog=512)
+
+    def cut(self, mode):
+        self.mode = mode
+        if mode not in LISTENING_MODES:
+            self.server.close()
+        for connection in list(self.connections):
+            if mode == "mute":
+                connection.is_mute = True
+            elif mode == "hold":
+                connection.is_open.clear()
+            elif mode == "half":
+                self._reset_side(connection, self.random.choice(["client", "server"]))
+            else:
+                for writer in connection.sides.values():
+                    if writer:
+                        writer.transport.abort()
+
+    async def restore(self):
+        mode, self.mode = self.mode, None
+        for connection in list(self.connections):
+            connection.is_open.set()
+        if mode not in LISTENING_MODES:
+            await self.start()
+
+    @staticmethod
+    def _reset_side(connection, side):
+        connection.reset_sides.add(side)
+        if connection.sides[side]:
+            connection.sides[side].transport.abort()
+
+    async def _serve(self, reader, writer):
+        if self.mode == "reset":
+            writer.transport.abort()
+            return
+        connection = Connection(writer)
+        self.connections.add(connection)
+        if self.mode == "hold":
+            connection.is_open.clear()
+        await connection.is_open.wait()
+        try:
+            server_reader, connection.sides["server"] = await asyncio.open_connection(
+                HOST, self.target)
+        except OSError:
+            writer.transport.abort()
+            self.connections.discard(connection)
+            return
+        await asyncio.gather(self._forward(connection, reader, "client", "server"),
+                             self._forward(connection, server_reader, "server", "client"))
+
+    async def _forward(self, connection, reader, source, target):
+        try:
+            while data := await reader.read(65536):
+                if connection.is_mute:
+                    continue
+                await connection.is_open.wait()
+                if target in connection.reset_sides:
+                    connection.sides[source].transport.abort()
+                    break
+                connection.sides[target].write(data)
+                await connection.sides[target].drain()
+        except (ConnectionError, OSError):
+            pass
+        finally:
+            # The other side of a half-open connection stays.
+            if source not in connection.reset_sides:
+                if target not in connection.reset_sides:
+                    connection.sides[target].close()
+                self.connections.discard(connection)
