--- a/testing/soak/cut_day.py
+++ b/testing/soak/cut_day.py
@@ -374,8 +374,9 @@
     parser.add_argument("--cut-s", type=float, default=2.0, help="length of a cut")
     parser.add_argument("--every-s", type=float, default=6.0)
     parser.add_argument("--load-s", type=float, default=30.0)
-    parser.add_argument("--first-port", type=int, default=10000,
-                        help="the play uses about 1000 ports from here on")
+    parser.add_argument("--first-port", type=int, default=2000,
+                        help="the play uses about 1000 ports from here on; the tests of "
+                        "the project use 7200 to 32000")
     parser.add_argument("--program-root", default=str(ROOT),
                         help="another checkout with a build of the daemon")
     parser.add_argument("--folder", help="keeps the logs there")
