--- a/testing/soak/cut_day.py
+++ b/testing/soak/cut_day.py
@@ -1,6 +1,7 @@
 #!/usr/bin/env python3
-"""Plays a load on real daemons while some of them are cut off, and checks what callers
-and workers see. Needs the build of deploy/system.toml.
+"""Cuts real daemons off under load and checks what callers and workers see.
+
+Needs the build of deploy/system.toml.
 
     testing/soak/cut_day.py SEED [--mode MODE] [--links LINKS] [--help]
 
