--- a/testing/soak/fleet.py
+++ b/testing/soak/fleet.py
@@ -16,7 +16,7 @@
 MEAN_LIFE_OF_LASTING_TASK_S = 20.0
 TICKET_MS = 1500
 
-# One in `share` of the workers may run a step; decision and period are times of the
+# `share` is the part of the workers that may run a step; decision and period are times of the
 # advisor in milliseconds.
 Queue = collections.namedtuple(
     "Queue", "name per_second pool priority attempts failures share decision period")
