Probe members in one place

The check of an owner before its pool is taken repeated the probe of ProbeMembers, under a name that hid that it takes note of a member that is alive. ProbeMember serves both; behaviour is the same.

--- a/src/pools/pool_directory.cc
+++ b/src/pools/pool_directory.cc
@@ -3,7 +3,6 @@
 #include <algorithm>
 #include <cmath>
 
-#include "peer/peer_connection.h"
 #include "pools/pool_events.h"
 
 namespace apricotwheel {
@@ -476,13 +475,22 @@
   return addresses;
 }
 
+listener_state pool_directory::ProbeMember(const std::string& id,
+                                           const std::string& address) {
+  const auto state =
+      ProbeListener(address, *options_.clock,
+                    options_.clock->Now() + duration(kProbeTimeout));
+  if (state == listener_state::kListening) {
+    const std::lock_guard lock(mutex_);
+    OnMemberAlive(id);
+  }
+  return state;
+}
+
 void pool_directory::ProbeMembers() {
   for (const auto& [id, address] : MembersToProbe()) {
-    const auto state =
-        ProbeListener(address, *options_.clock,
-                      options_.clock->Now() + duration(kProbeTimeout));
+    const auto state = ProbeMember(id, address);
     const std::lock_guard lock(mutex_);
-    if (state == listener_state::kListening) OnMemberAlive(id);
     if (state != listener_state::kNotListening || exits_.HasExited(id)) {
       continue;
     }
@@ -530,19 +538,6 @@
   }
 }
 
-bool pool_directory::IsListening(const std::string& member_id) {
-  const std::string address = AddressOf(member_id);
-  const bool is_listening =
-      !address.empty() &&
-      ProbeListener(address, *options_.clock,
-                    options_.clock->Now() + duration(kProbeTimeout)) ==
-          listener_state::kListening;
-  if (!is_listening) return false;
-  const std::lock_guard lock(mutex_);
-  OnMemberAlive(member_id);
-  return true;
-}
-
 void pool_directory::TryAcquire(const std::string& pool) {
   kv_transaction claim;
   const std::string key = OwnerKey(pool);
@@ -559,7 +554,11 @@
   }
   // It refused connections a while ago, perhaps because this member was cut
   // off.
-  if (!refusing_owner.empty() && IsListening(refusing_owner)) return;
+  if (!refusing_owner.empty() &&
+      ProbeMember(refusing_owner, AddressOf(refusing_owner)) ==
+          listener_state::kListening) {
+    return;
+  }
   claim.conditions.push_back({key, expected});
   claim.puts.push_back({key, options_.self.id, lease_.LeaseId()});
   const auto written = Attempt([&] { return options_.kv->Commit(claim); });
--- a/src/pools/pool_directory.h
+++ b/src/pools/pool_directory.h
@@ -17,6 +17,7 @@
 #include "kernel/clock.h"
 #include "kernel/log.h"
 #include "kernel/thread_group.h"
+#include "peer/peer_connection.h"
 #include "peer/peer_node.h"
 #include "pools/exit_tracker.h"
 #include "pools/kv_watcher.h"
@@ -175,9 +176,8 @@
   // Passes the addresses of the members to the peer node.
   void UpdatePeers();
   void TryAcquire(const std::string& pool);
-  // Probes a member that counts as exited because it refused connections.
-  // Returns true if it is alive after all.
-  bool IsListening(const std::string& member_id);
+  // Probes the address of a member, and takes note if it is alive.
+  listener_state ProbeMember(const std::string& id, const std::string& address);
   // Probes members that could not be reached, to take their pools over early,
   // and those that count as exited, which may be alive after all.
   void ProbeMembers();
