--- a/src/graph/graph_events.h
+++ b/src/graph/graph_events.h
@@ -32,5 +32,13 @@
                                              severity::kInfo};
 inline constexpr log_event_kind kStepWaiting{2110, "graph_step_waiting",
                                              severity::kInfo};
+inline constexpr log_event_kind kRunAdopted{2115, "graph_run_adopted",
+                                            severity::kInfo};
+inline constexpr log_event_kind kRunCutShort{2116, "graph_run_cut_short",
+                                             severity::kInfo};
+inline constexpr log_event_kind kRunRepeated{2117, "graph_run_repeated",
+                                             severity::kInfo};
+inline constexpr log_event_kind kStateContradicted{
+    2118, "graph_state_contradicted", severity::kError};
 
 }  // namespace apricotwheel::graph_events
--- a/src/graph/pool_placement.cc
+++ b/src/graph/pool_placement.cc
@@ -28,11 +28,6 @@
 // workers do not hold up the others.
 constexpr auto kMaxTimeOfUnansweredStart = milliseconds(300);
 constexpr auto kStartLimitCheckInterval = milliseconds(10);
-// The steps that have waited longest are logged if they wait this long, at this
-// interval and at most so many.
-constexpr auto kLongWait = milliseconds(10'000);
-constexpr auto kLongWaitReportInterval = milliseconds(2000);
-constexpr std::size_t kLongWaitsReported = 4;
 
 std::int64_t WeightedSize(const resource_vector& need) {
   return need.cpu_milli + need.accelerators * kCpuMilliPerAccelerator;
@@ -421,54 +416,6 @@
   wanted_approvals_.push_back({waiting, std::move(reserved)});
 }
 
-void pool_scheduler::ReportLongWaits(time_point now) {
-  if (now - long_waits_reported_at_ < kLongWaitReportInterval) return;
-  long_waits_reported_at_ = now;
-  std::vector<std::tuple<time_point, graph_job*, std::uint32_t, std::uint32_t>>
-      oldest;
-  for (graph_job* job : open_jobs_) {
-    if (now - job->admitted_at < kLongWait) continue;
-    for (std::uint32_t n = 0; n < job->occurrences.size(); ++n) {
-      for (std::uint32_t i = 0; i < job->occurrences[n].size(); ++i) {
-        if (job->occurrences[n][i].waiting == 0) continue;
-        oldest.emplace_back(job->admitted_at, job, n, i);
-      }
-    }
-  }
-  std::sort(oldest.begin(), oldest.end());
-  if (oldest.size() > kLongWaitsReported) oldest.resize(kLongWaitsReported);
-  for (const auto& [admitted_at, job, occurrence, index] : oldest) {
-    const step_state& step = job->occurrences[occurrence][index];
-    const graph_step& spec = job->submission.graph.steps[index];
-    const candidate waiting{job, occurrence, index, {}, {}};
-    std::size_t approved = 0;
-    std::size_t refused = 0;
-    std::size_t valid = 0;
-    std::size_t with_room = 0;
-    for (const auto& [id, worker] : workers_) {
-      const auto status = FindApproval(step.approvals, worker.info, now);
-      if (status == approval_status::kRefused) ++refused;
-      if (status == approval_status::kTicketExpired) ++approved;
-      if (status == approval_status::kValid) ++approved, ++valid;
-      if (CanHost(waiting, worker, now) &&
-          Fits(spec.need, worker.info.capacity - worker.used)) {
-        ++with_room;
-      }
-    }
-    Log(graph_events::kStepWaiting,
-        {Field("job", job->submission.id),
-         Field("queue", job->submission.queue.name), Field("step", index),
-         Field("age_ms", ToMs(now - admitted_at)),
-         Field("tasks", step.tasks.size()), Field("waiting", step.waiting),
-         Field("placed", step.placed), Field("gang", spec.is_gang ? 1 : 0),
-         Field("lasting", spec.is_service ? 1 : 0), Field("approved", approved),
-         Field("refused", refused), Field("valid", valid),
-         Field("with_room", with_room),
-         Field("reserved", step.reserved_workers.size()),
-         Field("in_call", step.approvals.is_call_in_flight ? 1 : 0)});
-  }
-}
-
 void pool_scheduler::StartTasks(const candidate& waiting,
                                 std::span<const placement> chosen,
                                 time_point now, pool_decisions& decisions) {
@@ -492,6 +439,12 @@
     run.ordered_at = now;
     run.checkpoint = spec.is_gang ? step.gang_checkpoint : task.checkpoint;
     unanswered_starts_.insert(now);
+    if (task.last_run > 0) {
+      Log(graph_events::kRunRepeated,
+          {Field("task", FormatTask(run.task)), Field("run", run.number),
+           Field("last_run", task.last_run),
+           Field("worker", placed.worker->info.id)});
+    }
     task.phase = task_phase::kPlaced;
     task.last_run = run.number;
     task.worker = placed.worker->info.id;
--- a/src/graph/pool_runs.cc
+++ b/src/graph/pool_runs.cc
@@ -98,10 +98,19 @@
   adopted.ordered_at = now;
   adopted.confirmed_at = now;
   adopted.checkpoint = run.checkpoint;
+  ++run_counts_.adopted;
+  const auto log_adoption = [&](std::uint64_t last_run, bool is_kept) {
+    Log(graph_events::kRunAdopted,
+        {Field("task", FormatTask(run.task)), Field("run", run.run),
+         Field("last_run", last_run), Field("worker", worker.info.id),
+         Field("after_expiry", has_outlived_lease ? 1 : 0),
+         Field("kept", is_kept ? 1 : 0)});
+  };
   graph_job* job = FindJob(run.task.job_id);
   if (job == nullptr || !HasTask(*job, run.task)) {
     worker.has_unknown_run = true;
     StopRun(adopted, now);
+    log_adoption(0, false);
     worker.runs[run.task] = std::move(adopted);
     return;
   }
@@ -127,8 +136,10 @@
   // The other members of its gang have been stopped.
   const bool is_gang_broken =
       has_outlived_lease && SpecOf(*job, run.task).is_gang;
-  if (IsFinal(job->progress.state) || task.phase != task_phase::kWaiting ||
-      is_gang_broken) {
+  const bool is_kept = !IsFinal(job->progress.state) &&
+                       task.phase == task_phase::kWaiting && !is_gang_broken;
+  log_adoption(task.last_run, is_kept);
+  if (!is_kept) {
     StopRun(adopted, now);
   } else {
     task.phase = task_phase::kPlaced;
@@ -261,7 +272,14 @@
     if (state.phase != task_phase::kDone) CompleteTask(*job, task, now);
     return;
   }
-  if (!is_current) return;
+  Log(graph_events::kRunCutShort,
+      {Field("task", FormatTask(task)), Field("run", run.number),
+       Field("last_run", state.last_run), Field("worker", worker.info.id),
+       Field("how", ToString(outcome)), Field("placed", is_current ? 1 : 0)});
+  if (!is_current) {
+    ++run_counts_.stale_ends;
+    return;
+  }
   if (!saved.empty()) state.checkpoint = saved;
   if (spec.is_gang) {
     if (!saved.empty()) step.gang_checkpoint = saved;
--- a/src/graph/pool_scheduler.cc
+++ b/src/graph/pool_scheduler.cc
@@ -268,7 +268,7 @@
   RequestApprovals(now, capacity, decisions);
   ClearChanges(now);
   last_pass_at_ = now;
-  ReportLongWaits(now);
+  ReportLongWaits(now, wall_clock_ms);
   return decisions;
 }
 
--- a/src/graph/pool_scheduler.h
+++ b/src/graph/pool_scheduler.h
@@ -16,6 +16,7 @@
 #include "graph/admission.h"
 #include "graph/pool_model.h"
 #include "graph/queue_order.h"
+#include "graph/scheduler_audit.h"
 #include "kernel/clock.h"
 #include "kernel/error.h"
 #include "kernel/log.h"
@@ -107,6 +108,14 @@
   log_sink log;
 };
 
+// What has happened to runs since the scheduler was made.
+struct run_counts {
+  std::uint64_t adopted = 0;
+  // Ends other than done of runs that their tasks were not placed under.
+  std::uint64_t stale_ends = 0;
+  std::uint64_t contradictions = 0;  // Reports with any.
+};
+
 // Schedules the tasks of one pool: chooses the worker of each task and the runs
 // to stop. It does no input or output and has no thread or clock: the owner of
 // the pool passes events and the time to it and carries out its decisions. Not
@@ -214,6 +223,7 @@
   std::uint64_t WorkersCrashed() const { return workers_crashed_; }
   // Returns how many tasks were given up because workers crashed under them.
   std::uint64_t TasksGivenUp() const { return tasks_given_up_; }
+  const run_counts& RunCounts() const { return run_counts_; }
   // Returns true if the worker may have unknown runs of an earlier owner.
   bool IsUnverified(std::string_view worker) const {
     return unverified_workers_.contains(worker);
@@ -224,6 +234,9 @@
   bool MayHaveRuns(std::string_view worker, time_point now) const;
   // Returns true once every run of an earlier owner is known or has expired.
   bool IsTakeoverComplete(time_point now) const;
+  // Looks for contradictions in the state. The cost grows with the number of
+  // open tasks and runs.
+  scheduler_audit Audit() const;
 
  private:
   // A step with tasks that wait to be placed.
@@ -291,6 +304,10 @@
   void DeleteFinishedJobs(time_point now);
   void Log(const log_event_kind& kind, std::vector<log_field> fields) const;
 
+  // In pool_audit.cc.
+  void AuditStep(const graph_job& job, const task_key& first,
+                 scheduler_audit& audit) const;
+
   // In pool_runs.cc: reports of workers and results of orders.
   void AdoptRun(worker_state& worker, const reported_run& run, time_point now);
   void ApplyEnd(worker_state& worker, const reported_end& end, time_point now);
@@ -477,8 +494,23 @@
 
   // Returns how many starts may be ordered now.
   std::size_t CountStartsAllowed(time_point now);
+
+  // In pool_waits.cc.
+
+  // The workers as a waiting step sees them.
+  struct wait_counts {
+    std::size_t approved = 0;
+    std::size_t refused = 0;
+    std::size_t valid = 0;  // With a ticket that has not expired.
+    std::size_t with_room = 0;
+  };
+  wait_counts CountWorkersFor(const candidate& waiting, time_point now) const;
+  // Returns the first condition that keeps the step from starting.
+  std::string_view FindWaitReason(const candidate& waiting,
+                                  const wait_counts& counts, time_point now);
   // Logs why the steps that have waited longest do not start.
-  void ReportLongWaits(time_point now);
+  void ReportLongWaits(time_point now, std::int64_t wall_clock_ms);
+  void ReportContradictions();
 
   // In pool_admission.cc: the waiting work of the queues.
 
@@ -598,6 +630,7 @@
   std::size_t suspect_workers_ = 0;
   std::uint64_t workers_crashed_ = 0;
   std::uint64_t tasks_given_up_ = 0;
+  run_counts run_counts_;
   std::size_t waiting_step_count_ = 0;  // In the last pass.
   time_point long_waits_reported_at_{};
   resource_vector max_capacity_;  // Of all workers, resource by resource.
--- a/src/pools/pool_metrics.cc
+++ b/src/pools/pool_metrics.cc
@@ -47,6 +47,24 @@
               .Help("Tasks given up because workers crashed under them")
               .Register(*registry)
               .Add({})),
+      runs_adopted(prometheus::BuildCounter()
+                       .Name("apricotwheel_runs_adopted_total")
+                       .Help("Runs that a worker listed and the owner did not "
+                             "know")
+                       .Register(*registry)
+                       .Add({})),
+      stale_ends(prometheus::BuildCounter()
+                     .Name("apricotwheel_stale_ends_total")
+                     .Help("Ends of runs that their tasks were not placed "
+                           "under")
+                     .Register(*registry)
+                     .Add({})),
+      state_contradictions(
+          prometheus::BuildCounter()
+              .Name("apricotwheel_state_contradictions_total")
+              .Help("Checks that found tasks without a run or wrong counts")
+              .Register(*registry)
+              .Add({})),
       decision_delay_seconds(
           prometheus::BuildHistogram()
               .Name("apricotwheel_pool_decision_delay_seconds")
--- a/src/pools/pool_metrics.h
+++ b/src/pools/pool_metrics.h
@@ -26,6 +26,9 @@
   prometheus::Counter& workers_examined;
   prometheus::Counter& worker_crashes;
   prometheus::Counter& tasks_given_up;
+  prometheus::Counter& runs_adopted;
+  prometheus::Counter& stale_ends;
+  prometheus::Counter& state_contradictions;
   prometheus::Histogram& decision_delay_seconds;
   prometheus::Histogram& pass_seconds;
   prometheus::Histogram& approval_seconds;
--- a/src/pools/pool_owner.cc
+++ b/src/pools/pool_owner.cc
@@ -279,13 +279,20 @@
   }
 }
 
-void pool_owner::CountCrashes() {
-  const std::uint64_t crashes = scheduler_->WorkersCrashed();
-  const std::uint64_t given_up = scheduler_->TasksGivenUp();
-  options_.metrics->worker_crashes.Increment(
-      static_cast<double>(crashes - std::exchange(counted_crashes_, crashes)));
-  options_.metrics->tasks_given_up.Increment(static_cast<double>(
-      given_up - std::exchange(counted_given_up_, given_up)));
+void pool_owner::UpdateCounters() {
+  const auto add = [](prometheus::Counter& counter, std::uint64_t& counted,
+                      std::uint64_t count) {
+    counter.Increment(
+        static_cast<double>(count - std::exchange(counted, count)));
+  };
+  pool_metrics& metrics = *options_.metrics;
+  const run_counts& runs = scheduler_->RunCounts();
+  add(metrics.worker_crashes, counted_crashes_, scheduler_->WorkersCrashed());
+  add(metrics.tasks_given_up, counted_given_up_, scheduler_->TasksGivenUp());
+  add(metrics.runs_adopted, counted_runs_.adopted, runs.adopted);
+  add(metrics.stale_ends, counted_runs_.stale_ends, runs.stale_ends);
+  add(metrics.state_contradictions, counted_runs_.contradictions,
+      runs.contradictions);
 }
 
 pool_decisions pool_owner::DecideNow() {
@@ -303,7 +310,7 @@
   const auto examined = scheduler_->WorkersExamined();
   pool_decisions decisions = scheduler_->Decide(
       started_at, WallClockMs(), approval_dispatcher_->Capacity());
-  CountCrashes();
+  UpdateCounters();
   const auto examined_now = scheduler_->WorkersExamined() - examined;
   activity_.workers_examined += examined_now;
   options_.metrics->workers_examined.Increment(
--- a/src/pools/pool_owner.h
+++ b/src/pools/pool_owner.h
@@ -109,8 +109,8 @@
   bool LoadWithRetries();
   // Executes one scheduling pass. Called with mutex_ held.
   pool_decisions DecideNow();
-  // Adds the crashes since the last call to the metrics.
-  void CountCrashes();
+  // Adds what the scheduler has counted since the last call to the metrics.
+  void UpdateCounters();
   // Logs the activity of the owner if it is due. Called with mutex_ held.
   void ReportActivityIfDue(time_point now);
   // Creates the scheduler from the stored state.
@@ -227,6 +227,7 @@
   // Added to the metrics so far.
   std::uint64_t counted_crashes_ = 0;
   std::uint64_t counted_given_up_ = 0;
+  run_counts counted_runs_;
   bool is_quiesced_ = false;
   bool is_stopped_ = false;
   thread_group threads_;
