The end of an adopted run counts although a higher run number is known

Cause: graph_task::last_run was the highest run number known of a task, from which the next number follows, and also the number that its placement was compared with. After an expired lease, a later start that is refused and the adoption of the run that went on, or at a successor that adopts one run and learns of a higher number from another worker, the two differ. The end of the run, or its refusal, then counted as that of an old run: the run was erased, and its task stayed placed without a run until the owner changed. A suspect under such a run was never cleared (HasSurvived).

A worker has at most one run of a task, so the worker where the task is placed identifies its run (IsPlacedOn); no number is compared.

--- a/src/graph/pool_crashes.cc
+++ b/src/graph/pool_crashes.cc
@@ -317,10 +317,9 @@
                                  time_point now) {
   const graph_task& state = StepOf(job, task).tasks[task.index];
   const worker_state* worker = FindWorker(state.worker);
-  if (state.phase != task_phase::kPlaced || worker == nullptr) return false;
+  if (worker == nullptr || !IsPlacedOn(state, *worker)) return false;
   const auto run = worker->runs.find(task);
-  if (run == worker->runs.end() || run->second.phase != run_phase::kRunning ||
-      run->second.number != state.last_run) {
+  if (run == worker->runs.end() || run->second.phase != run_phase::kRunning) {
     return false;
   }
   const time_point survived_at = run->second.confirmed_at + kSurvivalTime;
--- a/src/graph/pool_model.h
+++ b/src/graph/pool_model.h
@@ -106,9 +106,11 @@
 // State of one task of a job.
 struct graph_task {
   task_phase phase = task_phase::kWaiting;
+  // Highest run number known of the task. The run that the task is placed under
+  // may have a lower one.
   std::uint64_t last_run = 0;
   std::string checkpoint;
-  std::string worker;  // Where the current run is placed.
+  std::string worker;  // Where the task is placed, or empty.
 };
 
 // State of one step of an occurrence.
@@ -156,6 +158,10 @@
   bool is_moving = false;
 };
 
+// Returns true if the task is placed under its run on the worker. A worker has
+// at most one run of a task, so the worker alone identifies that run.
+bool IsPlacedOn(const graph_task& task, const worker_state& worker);
+
 // Returns true if only suspects may be placed on the worker.
 bool IsKeptForSuspect(const worker_state& worker, time_point now);
 
--- a/src/graph/pool_runs.cc
+++ b/src/graph/pool_runs.cc
@@ -265,9 +265,7 @@
   step_state& step = StepOf(*job, task);
   graph_task& state = step.tasks[task.index];
   const graph_step& spec = SpecOf(*job, task);
-  const bool is_current = state.phase == task_phase::kPlaced &&
-                          state.worker == worker.info.id &&
-                          state.last_run == run.number;
+  const bool is_current = IsPlacedOn(state, worker);
   if (outcome == run_outcome::kDone && !spec.is_service) {
     if (state.phase != task_phase::kDone) CompleteTask(*job, task, now);
     return;
@@ -466,9 +464,7 @@
   }
   step_state& step = StepOf(*job, order.task);
   graph_task& task = step.tasks[order.task.index];
-  const bool is_current = task.phase == task_phase::kPlaced &&
-                          task.worker == order.worker &&
-                          task.last_run == order.run;
+  const bool is_current = IsPlacedOn(task, *worker);
   ReleaseRun(*worker, order.task);
   if (is_current) RequeueTask(step, task);
   if (result == start_result::kOutdatedRun) task.last_run += kRunNumberStep;
--- a/src/graph/pool_scheduler.cc
+++ b/src/graph/pool_scheduler.cc
@@ -30,6 +30,10 @@
          task.index < job.occurrences[task.occurrence][task.step].tasks.size();
 }
 
+bool IsPlacedOn(const graph_task& task, const worker_state& worker) {
+  return task.phase == task_phase::kPlaced && task.worker == worker.info.id;
+}
+
 pool_scheduler::pool_scheduler(pool_scheduler_options options)
     : options_(std::move(options)),
       unverified_workers_(options_.earlier_workers.begin(),
--- a/tests/graph/adopted_runs_test.cc
+++ b/tests/graph/adopted_runs_test.cc
@@ -89,6 +89,38 @@
   BOOST_TEST(StartsWithin(rig, kCalmTime));
 }
 
+// Guards against a suspect that keeps a worker to itself for good: its survival
+// did not count while a higher run number than that of the adopted run was
+// known.
+BOOST_AUTO_TEST_CASE(a_suspect_under_an_adopted_run_is_cleared) {
+  std::size_t cleared = 0;
+  pool_scheduler_options options;
+  options.log = [&](const log_event& event) {
+    cleared += event.kind.name == std::string_view("graph_task_cleared");
+  };
+  scheduler_rig rig(std::move(options));
+  rig.AddWorker("w1", kWorker);
+  rig.scheduler.AdmitJob(MakeJob("job", {MakeStep(1, kSmall)}), rig.now);
+  rig.DecideAndCarryOut();
+  rig.ReportWorker("w1");
+  // The worker crashes under run 1.
+  rig.agents["w1"].running.clear();
+  rig.agents["w1"].info.incarnation = 2;
+  rig.scheduler.SetWorker(rig.agents["w1"].info, rig.now);
+  rig.ReportWorker("w1");
+  rig.AdvanceClock(milliseconds(1500));
+  BOOST_REQUIRE(StartsWithin(rig, kCalmTime));
+  BOOST_REQUIRE_EQUAL(rig.agents["w1"].running.at(kTask).run, 2);
+  rig.scheduler.ExpireWorkerLeases("w1", false, rig.now);
+  rig.AddWorker("w2", kWorker);
+  const auto decisions = rig.Decide();
+  BOOST_REQUIRE_EQUAL(decisions.starts.size(), 1);
+  StartNothing(rig, decisions.starts[0], start_result::kNoRoom);
+  rig.ReportWorker("w1");
+  BOOST_TEST(!StartsWithin(rig, std::chrono::seconds(10)));
+  BOOST_TEST(cleared == 1);
+}
+
 scheduler_rig SuccessorWithTwoWorkers() {
   pool_scheduler_options options;
   options.run_number_base = 1000;
