Name all undecided workers for a gang in each call

Cause: a call counted as broad only while no decision was known. A first call made while one worker was claimed (a start, a change of owner) was the only broad one. Later calls named undecided workers only where room for the whole gang was seen, or the few that were reserved; each refusal led to another reservation and another call.

Change: a call for a gang or a large task that lacks decisions names all claimed workers without one, at most 100, also without room, and also where a reservation wants tickets for a worker without a decision. A step so learns its approved workers in one call after they are claimed, and its reservation leaves out the refused ones.

Keeping the decisions at a change of owner was not tried.

--- a/src/graph/pool_reservations.cc
+++ b/src/graph/pool_reservations.cc
@@ -290,6 +290,20 @@
       if (!has_ticket_at(*worker, start_at)) unapproved.push_back(worker->info);
     }
   }
+  // Where a decision is missing, the call names all workers without one.
+  // Otherwise each refusal leads to another reservation and another call.
+  if (std::any_of(unapproved.begin(), unapproved.end(),
+                  [&](const pool_worker& worker) {
+                    return FindApproval(step.approvals, worker, now) ==
+                           approval_status::kUndecided;
+                  })) {
+    std::set<std::string> named;
+    for (const pool_worker& worker : unapproved) named.insert(worker.id);
+    for (pool_worker& worker : FindUndecidedWorkers(waiting, now)) {
+      if (unapproved.size() >= kMaxWorkersPerCall) break;
+      if (!named.contains(worker.id)) unapproved.push_back(std::move(worker));
+    }
+  }
   return unapproved;
 }
 
@@ -397,6 +411,21 @@
   }
 }
 
+std::vector<pool_worker> pool_scheduler::FindUndecidedWorkers(
+    const candidate& waiting, time_point now) const {
+  const step_approvals& approvals = StateOf(waiting).approvals;
+  std::vector<pool_worker> undecided;
+  for (const auto& [id, worker] : workers_) {
+    if (undecided.size() == kMaxWorkersPerCall) break;
+    if (CanHost(waiting, worker, now) &&
+        FindApproval(approvals, worker.info, now) ==
+            approval_status::kUndecided) {
+      undecided.push_back(worker.info);
+    }
+  }
+  return undecided;
+}
+
 std::vector<pool_worker> pool_scheduler::ChooseWorkersToName(
     const candidate& waiting, time_point now) {
   const graph_job& job = *waiting.job;
@@ -404,6 +433,10 @@
   const step_state& step = job.occurrences[waiting.occurrence][waiting.step];
   const advisor_settings& terms = *job.submission.queue.advisor;
   const bool is_first_call = step.approvals.by_worker.empty();
+  const bool is_reserving = spec.is_gang || IsLarge(spec);
+  const auto undecided = is_reserving && !is_first_call
+                             ? FindUndecidedWorkers(waiting, now)
+                             : std::vector<pool_worker>();
   const double share = ApprovedShare(job.submission.queue.name);
   struct option {
     const worker_state* worker = nullptr;
@@ -429,7 +462,7 @@
                            approval_status::kUndecided});
   }
   if (!is_first_call && (room == 0 || (spec.is_gang && room < spec.task_count)))
-    return {};
+    return undecided;
   std::stable_sort(options.begin(), options.end(),
                    [](const option& left, const option& right) {
                      return std::tuple(left.is_approved, left.tasks) >
@@ -437,23 +470,23 @@
                    });
   std::vector<pool_worker> named;
   std::set<std::string_view> named_ids;
-  const auto name = [&](const worker_state& worker) {
+  const auto name = [&](const pool_worker& worker) {
     if (named.size() >= kMaxWorkersPerCall) return;
-    if (!named_ids.insert(worker.info.id).second) return;
-    named.push_back(worker.info);
+    if (!named_ids.insert(worker.id).second) return;
+    named.push_back(worker);
   };
   const double wanted = step.waiting * kRoomToAskFor;
   double expected = 0;
   for (const option& each : options) {
     if (expected >= wanted) break;
     expected += each.tasks * (each.is_approved ? 1 : share);
-    name(*each.worker);
+    name(each.worker->info);
   }
+  for (const pool_worker& worker : undecided) name(worker);
   // Workers without room may have some while the tickets are valid. They are
   // named as long as that adds little to the time of the call. Steps for which
   // workers are reserved need the decisions on all of them.
   std::size_t fill = kMaxWorkersPerCall;
-  const bool is_reserving = spec.is_gang || IsLarge(spec);
   if (!(is_first_call && is_reserving) && terms.per_worker_us > 0) {
     const std::int64_t divisor =
         terms.per_worker_us *
@@ -473,7 +506,7 @@
                               approval_status::kUndecided) {
       continue;
     }
-    name(worker);
+    name(worker.info);
   }
   return named;
 }
--- a/src/graph/pool_scheduler.h
+++ b/src/graph/pool_scheduler.h
@@ -573,6 +573,10 @@
   // Removes the steps from `wanted_approvals_` for which a call was of no use
   // in the last pass and still is.
   void RemoveUselessCalls(time_point now);
+  // Returns workers that can host the step and have no decision for it, at most
+  // as many as a call may name.
+  std::vector<pool_worker> FindUndecidedWorkers(const candidate& waiting,
+                                                time_point now) const;
   // Returns the workers to name in a call for a waiting step; none if a call is
   // of no use now.
   std::vector<pool_worker> ChooseWorkersToName(const candidate& waiting,
