Let no path, Range or multipart body reach the library's regex at full length

Cause: cpp-httplib matches routes, Range headers and the headers of multipart parts by std::regex, which recurses for each byte, on a stack of 256 KiB.

The stream renames a Range header before the library reads it, and it is named Range again for handlers, which pass it on; the library no longer applies it. Multipart bodies reach handlers whole.

--- a/src/clients/http_listener.cc
+++ b/src/clients/http_listener.cc
@@ -6,12 +6,15 @@
 #include <unistd.h>
 
 #include <algorithm>
+#include <cctype>
 #include <cerrno>
 #include <charconv>
 #include <condition_variable>
 #include <limits>
 #include <map>
 #include <mutex>
+#include <string_view>
+#include <vector>
 
 namespace apricotwheel {
 
@@ -19,9 +22,16 @@
 
 // The default backlog of cpp-httplib, 5, drops connections in a burst.
 constexpr int kBacklog = 1024;
-// std::regex matches routes by a recursion whose depth grows with the length of
-// the target; it must fit on the stack of a connection thread.
-constexpr std::size_t kMaxTargetBytes = 1024;
+// HTTP/1.1 recommends 8000 bytes; cpp-httplib reads lines of 8192.
+constexpr std::size_t kMaxTargetBytes = 8000;
+// cpp-httplib matches routes by std::regex, which recurses for each byte.
+// Routes see this much of a path, which fits on the stack of a connection
+// thread.
+constexpr std::size_t kMaxMatchedPathBytes = 128;
+// cpp-httplib parses the header Range and multipart bodies by std::regex, too.
+constexpr std::string_view kRangeName = "range";
+constexpr std::string_view kHiddenRangeSuffix = "-not-parsed";
+constexpr std::string_view kMultipartType = "multipart/form-data";
 // Threads that reject connections over the limit with 503.
 constexpr std::size_t kMaxRejectThreads = 32;
 constexpr auto kRejectReadTimeout = milliseconds(500);
@@ -30,6 +40,62 @@
 constexpr auto kStopReadTimeout = milliseconds(1000);
 
 thread_local int current_socket = -1;
+// The path of the current request if its routes see only a part of it.
+thread_local std::string current_path;
+
+// Renames each header Range in the head of a request.
+struct range_hider {
+  bool is_in_head = true;
+  std::size_t line_bytes = 0;
+  bool may_be_range = true;
+  bool ends_with_return = false;
+
+  // Takes the next byte. Returns what the library has to read before it.
+  std::string_view Take(char byte) {
+    if (!is_in_head) return {};
+    if (byte == '\n') {
+      // As in cpp-httplib, an empty line ends with CR and LF.
+      is_in_head = !(line_bytes == 1 && ends_with_return);
+      line_bytes = 0;
+      may_be_range = true;
+      return {};
+    }
+    ends_with_return = byte == '\r';
+    const std::size_t position = line_bytes++;
+    if (!may_be_range) return {};
+    if (position == kRangeName.size()) {
+      may_be_range = false;
+      return byte == ':' ? kHiddenRangeSuffix : std::string_view();
+    }
+    may_be_range =
+        std::tolower(static_cast<unsigned char>(byte)) == kRangeName[position];
+    return {};
+  }
+};
+
+// Called between the head of a request and the choice of its route.
+void PrepareForRoutes(httplib::Request& request) {
+  const std::string hidden =
+      std::string(kRangeName) + std::string(kHiddenRangeSuffix);
+  std::vector<std::string> ranges;
+  const auto [first, last] = request.headers.equal_range(hidden);
+  for (auto header = first; header != last; ++header) {
+    ranges.push_back(std::move(header->second));
+  }
+  request.headers.erase(first, last);
+  for (auto& range : ranges) request.headers.emplace("Range", std::move(range));
+  // Media types have no case, but cpp-httplib knows this one in lower case
+  // only.
+  const auto types = request.headers.equal_range("Content-Type");
+  for (auto header = types.first; header != types.second; ++header) {
+    if (header->second.starts_with(kMultipartType)) header->second[0] = 'M';
+  }
+  current_path.clear();
+  if (request.path.size() > kMaxMatchedPathBytes) {
+    current_path = request.path;
+    request.path.resize(kMaxMatchedPathBytes);
+  }
+}
 
 bool WaitReady(int socket, short events, duration timeout) {
   pollfd entry{socket, events, 0};
@@ -48,12 +114,15 @@
   explicit socket_stream(int socket) : socket_(socket) {}
 
   bool is_readable() const override {
-    return begin_ < end_ || WaitReady(socket_, POLLIN, kIoTimeout);
+    return !inserted_.empty() || begin_ < end_ ||
+           WaitReady(socket_, POLLIN, kIoTimeout);
   }
   bool is_writable() const override {
     return WaitReady(socket_, POLLOUT, kIoTimeout);
   }
   ssize_t read(char* output, size_t size) override {
+    if (size == 0) return 0;
+    if (!inserted_.empty()) return ReadInsertedByte(output);
     if (begin_ == end_) {
       if (!WaitReady(socket_, POLLIN, kIoTimeout)) return -1;
       const ssize_t count = recv(socket_, buffer_, sizeof buffer_, 0);
@@ -61,6 +130,7 @@
       begin_ = 0;
       end_ = static_cast<std::size_t>(count);
     }
+    if (hider_.is_in_head) return ReadHeadByte(output);
     const std::size_t count = std::min(size, end_ - begin_);
     std::copy_n(buffer_ + begin_, count, output);
     begin_ += count;
@@ -84,8 +154,25 @@
   }
   socket_t socket() const override { return socket_; }
   bool HasBuffered() const { return begin_ < end_; }
+  void BeginRequest() { hider_ = {}; }
 
  private:
+  ssize_t ReadInsertedByte(char* output) {
+    *output = inserted_.front();
+    inserted_.remove_prefix(1);
+    return 1;
+  }
+  ssize_t ReadHeadByte(char* output) {
+    inserted_ = hider_.Take(buffer_[begin_]);
+    if (!inserted_.empty()) {
+      // The byte is read again after what is inserted.
+      --hider_.line_bytes;
+      return ReadInsertedByte(output);
+    }
+    *output = buffer_[begin_++];
+    return 1;
+  }
+
   static void Describe(const sockaddr_in& address, std::string& ip, int& port) {
     char text[INET_ADDRSTRLEN] = {};
     inet_ntop(AF_INET, &address.sin_addr, text, sizeof text);
@@ -97,6 +184,8 @@
   char buffer_[4096];
   std::size_t begin_ = 0;
   std::size_t end_ = 0;
+  range_hider hider_;
+  std::string_view inserted_;
 };
 
 class connection_server : public httplib::Server {
@@ -162,7 +251,10 @@
         last = stopping;
       }
       bool closed = false;
-      if (!process_request(stream, last, closed, nullptr) || closed) break;
+      stream.BeginRequest();
+      if (!process_request(stream, last, closed, PrepareForRoutes) || closed) {
+        break;
+      }
       const std::lock_guard lock(mutex);
       if (stopping) break;
       idle_by_socket[socket] = true;
@@ -317,6 +409,9 @@
 httplib::Server& http_listener::Server() { return state_->server; }
 const std::string& http_listener::Address() const { return state_->address; }
 int http_listener::CurrentSocket() { return current_socket; }
+std::string http_listener::PathOf(const httplib::Request& request) {
+  return current_path.empty() ? request.path : current_path;
+}
 
 result<void> http_listener::Start() {
   BOOST_LEAF_CHECK(state_->threads.Spawn(
--- a/src/clients/http_listener.h
+++ b/src/clients/http_listener.h
@@ -26,7 +26,9 @@
  public:
   // Opens the listening socket. Routes are added to `Server()` before `Start`.
   // The pre- and post-routing handlers are taken: they reject a target over
-  // 1024 bytes with 414 and add `Connection: close` to responses during a stop.
+  // 8000 bytes with 414 and add `Connection: close` to responses during a stop.
+  // A route sees the first 128 bytes of a path; `PathOf` has all of it. The
+  // library does not apply Range and does not parse multipart bodies.
   static result<std::unique_ptr<http_listener>> Bind(
       http_listener_options options);
   ~http_listener();
@@ -48,6 +50,9 @@
   // handles, or -1. Test stand-ins use it to inject connection faults.
   static int CurrentSocket();
 
+  // Returns the whole path of the request that the calling thread handles.
+  static std::string PathOf(const httplib::Request& request);
+
  private:
   struct state;
   explicit http_listener(std::unique_ptr<state> initial);
