A task waits for the end of each run of it that is known

Only the chosen worker was asked for an earlier run. Now a task of which a run is known waits until no worker has one, suspects as well.

adopted_runs_test: a_task_waits_for_the_end_of_each_of_its_runs failed before (a start while w2 listed run 7) and passes; the walks pass.

--- a/src/graph/pool_model.h
+++ b/src/graph/pool_model.h
@@ -110,7 +110,7 @@
   // may have a lower one.
   std::uint64_t last_run = 0;
   std::string checkpoint;
-  std::string worker;  // Where the task is placed, or empty.
+  std::string worker;  // Where the task is placed, if it is.
 };
 
 // State of one step of an occurrence.
--- a/src/graph/pool_placement.cc
+++ b/src/graph/pool_placement.cc
@@ -293,6 +293,15 @@
   return best;
 }
 
+bool pool_scheduler::HasEarlierRun(const graph_task& task,
+                                   const task_key& key) const {
+  // Only a task of which a run is known can have one.
+  return task.last_run > 0 &&
+         std::any_of(workers_.begin(), workers_.end(), [&](const auto& row) {
+           return row.second.runs.contains(key);
+         });
+}
+
 std::vector<pool_scheduler::placement> pool_scheduler::ChooseWorkers(
     const candidate& waiting, time_point now, std::size_t limit) {
   step_state& step = StateOf(waiting);
@@ -323,13 +332,12 @@
       step.placed_in_pass = 0;
       continue;
     }
-    worker_state* worker = BestWorker(waiting, allowed, chosen, now);
-    if (worker == nullptr) break;
-    // An earlier run of the task may still exist on that worker.
-    if (worker->runs.contains(key)) {
+    if (HasEarlierRun(step.tasks[i], key)) {
       step.placed_in_pass = 0;
       continue;
     }
+    worker_state* worker = BestWorker(waiting, allowed, chosen, now);
+    if (worker == nullptr) break;
     chosen.push_back({i, worker});
   }
   if (spec.is_gang && chosen.size() < spec.task_count) chosen.clear();
--- a/src/graph/pool_scheduler.h
+++ b/src/graph/pool_scheduler.h
@@ -461,6 +461,9 @@
   // step; for a gang, for all tasks or none.
   std::vector<placement> ChooseWorkers(const candidate& waiting, time_point now,
                                        std::size_t limit);
+  // Returns true if a worker may still have a run of the waiting task, which is
+  // being stopped. Its end changes that worker and leads to a pass.
+  bool HasEarlierRun(const graph_task& task, const task_key& key) const;
   // Returns the best of the allowed workers for one more task of the step, or
   // null if none has room beside the tasks in `chosen`.
   worker_state* BestWorker(const candidate& waiting,
--- a/src/graph/pool_suspects.cc
+++ b/src/graph/pool_suspects.cc
@@ -235,9 +235,11 @@
   auto indices = WaitingSuspects(waiting);
   suspect_placement placed{static_cast<std::uint32_t>(indices.size())};
   std::erase_if(indices, [&](std::uint32_t index) {
-    return HasVerdictPending(
-        job, {job.submission.id, waiting.occurrence, waiting.step, index});
+    const task_key key{job.submission.id, waiting.occurrence, waiting.step,
+                       index};
+    return HasVerdictPending(job, key) || HasEarlierRun(step.tasks[index], key);
   });
+  if (spec.is_gang && indices.size() < step.tasks.size()) indices.clear();
   // One suspect of a job at a time: a job of crashing tasks takes down no more
   // workers than one such task.
   const bool must_wait = HasPlacedSuspect(job);
--- a/tests/graph/adopted_runs_test.cc
+++ b/tests/graph/adopted_runs_test.cc
@@ -159,5 +159,23 @@
   }
 }
 
+// Guards against a task that runs twice: its adopted run has ended, and another
+// run of it is still being stopped on another worker.
+BOOST_AUTO_TEST_CASE(a_task_waits_for_the_end_of_each_of_its_runs) {
+  scheduler_rig rig = SuccessorWithTwoWorkers();
+  // The best fit for the task.
+  rig.AddWorker("w3", kSmall);
+  rig.ReportWorker("w1");
+  rig.ReportWorker("w2");
+  rig.EndRun("w1", kTask, run_outcome::kFailed);
+  rig.ReportWorker("w1");
+  const auto decisions = rig.Decide();
+  BOOST_TEST(decisions.starts.empty());
+  BOOST_REQUIRE_EQUAL(decisions.stops.size(), 1);
+  rig.EndRun("w2", kTask, run_outcome::kStopped);
+  rig.ReportWorker("w2");
+  BOOST_TEST(StartsWithin(rig, kCalmTime));
+}
+
 }  // namespace
 }  // namespace apricotwheel
