kernel_test: set the sleeper's deadline before its thread begins

If the sleeping thread begins after Advance, SleepFor counts its hour from there and nothing advances the clock again. The checks are the same: the clock moves only when advanced, and Advance wakes the sleeper; SleepFor is SleepUntil(Now() + span).

--- a/tests/kernel/kernel_test.cc
+++ b/tests/kernel/kernel_test.cc
@@ -37,8 +37,9 @@
   std::this_thread::sleep_for(milliseconds(5));
   BOOST_TEST((clock->Now() == start));
   std::atomic<bool> woke = false;
+  // With a deadline set here, a thread that begins after `Advance` still ends.
   std::thread sleeper([&] {
-    clock->SleepFor(std::chrono::hours(1));
+    clock->SleepUntil(start + std::chrono::hours(1));
     woke = true;
   });
   std::this_thread::sleep_for(milliseconds(20));
