--- a/src/graph/pool_reservations.cc
+++ b/src/graph/pool_reservations.cc
@@ -434,9 +434,9 @@
   const advisor_settings& terms = *job.submission.queue.advisor;
   const bool is_first_call = step.approvals.by_worker.empty();
   const bool is_reserving = spec.is_gang || IsLarge(spec);
-  const auto undecided = is_reserving && !is_first_call
-                             ? FindUndecidedWorkers(waiting, now)
-                             : std::vector<pool_worker>();
+  auto undecided = is_reserving && !is_first_call
+                       ? FindUndecidedWorkers(waiting, now)
+                       : std::vector<pool_worker>();
   const double share = ApprovedShare(job.submission.queue.name);
   struct option {
     const worker_state* worker = nullptr;
