--- a/tests/graph/random_walk.h
+++ b/tests/graph/random_walk.h
@@ -3,7 +3,6 @@
 #include <cstdint>
 #include <deque>
 #include <map>
-#include <optional>
 #include <random>
 #include <set>
 #include <string>
