Log which hold keeps a step, and runs that are not settled

The logs could not tell a task that waits for an earlier run, one that is held back for a suspect of its job, and one whose workers are reserved for other steps: the first was reported as reserved_or_limited, the second as suspect. A start or stop without a result had no line at all.

graph_step_waiting (2110) names earlier_run, verdict, held_back, reserved and limited, with counts; graph_run_unsettled (2119) lists runs whose start or stop is open for 3 s.

wait_report_test: a_wait_for_an_earlier_run_is_logged is new; without the change the reason was reserved_or_limited.

--- a/src/graph/pool_model.h
+++ b/src/graph/pool_model.h
@@ -35,6 +35,7 @@
   // The worker confirmed a stop, so that the run cannot start any more.
   bool stop_confirmed = false;
   time_point ordered_at{};
+  time_point stopping_since{};
   time_point confirmed_at{};  // When the worker last confirmed its state.
   time_point next_stop_at{};  // When the next stop order is due.
   std::string checkpoint;
--- a/src/graph/pool_runs.cc
+++ b/src/graph/pool_runs.cc
@@ -350,6 +350,7 @@
 void pool_scheduler::StopRun(task_run& run, time_point now) {
   if (run.phase == run_phase::kStopping) return;
   run.phase = run_phase::kStopping;
+  run.stopping_since = now;
   run.stop_confirmed = false;
   run.next_stop_at = now;
 }
--- a/src/graph/pool_scheduler.h
+++ b/src/graph/pool_scheduler.h
@@ -506,6 +506,13 @@
     std::size_t refused = 0;
     std::size_t valid = 0;  // With a ticket that has not expired.
     std::size_t with_room = 0;
+    // Of the workers with room:
+    std::size_t kept = 0;  // For suspects.
+    std::size_t avoided = 0;
+    std::size_t reserved_for_others = 0;
+    // Of the waiting tasks:
+    std::size_t earlier_runs = 0;
+    std::size_t verdicts = 0;  // Those that may be given up soon.
   };
   wait_counts CountWorkersFor(const candidate& waiting, time_point now) const;
   // Returns the first condition that keeps the step from starting.
@@ -513,6 +520,8 @@
                                   const wait_counts& counts, time_point now);
   // Logs why the steps that have waited longest do not start.
   void ReportLongWaits(time_point now, std::int64_t wall_clock_ms);
+  // Logs the runs whose start or stop is not settled for long.
+  void ReportUnsettledRuns(time_point now);
   void ReportContradictions();
 
   // In pool_admission.cc: the waiting work of the queues.
--- a/src/graph/pool_waits.cc
+++ b/src/graph/pool_waits.cc
@@ -16,6 +16,10 @@
 constexpr auto kLongWait = milliseconds(10'000);
 constexpr auto kLongWaitReportInterval = milliseconds(2000);
 constexpr std::size_t kLongWaitsReported = 4;
+// A run whose start or stop has no result for this time is logged, at most so
+// many at a time. The owner repeats an order well before.
+constexpr auto kLongUnsettled = milliseconds(3000);
+constexpr std::size_t kUnsettledReported = 4;
 
 std::int64_t MsSince(time_point since, time_point now) {
   return since == time_point{} ? 0 : ToMs(now - since);
@@ -27,8 +31,8 @@
     const candidate& waiting, time_point now) const {
   const graph_job& job = *waiting.job;
   const graph_step& spec = job.submission.graph.steps[waiting.step];
-  const step_approvals& approvals =
-      job.occurrences[waiting.occurrence][waiting.step].approvals;
+  const step_state& step = StateOf(waiting);
+  const step_approvals& approvals = step.approvals;
   wait_counts counts;
   for (const auto& [id, worker] : workers_) {
     const auto status = FindApproval(approvals, worker.info, now);
@@ -38,6 +42,18 @@
     if (!CanHost(waiting, worker, now)) continue;
     if (!Fits(spec.need, worker.info.capacity - worker.used)) continue;
     ++counts.with_room;
+    if (IsKeptForSuspect(worker, now)) ++counts.kept;
+    if (worker.avoid_until > now) ++counts.avoided;
+    const bool is_reserved_for_other =
+        worker.reserved != resource_vector{} && worker.reserved_by != &step;
+    if (is_reserved_for_other) ++counts.reserved_for_others;
+  }
+  const task_key first{job.submission.id, waiting.occurrence, waiting.step, 0};
+  for (task_key key = first; key.index < step.tasks.size(); ++key.index) {
+    const graph_task& task = step.tasks[key.index];
+    if (task.phase != task_phase::kWaiting) continue;
+    if (HasEarlierRun(task, key)) ++counts.earlier_runs;
+    if (HasVerdictPending(job, key)) ++counts.verdicts;
   }
   return counts;
 }
@@ -51,9 +67,10 @@
   if (job.is_loaded && !IsTakeoverComplete(now)) return "takeover";
   const graph_step& spec = job.submission.graph.steps[waiting.step];
   if (spec.is_gang && step.placed > 0) return "gang_ends";
-  if (HoldsBackTasks(job) || !WaitingSuspects(waiting).empty()) {
-    return "suspect";
-  }
+  if (counts.verdicts == step.waiting) return "verdict";
+  if (counts.earlier_runs == step.waiting) return "earlier_run";
+  if (!WaitingSuspects(waiting).empty()) return "suspect";
+  if (HoldsBackTasks(job)) return "held_back";
   if (counts.with_room == 0) return "no_room";
   if (job.submission.queue.advisor && counts.valid == 0) {
     if (step.approvals.is_call_in_flight) return "call_in_flight";
@@ -62,7 +79,8 @@
                                                        : "call_wanted";
   }
   if (CountStartsAllowed(now) == 0) return "start_limit";
-  return spec.is_gang ? "gang_room" : "reserved_or_limited";
+  if (spec.is_gang) return "gang_room";
+  return counts.reserved_for_others > 0 ? "reserved" : "limited";
 }
 
 void pool_scheduler::ReportLongWaits(time_point now,
@@ -70,6 +88,7 @@
   if (now - long_waits_reported_at_ < kLongWaitReportInterval) return;
   long_waits_reported_at_ = now;
   ReportContradictions();
+  ReportUnsettledRuns(now);
   std::vector<std::tuple<time_point, graph_job*, std::uint32_t, std::uint32_t>>
       oldest;
   for (graph_job* job : open_jobs_) {
@@ -91,21 +110,53 @@
     const wait_counts counts = CountWorkersFor(waiting, now);
     Log(graph_events::kStepWaiting,
         {Field("job", job->submission.id),
-         Field("queue", job->submission.queue.name), Field("step", index),
+         Field("queue", job->submission.queue.name),
+         Field("step", index),
          Field("age_ms", ToMs(now - admitted_at)),
          Field("reason", FindWaitReason(waiting, counts, now)),
-         Field("tasks", step.tasks.size()), Field("waiting", step.waiting),
-         Field("placed", step.placed), Field("gang", spec.is_gang ? 1 : 0),
+         Field("tasks", step.tasks.size()),
+         Field("waiting", step.waiting),
+         Field("placed", step.placed),
+         Field("gang", spec.is_gang ? 1 : 0),
          Field("lasting", spec.is_service ? 1 : 0),
-         Field("approved", counts.approved), Field("refused", counts.refused),
-         Field("valid", counts.valid), Field("with_room", counts.with_room),
+         Field("approved", counts.approved),
+         Field("refused", counts.refused),
+         Field("valid", counts.valid),
+         Field("with_room", counts.with_room),
+         Field("kept", counts.kept),
+         Field("avoided", counts.avoided),
+         Field("reserved_for_others", counts.reserved_for_others),
          Field("reserved", step.reserved_workers.size()),
+         Field("earlier_runs", counts.earlier_runs),
          Field("in_call", step.approvals.is_call_in_flight ? 1 : 0),
          Field("call_wanted_ms", MsSince(step.approvals.wanted_since, now)),
          Field("unverified", unverified_workers_.size())});
   }
 }
 
+void pool_scheduler::ReportUnsettledRuns(time_point now) {
+  std::size_t reported = 0;
+  for (const auto& [id, worker] : workers_) {
+    for (const auto& [task, run] : worker.runs) {
+      if (run.phase == run_phase::kRunning) continue;
+      const time_point since = run.phase == run_phase::kStopping
+                                   ? run.stopping_since
+                                   : run.ordered_at;
+      if (now - since < kLongUnsettled) continue;
+      if (++reported > kUnsettledReported) return;
+      Log(graph_events::kRunUnsettled,
+          {Field("task", FormatTask(task)), Field("run", run.number),
+           Field("worker", id),
+           Field("order", run.phase == run_phase::kStopping ? "stop" : "start"),
+           Field("age_ms", ToMs(now - since)),
+           Field("stop_confirmed", run.stop_confirmed ? 1 : 0),
+           Field("claimed", worker.is_claimed ? 1 : 0),
+           Field("listed", worker.is_listed ? 1 : 0),
+           Field("contact_ms", MsSince(worker.last_contact_at, now))});
+    }
+  }
+}
+
 void pool_scheduler::ReportContradictions() {
   const scheduler_audit audit = Audit();
   if (audit.findings.empty()) return;
--- a/tests/graph/wait_report_test.cc
+++ b/tests/graph/wait_report_test.cc
@@ -77,6 +77,32 @@
   BOOST_TEST(ReasonOf(rig, events, "job") == "takeover");
 }
 
+// Guards against tasks that wait for a run whose stop is never settled, without
+// a line that says so.
+BOOST_AUTO_TEST_CASE(a_wait_for_an_earlier_run_is_logged) {
+  std::vector<logged_event> events;
+  scheduler_rig rig(Logging(events));
+  rig.AddWorker("w1", kWorker);
+  rig.AddWorker("w2", kWorker);
+  rig.scheduler.AdmitJob(MakeJob("job", {MakeStep(1, kSmall)}), rig.now);
+  const auto decisions = rig.Decide();
+  BOOST_REQUIRE_EQUAL(decisions.starts.size(), 1);
+  // A run of the task that an earlier owner ordered is known as well.
+  const std::string& first = decisions.starts[0].worker;
+  const std::string second = first == "w1" ? "w2" : "w1";
+  rig.CarryOutStart(decisions.starts[0]);
+  rig.agents[second].running[decisions.starts[0].task] = {
+      decisions.starts[0].task, 1, {}, 0, 0};
+  rig.ReportWorker(second);
+  rig.EndRun(first, decisions.starts[0].task, run_outcome::kLeaseExpired);
+  rig.ReportWorker(first);
+  BOOST_TEST(ReasonOf(rig, events, "job") == "earlier_run");
+  const auto unsettled = EventsNamed(events, "graph_run_unsettled");
+  BOOST_REQUIRE_EQUAL(unsettled.size(), 1);
+  BOOST_TEST(unsettled[0].fields.at("worker") == second);
+  BOOST_TEST(unsettled[0].fields.at("order") == "stop");
+}
+
 // Steps whose turn has not come crowded out those that could start.
 BOOST_AUTO_TEST_CASE(steps_whose_turn_has_not_come_are_not_logged) {
   std::vector<logged_event> events;
