Report workers at max_per_worker apart from those with room

The reason is worker_limit now, and at_limit counts such workers. wait_report_test: a_wait_for_max_per_worker_is_logged; before, the reason was limited.

--- a/src/graph/pool_scheduler.h
+++ b/src/graph/pool_scheduler.h
@@ -506,6 +506,8 @@
     std::size_t refused = 0;
     std::size_t valid = 0;  // With a ticket that has not expired.
     std::size_t with_room = 0;
+    // With room, but with `max_per_worker` tasks of the step.
+    std::size_t at_limit = 0;
     // Of the workers with room:
     std::size_t kept = 0;  // For suspects.
     std::size_t avoided = 0;
--- a/src/graph/pool_waits.cc
+++ b/src/graph/pool_waits.cc
@@ -33,6 +33,7 @@
   const graph_step& spec = job.submission.graph.steps[waiting.step];
   const step_state& step = StateOf(waiting);
   const step_approvals& approvals = step.approvals;
+  const task_key first{job.submission.id, waiting.occurrence, waiting.step, 0};
   wait_counts counts;
   for (const auto& [id, worker] : workers_) {
     const auto status = FindApproval(approvals, worker.info, now);
@@ -41,6 +42,11 @@
     if (status == approval_status::kValid) ++counts.approved, ++counts.valid;
     if (!CanHost(waiting, worker, now)) continue;
     if (!Fits(spec.need, worker.info.capacity - worker.used)) continue;
+    if (spec.max_per_worker > 0 &&
+        CountRunsOfStep(worker, first) >= spec.max_per_worker) {
+      ++counts.at_limit;
+      continue;
+    }
     ++counts.with_room;
     if (IsKeptForSuspect(worker, now)) ++counts.kept;
     if (worker.avoid_until > now) ++counts.avoided;
@@ -48,7 +54,6 @@
         worker.reserved != resource_vector{} && worker.reserved_by != &step;
     if (is_reserved_for_other) ++counts.reserved_for_others;
   }
-  const task_key first{job.submission.id, waiting.occurrence, waiting.step, 0};
   for (task_key key = first; key.index < step.tasks.size(); ++key.index) {
     const graph_task& task = step.tasks[key.index];
     if (task.phase != task_phase::kWaiting) continue;
@@ -71,7 +76,9 @@
   if (counts.earlier_runs == step.waiting) return "earlier_run";
   if (!WaitingSuspects(waiting).empty()) return "suspect";
   if (HoldsBackTasks(job)) return "held_back";
-  if (counts.with_room == 0) return "no_room";
+  if (counts.with_room == 0) {
+    return counts.at_limit > 0 ? "worker_limit" : "no_room";
+  }
   if (job.submission.queue.advisor && counts.valid == 0) {
     if (step.approvals.is_call_in_flight) return "call_in_flight";
     if (now < step.approvals.retry_at) return "call_failed";
@@ -123,6 +130,7 @@
          Field("refused", counts.refused),
          Field("valid", counts.valid),
          Field("with_room", counts.with_room),
+         Field("at_limit", counts.at_limit),
          Field("kept", counts.kept),
          Field("avoided", counts.avoided),
          Field("reserved_for_others", counts.reserved_for_others),
--- a/tests/graph/wait_report_test.cc
+++ b/tests/graph/wait_report_test.cc
@@ -103,6 +103,20 @@
   BOOST_TEST(unsettled[0].fields.at("order") == "stop");
 }
 
+// Guards against a step that seems to have room: its tasks are kept apart, and
+// each worker that may run them has one.
+BOOST_AUTO_TEST_CASE(a_wait_for_max_per_worker_is_logged) {
+  std::vector<logged_event> events;
+  scheduler_rig rig(Logging(events));
+  rig.AddWorker("w1", kWorker);
+  graph_step step = MakeStep(2, kSmall);
+  step.is_service = true;
+  step.max_per_worker = 1;
+  rig.scheduler.AdmitJob(MakeJob("job", {step}), rig.now);
+  rig.DecideAndCarryOut();
+  BOOST_TEST(ReasonOf(rig, events, "job") == "worker_limit");
+}
+
 // Steps whose turn has not come crowded out those that could start.
 BOOST_AUTO_TEST_CASE(steps_whose_turn_has_not_come_are_not_logged) {
   std::vector<logged_event> events;
