Lend lasting tasks that a partition has no worker for to another one

Cause: a job lives in one partition of a divided pool. max_per_worker allows one of its tasks on a worker, and the advisor approves about a fifth of the workers: 25 of 117, or 38 of 128, in the partition. The step has more tasks than these, or one of them has no room for long, and the workers of the other partitions were out of reach. Lasting tasks never end, so nothing frees a worker. Jobs with lasting tasks never move, and one that has started cannot.

Change: lasting tasks that are kept apart, and that found no room for 2 s although all decisions are known, are lent to the other partitions. Tasks are lent only if all members know loans. A call for lasting tasks that are kept apart names all workers without a decision, as for gangs.

--- a/src/graph/graph_codec.cc
+++ b/src/graph/graph_codec.cc
@@ -118,6 +118,25 @@
   return queue;
 }
 
+result<guest_tasks> ReadGuest(const json& in, const job_graph& graph) {
+  guest_tasks guest;
+  in.at("home").get_to(guest.home);
+  for (const json& row : in.at("tasks")) {
+    guest_tasks::entry task;
+    row.at(0).get_to(task.occurrence);
+    row.at(1).get_to(task.step);
+    row.at(2).get_to(task.index);
+    row.at(3).get_to(task.last_run);
+    if (task.occurrence >= std::max(1U, graph.schedule.repetitions) ||
+        task.step >= graph.steps.size() ||
+        task.index >= graph.steps[task.step].task_count) {
+      return CorruptRecord("`guest` names a task that the job does not have");
+    }
+    guest.tasks.push_back(task);
+  }
+  return guest;
+}
+
 // Returns one character for each task: '1' if it is done, otherwise '0'.
 std::string EncodeDone(const std::vector<bool>& done) {
   std::string text(done.size(), '0');
@@ -160,6 +179,13 @@
   }
   BOOST_LEAF_CHECK(ReadRuns(in, "failed_runs", step.failed_runs));
   BOOST_LEAF_CHECK(ReadRuns(in, "crashed_runs", step.crashed_runs));
+  for (const json& row : in.value("lent", json::array())) {
+    const auto index = row.at(0).get<std::uint32_t>();
+    if (index >= step.done.size()) {
+      return CorruptRecord("`lent` names a task that the step does not have");
+    }
+    row.at(1).get_to(step.lent[index]);
+  }
   return ReadRuns(in, "excused_runs", step.excused_runs);
 }
 
@@ -196,6 +222,13 @@
                        {"first_run_ms", schedule.first_run_ms},
                        {"interval_ms", schedule.interval_ms}};
   }
+  if (job.guest) {
+    json tasks = json::array();
+    for (const guest_tasks::entry& task : job.guest->tasks) {
+      tasks.push_back({task.occurrence, task.step, task.index, task.last_run});
+    }
+    out["guest"] = {{"home", job.guest->home}, {"tasks", std::move(tasks)}};
+  }
   return out.dump();
 }
 
@@ -217,6 +250,9 @@
     }
     if (const auto fault = FindGraphError(job.graph))
       return CorruptRecord(*fault);
+    if (in.contains("guest")) {
+      BOOST_LEAF_ASSIGN(job.guest, ReadGuest(in.at("guest"), job.graph));
+    }
     return job;
   });
 }
@@ -228,12 +264,24 @@
   for (const graph_step& step : graph.steps) {
     const std::vector<std::vector<std::uint64_t>> no_runs(step.task_count);
     steps.push_back(
-        {std::vector<bool>(step.task_count), no_runs, no_runs, no_runs});
+        {std::vector<bool>(step.task_count), no_runs, no_runs, no_runs, {}});
   }
   progress.occurrences.assign(count, steps);
   return progress;
 }
 
+job_progress InitialProgress(const job_submission& job) {
+  job_progress progress = InitialProgress(job.graph);
+  if (!job.guest) return progress;
+  for (auto& steps : progress.occurrences) {
+    for (step_progress& step : steps) step.done.flip();
+  }
+  for (const guest_tasks::entry& task : job.guest->tasks) {
+    progress.occurrences[task.occurrence][task.step].done[task.index] = false;
+  }
+  return progress;
+}
+
 std::string EncodeProgress(const job_progress& progress) {
   json occurrences = json::array();
   // Only the state of a finished job is read again.
@@ -245,6 +293,9 @@
         PutRuns(row, "failed_runs", step.failed_runs);
         PutRuns(row, "crashed_runs", step.crashed_runs);
         PutRuns(row, "excused_runs", step.excused_runs);
+        for (const auto& [index, partition] : step.lent) {
+          row["lent"].push_back({index, partition});
+        }
         rows.push_back(std::move(row));
       }
       occurrences.push_back(std::move(rows));
--- a/src/graph/graph_codec.h
+++ b/src/graph/graph_codec.h
@@ -22,6 +22,9 @@
 
 // Returns the progress of a job that has not started.
 job_progress InitialProgress(const job_graph& graph);
+// The same for a job of which only some tasks run here: the others count as
+// done.
+job_progress InitialProgress(const job_submission& job);
 
 std::string_view ToString(job_state state);
 result<job_state> ParseJobState(std::string_view name);
--- a/src/graph/job_graph.h
+++ b/src/graph/job_graph.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <string>
 #include <vector>
@@ -73,12 +74,25 @@
   return state != job_state::kQueued && state != job_state::kActive;
 }
 
+// Tasks that a partition runs for a job of another partition of the pool.
+struct guest_tasks {
+  struct entry {
+    std::uint32_t occurrence = 0;
+    std::uint32_t step = 0;
+    std::uint32_t index = 0;
+    std::uint64_t last_run = 0;  // Highest run number known of the task.
+  };
+  std::string home;  // The partition of the job.
+  std::vector<entry> tasks;
+};
+
 // An accepted job as it is stored.
 struct job_submission {
   std::string id;
   queue_rules queue;
   job_graph graph;
-  std::int64_t accepted_at_ms = 0;  // Unix time.
+  std::int64_t accepted_at_ms = 0;   // Unix time.
+  std::optional<guest_tasks> guest;  // The only tasks that run here.
 };
 
 // Progress of one step that survives a restart of the daemon.
@@ -92,6 +106,8 @@
   // The same for crashes that are no evidence against the task: many workers
   // fell at once, or the worker had not confirmed the run.
   std::vector<std::vector<std::uint64_t>> excused_runs;
+  // The partitions that run tasks of the step for this one, by task index.
+  std::map<std::uint32_t, std::string> lent;
 };
 
 // Progress of a job that survives a restart of the daemon, by occurrence and
--- a/src/graph/pool_admission.cc
+++ b/src/graph/pool_admission.cc
@@ -76,7 +76,7 @@
 
 void pool_scheduler::CountAdmittedJob(const graph_job& job) {
   const job_graph& graph = job.submission.graph;
-  if (graph.schedule.repetitions > 0) return;
+  if (graph.schedule.repetitions > 0 || job.submission.guest) return;
   queue_load& load = queue_loads_[job.submission.queue.name];
   for (const graph_step& step : graph.steps) {
     if (step.is_service) continue;
--- a/src/graph/pool_audit.cc
+++ b/src/graph/pool_audit.cc
@@ -23,11 +23,13 @@
   const step_state& step = job.occurrences[first.occurrence][first.step];
   std::uint32_t waiting = 0;
   std::uint32_t placed = 0;
+  std::uint32_t lent = 0;
   std::uint32_t done = 0;
   task_key key = first;
   for (key.index = 0; key.index < step.tasks.size(); ++key.index) {
     const graph_task& task = step.tasks[key.index];
     if (task.phase == task_phase::kWaiting) ++waiting;
+    if (task.phase == task_phase::kLent) ++lent;
     if (task.phase == task_phase::kDone) ++done;
     if (task.phase != task_phase::kPlaced) continue;
     ++placed;
@@ -37,7 +39,8 @@
     AddFinding(audit, FormatTask(key) + " is placed on " + task.worker +
                           " without a run");
   }
-  if (waiting == step.waiting && placed == step.placed && done == step.done) {
+  if (waiting == step.waiting && placed == step.placed && lent == step.lent &&
+      done == step.done) {
     return;
   }
   ++audit.miscounted_steps;
--- /dev/null
+++ b/src/graph/pool_lending.cc
@@ -0,0 +1,167 @@
+// Lasting tasks for which the workers of this partition are used up, which
+// other partitions of the pool run.
+#include <algorithm>
+
+#include "graph/graph_events.h"
+#include "graph/pool_scheduler.h"
+
+namespace apricotwheel {
+
+namespace {
+
+// A lasting task has to run again within 6 s. A step counts as stranded if none
+// of its tasks could be placed for this time; the rest is for the call to the
+// other partition and the approval there.
+constexpr auto kStrandedTime = milliseconds(2000);
+
+}  // namespace
+
+std::map<std::string, std::vector<task_key>> pool_scheduler::LentTasks(
+    const std::string& job_id, const job_progress& progress) {
+  std::map<std::string, std::vector<task_key>> lent;
+  task_key key{job_id, 0, 0, 0};
+  for (; key.occurrence < progress.occurrences.size(); ++key.occurrence) {
+    const auto& steps = progress.occurrences[key.occurrence];
+    for (key.step = 0; key.step < steps.size(); ++key.step) {
+      for (const auto& [index, partition] : steps[key.step].lent) {
+        key.index = index;
+        lent[partition].push_back(key);
+      }
+    }
+  }
+  return lent;
+}
+
+bool pool_scheduler::HasUndecidedWorkers(const candidate& waiting,
+                                         time_point now) const {
+  const graph_step& spec = waiting.job->submission.graph.steps[waiting.step];
+  const step_approvals& approvals = StateOf(waiting).approvals;
+  const task_key first{waiting.job->submission.id, waiting.occurrence,
+                       waiting.step, 0};
+  bool has_workers = false;
+  for (const auto& [id, worker] : workers_) {
+    if (!worker.is_listed || worker.info.is_draining) continue;
+    has_workers = true;
+    if (CountRunsOfStep(worker, first) >= spec.max_per_worker) continue;
+    // What it may run is not known before its first report.
+    if (!worker.is_claimed || worker.has_unknown_run) return true;
+    if (waiting.job->submission.queue.advisor &&
+        CanHost(waiting, worker, now) &&
+        FindApproval(approvals, worker.info, now) ==
+            approval_status::kUndecided) {
+      return true;
+    }
+  }
+  return !has_workers;
+}
+
+bool pool_scheduler::IsStranded(const candidate& waiting, time_point now) {
+  step_state& step = StateOf(waiting);
+  const graph_step& spec = waiting.job->submission.graph.steps[waiting.step];
+  const bool may_be_stranded =
+      spec.is_service && spec.max_per_worker > 0 && step.waiting > 0 &&
+      step.queued_in_pass == pass_ && !HasUndecidedWorkers(waiting, now);
+  if (!may_be_stranded) {
+    step.stranded_since = {};
+    return false;
+  }
+  if (step.stranded_since == time_point{} ||
+      step.placed != step.placed_when_stranded) {
+    step.stranded_since = now;
+    step.placed_when_stranded = step.placed;
+  }
+  return now - step.stranded_since >= kStrandedTime;
+}
+
+std::size_t pool_scheduler::LendTasks(std::span<const std::string> partitions,
+                                      time_point now) {
+  if (partitions.empty() || !IsTakeoverComplete(now)) return 0;
+  std::size_t count = 0;
+  for (graph_job* job : open_jobs_) {
+    if (job->is_moving || job->submission.guest) continue;
+    candidate waiting{job, 0, 0, {}, {}};
+    for (; waiting.occurrence < job->occurrences.size(); ++waiting.occurrence) {
+      auto& steps = job->occurrences[waiting.occurrence];
+      for (waiting.step = 0; waiting.step < steps.size(); ++waiting.step) {
+        step_state& step = steps[waiting.step];
+        if (!IsStranded(waiting, now)) continue;
+        task_key key{job->submission.id, waiting.occurrence, waiting.step, 0};
+        for (; key.index < step.tasks.size(); ++key.index) {
+          graph_task& task = step.tasks[key.index];
+          // A suspect is tried here, where its crashes are known.
+          if (task.phase != task_phase::kWaiting || HasEarlierRun(task, key) ||
+              HasVerdictPending(*job, key) || IsSuspect(*job, key)) {
+            continue;
+          }
+          const std::string& target = partitions[count % partitions.size()];
+          task.phase = task_phase::kLent;
+          --step.waiting;
+          ++step.lent;
+          job->progress.occurrences[key.occurrence][key.step].lent[key.index] =
+              target;
+          MarkDirty(*job);
+          ++count;
+          Log(graph_events::kTaskLent,
+              {Field("task", FormatTask(key)), Field("partition", target),
+               Field("placed", step.placed), Field("lent", step.lent)});
+        }
+      }
+    }
+  }
+  return count;
+}
+
+std::vector<std::pair<std::string, job_submission>> pool_scheduler::Loans()
+    const {
+  std::vector<std::pair<std::string, job_submission>> loans;
+  for (const graph_job* job : open_jobs_) {
+    for (const auto& [partition, tasks] : job->stored_lent) {
+      job_submission guest = job->submission;
+      guest.guest = guest_tasks{guest.queue.pool, {}};
+      guest.queue.pool = partition;
+      for (const task_key& key : tasks) {
+        const step_state& step = job->occurrences[key.occurrence][key.step];
+        guest.guest->tasks.push_back({key.occurrence, key.step, key.index,
+                                      step.tasks[key.index].last_run});
+      }
+      loans.emplace_back(partition, std::move(guest));
+    }
+  }
+  return loans;
+}
+
+void pool_scheduler::OnLoanStarted(std::string_view job_id) {
+  if (graph_job* job = FindJob(job_id)) MarkStarted(*job);
+}
+
+bool pool_scheduler::ExtendGuest(const job_submission& job) {
+  graph_job* known = FindJob(job.id);
+  if (known == nullptr) return false;
+  if (!known->submission.guest || IsFinal(known->progress.state)) return true;
+  for (const guest_tasks::entry& entry : job.guest->tasks) {
+    step_state& step = known->occurrences[entry.occurrence][entry.step];
+    graph_task& task = step.tasks[entry.index];
+    // Lasting tasks are never done, so this one did not run here before.
+    if (task.phase != task_phase::kDone) continue;
+    task = {};
+    task.last_run = entry.last_run;
+    --step.done;
+    ++step.waiting;
+    known->progress.occurrences[entry.occurrence][entry.step]
+        .done[entry.index] = false;
+    MarkDirty(*known);
+  }
+  return true;
+}
+
+std::vector<std::pair<std::string, std::string>> pool_scheduler::GuestJobs()
+    const {
+  std::vector<std::pair<std::string, std::string>> jobs;
+  for (const graph_job* job : open_jobs_) {
+    if (!job->submission.guest) continue;
+    jobs.emplace_back(job->submission.id, job->submission.guest->home);
+  }
+  return jobs;
+}
+
+}  // namespace apricotwheel
--- a/src/graph/pool_model.h
+++ b/src/graph/pool_model.h
@@ -102,7 +102,8 @@
 std::uint32_t CountRunsOfStep(const worker_state& worker,
                               const task_key& first);
 
-enum class task_phase { kWaiting, kPlaced, kDone };
+// Lent tasks are run by another partition.
+enum class task_phase { kWaiting, kPlaced, kLent, kDone };
 
 // State of one task of a job.
 struct graph_task {
@@ -119,7 +120,12 @@
   std::vector<graph_task> tasks;
   std::uint32_t waiting = 0;  // Tasks that wait to be placed.
   std::uint32_t placed = 0;
+  std::uint32_t lent = 0;
   std::uint32_t done = 0;
+  // Since when all workers that may run the step are known and none of its
+  // tasks was placed, and how many were placed then.
+  time_point stranded_since{};
+  std::uint32_t placed_when_stranded = 0;
   // All members of the next attempt start from it.
   std::string gang_checkpoint;
   step_approvals approvals;
@@ -157,6 +163,9 @@
   bool is_result_stored = false;
   // The job is being moved to another partition and must not start here.
   bool is_moving = false;
+  // The tasks that the stored progress says are lent, by partition. Only these
+  // may run there: a successor would run the others here.
+  std::map<std::string, std::vector<task_key>> stored_lent;
 };
 
 // Returns true if the task is placed under its run on the worker. A worker has
--- a/src/graph/pool_moves.cc
+++ b/src/graph/pool_moves.cc
@@ -54,6 +54,7 @@
   const job_graph& graph = job.submission.graph;
   // An earlier owner may have ordered starts that are not known yet.
   if (job.is_loaded && !IsTakeoverComplete(now)) return std::nullopt;
+  if (job.submission.guest) return std::nullopt;
   if (job.is_moving || job.progress.state != job_state::kQueued ||
       job.progress.has_started) {
     return std::nullopt;
--- a/src/graph/pool_reservations.cc
+++ b/src/graph/pool_reservations.cc
@@ -434,7 +434,11 @@
   const advisor_settings& terms = *job.submission.queue.advisor;
   const bool is_first_call = step.approvals.by_worker.empty();
   const bool is_reserving = spec.is_gang || IsLarge(spec);
-  auto undecided = is_reserving && !is_first_call
+  // Lasting tasks that are kept apart need many workers, and the decisions on
+  // all of them show whether there are enough.
+  const bool is_spread = spec.is_service && spec.max_per_worker > 0;
+  const bool needs_all = is_reserving || is_spread;
+  auto undecided = needs_all && !is_first_call
                        ? FindUndecidedWorkers(waiting, now)
                        : std::vector<pool_worker>();
   const double share = ApprovedShare(job.submission.queue.name);
@@ -487,7 +491,7 @@
   // named as long as that adds little to the time of the call. Steps for which
   // workers are reserved need the decisions on all of them.
   std::size_t fill = kMaxWorkersPerCall;
-  if (!(is_first_call && is_reserving) && terms.per_worker_us > 0) {
+  if (!(is_first_call && needs_all) && terms.per_worker_us > 0) {
     const std::int64_t divisor =
         terms.per_worker_us *
         (is_first_call ? kFirstCallDivisor : kLaterCallDivisor);
--- a/src/graph/pool_runs.cc
+++ b/src/graph/pool_runs.cc
@@ -294,7 +294,9 @@
   const auto finish = [&](std::size_t index) {
     graph_task& state = step.tasks[index];
     if (state.phase == task_phase::kDone) return;
-    --(state.phase == task_phase::kWaiting ? step.waiting : step.placed);
+    --(state.phase == task_phase::kWaiting  ? step.waiting
+       : state.phase == task_phase::kPlaced ? step.placed
+                                            : step.lent);
     ++step.done;
     state.phase = task_phase::kDone;
     stored[index] = true;
--- a/src/graph/pool_scheduler.cc
+++ b/src/graph/pool_scheduler.cc
@@ -126,6 +126,19 @@
         if (is_done) step.tasks[index].phase = task_phase::kDone;
         ++(is_done ? step.done : step.waiting);
       }
+      for (const auto& [index, partition] : steps[i].lent) {
+        if (step.tasks[index].phase != task_phase::kWaiting) continue;
+        step.tasks[index].phase = task_phase::kLent;
+        --step.waiting;
+        ++step.lent;
+      }
+    }
+  }
+  if (added->submission.guest) {
+    for (const guest_tasks::entry& task : added->submission.guest->tasks) {
+      added->occurrences[task.occurrence][task.step]
+          .tasks[task.index]
+          .last_run = task.last_run;
     }
   }
   graph_job& kept = *added;
@@ -142,7 +155,7 @@
 
 void pool_scheduler::AdmitJob(job_submission job, time_point submitted_at) {
   if (FindJob(job.id) != nullptr) return;
-  job_progress progress = InitialProgress(job.graph);
+  job_progress progress = InitialProgress(job);
   const graph_job& added =
       AddJob(std::move(job), std::move(progress), submitted_at);
   CountAdmittedJob(added);
@@ -155,7 +168,9 @@
 void pool_scheduler::RestoreJob(job_submission job, job_progress progress,
                                 time_point submitted_at) {
   if (FindJob(job.id) != nullptr) return;
-  AddJob(std::move(job), std::move(progress), submitted_at).is_loaded = true;
+  graph_job& added = AddJob(std::move(job), std::move(progress), submitted_at);
+  added.is_loaded = true;
+  added.stored_lent = LentTasks(added.submission.id, added.progress);
 }
 
 bool pool_scheduler::CancelJob(std::string_view job_id, time_point now) {
@@ -188,7 +203,7 @@
 std::size_t pool_scheduler::CountPendingJobs(std::string_view queue) const {
   return static_cast<std::size_t>(std::count_if(
       open_jobs_.begin(), open_jobs_.end(), [&](const graph_job* job) {
-        return !job->progress.has_started &&
+        return !job->progress.has_started && !job->submission.guest &&
                job->submission.queue.name == queue;
       }));
 }
@@ -301,7 +316,11 @@
 void pool_scheduler::OnProgressStored(const progress_batch& batch) {
   for (const auto& entry : batch.jobs) {
     graph_job* job = FindJob(entry.job_id);
-    if (job == nullptr || !IsFinal(entry.progress.state)) continue;
+    if (job == nullptr) continue;
+    if (!IsFinal(entry.progress.state)) {
+      job->stored_lent = LentTasks(entry.job_id, entry.progress);
+      continue;
+    }
     if (!std::exchange(job->is_result_stored, true)) --unstored_results_;
   }
   for (const auto& [id, mark] : batch.ends_by_worker) {
--- a/src/graph/pool_scheduler.h
+++ b/src/graph/pool_scheduler.h
@@ -165,6 +165,23 @@
   // Forgets a held job that was moved.
   void RemoveMovedJob(std::string_view job_id);
 
+  // Marks lasting tasks that are kept apart, and for which the workers of this
+  // partition are used up, as lent, evenly to `partitions`. Returns how many.
+  // Other tasks wait for the end of those that are in their way.
+  std::size_t LendTasks(std::span<const std::string> partitions,
+                        time_point now);
+  // Returns what other partitions have to run for this one, by partition. Tasks
+  // whose loan is not stored are left out.
+  std::vector<std::pair<std::string, job_submission>> Loans() const;
+  // A task of the job has started in another partition.
+  void OnLoanStarted(std::string_view job_id);
+  // Adds a job of which this partition runs some tasks, or tasks to such a job.
+  // Returns false if the job is unknown and must be stored first.
+  bool ExtendGuest(const job_submission& job);
+  // Returns the jobs of other partitions that have tasks here, with their
+  // partitions.
+  std::vector<std::pair<std::string, std::string>> GuestJobs() const;
+
   // Applies a worker's report. `sent_at` is the time at which the poll was
   // sent.
   void ApplyReport(std::string_view worker, const worker_report& report,
@@ -540,6 +557,18 @@
   // if it cannot be moved.
   std::optional<double> MovableWork(const graph_job& job, time_point now) const;
 
+  // In pool_lending.cc: tasks that other partitions run.
+
+  // Returns true if a worker that could take a task of the step is not claimed,
+  // or has no decision of the advisor.
+  bool HasUndecidedWorkers(const candidate& waiting, time_point now) const;
+  // Returns true if the step consists of lasting tasks that are kept apart, and
+  // the workers here that may run them had no room for a while.
+  bool IsStranded(const candidate& waiting, time_point now);
+  // Returns the tasks that are lent according to the progress, by partition.
+  static std::map<std::string, std::vector<task_key>> LentTasks(
+      const std::string& job_id, const job_progress& progress);
+
   // In pool_start_share.cc: the share of the starts for steps that the order
   // holds back.
 
--- a/src/pools/job_journal.cc
+++ b/src/pools/job_journal.cc
@@ -179,7 +179,7 @@
       continue;
     }
     stored_job stored{std::move(*job), {}};
-    stored.progress = InitialProgress(stored.submission.graph);
+    stored.progress = InitialProgress(stored.submission);
     const auto found = progress.find(stored.submission.id);
     if (found != progress.end()) {
       auto decoded = Attempt([&] {
@@ -451,7 +451,7 @@
            bytes < kMaxTransactionBytes) {
       submission_ptr next = pending_submissions_.front();
       pending_submissions_.pop_front();
-      if (HomePartition(next->job.id, partition_count_) != 0) {
+      if (!IsHome(next->job)) {
         next->is_done = true;
         next->changed.notify_all();
         continue;
@@ -461,7 +461,7 @@
                                    EncodeSubmission(next->job),
                                    {}});
       bytes += group.writes.puts.back().value.size();
-      for (kv_condition& condition : SubmissionConditions(next->job.id)) {
+      for (kv_condition& condition : SubmissionConditions(next->job)) {
         group.writes.conditions.push_back(std::move(condition));
       }
       entries += submission_entries;
@@ -623,10 +623,14 @@
 }
 
 std::vector<kv_condition> job_journal::SubmissionConditions(
-    std::string_view job_id) const {
-  if (options_.first_partition.empty()) return {};
-  return {{JobKey(options_.first_partition, job_id), 0},
-          {ProgressKey(options_.first_partition, job_id), 0}};
+    const job_submission& job) const {
+  if (options_.first_partition.empty() || job.guest) return {};
+  return {{JobKey(options_.first_partition, job.id), 0},
+          {ProgressKey(options_.first_partition, job.id), 0}};
+}
+
+bool job_journal::IsHome(const job_submission& job) const {
+  return job.guest || HomePartition(job.id, partition_count_) == 0;
 }
 
 void job_journal::RemoveSubmission(commit_group& group,
@@ -636,7 +640,7 @@
   std::erase_if(group.writes.puts, [&](const kv_write& put) {
     return put.key == JobKey(options_.pool, id);
   });
-  for (const kv_condition& condition : SubmissionConditions(id)) {
+  for (const kv_condition& condition : SubmissionConditions(submission->job)) {
     std::erase_if(group.writes.conditions, [&](const kv_condition& one) {
       return one.key == condition.key;
     });
@@ -662,13 +666,14 @@
       return one.key == options_.partitions_key;
     });
     for (const submission_ptr& submission : submissions) {
-      if (HomePartition(submission->job.id, table.count) == 0) continue;
+      if (IsHome(submission->job)) continue;
       RemoveSubmission(group, submission, false);
     }
     return true;
   }
   if (options_.first_partition.empty()) return false;
   for (const submission_ptr& submission : submissions) {
+    if (submission->job.guest) continue;
     BOOST_LEAF_AUTO(state,
                     ReadStoredJobState(*options_.kv, options_.first_partition,
                                        submission->job.id));
--- a/src/pools/job_journal.h
+++ b/src/pools/job_journal.h
@@ -214,7 +214,10 @@
   bool CommitGroup(commit_group& group);
   // Returns the conditions under which a job is stored. They make sure that no
   // other partition of the pool stores it, too.
-  std::vector<kv_condition> SubmissionConditions(std::string_view job_id) const;
+  std::vector<kv_condition> SubmissionConditions(
+      const job_submission& job) const;
+  // Returns false if another partition accepts the job.
+  bool IsHome(const job_submission& job) const;
   // After a conflict: removes the submissions from the group that belong to
   // another partition or that the first one has accepted before, and reports
   // their results. Returns false if the conflict has another cause.
--- a/src/pools/owner_ranking.cc
+++ b/src/pools/owner_ranking.cc
@@ -82,7 +82,8 @@
   return nlohmann::json{{"processor_milli", capacity.processor_milli},
                         {"overloaded", capacity.is_overloaded},
                         {"link_kbps", capacity.link_kbps},
-                        {"partitions", capacity.knows_partitions}}
+                        {"partitions", capacity.knows_partitions},
+                        {"loans", capacity.knows_loans}}
       .dump();
 }
 
@@ -92,7 +93,8 @@
         return member_capacity{in.at("processor_milli").get<std::int64_t>(),
                                in.value("overloaded", false),
                                in.value("link_kbps", std::int64_t{0}),
-                               in.value("partitions", false)};
+                               in.value("partitions", false),
+                               in.value("loans", false)};
       });
 }
 
--- a/src/pools/owner_ranking.h
+++ b/src/pools/owner_ranking.h
@@ -26,6 +26,9 @@
   // The version of the member knows partitions. A pool is divided only if all
   // members do.
   bool knows_partitions = false;
+  // The version of the member knows tasks that another partition runs. Tasks
+  // are lent only if all members do, because others would run them twice.
+  bool knows_loans = false;
 
   friend bool operator==(const member_capacity&,
                          const member_capacity&) = default;
--- a/src/pools/pool_calls.h
+++ b/src/pools/pool_calls.h
@@ -59,6 +59,9 @@
 // A `job_list`; the response says whether the owner has taken the jobs over.
 inline constexpr std::string_view kAdoptTopic = "adopt";
 
+// A submission with tasks that the receiver runs for another partition.
+inline constexpr std::string_view kHostTopic = "host";
+
 std::string_view ToString(job_call_status status);
 
 wire_message MakePoolCall(std::string_view topic, std::string body);
--- a/src/pools/pool_directory.cc
+++ b/src/pools/pool_directory.cc
@@ -45,7 +45,7 @@
 member_capacity ConfiguredCapacity(const daemon_settings& settings) {
   return {
       std::llround(settings.processor_share * settings.processor_cores * 1000),
-      false, std::llround(settings.link_mbps * 1000), true};
+      false, std::llround(settings.link_mbps * 1000), true, true};
 }
 
 }  // namespace
@@ -130,22 +130,22 @@
   return pools;
 }
 
-partition_support pool_directory::PartitionSupport() const {
+member_support pool_directory::SupportOf(bool member_capacity::*feature) const {
   const std::lock_guard lock(mutex_);
   const auto now = options_.clock->Now();
-  auto support = partition_support::kAll;
+  auto support = member_support::kAll;
   for (const auto& [id, stored] : members_) {
     if (!stored.record || exits_.HasExited(id)) continue;
     const auto found = capacities_.find(id);
     if (found != capacities_.end() && found->second.record) {
-      if (found->second.record->knows_partitions) continue;
-      return partition_support::kNotAll;
+      if ((*found->second.record).*feature) continue;
+      return member_support::kNotAll;
     }
     // The first versions publish no capacity.
     if (now - stored.joined_at >= kCapacityDelay) {
-      return partition_support::kNotAll;
+      return member_support::kNotAll;
     }
-    support = partition_support::kUnknown;
+    support = member_support::kUnknown;
   }
   return support;
 }
--- a/src/pools/pool_directory.h
+++ b/src/pools/pool_directory.h
@@ -45,8 +45,8 @@
   log_sink log;
 };
 
-// Whether the versions of all members know partitions.
-enum class partition_support {
+// Whether the versions of all members know a feature.
+enum class member_support {
   kAll,
   kNotAll,
   kUnknown,  // A member that has just joined has not published it yet.
@@ -87,7 +87,13 @@
   void SetPools(std::vector<std::string> pools);
   const partition_directory& Partitions() const { return partitions_; }
   // Whether all members know partitions.
-  partition_support PartitionSupport() const;
+  member_support PartitionSupport() const {
+    return SupportOf(&member_capacity::knows_partitions);
+  }
+  // The same for tasks that another partition runs.
+  member_support LoanSupport() const {
+    return SupportOf(&member_capacity::knows_loans);
+  }
   // Stores the partitions of a pool whose first partition this member owns with
   // `epoch`.
   result<void> StorePartitions(const std::string& pool, std::uint64_t epoch,
@@ -144,6 +150,7 @@
   std::string AddressOf(std::string_view member_id) const;
 
  private:
+  member_support SupportOf(bool member_capacity::*feature) const;
   struct stored_owner {
     pool_ownership ownership;  // The member id is empty if the key was deleted.
     std::uint64_t revision = 0;
--- a/src/pools/pool_events.h
+++ b/src/pools/pool_events.h
@@ -78,5 +78,7 @@
                                              severity::kInfo};
 inline constexpr log_event_kind kOwnershipRenewed{
     2238, "pool_ownership_renewed", severity::kWarning};
+inline constexpr log_event_kind kHostRefused{2239, "pool_host_refused",
+                                             severity::kInfo};
 
 }  // namespace apricotwheel::pool_events
--- a/src/pools/pool_host.cc
+++ b/src/pools/pool_host.cc
@@ -61,7 +61,13 @@
     : options_(std::move(options)),
       balancer_({options_.peers, options_.directory,
                  [this] { return CurrentOwners(); }, options_.clock,
-                 options_.log}) {}
+                 options_.log}),
+      guests_({options_.kv, options_.peers, options_.directory,
+               [this] { return CurrentOwners(); },
+               [this](const wire::pool_callT& call) {
+                 return HandleJobCall(call, options_.clock->Now());
+               },
+               options_.clock, options_.log}) {}
 
 result<void> pool_host::Start() {
   options_.directory->SetAcquiredCallback(
@@ -94,6 +100,7 @@
       threads_.Spawn("pool-check", [this] { RunOwnershipChecks(); }));
   BOOST_LEAF_CHECK(threads_.Spawn("pool-move", [this] { RunMoves(); }));
   BOOST_LEAF_CHECK(balancer_.Start());
+  BOOST_LEAF_CHECK(guests_.Start());
   return threads_.Spawn("pool-host", [this] { Run(); });
 }
 
@@ -106,6 +113,7 @@
   }
   changed_.notify_all();
   balancer_.Stop();
+  guests_.Stop();
   threads_.JoinAll();
   if (worker_watcher_) worker_watcher_->Stop();
 }
@@ -346,6 +354,16 @@
     const auto owner = OwnerOf(job->queue.pool);
     return owner ? owner->Submit(*job, deadline) : response;
   }
+  if (call.topic == kHostTopic) {
+    const auto job = Attempt([&] { return DecodeSubmission(call.body); });
+    if (!job || !job->guest) {
+      response.status = job_call_status::kInvalid;
+      response.reason = job ? "no tasks are named" : Describe(job.failure);
+      return response;
+    }
+    const auto host = OwnerOf(job->queue.pool);
+    return host ? host->Host(*job, deadline) : response;
+  }
   const auto reference = Attempt([&] { return DecodeReference(call.body); });
   if (!reference) {
     response.status = job_call_status::kInvalid;
--- a/src/pools/pool_host.h
+++ b/src/pools/pool_host.h
@@ -16,6 +16,7 @@
 #include "kernel/log.h"
 #include "kernel/thread_group.h"
 #include "peer/peer_node.h"
+#include "pools/guest_exchange.h"
 #include "pools/kv_watcher.h"
 #include "pools/partition_balancer.h"
 #include "pools/platform_services.h"
@@ -171,6 +172,7 @@
 
   const pool_host_options options_;
   partition_balancer balancer_;
+  guest_exchange guests_;
   std::atomic<int> executing_submissions_ = 0;  // Forwarded by other daemons.
   // Used by the host thread only.
   std::unique_ptr<kv_watcher> worker_watcher_;
--- a/src/pools/pool_owner.h
+++ b/src/pools/pool_owner.h
@@ -84,6 +84,19 @@
   // owner cannot; the next one finds them in the store.
   result<void> Adopt(std::span<const std::string> jobs);
 
+  // Defined in pool_owner_guests.cc.
+  // Lends lasting tasks that no worker of this partition can take.
+  void LendTasks(std::span<const std::string> partitions);
+  // See `pool_scheduler`.
+  std::vector<std::pair<std::string, job_submission>> Loans() const;
+  std::vector<std::pair<std::string, std::string>> GuestJobs() const;
+  void OnLoanStarted(std::string_view job_id);
+  // Runs tasks for another partition, and returns the state of the job here.
+  // May be called again with more of them.
+  job_call_response Host(const job_submission& job, time_point deadline);
+  // The job has ended in its own partition.
+  void EndGuest(std::string_view job_id);
+
   // Returns true once every run of an earlier owner is known or has expired.
   bool IsTakeoverComplete() const;
   // Returns the mean time that an event waited for the scheduling pass since
--- a/src/pools/pool_partitioning.cc
+++ b/src/pools/pool_partitioning.cc
@@ -41,7 +41,7 @@
 }
 
 bool pool_host::MayDivide(const std::string& pool, std::size_t worker_count) {
-  if (options_.directory->PartitionSupport() != partition_support::kNotAll) {
+  if (options_.directory->PartitionSupport() != member_support::kNotAll) {
     return true;
   }
   // Members of an earlier version would use all workers in any case.
@@ -97,7 +97,7 @@
     return growth.is_in_use ? workers : used;
   }
   if (has_settled && known &&
-      options_.directory->PartitionSupport() == partition_support::kAll) {
+      options_.directory->PartitionSupport() == member_support::kAll) {
     const auto table = DividePool(
         workers, occupied,
         static_cast<std::size_t>(options_.settings.partition_workers));
--- a/tests/pools/partitions_test.cc
+++ b/tests/pools/partitions_test.cc
@@ -1,4 +1,5 @@
 // Divided pools: several owners carry the workers and jobs of one pool.
+#include <algorithm>
 #include <boost/test/unit_test.hpp>
 #include <map>
 #include <set>
@@ -89,6 +90,16 @@
     const std::lock_guard lock(mutex);
     return owners_by_worker.size() == workers;
   }
+  // Counts the runs on all workers, and the most on one.
+  std::pair<std::size_t, std::size_t> CountRuns() {
+    const std::lock_guard lock(mutex);
+    std::pair<std::size_t, std::size_t> runs;
+    for (const auto& [id, agent] : agents) {
+      runs.first += agent->RunCount();
+      runs.second = std::max(runs.second, agent->RunCount());
+    }
+    return runs;
+  }
   job_call_response State(daemon_parts& daemon, const std::string& id) {
     return daemon.gateway.State(daemon_parts::Queue(), id, milliseconds(3000));
   }
@@ -357,6 +368,58 @@
   }));
 }
 
+// A job of lasting tasks that are kept apart, one on each worker.
+job_graph SpreadGraph(std::uint32_t tasks) {
+  job_graph graph = daemon_parts::SmallJob("x").graph;
+  graph.steps[0].is_service = true;
+  graph.steps[0].task_count = tasks;
+  graph.steps[0].max_per_worker = 1;
+  return graph;
+}
+
+// Guards against lasting tasks that never run because the workers of their
+// partition are used up while others of the pool are free.
+BOOST_FIXTURE_TEST_CASE(a_wide_step_runs_in_several_partitions, cell) {
+  AddRacks(0, 4);
+  AddDaemon("a");
+  AddDaemon("b");
+  BOOST_REQUIRE(Eventually([&] { return CountPartitions() == 2; }));
+  BOOST_REQUIRE(Eventually([&] { return IsServed() && HasClaimedAll(8); }));
+  const auto submitted = daemons[0]->gateway.Submit(
+      daemon_parts::Queue(), "wide", SpreadGraph(6), milliseconds(3000));
+  BOOST_TEST((submitted.status == job_call_status::kAccepted));
+  BOOST_TEST(Eventually([&] { return CountRuns().first == 6; }));
+  BOOST_TEST(CountRuns().second == 1U);
+  BOOST_TEST((State(*daemons[1], "wide").state == job_state::kActive));
+  // The tasks are known to the successors of both owners and run once.
+  for (const std::string& partition : PartitionNames(kPool, 2)) {
+    const auto owner = daemons[0]->directory->OwnerOf(partition);
+    const auto& other = daemons[0]->directory->SelfId() == owner->member_id
+                            ? daemons[1]
+                            : daemons[0];
+    Attempt([&] {
+      return other->directory->TakeOver(partition, owner->epoch, false);
+    });
+    BOOST_REQUIRE(Eventually([&] { return IsServed(); }));
+  }
+  daemons[0]->clock->SleepFor(milliseconds(2500));
+  BOOST_TEST(CountRuns().first == 6U);
+  BOOST_TEST(CountRuns().second == 1U);
+  // A task that ends in the other partition starts there again.
+  {
+    const std::lock_guard lock(mutex);
+    for (const auto& [id, agent] : agents) {
+      if (agent->RunCount() > 0) agent->EndOneRun(run_outcome::kFailed);
+    }
+  }
+  BOOST_TEST(Eventually([&] { return CountRuns().first == 6; }));
+  const auto cancelled = daemons[1]->gateway.Cancel(daemon_parts::Queue(),
+                                                    "wide", milliseconds(3000));
+  BOOST_TEST((cancelled.status == job_call_status::kCancelled));
+  BOOST_TEST(Eventually([&] { return CountRuns().first == 0; }));
+  BOOST_TEST((State(*daemons[0], "wide").state == job_state::kCancelled));
+}
+
 // Guards against a job that was moved and is lost or doubled because one of the
 // owners changes before the other has taken the job over.
 BOOST_FIXTURE_TEST_CASE(a_moved_job_survives_changes_of_owners, cell) {
