A partition that runs guests refers to their own partition

Found by the fresh review: a job that lives away from the partition its id selects lends tasks to that partition, which then answered its cancellations and states itself: the tasks of the lender ran on. It also refused, for an hour, tasks of a job that it had moved away. An owner answers for a guest as for a moved job now.

--- a/src/graph/pool_lending.cc
+++ b/src/graph/pool_lending.cc
@@ -154,6 +154,12 @@
   return true;
 }
 
+std::string_view pool_scheduler::GuestHome(std::string_view job_id) const {
+  const auto found = jobs_.find(job_id);
+  if (found == jobs_.end() || !found->second->submission.guest) return {};
+  return found->second->submission.guest->home;
+}
+
 std::vector<std::pair<std::string, std::string>> pool_scheduler::GuestJobs()
     const {
   std::vector<std::pair<std::string, std::string>> jobs;
--- a/src/graph/pool_scheduler.h
+++ b/src/graph/pool_scheduler.h
@@ -178,6 +178,9 @@
   // Adds a job of which this partition runs some tasks, or tasks to such a job.
   // Returns false if the job is unknown and must be stored first.
   bool ExtendGuest(const job_submission& job);
+  // Returns the partition of a job that has only tasks of another one here, or
+  // an empty text.
+  std::string_view GuestHome(std::string_view job_id) const;
   // Returns the jobs of other partitions that have tasks here, with their
   // partitions.
   std::vector<std::pair<std::string, std::string>> GuestJobs() const;
--- a/src/pools/pool_owner.cc
+++ b/src/pools/pool_owner.cc
@@ -414,7 +414,8 @@
     if (is_stopped_ || is_quiesced_) {
       return Unavailable("the pool is being handed over");
     }
-    if (scheduler_->FindJobState(job.id) || FindMoved(job.id)) {
+    const bool is_moved = !job.guest && FindMoved(job.id);
+    if (scheduler_->FindJobState(job.id) || is_moved) {
       return MakeResponse(job_call_status::kAccepted);
     }
     // An earlier copy with an unknown outcome may still be stored, so that a
--- a/src/pools/pool_owner.h
+++ b/src/pools/pool_owner.h
@@ -146,7 +146,8 @@
   void RecordMove(const std::string& job_id, const std::string& target,
                   time_point now);
   void ForgetOldMoves(time_point now);
-  // Returns the response for a job that was moved.
+  // Returns the response for a job that was moved, or that runs tasks here for
+  // another partition.
   std::optional<job_call_response> FindMoved(std::string_view job_id) const;
   void OnApprovalResult(
       const approval_request& request,
--- a/src/pools/pool_owner_guests.cc
+++ b/src/pools/pool_owner_guests.cc
@@ -37,7 +37,7 @@
   {
     const std::lock_guard lock(mutex_);
     job_call_response response;
-    if (!is_loaded_ || is_stopped_ || is_quiesced_ || FindMoved(job.id)) {
+    if (!is_loaded_ || is_stopped_ || is_quiesced_) {
       response.reason = "this owner cannot run tasks of other partitions now";
       return response;
     }
--- a/src/pools/pool_owner_moves.cc
+++ b/src/pools/pool_owner_moves.cc
@@ -91,11 +91,12 @@
 
 std::optional<job_call_response> pool_owner::FindMoved(
     std::string_view job_id) const {
-  const auto found = moved_jobs_.find(job_id);
-  if (found == moved_jobs_.end()) return std::nullopt;
   job_call_response response;
   response.status = job_call_status::kMoved;
-  response.moved_to = found->second;
+  const auto found = moved_jobs_.find(job_id);
+  response.moved_to = found == moved_jobs_.end() ? scheduler_->GuestHome(job_id)
+                                                 : found->second;
+  if (response.moved_to.empty()) return std::nullopt;
   return response;
 }
 
--- a/tests/pools/partitions_test.cc
+++ b/tests/pools/partitions_test.cc
@@ -391,6 +391,17 @@
   BOOST_TEST(Eventually([&] { return CountRuns().first == 6; }));
   BOOST_TEST(CountRuns().second == 1U);
   BOOST_TEST((State(*daemons[1], "wide").state == job_state::kActive));
+  // The partition that runs some of the tasks does not answer for the job.
+  const bool is_first_home = HomePartition("wide", 2) == 0;
+  const std::string host = is_first_home ? kPool + "~1" : kPool;
+  for (const auto& daemon : daemons) {
+    const auto owner = daemon->host->OwnerOf(host);
+    if (!owner) continue;
+    BOOST_TEST((owner->State("wide").status == job_call_status::kMoved));
+    const auto answer =
+        owner->Cancel("wide", daemon->clock->Now() + milliseconds(1000));
+    BOOST_TEST((answer.status == job_call_status::kMoved));
+  }
   // The tasks are known to the successors of both owners and run once.
   for (const std::string& partition : PartitionNames(kPool, 2)) {
     const auto owner = daemons[0]->directory->OwnerOf(partition);
