--- a/tests/graph/lending_test.cc
+++ b/tests/graph/lending_test.cc
@@ -1,5 +1,6 @@
 // Tasks that other partitions of the pool run.
 #include <boost/test/unit_test.hpp>
+#include <set>
 
 #include "tests/graph/scheduler_rig.h"
 
@@ -134,6 +135,84 @@
   BOOST_TEST(host.scheduler.GuestJobs().empty());
 }
 
+// Guards against a second run of a task that the host's earlier owner started
+// before it had stored that the task is lent to it.
+BOOST_FIXTURE_TEST_CASE(an_added_task_waits_for_the_end_of_its_run,
+                        lending_rig) {
+  LendAfter(kStrandedTime);
+  StoreProgress();
+  const job_submission sent = scheduler.Loans().front().second;
+  scheduler_rig next;
+  next.scheduler.RestoreJob(sent, InitialProgress(sent), next.now);
+  next.AddWorker("v1", kWorker, false);
+  reported_run earlier;
+  earlier.task = {"wide", 0, 0, 1};
+  earlier.run = 100;
+  next.agents["v1"].running[earlier.task] = earlier;
+  next.ReportWorker("v1");
+  next.AddWorker("v2", kWorker);
+  next.AddWorker("v3", kWorker);
+  job_submission more = sent;
+  more.guest->tasks.push_back({0, 0, 1, 0});
+  BOOST_TEST(next.scheduler.ExtendGuest(more));
+  const pool_decisions first = next.Decide();
+  for (const start_order& order : first.starts) {
+    BOOST_TEST(order.task.index != 1U);
+  }
+  BOOST_REQUIRE_EQUAL(first.stops.size(), 1);
+  next.EndRun("v1", earlier.task, run_outcome::kStopped);
+  next.scheduler.OnStopResult(first.stops[0], true, next.now);
+  next.ReportWorker("v1");
+  const auto second = next.DecideAndCarryOut().starts;
+  BOOST_REQUIRE_EQUAL(second.size(), 1);
+  BOOST_TEST(second[0].task.index == 1U);
+  BOOST_TEST(second[0].run > earlier.run);
+}
+
+// Guards against tasks that wait for as long as a listed worker is cut off from
+// the owner.
+BOOST_FIXTURE_TEST_CASE(a_worker_that_stays_silent_does_not_hold_up_loans,
+                        lending_rig) {
+  AddWorker("w3", kWorker, false);
+  BOOST_TEST(LendAfter(milliseconds(10'000)) == 1U);
+}
+
+// Guards against loans that all go to the first of the other partitions.
+BOOST_FIXTURE_TEST_CASE(later_loans_go_to_other_partitions, lending_rig) {
+  const std::vector<std::string> others{"pool~1", "pool~2"};
+  const auto lend = [&] {
+    scheduler.LendTasks(others, now);
+    AdvanceClock(kStrandedTime);
+    return scheduler.LendTasks(others, now);
+  };
+  BOOST_TEST(lend() == 1U);
+  job_submission later = SpreadJob(3);
+  later.id = "later";
+  scheduler.AdmitJob(later, now);
+  DecideAndCarryOut();
+  ReportAll();
+  BOOST_TEST(lend() == 1U);
+  StoreProgress();
+  std::set<std::string> targets;
+  for (const auto& [partition, job] : scheduler.Loans()) {
+    targets.insert(partition);
+  }
+  BOOST_TEST(targets.size() == 2U);
+}
+
+// Guards against a gang that is split among partitions and never starts.
+BOOST_FIXTURE_TEST_CASE(gangs_are_not_lent, scheduler_rig) {
+  AddWorker("w1", kWorker);
+  AddWorker("w2", kWorker);
+  job_submission job = SpreadJob(3);
+  job.graph.steps[0].is_gang = true;
+  scheduler.AdmitJob(job, now);
+  DecideAndCarryOut();
+  scheduler.LendTasks(kOthers, now);
+  AdvanceClock(kStrandedTime);
+  BOOST_TEST(scheduler.LendTasks(kOthers, now) == 0U);
+}
+
 // Guards against records of another writer that name tasks out of range.
 BOOST_AUTO_TEST_CASE(records_with_unknown_tasks_are_rejected) {
   job_submission job = SpreadJob(3);
--- a/tests/pools/partitions_test.cc
+++ b/tests/pools/partitions_test.cc
@@ -420,6 +420,32 @@
   BOOST_TEST((State(*daemons[0], "wide").state == job_state::kCancelled));
 }
 
+// Guards against a cancellation that ends only the lent tasks: a job from
+// before the division lives in the first partition, and callers ask for it at
+// the one that its id belongs to, which may have borrowed tasks of it.
+BOOST_FIXTURE_TEST_CASE(a_lender_away_from_home_is_cancelled, cell) {
+  AddRacks(0, 2);
+  daemon_parts& first = AddDaemon("a");
+  daemon_parts& second = AddDaemon("b");
+  std::string id = "wide";
+  while (HomePartition(id, 2) == 0) id += "-";
+  BOOST_REQUIRE(Eventually([&] {
+    return first.gateway
+               .Submit(daemon_parts::Queue(), id, SpreadGraph(6),
+                       milliseconds(3000))
+               .status == job_call_status::kAccepted;
+  }));
+  BOOST_REQUIRE(Eventually([&] { return CountRuns().first == 4; }));
+  AddRacks(2, 2);
+  BOOST_REQUIRE(Eventually([&] { return CountPartitions() == 2; }));
+  BOOST_REQUIRE(Eventually([&] { return IsServed() && HasClaimedAll(8); }));
+  BOOST_REQUIRE(Eventually([&] { return CountRuns().first == 6; }));
+  const auto cancelled =
+      second.gateway.Cancel(daemon_parts::Queue(), id, milliseconds(3000));
+  BOOST_TEST((cancelled.status == job_call_status::kCancelled));
+  BOOST_TEST(Eventually([&] { return CountRuns().first == 0; }));
+}
+
 // Guards against a job that was moved and is lost or doubled because one of the
 // owners changes before the other has taken the job over.
 BOOST_FIXTURE_TEST_CASE(a_moved_job_survives_changes_of_owners, cell) {
