Loans: bounded waits, spread targets, ended and failed jobs

What the fresh review of the loans found by reading; one new mechanism, so these go together: - A worker that is listed and stays silent held up all loans of its partition for as long. They wait 4 s for it at most. - Each single loan went to the first other partition. It goes to the one with the fewest lent tasks of the step, then of all, and to none that reports no workers. - A task that was added to a guest forgot its last run number, so that it could start beside a run of an earlier owner that was being stopped (TWICE). - A job whose lent tasks were given up by the host stayed active for its callers. - A call that arrived after the job was cancelled started its tasks (UNASKED): a host reads the stored state of the job before it takes it. - Lasting gangs were lent task by task. A crash that was noticed late was counted against a task after it was lent. Guests did not rank as restarts.

The late call and the failed host have no test.

--- a/src/graph/pool_crashes.cc
+++ b/src/graph/pool_crashes.cc
@@ -168,9 +168,9 @@
   graph_job* job = FindJob(run.task.job_id);
   if (job == nullptr || !HasTask(*job, run.task)) return false;
   if (IsFinal(job->progress.state)) return false;
-  if (StepOf(*job, run.task).tasks[run.task.index].phase == task_phase::kDone) {
-    return false;
-  }
+  const task_phase phase = StepOf(*job, run.task).tasks[run.task.index].phase;
+  // A lent task runs, and is judged, in another partition.
+  if (phase == task_phase::kDone || phase == task_phase::kLent) return false;
   const task_key key = CrashKey(*job, run.task);
   auto& blamed = BlamedRuns(*job, key);
   auto& excused = ExcusedRuns(*job, key);
--- a/src/graph/pool_lending.cc
+++ b/src/graph/pool_lending.cc
@@ -13,6 +13,29 @@
 // of its tasks could be placed for this time; the rest is for the call to the
 // other partition and the approval there.
 constexpr auto kStrandedTime = milliseconds(2000);
+// Workers that are not claimed or have no decision may take the task within
+// this time. A worker that stays silent doesn't.
+constexpr auto kMaxUndecidedTime = milliseconds(4000);
+
+// Returns the partition that has the fewest of the lent tasks of a step, and
+// the fewest of all.
+const std::string& LeastLent(
+    std::span<const std::string> partitions,
+    const std::map<std::uint32_t, std::string>& of_step,
+    const std::map<std::string, std::size_t>& in_all) {
+  const auto rank = [&](const std::string& partition) {
+    const auto found = in_all.find(partition);
+    return std::pair(
+        std::count_if(of_step.begin(), of_step.end(),
+                      [&](const auto& row) { return row.second == partition; }),
+        found == in_all.end() ? 0 : found->second);
+  };
+  return *std::min_element(
+      partitions.begin(), partitions.end(),
+      [&](const std::string& left, const std::string& right) {
+        return rank(left) < rank(right);
+      });
+}
 
 }  // namespace
 
@@ -58,9 +81,9 @@
 bool pool_scheduler::IsStranded(const candidate& waiting, time_point now) {
   step_state& step = StateOf(waiting);
   const graph_step& spec = waiting.job->submission.graph.steps[waiting.step];
-  const bool may_be_stranded =
-      spec.is_service && spec.max_per_worker > 0 && step.waiting > 0 &&
-      step.queued_in_pass == pass_ && !HasUndecidedWorkers(waiting, now);
+  const bool may_be_stranded = spec.is_service && !spec.is_gang &&
+                               spec.max_per_worker > 0 && step.waiting > 0 &&
+                               step.queued_in_pass == pass_;
   if (!may_be_stranded) {
     step.stranded_since = {};
     return false;
@@ -70,13 +93,22 @@
     step.stranded_since = now;
     step.placed_when_stranded = step.placed;
   }
-  return now - step.stranded_since >= kStrandedTime;
+  const auto waited = now - step.stranded_since;
+  if (waited < kStrandedTime) return false;
+  return waited >= kMaxUndecidedTime || !HasUndecidedWorkers(waiting, now);
 }
 
 std::size_t pool_scheduler::LendTasks(std::span<const std::string> partitions,
                                       time_point now) {
   if (partitions.empty() || !IsTakeoverComplete(now)) return 0;
   std::size_t count = 0;
+  std::map<std::string, std::size_t> in_all;
+  for (const graph_job* job : open_jobs_) {
+    for (const auto& [partition, tasks] :
+         LentTasks(job->submission.id, job->progress)) {
+      in_all[partition] += tasks.size();
+    }
+  }
   for (graph_job* job : open_jobs_) {
     if (job->is_moving || job->submission.guest) continue;
     candidate waiting{job, 0, 0, {}, {}};
@@ -93,12 +125,13 @@
               HasVerdictPending(*job, key) || IsSuspect(*job, key)) {
             continue;
           }
-          const std::string& target = partitions[count % partitions.size()];
+          auto& lent = job->progress.occurrences[key.occurrence][key.step].lent;
+          const std::string& target = LeastLent(partitions, lent, in_all);
+          ++in_all[target];
           task.phase = task_phase::kLent;
           --step.waiting;
           ++step.lent;
-          job->progress.occurrences[key.occurrence][key.step].lent[key.index] =
-              target;
+          lent[key.index] = target;
           MarkDirty(*job);
           ++count;
           Log(graph_events::kTaskLent,
@@ -134,6 +167,12 @@
   if (graph_job* job = FindJob(job_id)) MarkStarted(*job);
 }
 
+void pool_scheduler::OnLoanFailed(std::string_view job_id, time_point now) {
+  graph_job* job = FindJob(job_id);
+  if (job == nullptr || IsFinal(job->progress.state)) return;
+  FinishJob(*job, job_state::kFailed, now);
+}
+
 bool pool_scheduler::ExtendGuest(const job_submission& job) {
   graph_job* known = FindJob(job.id);
   if (known == nullptr) return false;
@@ -143,8 +182,9 @@
     graph_task& task = step.tasks[entry.index];
     // Lasting tasks are never done, so this one did not run here before.
     if (task.phase != task_phase::kDone) continue;
+    const auto last_run = std::max(task.last_run, entry.last_run);
     task = {};
-    task.last_run = entry.last_run;
+    task.last_run = last_run;
     --step.done;
     ++step.waiting;
     known->progress.occurrences[entry.occurrence][entry.step]
--- a/src/graph/pool_placement.cc
+++ b/src/graph/pool_placement.cc
@@ -115,7 +115,8 @@
         waiting_step order;
         order.priority = submission.queue.priority;
         order.is_service = spec.is_service;
-        order.is_restart = spec.is_service && job->progress.has_started;
+        order.is_restart = spec.is_service && (job->progress.has_started ||
+                                               submission.guest.has_value());
         order.submitted_at = job->admitted_at;
         order.objective =
             LatencyObjective(submission.queue, job->critical_path_ms);
--- a/src/graph/pool_scheduler.h
+++ b/src/graph/pool_scheduler.h
@@ -175,6 +175,8 @@
   std::vector<std::pair<std::string, job_submission>> Loans() const;
   // A task of the job has started in another partition.
   void OnLoanStarted(std::string_view job_id);
+  // The tasks of the job have been given up in another partition.
+  void OnLoanFailed(std::string_view job_id, time_point now);
   // Adds a job of which this partition runs some tasks, or tasks to such a job.
   // Returns false if the job is unknown and must be stored first.
   bool ExtendGuest(const job_submission& job);
--- a/src/pools/guest_exchange.cc
+++ b/src/pools/guest_exchange.cc
@@ -45,7 +45,7 @@
                                   pool_owner& owner,
                                   std::span<const std::string> others) {
   if (options_.directory->LoanSupport() == member_support::kAll) {
-    owner.LendTasks(others);
+    owner.LendTasks(WithWorkers(others));
   }
   for (const auto& loan : owner.Loans()) {
     if (signal_.StopRequested()) return;
@@ -55,6 +55,7 @@
     if (response.status == job_call_status::kAccepted) continue;
     if (response.status == job_call_status::kState) {
       if (response.state == job_state::kActive) owner.OnLoanStarted(job.id);
+      if (response.state == job_state::kFailed) owner.OnLoanFailed(job.id);
       continue;
     }
     Emit(options_.log, pool_events::kHostRefused,
@@ -64,6 +65,15 @@
   }
 }
 
+std::vector<std::string> guest_exchange::WithWorkers(
+    std::span<const std::string> partitions) const {
+  std::vector<std::string> found;
+  for (const std::string& partition : partitions) {
+    if (options_.has_workers(partition)) found.push_back(partition);
+  }
+  return found;
+}
+
 void guest_exchange::EndGuests(pool_owner& owner) {
   for (const auto& [job_id, home] : owner.GuestJobs()) {
     if (signal_.StopRequested()) return;
--- a/src/pools/guest_exchange.h
+++ b/src/pools/guest_exchange.h
@@ -3,6 +3,7 @@
 #include <functional>
 #include <span>
 #include <string>
+#include <vector>
 
 #include "clients/kv_client.h"
 #include "kernel/clock.h"
@@ -20,6 +21,8 @@
   peer_node* peers = nullptr;
   pool_directory* directory = nullptr;
   std::function<owner_map()> owners;  // In this daemon, by partition.
+  // Returns false for a partition that is known to have no workers.
+  std::function<bool(const std::string&)> has_workers;
   // Handles a call to an owner in this daemon.
   std::function<job_call_response(const wire::pool_callT&)> call_self;
   clock_ptr clock;
@@ -43,6 +46,8 @@
   // Requests the other partitions to run what is lent to them.
   void RequestHosts(const std::string& partition, pool_owner& owner,
                     std::span<const std::string> others);
+  std::vector<std::string> WithWorkers(
+      std::span<const std::string> partitions) const;
   // Ends the tasks here whose jobs have ended.
   void EndGuests(pool_owner& owner);
   bool HasEnded(const std::string& job_id, const std::string& home);
--- a/src/pools/partition_balancer.cc
+++ b/src/pools/partition_balancer.cc
@@ -86,6 +86,12 @@
   reports_[report.partition] = {report.load, options_.clock->Now()};
 }
 
+bool partition_balancer::MayHaveWorkers(const std::string& partition) {
+  const std::lock_guard lock(mutex_);
+  const auto found = reports_.find(partition);
+  return found == reports_.end() || found->second.load.has_workers;
+}
+
 void partition_balancer::MoveJobs(const std::string& partition,
                                   pool_owner& owner, const pool_load& load) {
   const std::string pool(PoolOfPartition(partition));
--- a/src/pools/partition_balancer.h
+++ b/src/pools/partition_balancer.h
@@ -43,6 +43,8 @@
 
   // Jobs were moved, so that the owners of their targets have to be told.
   void OnJobsMoved() { signal_.Wake(); }
+  // Returns false if the last report of the partition says that it has none.
+  bool MayHaveWorkers(const std::string& partition);
   // Handle messages of other owners.
   void HandleReport(const partition_report& report);
   result<void> HandleAdoption(const job_list& list);
--- a/src/pools/pool_host.cc
+++ b/src/pools/pool_host.cc
@@ -64,6 +64,9 @@
                  options_.log}),
       guests_({options_.kv, options_.peers, options_.directory,
                [this] { return CurrentOwners(); },
+               [this](const std::string& partition) {
+                 return balancer_.MayHaveWorkers(partition);
+               },
                [this](const wire::pool_callT& call) {
                  return HandleJobCall(call, options_.clock->Now());
                },
--- a/src/pools/pool_owner.h
+++ b/src/pools/pool_owner.h
@@ -91,6 +91,7 @@
   std::vector<std::pair<std::string, job_submission>> Loans() const;
   std::vector<std::pair<std::string, std::string>> GuestJobs() const;
   void OnLoanStarted(std::string_view job_id);
+  void OnLoanFailed(std::string_view job_id);
   // Runs tasks for another partition, and returns the state of the job here.
   // May be called again with more of them.
   job_call_response Host(const job_submission& job, time_point deadline);
--- a/src/pools/pool_owner_guests.cc
+++ b/src/pools/pool_owner_guests.cc
@@ -26,6 +26,13 @@
   RequestDecision();
 }
 
+void pool_owner::OnLoanFailed(std::string_view job_id) {
+  const std::lock_guard lock(mutex_);
+  if (!is_loaded_ || is_stopped_) return;
+  scheduler_->OnLoanFailed(job_id, options_.clock->Now());
+  RequestDecision();
+}
+
 std::vector<std::pair<std::string, std::string>> pool_owner::GuestJobs() const {
   const std::lock_guard lock(mutex_);
   if (!is_loaded_ || is_stopped_) return {};
@@ -48,6 +55,15 @@
       return response;
     }
   }
+  // The call may be late, and the job cancelled meanwhile.
+  const auto state = Attempt([&] {
+    return ReadStoredJobState(*options_.kv, job.guest->home, job.id);
+  });
+  if (!state || !*state.value || IsFinal(**state.value)) {
+    job_call_response response;
+    response.reason = state ? "the job has ended" : Describe(state.failure);
+    return response;
+  }
   return Submit(job, deadline);
 }
 
