A lost call for approval costs what the call may take, not 4 s

Callers saw a step with free, allowed workers that started nothing for seconds: a step has one call for approval at a time, and one that was lost with the member that carried it kept the step for 4 s, for up to three attempts, while the advisor takes 0.2 to 0.5 s.

Cause: each attempt waited kApprovalTimeout, whatever the call took.

The time-out now follows the expected duration: twice that and 1 s, since the machine may serve a call of another owner first; doubled after each attempt that used up its time, 4 s at most as before. So that an advisor that is only late is not asked again and again, lateness of recent responses lengthens the next calls, and falls by half with each response. The member that carries a call learns the time-out, gives the advisor up before its sender does, and does not send a call that has expired; daemons of an earlier build state no time-out and get 4 s. Attempts and back-off stay as they were.

Worst case with 0.2 to 0.5 s of expected duration: one silent member 1.4 to 2 s (before 4 s), three lost attempts 8.2 to 10 s (before 12 s).

--- a/src/pools/approval_dispatcher.cc
+++ b/src/pools/approval_dispatcher.cc
@@ -12,6 +12,14 @@
 // Limit of threads, and so of concurrent calls, in a very large cell.
 constexpr std::size_t kMaxConcurrentCalls = 48;
 constexpr int kMaxAttempts = 3;
+// The machine of a member may serve a call of another owner first, of the same
+// length as a rule.
+constexpr int kCallsPerTimeout = 2;
+// That call may also be a long one: it takes more than half a second. The rest
+// is for the way through the member.
+constexpr auto kCallMargin = milliseconds(1000);
+// Calls that were late are followed by later ones while load rises.
+constexpr int kLatenessFactor = 2;
 // A member whose call failed gets no other one for this time.
 constexpr auto kFailedMemberBackoff = milliseconds(1500);
 // The member list does not notify the dispatcher of new members, so it is read
@@ -28,6 +36,16 @@
   return members / kMembersPerReserved;
 }
 
+duration ApprovalTimeout(duration expected, duration lateness, int timeouts) {
+  duration timeout =
+      kCallsPerTimeout * expected +
+      std::max<duration>(kCallMargin, kLatenessFactor * lateness);
+  for (int i = 0; i < timeouts && timeout < kMaxApprovalTimeout; ++i) {
+    timeout *= 2;
+  }
+  return std::min<duration>(timeout, kMaxApprovalTimeout);
+}
+
 std::vector<std::string> OrderMembers(std::vector<std::string> members,
                                       std::size_t pool_index,
                                       std::size_t pools) {
@@ -86,7 +104,7 @@
     const time_point waits_since =
         request.wanted_since == time_point{} ? now : request.wanted_since;
     const std::uint64_t sequence = ++last_sequence_;
-    pending_[sequence] = {std::move(request), sequence, 0, waits_since};
+    pending_[sequence] = {std::move(request), sequence, 0, 0, waits_since};
     SpawnThreadIfNeeded();
   }
   changed_.notify_one();
@@ -146,6 +164,10 @@
   return free;
 }
 
+void approval_dispatcher::RecordLateness(duration expected, duration took) {
+  lateness_ = std::max(took - expected, lateness_ / 2);
+}
+
 void approval_dispatcher::Run() {
   std::unique_lock lock(mutex_);
   while (!is_stopped_) {
@@ -179,16 +201,27 @@
     ++running_calls_;
     const duration waited = clock_->Now() - next.waits_since;
     longest_wait_ = std::max(longest_wait_, waited);
+    const duration expected = next.request.expected_duration;
+    const duration timeout =
+        ApprovalTimeout(expected, lateness_, next.timeouts);
     lock.unlock();
     if (on_wait_ && next.attempts == 0) on_wait_(waited);
-    const auto response = Attempt([&] { return send_(member, next.request); });
+    const auto sent_at = clock_->Now();
+    const auto response =
+        Attempt([&] { return send_(member, next.request, timeout); });
+    const duration took = clock_->Now() - sent_at;
     lock.lock();
     busy_members_.erase(member);
     changed_.notify_one();
-    if (!response) {
+    if (response) {
+      RecordLateness(expected, took);
+    } else {
       Emit(log_, pool_events::kApprovalFailed,
            {Field("job", next.request.job_id), Field("member", member),
             Field("reason", Describe(response.failure))});
+      // A refusal comes at once and says nothing about how long a call takes;
+      // a member that has waited for the advisor answers before its time ends.
+      if (took >= timeout / 2) ++next.timeouts;
       backoff_until_[member] = clock_->Now() + kFailedMemberBackoff;
       if (++next.attempts < kMaxAttempts && !is_stopped_) {
         const std::uint64_t sequence = next.sequence;
--- a/src/pools/approval_dispatcher.h
+++ b/src/pools/approval_dispatcher.h
@@ -27,6 +27,14 @@
                                       std::size_t pool_index,
                                       std::size_t pools);
 
+// The limit of a call for approval, whatever its expected duration.
+inline constexpr auto kMaxApprovalTimeout = milliseconds(4000);
+
+// Returns how long a call waits for its response. `lateness` is by how much
+// calls were late recently; `timeouts` counts the attempts of the same call
+// that had no response in their time, each of which doubles the next one's.
+duration ApprovalTimeout(duration expected, duration lateness, int timeouts);
+
 // Distributes approval requests over the members. The advisor serves one call
 // at a time from each machine, so each member carries one call at a time. A
 // free member takes the oldest pending request that it may carry: the scheduler
@@ -34,10 +42,11 @@
 class approval_dispatcher {
  public:
   using approvals = std::vector<approved_worker>;
-  // Sends a request to the advisor through a member. Called on the dispatcher's
-  // threads.
+  // Sends a request to the advisor through a member, and fails if there is no
+  // response within `timeout`. Called on the dispatcher's threads.
   using approval_call = std::function<result<approvals>(
-      const std::string& member_id, const approval_request& request)>;
+      const std::string& member_id, const approval_request& request,
+      duration timeout)>;
   using approval_callback = std::function<void(
       const approval_request& request, const outcome<approvals>& response)>;
   // Returns the members in order of preference.
@@ -73,6 +82,7 @@
     approval_request request;
     std::uint64_t sequence = 0;
     int attempts = 0;
+    int timeouts = 0;  // Of the attempts.
     time_point waits_since{};
   };
 
@@ -89,6 +99,8 @@
   // Called with mutex_ held.
   bool IsFree(const std::string& member, time_point now) const;
   free_members FindFreeMembers();
+  // Called with mutex_ held.
+  void RecordLateness(duration expected, duration took);
 
   const clock_ptr clock_;
   const log_sink log_;
@@ -103,6 +115,9 @@
   std::map<std::string, time_point> backoff_until_;
   std::uint64_t last_sequence_ = 0;
   duration longest_wait_{};
+  // By how much responses came later than expected; an earlier lateness counts
+  // half with each response.
+  duration lateness_{};
   std::size_t thread_count_ = 0;
   std::size_t running_calls_ = 0;  // Including their callbacks.
   bool is_stopped_ = false;
--- a/src/pools/pool_host.cc
+++ b/src/pools/pool_host.cc
@@ -33,9 +33,6 @@
 // Workers write heartbeats continuously; changes are read in batches at this
 // interval.
 constexpr auto kWorkerWatchInterval = milliseconds(400);
-// The advisor may take more than half a second for many workers, and a call of
-// another owner may be served first.
-constexpr auto kApprovalTimeout = milliseconds(4000);
 
 // Decrements a counter at the end of a scope.
 struct counter_release {
@@ -43,6 +40,18 @@
   ~counter_release() { --counter; }
 };
 
+// Returns the time until which the sender of a call can use its response, with
+// a reserve for the way back.
+time_point ResponseDeadline(const wire::pool_callT& call, duration unstated,
+                            time_point received_at) {
+  const duration timeout =
+      call.timeout_ms > 0
+          ? milliseconds(std::min(call.timeout_ms, kMaxCallTimeoutMs))
+          : unstated;
+  return received_at + timeout -
+         std::min<duration>(kForwardReserve, timeout / 2);
+}
+
 std::string EncodeApprovalRequest(const approval_request& request) {
   json workers = json::array();
   for (const pool_worker& worker : request.workers) {
@@ -226,9 +235,10 @@
                         pools.size());
   };
   owner.request_approvals = [this](const std::string& member_id,
-                                   const approval_request& request) {
+                                   const approval_request& request,
+                                   duration timeout) {
     const auto sent_at = options_.clock->Now();
-    auto approvals = RequestApprovals(member_id, request);
+    auto approvals = RequestApprovals(member_id, request, timeout);
     const std::chrono::duration<double> took = options_.clock->Now() - sent_at;
     options_.metrics->approval_seconds.Observe(took.count());
     return approvals;
@@ -307,12 +317,8 @@
 
 job_call_response pool_host::HandleJobCall(const wire::pool_callT& call,
                                            time_point received_at) {
-  const duration timeout =
-      call.timeout_ms > 0
-          ? milliseconds(std::min(call.timeout_ms, kMaxCallTimeoutMs))
-          : kDefaultCallTimeout;
   const auto deadline =
-      received_at + timeout - std::min<duration>(kForwardReserve, timeout / 2);
+      ResponseDeadline(call, kDefaultCallTimeout, received_at);
   job_call_response response;
   // The sender does not wait any more, or repeats the request. Executing what
   // nobody waits for would delay the requests behind it until they expire too.
@@ -364,7 +370,8 @@
   return response;
 }
 
-wire_message pool_host::HandleApprovalCall(const wire::pool_callT& call) {
+wire_message pool_host::HandleApprovalCall(const wire::pool_callT& call,
+                                           time_point received_at) {
   const json in = json::parse(call.body, nullptr, false);
   if (!in.is_object() || !in.contains("job") || !in.contains("workers")) {
     return MakeFailure({error_kind::kInvalidArgument,
@@ -374,9 +381,19 @@
   const task_key step{in.value("job", ""), in.value("occurrence", 0U),
                       in.value("step", 0U), 0};
   const auto workers = in.value("workers", std::vector<std::string>{});
+  // Daemons of an earlier build wait for the longest time.
+  const duration left =
+      ResponseDeadline(call, kMaxApprovalTimeout, received_at) -
+      options_.clock->Now();
+  // The sender asks another member, and the advisor would be asked twice.
+  if (left <= duration{}) {
+    options_.metrics->expired_requests.Increment();
+    return MakeFailure({error_kind::kTimeout,
+                        "the approval request expired before it was sent",
+                        "retry through another daemon"});
+  }
   const auto approvals = Attempt([&] {
-    return options_.platform->request_approvals(step, workers,
-                                                kApprovalTimeout);
+    return options_.platform->request_approvals(step, workers, left);
   });
   if (!approvals) return MakeFailure(approvals.failure);
   json approved = json::array();
@@ -408,7 +425,9 @@
     return MakeFailure({error_kind::kInvalidArgument, "empty pool request",
                         "check that all daemons run compatible versions"});
   }
-  if (call->topic == kApprovalTopic) return HandleApprovalCall(*call);
+  if (call->topic == kApprovalTopic) {
+    return HandleApprovalCall(*call, received_at);
+  }
   if (call->topic == kTakeoverTopic) return HandleTakeoverCall(*call);
   if (call->topic == kOwnerTopic) return HandleOwnerCall(*call);
   if (call->topic == kLoadTopic) return HandleLoadReport(*call);
@@ -417,19 +436,18 @@
 }
 
 result<approval_dispatcher::approvals> pool_host::RequestApprovals(
-    const std::string& member_id, const approval_request& request) {
+    const std::string& member_id, const approval_request& request,
+    duration timeout) {
   if (member_id == options_.directory->SelfId()) {
     std::vector<std::string> ids;
     for (const pool_worker& worker : request.workers) ids.push_back(worker.id);
     return options_.platform->request_approvals(
-        {request.job_id, request.occurrence, request.step, 0}, ids,
-        kApprovalTimeout);
+        {request.job_id, request.occurrence, request.step, 0}, ids, timeout);
   }
-  BOOST_LEAF_AUTO(response, options_.peers->Call(
-                                member_id,
-                                MakePoolCall(kApprovalTopic,
-                                             EncodeApprovalRequest(request)),
-                                kApprovalTimeout));
+  wire_message call =
+      MakePoolCall(kApprovalTopic, EncodeApprovalRequest(request));
+  call.body.Aspool_call()->timeout_ms = ToMs(timeout);
+  BOOST_LEAF_AUTO(response, options_.peers->Call(member_id, call, timeout));
   const wire::pool_replyT* body = response.body.Aspool_reply();
   const json rows =
       body == nullptr ? json() : json::parse(body->body, nullptr, false);
--- a/src/pools/pool_host.h
+++ b/src/pools/pool_host.h
@@ -119,12 +119,14 @@
 
   wire_message HandleRequest(const wire_message& request,
                              time_point received_at);
-  wire_message HandleApprovalCall(const wire::pool_callT& call);
+  wire_message HandleApprovalCall(const wire::pool_callT& call,
+                                  time_point received_at);
   wire_message HandleLoadReport(const wire::pool_callT& call);
   wire_message HandleAdoptionCall(const wire::pool_callT& call);
   // Sends an approval request to the advisor, directly or through a member.
   result<approval_dispatcher::approvals> RequestApprovals(
-      const std::string& member_id, const approval_request& request);
+      const std::string& member_id, const approval_request& request,
+      duration timeout);
 
   // Defined in pool_succession.cc.
   enum class hand_over_cause {
--- a/tests/pools/approval_desk_test.cc
+++ b/tests/pools/approval_desk_test.cc
@@ -35,9 +35,8 @@
   explicit blocking_dispatcher(std::vector<std::string> members)
       : dispatcher(
             clock, log_sink{}, [members] { return members; },
-            [this](const std::string& member, const approval_request& request) {
-              return Block(member, request);
-            },
+            [this](const std::string& member, const approval_request& request,
+                   duration) { return Block(member, request); },
             [](const approval_request&,
                const outcome<approval_dispatcher::approvals>&) {}) {
     BOOST_REQUIRE(Attempt([&] { return dispatcher.Start(); }));
@@ -111,8 +110,8 @@
   std::vector<std::string> sent;
   approval_dispatcher dispatcher(
       clock, log_sink{}, [] { return std::vector<std::string>{"m1"}; },
-      [&](const std::string&, const approval_request& request)
-          -> result<approval_dispatcher::approvals> {
+      [&](const std::string&, const approval_request& request,
+          duration) -> result<approval_dispatcher::approvals> {
         std::unique_lock lock(mutex);
         changed.wait(lock, [&] { return is_released; });
         sent.push_back(request.job_id);
