An attempt of a call for approval goes to a member that was not tried

Callers saw a step that got no approvals at all while two members were silent, whatever number of others was idle.

Cause: the back-off of a silent member (1.5 s) is shorter than the next attempt, and members are taken in a fixed order. So the third attempt went to the first member again, and so did the next request after it.

Each request now remembers the members whose attempts failed, and takes another one if one is free. If none is, a member is tried again as before, so that no call waits for a member that is busy.

--- a/src/pools/approval_dispatcher.cc
+++ b/src/pools/approval_dispatcher.cc
@@ -104,7 +104,7 @@
     const time_point waits_since =
         request.wanted_since == time_point{} ? now : request.wanted_since;
     const std::uint64_t sequence = ++last_sequence_;
-    pending_[sequence] = {std::move(request), sequence, 0, 0, waits_since};
+    pending_[sequence] = {std::move(request), sequence, 0, {}, 0, waits_since};
     SpawnThreadIfNeeded();
   }
   changed_.notify_one();
@@ -148,20 +148,27 @@
   return capacity;
 }
 
-approval_dispatcher::free_members approval_dispatcher::FindFreeMembers() {
+approval_dispatcher::free_members approval_dispatcher::FindFreeMembers(
+    const std::set<std::string>& tried) {
   const auto now = clock_->Now();
   const auto members = members_();
   const std::size_t reserved = MembersForShortCalls(members.size());
-  free_members free;
+  free_members untried;
+  free_members any;
   for (std::size_t i = 0; i < members.size(); ++i) {
     const std::string& id = members[i];
     if (!IsFree(id, now)) continue;
-    if (free.for_short.empty()) free.for_short = id;
-    if (i < reserved) continue;
-    free.for_long = id;
+    const bool is_for_long = i >= reserved;
+    if (any.for_short.empty()) any.for_short = id;
+    if (is_for_long && any.for_long.empty()) any.for_long = id;
+    if (tried.contains(id)) continue;
+    if (untried.for_short.empty()) untried.for_short = id;
+    if (!is_for_long) continue;
+    untried.for_long = id;
     break;
   }
-  return free;
+  return {untried.for_short.empty() ? any.for_short : untried.for_short,
+          untried.for_long.empty() ? any.for_long : untried.for_long};
 }
 
 void approval_dispatcher::RecordLateness(duration expected, duration took) {
@@ -176,13 +183,15 @@
                         [&] { return is_stopped_ || !pending_.empty(); });
       continue;
     }
-    const free_members free = FindFreeMembers();
+    const free_members free = FindFreeMembers({});
     auto it = pending_.begin();
     std::string member;
     for (; it != pending_.end(); ++it) {
       const bool is_short =
           it->second.request.expected_duration <= kMaxShortCall;
-      member = is_short ? free.for_short : free.for_long;
+      const std::set<std::string>& tried = it->second.tried;
+      const free_members choice = tried.empty() ? free : FindFreeMembers(tried);
+      member = is_short ? choice.for_short : choice.for_long;
       if (!member.empty()) break;
     }
     if (member.empty()) {
@@ -222,6 +231,7 @@
       // A refusal comes at once and says nothing about how long a call takes;
       // a member that has waited for the advisor answers before its time ends.
       if (took >= timeout / 2) ++next.timeouts;
+      next.tried.insert(member);
       backoff_until_[member] = clock_->Now() + kFailedMemberBackoff;
       if (++next.attempts < kMaxAttempts && !is_stopped_) {
         const std::uint64_t sequence = next.sequence;
--- a/src/pools/approval_dispatcher.h
+++ b/src/pools/approval_dispatcher.h
@@ -82,7 +82,8 @@
     approval_request request;
     std::uint64_t sequence = 0;
     int attempts = 0;
-    int timeouts = 0;  // Of the attempts.
+    std::set<std::string> tried;  // Members whose attempts failed.
+    int timeouts = 0;             // Of the attempts.
     time_point waits_since{};
   };
 
@@ -98,7 +99,8 @@
   };
   // Called with mutex_ held.
   bool IsFree(const std::string& member, time_point now) const;
-  free_members FindFreeMembers();
+  // Prefers members that are not in `tried`.
+  free_members FindFreeMembers(const std::set<std::string>& tried);
   // Called with mutex_ held.
   void RecordLateness(duration expected, duration took);
 
--- a/tests/pools/lost_approvals_test.cc
+++ b/tests/pools/lost_approvals_test.cc
@@ -226,6 +226,25 @@
   }
 }
 
+// Guards against attempts that go to the same silent members in turn. The first
+// one is preferred again once its back-off is over, which is before the second
+// attempt ends, so that two silent members kept a step from all the others.
+BOOST_AUTO_TEST_CASE(attempts_go_to_members_that_were_not_tried) {
+  simulated_calls calls(
+      {{"m1", {.is_silent = true}}, {"m2", {.is_silent = true}}, {"m3", {}}});
+  const auto call = calls.Call(kExpected);
+  BOOST_TEST(call.has_response);
+  BOOST_TEST(call.attempts == 3);
+}
+
+// A cell of two daemons has no other member for the third attempt.
+BOOST_AUTO_TEST_CASE(members_are_tried_again_if_there_is_no_other) {
+  simulated_calls calls({{"m1", {.is_silent = true}}});
+  const auto call = calls.Call(kExpected);
+  BOOST_TEST(!call.has_response);
+  BOOST_TEST(call.attempts == 3);
+}
+
 // A member that is cut off for a while looks as silent as one that is gone; the
 // last attempt waits as long as each did before.
 BOOST_AUTO_TEST_CASE(each_timeout_doubles_the_next_one) {
