Give each suspect its turn although others use up their share of the workers

What callers would see: a job that does not last and had a task on a crashed worker waits for as long as suspects of other jobs hold a third of the workers.

Cause: no end of that wait is certain. A worker that runs a suspect is released when the run ends or after 5 s, but one that is kept for a suspect is kept for as long as that suspect waits for it, for example for tickets of an advisor that does not answer, and a suspect that ranks ahead takes each share that becomes free.

Change: after 10 s, the time in which a suspect is judged, the share does not apply. It does not share a worker with other tasks then: it still runs alone.

--- a/src/graph/pool_suspects.cc
+++ b/src/graph/pool_suspects.cc
@@ -29,6 +29,9 @@
 // worker is empty (kMaxKeepTime), 5 s until the task is cleared, and 1 s until
 // it is given up, rounded up.
 constexpr auto kTimeToJudge = milliseconds(10'000);
+// Suspects that have used up the share of the workers keep another suspect
+// waiting for no longer than they need themselves.
+constexpr auto kMaxWaitForTurn = kTimeToJudge;
 // Tasks that are no suspects are held back after a crash while a suspect of
 // their job can be judged, and not for longer. A job that has nothing running
 // must start again within 14 s of the end of the traffic.
@@ -291,7 +294,10 @@
   const std::size_t limit =
       std::max<std::size_t>(1, workers_.size() / kWorkersPerSuspectWorker);
   // Lasting tasks are few and must run again soon.
-  if (!spec.is_service && suspect_workers_ >= limit && job.kept_until <= now) {
+  if (!spec.is_service && suspect_workers_ >= limit && job.kept_until <= now &&
+      waited < kMaxWaitForTurn) {
+    next_decision_at_ = std::min<time_point>(
+        next_decision_at_, step.suspects_wait_since + kMaxWaitForTurn);
     return placed;
   }
   if (!spec.is_gang) indices.resize(1);
--- a/tests/graph/crashing_tasks_test.cc
+++ b/tests/graph/crashing_tasks_test.cc
@@ -802,5 +802,31 @@
   BOOST_TEST(rig.crash_count - before <= 5);
 }
 
+// Guards against a suspect that waits for ever because other suspects use up
+// their share of the workers.
+BOOST_AUTO_TEST_CASE(a_suspect_gets_its_turn) {
+  crash_rig rig;
+  rig.AddWorkers(3);
+  job_submission blocked = MakeJob("blocked", {MakeStep(1, kSmall)}, 0);
+  blocked.queue.advisor = advisor_settings{20'000, 300, milliseconds(1500)};
+  rig.scheduler.AdmitJob(blocked, rig.now);
+  rig.Decide();
+  BOOST_REQUIRE_EQUAL(rig.approvals.size(), 1);
+  const std::vector<approved_worker> approved{{"w0", "ticket"}};
+  rig.scheduler.OnApprovalResult(rig.approvals[0], approved, true, rig.now,
+                                 rig.now);
+  rig.scheduler.AdmitJob(MakeJob("job", {MakeStep(1, kSmall)}), rig.now);
+  rig.DecideAndCarryOut();
+  BOOST_REQUIRE_EQUAL(rig.agents["w0"].running.size(), 2);
+  rig.AdvanceClock(std::chrono::seconds(2));
+  rig.ReportAll();
+  // From here on the advisor doesn't answer.
+  Restart(rig, "w0");
+  rig.Run(std::chrono::seconds(9));
+  BOOST_TEST(rig.StartsOf({"job", 0, 0, 0}) == 1);
+  rig.Run(std::chrono::seconds(4));
+  BOOST_TEST((rig.scheduler.FindJobState("job") == job_state::kCompleted));
+}
+
 }  // namespace
 }  // namespace apricotwheel
