Believe the exit of a worker at once if another agent answers in its place

Cause: the session asked whether discovery lists a later agent at the address, also when one answered there itself. Discovery can lag, and does not list the agents of another pool or service.

Why such an answer is proof by itself: each call names the worker's id, and any other lifetime answers 421 (PROTOCOL.md, X-Expected-Instance). Nothing else becomes kNotFound in a poll. The session is claimed, so the worker has answered at this address before, and polls follow each other, so the other answer is the later one. No proof, before and now: another agent's answer before the worker has answered this session, and a refused connection.

The exit counts as a crash, as one that discovery shows does, unless the worker drained: a crashed worker that comes back under another id shows nothing else.

--- a/src/pools/agent_session.cc
+++ b/src/pools/agent_session.cc
@@ -305,11 +305,13 @@
           Field("reason", Describe(failure))});
   }
   if (are_leases_expired_) return kPollRetryInterval;
-  // The address of a worker that never responded there may be another one's.
+  // Two processes cannot listen at one address, so another agent's answer where
+  // this worker has responded before shows that it has exited. The address of a
+  // worker that never responded there may be another one's.
   const bool is_replaced = is_claimed_ && failure.kind == error_kind::kNotFound;
-  const bool may_have_exited =
-      failure.kind == error_kind::kUnavailable || is_replaced;
-  const bool has_exited = may_have_exited && options_.has_exited();
+  const bool has_exited =
+      is_replaced ||
+      (failure.kind == error_kind::kUnavailable && options_.has_exited());
   if (has_exited || now >= LeasesExpireBy()) {
     if (has_exited) {
       Emit(options_.log, pool_events::kAgentExited,
--- a/src/pools/agent_session.h
+++ b/src/pools/agent_session.h
@@ -57,9 +57,9 @@
   std::uint64_t epoch = 0;
   std::unique_ptr<agent_link> link;
   // Returns true if nothing of the worker can run any more, so that its leases
-  // need not expire. Called when it refuses connections or another worker
-  // responds at the address where it has responded. A refusal alone does not
-  // prove that: a network that cuts the worker off may refuse connections too.
+  // need not expire. Called when it refuses connections. A refusal alone does
+  // not prove that: a network that cuts the worker off may refuse connections
+  // too.
   std::function<bool()> has_exited = [] { return false; };
   duration lease_duration = milliseconds(5900);
   clock_ptr clock;
--- a/tests/pools/pool_owner_test.cc
+++ b/tests/pools/pool_owner_test.cc
@@ -267,6 +267,25 @@
   }
 }
 
+// The same if discovery lists no other worker at the address, because it lags
+// or the address went elsewhere.
+BOOST_AUTO_TEST_CASE(a_worker_at_whose_address_another_answers_has_crashed) {
+  constexpr auto kBelowLease = milliseconds(3000);
+  rig cell;
+  const pool_worker first = rig::WorkerOf("w1", "");
+  cell.owner->SetWorkers({{"w1", first}});
+  BOOST_TEST((cell.Submit("job").status == job_call_status::kAccepted));
+  BOOST_TEST(cell.Eventually([&] { return cell.agent.RunCount() == 1; }));
+  cell.owner->SetWorkers(
+      {{"w1", first}, {"second", rig::WorkerOf("second", "")}});
+  const auto started_at = cell.clock->Now();
+  cell.agent.RejectCalls(error_kind::kNotFound);
+  BOOST_TEST(
+      cell.Eventually([&] { return cell.second_agent.RunCount() == 1; }));
+  BOOST_TEST((cell.clock->Now() - started_at < kBelowLease));
+  BOOST_TEST(cell.metrics.worker_crashes.Value() == 1);
+}
+
 // Guards against taking a missing entry for the exit of a draining worker. The
 // entry had expired in an outage of the store, and the tasks of the worker,
 // which ran on, were started elsewhere at once.
