Let the leases of a worker end if it does not settle a stop

Cause: a start without an answer is stopped, and its task waits until the stop is confirmed, an end is listed, or the leases of the worker expire. A worker that answers polls, never lists the run and does not answer stops has its leases renewed by each poll, so that nothing ends the wait.

The start's own end (`deadline_ms`) is not used: PROTOCOL.md says that a deadline applies to everything on the minion and never shortens, and not whether `late` is judged by the deadline of the order or by that of the minion, which polls move on. By the second reading a late start could still begin after its own end.

Change: once a run has been stopping for 5 s, polls of its worker no longer renew the leases and no start is sent there. If the run is settled before they end, they are renewed again and nothing is lost. If not, all runs there have lapsed by the worker's clock at its slowest, as for a worker that does not answer, and their tasks wait again; the worker gets none for 4 s. The price: a worker that loses all stops for about 11 s loses its other runs as well.

Passed: graph takeover, adopted_runs, pool_scheduler, random_walk, wait_report and crashing_tasks tests, pools agent_session and pool_owner tests.

--- a/src/graph/pool_model.h
+++ b/src/graph/pool_model.h
@@ -166,6 +166,9 @@
 // at most one run of a task, so the worker alone identifies that run.
 bool IsPlacedOn(const graph_task& task, const worker_state& worker);
 
+// Returns true if a run on the worker has been stopping for too long.
+bool HasOverdueStop(const worker_state& worker, time_point now);
+
 // Returns true if only suspects may be placed on the worker.
 bool IsKeptForSuspect(const worker_state& worker, time_point now);
 
--- a/src/graph/pool_runs.cc
+++ b/src/graph/pool_runs.cc
@@ -28,9 +28,28 @@
 // If a worker has already ended a run with a higher number, which this owner
 // does not know, the next run number is raised by this amount.
 constexpr std::uint64_t kRunNumberStep = 100;
+// After this time a run that is stopping is settled by the end of the worker's
+// leases. It is above the time of a stop with several lost answers, and with
+// the 6 s of a lease it is below the 14 s after which waiting work counts as
+// lost.
+constexpr auto kMaxStoppingTime = milliseconds(5000);
 
 }  // namespace
 
+bool HasOverdueStop(const worker_state& worker, time_point now) {
+  return std::any_of(
+      worker.runs.begin(), worker.runs.end(), [&](const auto& row) {
+        return row.second.phase == run_phase::kStopping &&
+               row.second.stopping_since + kMaxStoppingTime <= now;
+      });
+}
+
+bool pool_scheduler::HasOverdueStop(std::string_view id, time_point now) const {
+  const auto found = workers_.find(id);
+  return found != workers_.end() &&
+         apricotwheel::HasOverdueStop(found->second, now);
+}
+
 void pool_scheduler::ApplyReport(std::string_view id,
                                  const worker_report& report,
                                  time_point sent_at, time_point now) {
@@ -412,6 +431,10 @@
     worker->is_exit_assumed = true;
   }
   worker->leases_expired_at = now;
+  // It doesn't answer orders, so that a new start would be lost as well.
+  if (apricotwheel::HasOverdueStop(*worker, now)) {
+    worker->avoid_until = now + kAvoidFailingTime;
+  }
   while (!worker->runs.empty()) {
     const auto& [task, run] = *worker->runs.begin();
     worker->expired_runs[{task, run.number}] = IsEvidence(*worker, run);
--- a/src/pools/agent_session.cc
+++ b/src/pools/agent_session.cc
@@ -228,7 +228,9 @@
   const bool is_retry = failed_polls_ > 0;
   {
     const std::lock_guard lock(mutex_);
-    if (worker_clock_.IsKnown() && is_reachable_ && !is_retry) {
+    withholds_leases_ = progress.has_overdue_stop;
+    if (worker_clock_.IsKnown() && is_reachable_ && !is_retry &&
+        !withholds_leases_) {
       request.lease_until_ms = worker_clock_.ExtendLeases(sent_at);
     }
   }
@@ -272,9 +274,16 @@
     last_reported_end_ = end.sequence;
     has_new_ends_ = true;
   }
+  if (progress.has_overdue_stop) EndWithheldLeases();
   return {};
 }
 
+void agent_session::EndWithheldLeases() {
+  if (options_.clock->Now() < LeasesExpireBy()) return;
+  // The next report claims the worker again.
+  callbacks_.on_leases_expired(false);
+}
+
 duration agent_session::HandlePollFailure(const error& failure) {
   if (failure.kind == error_kind::kStaleEpoch) {
     callbacks_.on_epoch_rejected();
@@ -356,7 +365,7 @@
   run_lease lease{options_.epoch, 0};
   {
     const std::lock_guard lock(mutex_);
-    if (is_stopped_ || !is_reachable_) {
+    if (is_stopped_ || !is_reachable_ || withholds_leases_) {
       return {start_result::kUnreachable, std::nullopt};
     }
     lease.until_ms = worker_clock_.ExtendLeases(options_.clock->Now());
--- a/src/pools/agent_session.h
+++ b/src/pools/agent_session.h
@@ -50,6 +50,9 @@
   bool has_runs = false;
   // The scheduler has applied ends that are not stored yet.
   bool has_unstored_ends = false;
+  // A stop has not been settled for long. Only the end of all leases settles it
+  // for certain, so they are not renewed until it is.
+  bool has_overdue_stop = false;
 };
 
 struct agent_session_options {
@@ -107,6 +110,8 @@
   // Polls the worker once and returns how long to wait before the next poll.
   duration PollOnce(const worker_progress& progress);
   duration HandlePollFailure(const error& failure);
+  // Ends the wait for an overdue stop once the leases have expired.
+  void EndWithheldLeases();
   // Returns when no lease that was granted to the worker can hold any more.
   time_point LeasesExpireBy();
   // Events for which the poll thread may wait. A caller reads them before it
@@ -146,8 +151,9 @@
   // Starts whose stop was ordered before they were sent. They are never sent,
   // because the worker may restart and forget the stop.
   std::deque<start_order> withdrawn_starts_;
-  worker_clock worker_clock_;  // Guarded by mutex_, like the next three.
+  worker_clock worker_clock_;  // Guarded by mutex_, like the next four.
   bool is_reachable_ = true;
+  bool withholds_leases_ = false;
   event_counts event_counts_;
   bool is_stopped_ = false;
   bool is_claimed_ = false;  // From here on: used by the poll thread only.
--- a/src/pools/pool_owner_workers.cc
+++ b/src/pools/pool_owner_workers.cc
@@ -254,9 +254,10 @@
   };
   callbacks.progress = [this, id] {
     const std::lock_guard lock(mutex_);
-    return worker_progress{scheduler_->LastStoredEnd(id),
-                           scheduler_->CountRuns(id) > 0,
-                           scheduler_->HasUnstoredEnds(id)};
+    return worker_progress{
+        scheduler_->LastStoredEnd(id), scheduler_->CountRuns(id) > 0,
+        scheduler_->HasUnstoredEnds(id),
+        scheduler_->HasOverdueStop(id, options_.clock->Now())};
   };
   return callbacks;
 }
--- a/tests/pools/agent_session_test.cc
+++ b/tests/pools/agent_session_test.cc
@@ -38,6 +38,7 @@
   };
   std::function<bool()> has_unstored_ends = [] { return false; };
   std::function<bool()> has_runs = [] { return true; };
+  std::function<bool()> has_overdue_stop = [] { return false; };
   duration lease_duration = kLease;
   std::atomic<int> expirations = 0;
   std::atomic<int> exits = 0;  // Of these, because the agent has exited.
@@ -78,8 +79,8 @@
     callbacks.on_epoch_rejected = [] {};
     callbacks.progress = [this] {
       ++progress_calls;
-      return worker_progress{last_stored_end(), has_runs(),
-                             has_unstored_ends()};
+      return worker_progress{last_stored_end(), has_runs(), has_unstored_ends(),
+                             has_overdue_stop()};
     };
     session = std::make_unique<agent_session>(std::move(options), callbacks);
     BOOST_REQUIRE(Attempt([&] { return session->Start(); }));
@@ -307,6 +308,52 @@
   }
 }
 
+// Guards against a stop that is never settled because polls renew the leases,
+// and against leases that end although the stop was settled in time.
+BOOST_AUTO_TEST_CASE(leases_are_not_renewed_while_a_stop_is_overdue) {
+  for (const bool is_settled : {false, true}) {
+    fake_worker worker;
+    std::atomic<int> polls = 0;
+    std::atomic<int> renewals = 0;
+    std::atomic<int> starts = 0;
+    std::atomic<bool> is_overdue = false;
+    worker.lease_duration = milliseconds(400);
+    worker.has_overdue_stop = [&] { return is_overdue.load(); };
+    worker.poll = [&](const poll_request& request) -> result<worker_report> {
+      worker.clock->SleepFor(milliseconds(5));
+      if (request.lease_until_ms) ++renewals;
+      ++polls;
+      return worker_report{};
+    };
+    worker.start = [&](const start_order&) {
+      ++starts;
+      return start_response{start_result::kStarted, 1};
+    };
+    worker.StartSession();
+    BOOST_TEST(worker.WaitFor([&] { return polls >= 5; }));
+    is_overdue = true;
+    // The poll that was in flight may have renewed them.
+    const int seen = polls;
+    BOOST_TEST(worker.WaitFor([&] { return polls >= seen + 2; }));
+    const int renewed = renewals;
+    worker.session->Send(start_order{"w1", {"job", 0, 0, 0}, 1, "", "", ""});
+    BOOST_TEST(worker.WaitFor([&] { return worker.HasStartResult(); }));
+    BOOST_TEST((worker.results.at(0) == start_result::kUnreachable));
+    BOOST_TEST(starts == 0);
+    if (is_settled) {
+      is_overdue = false;
+      worker.clock->SleepFor(2 * worker.lease_duration);
+      BOOST_TEST(renewals > renewed);
+    } else {
+      BOOST_TEST(worker.WaitFor([&] { return worker.expirations > 0; }));
+      BOOST_TEST(renewals == renewed);
+    }
+    worker.session->Stop();
+    BOOST_TEST((worker.expirations > 0) == !is_settled);
+    BOOST_TEST(worker.exits == 0);
+  }
+}
+
 // Guards against needless waits until an agent that is back is claimed: it is
 // polled at the retry interval, not at that of idle workers, although it has no
 // runs.
