--- a/src/graph/pool_model.h
+++ b/src/graph/pool_model.h
@@ -156,6 +156,9 @@
   // Tasks with a run that was lost in a crash; a gang has index 0.
   std::set<task_key> crashed_tasks;
   int crashes = 0;  // Counted against tasks since one of them last survived.
+  time_point last_crash_at{};  // When the last of them became known.
+  // Since when tasks that are no suspects are held back, if they are.
+  time_point held_back_since{};
   // Workers are kept for a suspect of the job.
   time_point kept_since{};
   time_point kept_until{};
@@ -172,6 +175,9 @@
 // at most one run of a task, so the worker alone identifies that run.
 bool IsPlacedOn(const graph_task& task, const worker_state& worker);
 
+// Returns true if a run on the worker has been stopping for too long.
+bool HasOverdueStop(const worker_state& worker, time_point now);
+
 // Returns true if only suspects may be placed on the worker.
 bool IsKeptForSuspect(const worker_state& worker, time_point now);
 
--- a/src/graph/pool_placement.cc
+++ b/src/graph/pool_placement.cc
@@ -146,7 +146,8 @@
 bool pool_scheduler::AcceptsTasks(const worker_state& worker, time_point now) {
   return worker.is_claimed && worker.is_listed && !worker.info.is_draining &&
          !worker.has_unknown_run && worker.avoid_until <= now &&
-         !IsKeptForSuspect(worker, now);
+         !IsKeptForSuspect(worker, now) &&
+         !apricotwheel::HasOverdueStop(worker, now);
 }
 
 // Collects the workers with room for the smallest need of all waiting steps.
@@ -374,7 +375,7 @@
   const auto suspects = PlaceSuspects(waiting, now, decisions);
   waiting.includes_suspects = suspects.may_share;
   if (!suspects.may_share &&
-      (suspects.waiting == step.waiting || HoldsBackTasks(*waiting.job))) {
+      (suspects.waiting == step.waiting || IsHeldBack(waiting, now))) {
     // The other tasks of the step may be placed when this ends.
     step.placed_in_pass = 0;
     MarkReleasedReservations(step, now);
--- a/src/graph/pool_waits.cc
+++ b/src/graph/pool_waits.cc
@@ -75,7 +75,7 @@
   if (counts.verdicts == step.waiting) return "verdict";
   if (counts.earlier_runs == step.waiting) return "earlier_run";
   if (!WaitingSuspects(waiting).empty()) return "suspect";
-  if (HoldsBackTasks(job)) return "held_back";
+  if (IsHeldBack(waiting, now)) return "held_back";
   if (counts.with_room == 0) {
     return counts.at_limit > 0 ? "worker_limit" : "no_room";
   }
--- a/tests/graph/crashing_tasks_test.cc
+++ b/tests/graph/crashing_tasks_test.cc
@@ -723,5 +723,110 @@
   BOOST_TEST(!rig.DecideAndCarryOut().starts.empty());
 }
 
+// Guards against a lasting task that is held back until a suspect of its job
+// has survived: nothing crashed under it, and it must run again soon.
+BOOST_AUTO_TEST_CASE(a_lasting_task_is_not_held_back_for_long) {
+  crash_rig rig;
+  rig.AddWorkers(4);
+  rig.is_lasting = [](const task_key&) { return true; };
+  job_submission job = MakeService("lasting");
+  job.graph.steps[0].task_count = 3;
+  job.graph.steps[0].max_per_worker = 1;
+  rig.scheduler.AdmitJob(job, rig.now);
+  rig.Run(std::chrono::seconds(6));
+  const auto worker_of = [&](const task_key& task) {
+    const auto last = std::find_if(
+        rig.starts.rbegin(), rig.starts.rend(),
+        [&](const start_order& order) { return order.task == task; });
+    return last->worker;
+  };
+  // The first crash is excused for its old run, the second makes a suspect.
+  const task_key suspect{"lasting", 0, 0, 0};
+  for (int i = 0; i < 2; ++i) {
+    Restart(rig, worker_of(suspect));
+    rig.Run(std::chrono::seconds(1));
+  }
+  BOOST_REQUIRE_EQUAL(rig.StartsOf(suspect), 3);
+  const task_key other{"lasting", 0, 0, 2};
+  const std::string lost = worker_of(other);
+  rig.agents[lost].running.clear();
+  rig.scheduler.ExpireWorkerLeases(lost, false, rig.now);
+  rig.Run(milliseconds(3500));
+  BOOST_TEST(rig.StartsOf(other) == 2);
+}
+
+// A wide job of which two workers have crashed, while long tasks of another job
+// keep each worker from becoming empty, so that no suspect is judged.
+void HoldBackWideJob(crash_rig& rig) {
+  rig.is_lasting = [](const task_key& task) {
+    return task.job_id.starts_with("long");
+  };
+  rig.AddWorker("w2", kWorker);
+  rig.scheduler.AdmitJob(MakeJob("long0", {MakeStep(1, kSmall)}, 0), rig.now);
+  rig.DecideAndCarryOut();
+  rig.AddWorkers(2);
+  rig.scheduler.AdmitJob(MakeJob("deadly", {MakeStep(30, kSmall)}), rig.now);
+  rig.DecideAndCarryOut();
+  BOOST_REQUIRE_EQUAL(rig.CountRunningTasks(), 12);
+  for (const start_order& order : rig.starts) {
+    rig.started_at[{order.worker, order.task}] = rig.now;
+  }
+  Restart(rig, "w0");
+  Restart(rig, "w1");
+  job_submission filler = MakeJob("long1", {MakeStep(2, kSmall)}, 0);
+  filler.graph.steps[0].max_per_worker = 1;
+  rig.scheduler.AdmitJob(filler, rig.now);
+}
+
+// Guards against a job that waits for ever because a suspect of it finds no
+// empty worker.
+BOOST_AUTO_TEST_CASE(tasks_are_not_held_back_for_ever) {
+  crash_rig rig;
+  HoldBackWideJob(rig);
+  rig.Run(std::chrono::seconds(9));
+  BOOST_TEST(rig.ends["deadly"] == 3);
+  rig.Run(std::chrono::seconds(11));
+  // All but the suspects.
+  BOOST_TEST(rig.ends["deadly"] == 30 - 8);
+}
+
+// Guards against a bound that sets all tasks of a crashing job free at once:
+// each crash holds the others back again.
+BOOST_AUTO_TEST_CASE(crashing_tasks_that_are_set_free_are_held_back_again) {
+  crash_rig rig;
+  HoldBackWideJob(rig);
+  const std::size_t before = rig.crash_count;
+  rig.is_deadly = IsDeadlyJob;
+  rig.Run(std::chrono::seconds(100));
+  BOOST_TEST_MESSAGE("further crashes: " << rig.crash_count - before);
+  BOOST_TEST(rig.crash_count - before <= 5);
+}
+
+// Guards against a suspect that waits for ever because other suspects use up
+// their share of the workers.
+BOOST_AUTO_TEST_CASE(a_suspect_gets_its_turn) {
+  crash_rig rig;
+  rig.AddWorkers(3);
+  job_submission blocked = MakeJob("blocked", {MakeStep(1, kSmall)}, 0);
+  blocked.queue.advisor = advisor_settings{20'000, 300, milliseconds(1500)};
+  rig.scheduler.AdmitJob(blocked, rig.now);
+  rig.Decide();
+  BOOST_REQUIRE_EQUAL(rig.approvals.size(), 1);
+  const std::vector<approved_worker> approved{{"w0", "ticket"}};
+  rig.scheduler.OnApprovalResult(rig.approvals[0], approved, true, rig.now,
+                                 rig.now);
+  rig.scheduler.AdmitJob(MakeJob("job", {MakeStep(1, kSmall)}), rig.now);
+  rig.DecideAndCarryOut();
+  BOOST_REQUIRE_EQUAL(rig.agents["w0"].running.size(), 2);
+  rig.AdvanceClock(std::chrono::seconds(2));
+  rig.ReportAll();
+  // From here on the advisor doesn't answer.
+  Restart(rig, "w0");
+  rig.Run(std::chrono::seconds(9));
+  BOOST_TEST(rig.StartsOf({"job", 0, 0, 0}) == 1);
+  rig.Run(std::chrono::seconds(4));
+  BOOST_TEST((rig.scheduler.FindJobState("job") == job_state::kCompleted));
+}
+
 }  // namespace
 }  // namespace apricotwheel
