Reserve free workers before those reserved in the last pass

A reservation preferred the workers of the last pass by 1.5 s, also where their runs had exceeded the estimate and other allowed workers were free. It stayed with the busy ones for as long as these ran, and its expected time was 1.5 s too early. Now a worker that is free goes before one that is not; among the others the preference stays, and the expected time is the one without it.

--- a/src/graph/pool_reservations.cc
+++ b/src/graph/pool_reservations.cc
@@ -187,10 +187,7 @@
     if (worker.reserved != resource_vector{}) continue;
     if (!CanHost(waiting, worker, now)) continue;
     if (IsKeptForSuspect(worker, now)) continue;
-    reservable_worker added{&worker, {}, {}, {}};
-    // Workers of the last reservation are preferred, so that it does not move
-    // before it is complete.
-    if (last_reserved.contains(id)) added.preference = kReservationStickiness;
+    reservable_worker added{&worker, {}, {}, last_reserved.contains(id)};
     AddToReservation(added, spec.need, now);
     found.push_back(added);
   }
@@ -203,8 +200,23 @@
   target.next_amount = target.next_amount + need;
   target.free_at = EstimateFreeAt(*target.worker, target.next_amount, now);
   if (target.free_at == time_point::max()) return;
-  target.free_at =
-      std::max(target.free_at, target.worker->avoid_until) - target.preference;
+  target.free_at = std::max(target.free_at, target.worker->avoid_until);
+}
+
+// Workers of the last reservation are preferred, so that it does not move
+// before it is complete. A worker that is free goes before one that is not,
+// whose runs may take longer than estimated.
+bool pool_scheduler::IsReservedBefore(const reservable_worker& left,
+                                      const reservable_worker& right,
+                                      time_point now) {
+  const auto rank = [&](const reservable_worker& each) {
+    const duration preference =
+        each.was_reserved && each.free_at != time_point::max()
+            ? duration(kReservationStickiness)
+            : duration::zero();
+    return std::pair(each.free_at > now, each.free_at - preference);
+  };
+  return rank(left) < rank(right);
 }
 
 // Finds the workers that are free first for `count` tasks that start together,
@@ -216,10 +228,11 @@
     resources_by_worker& room) {
   time_point ready_at = now;
   for (std::uint32_t i = 0; i < count; ++i) {
-    const auto best = std::min_element(reservable.begin(), reservable.end(),
-                                       [](const auto& left, const auto& right) {
-                                         return left.free_at < right.free_at;
-                                       });
+    const auto best =
+        std::min_element(reservable.begin(), reservable.end(),
+                         [&](const auto& left, const auto& right) {
+                           return IsReservedBefore(left, right, now);
+                         });
     if (best == reservable.end() || best->free_at == time_point::max()) {
       return std::nullopt;
     }
--- a/src/graph/pool_scheduler.h
+++ b/src/graph/pool_scheduler.h
@@ -268,7 +268,7 @@
     worker_state* worker = nullptr;
     resource_vector next_amount;  // If one more task is added.
     time_point free_at{};         // When `next_amount` is expected to be free.
-    duration preference{};        // Subtracted in `free_at`.
+    bool was_reserved = false;    // By the step, in the last pass.
   };
   // Decisions of the advisor on workers for steps of a queue.
   struct decision_count {
@@ -569,6 +569,9 @@
   // Adds one more task to what would be reserved next on the worker.
   void AddToReservation(reservable_worker& target, const resource_vector& need,
                         time_point now) const;
+  // Returns true if `left` is to be reserved rather than `right`.
+  static bool IsReservedBefore(const reservable_worker& left,
+                               const reservable_worker& right, time_point now);
   // Resources to reserve on each worker.
   using resources_by_worker = std::map<worker_state*, resource_vector>;
   std::optional<time_point> FindWorkersToReserve(
