Ask for tickets of alternatives to reserved workers

Tickets last 1.5 to 2 s, and a call named the reserved workers only. When one of these was held by a run that took longer than estimated, its approved neighbours were free without a ticket, and the next call was as late.

--- a/src/graph/pool_reservations.cc
+++ b/src/graph/pool_reservations.cc
@@ -302,6 +302,9 @@
     for (const auto& [worker, need] : room) {
       if (!has_ticket_at(*worker, start_at)) unapproved.push_back(worker->info);
     }
+    if (spec.is_gang && !unapproved.empty()) {
+      NameAlternatives(waiting, start_at, now, unapproved);
+    }
   }
   // Where a decision is missing, the call names all workers without one.
   // Otherwise each refusal leads to another reservation and another call.
@@ -320,6 +323,29 @@
   return unapproved;
 }
 
+// Runs may take longer than estimated, so that other workers than the reserved
+// ones are free first. They need tickets of the same time.
+void pool_scheduler::NameAlternatives(const candidate& waiting,
+                                      time_point start_at, time_point now,
+                                      std::vector<pool_worker>& named) {
+  const graph_job& job = *waiting.job;
+  const graph_step& spec = job.submission.graph.steps[waiting.step];
+  const step_approvals& approvals = StateOf(waiting).approvals;
+  const time_point expiry =
+      start_at + job.submission.queue.advisor->ticket_lifetime;
+  std::set<std::string> ids;
+  for (const pool_worker& worker : named) ids.insert(worker.id);
+  for (auto& [id, worker] : workers_) {
+    if (named.size() >= kMaxWorkersPerCall) return;
+    if (ids.contains(id) || !CanHost(waiting, worker, now)) continue;
+    const auto status = FindApproval(approvals, worker.info, start_at);
+    if (status != approval_status::kTicketExpired) continue;
+    if (EstimateFreeAt(worker, spec.need, now) < expiry) {
+      named.push_back(worker.info);
+    }
+  }
+}
+
 // Returns true if a task needs at least half of the largest worker: of its
 // accelerators, or of its processors or memory in a pool without accelerators.
 // Such a task rarely finds enough free resources without a reservation.
--- a/src/graph/pool_scheduler.h
+++ b/src/graph/pool_scheduler.h
@@ -581,6 +581,10 @@
   // Returns the reserved workers for which tickets must be requested now.
   std::vector<pool_worker> ReserveWorkers(const candidate& waiting,
                                           time_point now);
+  // Adds approved workers to a call for `named` workers of which the step needs
+  // tickets by `start_at`.
+  void NameAlternatives(const candidate& waiting, time_point start_at,
+                        time_point now, std::vector<pool_worker>& named);
   bool IsLarge(const graph_step& spec) const;
   // Makes the calls for approval that fit into `capacity`.
   void RequestApprovals(time_point now, approval_capacity capacity,
