Place gangs and large steps first once they are overdue

A gang that is late ranks behind each newer step, and reservations are made anew in each pass, so the steps before it left it no approved worker to reserve.

`placement_rank` has a field for it, so that a step that becomes overdue or ceases to be is examined again like any other that moves.

The held-back share: overdue steps have their own limit, so their starts are neither paid from the share nor count as starts in order, and they take no turn of their queue. Charged, they would keep the share from the other steps that are held back.

--- a/src/graph/pool_model.h
+++ b/src/graph/pool_model.h
@@ -102,6 +102,11 @@
 std::uint32_t CountRunsOfStep(const worker_state& worker,
                               const task_key& first);
 
+// Returns how many tasks with this need fit into `room`, at most `limit` unless
+// that is 0.
+std::uint32_t CountFits(const resource_vector& need, resource_vector room,
+                        std::uint32_t limit);
+
 enum class task_phase { kWaiting, kPlaced, kDone };
 
 // State of one task of a job.
@@ -124,6 +129,8 @@
   std::string gang_checkpoint;
   step_approvals approvals;
   time_point suspects_wait_since{};
+  // For a gang or large step: since when it waits for its first or next start.
+  time_point waiting_since{};
   // Workers reserved for the step in the last pass.
   std::set<std::string> reserved_workers;
   // The last pass in which the step waited, and its place in the queue then.
--- a/src/graph/pool_placement.cc
+++ b/src/graph/pool_placement.cc
@@ -471,6 +471,7 @@
     placed.worker->runs[run.task] = std::move(run);
     decisions.starts.push_back(std::move(order));
   }
+  step.waiting_since = step.waiting == 0 ? time_point{} : now;
 }
 
 void pool_scheduler::CollectStops(time_point now, pool_decisions& decisions) {
--- a/src/graph/pool_reservations.cc
+++ b/src/graph/pool_reservations.cc
@@ -49,19 +49,6 @@
                                        static_cast<std::int64_t>(workers));
 }
 
-// Returns how many tasks with this need fit into `room`, at most `limit` unless
-// that is 0.
-std::uint32_t CountFits(const resource_vector& need, resource_vector room,
-                        std::uint32_t limit) {
-  std::uint32_t count = 0;
-  while (Fits(need, room) && count < kMaxTasksPerWorker &&
-         (limit == 0 || count < limit)) {
-    room = room - need;
-    ++count;
-  }
-  return count;
-}
-
 // The place of a step among those that want a call, by age.
 struct call_age {
   bool is_first_start = true;
@@ -86,6 +73,17 @@
 
 }  // namespace
 
+std::uint32_t CountFits(const resource_vector& need, resource_vector room,
+                        std::uint32_t limit) {
+  std::uint32_t count = 0;
+  while (Fits(need, room) && count < kMaxTasksPerWorker &&
+         (limit == 0 || count < limit)) {
+    room = room - need;
+    ++count;
+  }
+  return count;
+}
+
 void pool_scheduler::ResetReservations(const std::vector<candidate>& waiting) {
   std::set<const step_state*> renewing;
   for (const candidate& each : waiting) {
--- a/src/graph/pool_scheduler.cc
+++ b/src/graph/pool_scheduler.cc
@@ -256,6 +256,7 @@
   UpdateQueueLoads(now, wall_clock_ms);
   auto waiting = WaitingSteps(now, wall_clock_ms);
   waiting_step_count_ = waiting.size();
+  MoveOverdueStepsForward(waiting, now);
   MoveHeldBackStepsForward(waiting, now);
   SetLeastNeeds(waiting);
   ResetReservations(waiting);
--- a/src/graph/pool_scheduler.h
+++ b/src/graph/pool_scheduler.h
@@ -551,6 +551,16 @@
   void ChargeStartShare(const candidate& step, std::size_t count,
                         time_point now);
 
+  // In pool_overdue.cc: gangs and large steps that wait for long.
+
+  // Moves the steps forward that need a reservation and that others have
+  // overtaken for too long, the oldest first.
+  void MoveOverdueStepsForward(std::vector<candidate>& waiting, time_point now);
+  // Returns how many workers the step takes if it is placed first, or nothing
+  // if it fits on none.
+  std::optional<std::size_t> CountWorkersForOverdue(
+      const candidate& waiting) const;
+
   // In pool_reservations.cc: reservations and approval calls for waiting steps.
 
   // Ends the reservations of the last pass. Marks the workers whose reservation
--- a/src/graph/pool_start_share.cc
+++ b/src/graph/pool_start_share.cc
@@ -74,7 +74,7 @@
   std::map<std::string_view, held_back> by_queue;
   for (std::size_t i = 0; i < waiting.size(); ++i) {
     const candidate& step = waiting[i];
-    if (IsService(step)) continue;
+    if (IsService(step) || !step.rank.is_not_overdue) continue;
     const std::string& queue = step.job->submission.queue.name;
     if (first_queue.empty()) first_queue = queue;
     if (!is_refusing_jobs && !HasWaitedLong(*step.job, now)) continue;
@@ -137,10 +137,11 @@
   }
   std::erase_if(waiting,
                 [](const candidate& step) { return step.job == nullptr; });
-  const auto after_restarts = std::find_if(
-      waiting.begin(), waiting.end(),
-      [](const candidate& step) { return step.rank.is_first_start; });
-  waiting.insert(after_restarts, moved.begin(), moved.end());
+  const auto after_overdue =
+      std::find_if(waiting.begin(), waiting.end(), [](const candidate& step) {
+        return step.rank.is_first_start && step.rank.is_not_overdue;
+      });
+  waiting.insert(after_overdue, moved.begin(), moved.end());
 }
 
 void pool_scheduler::ChargeStartShare(const candidate& step, std::size_t count,
@@ -151,6 +152,9 @@
     share_uses_[step.job->submission.queue.name].last_start_at = now;
   }
   if (count == 0 || IsService(step)) return;
+  // Overdue steps have a limit of their own. They are neither part of the order
+  // nor paid from the share, or the other steps that are held back would wait.
+  if (!step.rank.is_not_overdue) return;
   const double cost = StartCost(step) * static_cast<double>(count);
   held_back_balance_ +=
       was_held_back ? -kOrderedShare * cost : kHeldBackShare * cost;
--- a/src/graph/queue_order.cc
+++ b/src/graph/queue_order.cc
@@ -20,9 +20,13 @@
 }
 
 placement_rank RankOf(const waiting_step& step, time_point now) {
-  return {!step.is_restart,    true,
-          step.priority,       ForecastCompletion(step, now),
-          step.remaining_work, step.submitted_at};
+  return {!step.is_restart,
+          true,
+          true,
+          step.priority,
+          ForecastCompletion(step, now),
+          step.remaining_work,
+          step.submitted_at};
 }
 
 }  // namespace apricotwheel
--- a/src/graph/queue_order.h
+++ b/src/graph/queue_order.h
@@ -36,11 +36,13 @@
                                        time_point now);
 
 // Place of a step in the queue. Restarts come first: they are few, and callers
-// see their job as active. Then come the steps that have a turn although the
-// order holds them back. The order of the others is by queue priority, by
-// expected completion, by the least remaining work and by submission time.
+// see their job as active. Then come the steps that are overdue, and those that
+// have a turn although the order holds them back. The order of the others is by
+// queue priority, by expected completion, by the least remaining work and by
+// submission time.
 struct placement_rank {
   bool is_first_start = true;  // Restarts have false, which sorts first.
+  bool is_not_overdue = true;
   bool has_no_turn = true;
   int priority = 0;
   completion_forecast forecast = completion_forecast::kInTime;
@@ -49,10 +51,12 @@
 
   friend bool operator<(const placement_rank& left,
                         const placement_rank& right) {
-    return std::tie(left.is_first_start, left.has_no_turn, left.priority,
-                    left.forecast, left.remaining_work, left.submitted_at) <
-           std::tie(right.is_first_start, right.has_no_turn, right.priority,
-                    right.forecast, right.remaining_work, right.submitted_at);
+    return std::tie(left.is_first_start, left.is_not_overdue, left.has_no_turn,
+                    left.priority, left.forecast, left.remaining_work,
+                    left.submitted_at) <
+           std::tie(right.is_first_start, right.is_not_overdue,
+                    right.has_no_turn, right.priority, right.forecast,
+                    right.remaining_work, right.submitted_at);
   }
 };
 
--- a/tests/graph/gang_approval_test.cc
+++ b/tests/graph/gang_approval_test.cc
@@ -58,6 +58,7 @@
 
 // Jobs are asked for this long after the end of the traffic.
 constexpr std::int64_t kFinishMs = 14'000;
+constexpr std::int64_t kMaxWaitOfOvertakenMs = 30'000;
 
 // Gangs of different sizes, in a pool that they nearly fill, with runs that
 // take longer than estimated.
@@ -79,6 +80,62 @@
   return pattern;
 }
 
+// Returns the time from `since` to the last start of a gang.
+std::int64_t LastStartMs(const gang_day& day, time_point since) {
+  std::int64_t last_ms = 0;
+  for (const auto& [id, each] : day.gangs) {
+    if (each.started_at) {
+      last_ms = std::max(last_ms, ToMs(*each.started_at - since));
+    }
+  }
+  return last_ms;
+}
+
+// Guards against gangs that are overtaken by each newer one, and reserve
+// nothing because the steps before them have reserved all approved workers.
+BOOST_AUTO_TEST_CASE(no_gang_is_overtaken_for_ever) {
+  for (const int interval_ms : {400, 420, 440}) {
+    gang_pattern pattern = CrowdedPattern();
+    pattern.gang_interval = milliseconds(interval_ms);
+    gang_day day(pattern);
+    day.Run(std::chrono::seconds(40), true);
+    const time_point ended_at = day.rig.now;
+    day.submits_small = false;
+    day.Run(kDrainTime, false);
+    const std::int64_t last_ms = LastStartMs(day, ended_at);
+    BOOST_TEST_MESSAGE("a gang each " << interval_ms << " ms, refused "
+                                      << day.refused << ", last start "
+                                      << last_ms << " ms after the traffic");
+    BOOST_TEST(last_ms <= kFinishMs);
+    CheckWaits(day.Summary(), kMaxWaitOfOvertakenMs);
+  }
+}
+
+// The members of so many gangs do not fit on the approved workers.
+constexpr int kHopelessGangs = 8;
+
+// Guards against overdue gangs that can't start and keep others from their
+// turn.
+BOOST_AUTO_TEST_CASE(gangs_that_can_not_start_delay_no_other) {
+  gang_pattern pattern = CrowdedPattern();
+  pattern.has_admission = false;  // It counts the work of these gangs.
+  gang_day day(pattern);
+  day.pattern.min_members = 60;
+  day.pattern.max_members = 70;
+  for (int i = 0; i < kHopelessGangs; ++i) day.SubmitGang();
+  day.pattern = pattern;
+  day.Run(std::chrono::seconds(40), true);
+  day.submits_small = false;
+  day.Run(kDrainTime, false);
+  const auto hopeless =
+      std::count_if(day.gangs.begin(), day.gangs.end(), [&](const auto& row) {
+        return day.ApprovedRoom(row.first) <
+               row.second.job.graph.steps[0].task_count;
+      });
+  BOOST_TEST(hopeless == kHopelessGangs);
+  CheckWaits(day.Summary(), kMaxWaitOfOvertakenMs);
+}
+
 // Guards against large gangs that starve while newer ones, which need less,
 // keep coming, because what they reserve is free later than other workers.
 BOOST_AUTO_TEST_CASE(small_gangs_that_keep_coming_delay_no_large_one) {
