--- a/src/graph/pool_overdue.cc
+++ b/src/graph/pool_overdue.cc
@@ -10,8 +10,9 @@
 namespace {
 
 // A gang or large step that has waited this long is placed before newer ones.
-// In a full pool shorter waits are usual, and the order of the queue serves more
-// jobs in time. No step should wait 30 s, so 10 s are left for its reservation.
+// In a full pool shorter waits are usual, and the order of the queue serves
+// more jobs in time. No step should wait 30 s, so 10 s are left for its
+// reservation.
 constexpr auto kOverdueWait = milliseconds(20'000);
 // Overdue steps are placed first as far as they need at most one in so many
 // workers, because workers that are reserved for them stay idle meanwhile.
