--- a/src/graph/pool_reservations.cc
+++ b/src/graph/pool_reservations.cc
@@ -49,19 +49,6 @@
                                        static_cast<std::int64_t>(workers));
 }
 
-// Returns how many tasks with this need fit into `room`, at most `limit` unless
-// that is 0.
-std::uint32_t CountFits(const resource_vector& need, resource_vector room,
-                        std::uint32_t limit) {
-  std::uint32_t count = 0;
-  while (Fits(need, room) && count < kMaxTasksPerWorker &&
-         (limit == 0 || count < limit)) {
-    room = room - need;
-    ++count;
-  }
-  return count;
-}
-
 // The place of a step among those that want a call, by age.
 struct call_age {
   bool is_first_start = true;
@@ -86,6 +73,17 @@
 
 }  // namespace
 
+std::uint32_t CountFits(const resource_vector& need, resource_vector room,
+                        std::uint32_t limit) {
+  std::uint32_t count = 0;
+  while (Fits(need, room) && count < kMaxTasksPerWorker &&
+         (limit == 0 || count < limit)) {
+    room = room - need;
+    ++count;
+  }
+  return count;
+}
+
 void pool_scheduler::ResetReservations(const std::vector<candidate>& waiting) {
   std::set<const step_state*> renewing;
   for (const candidate& each : waiting) {
@@ -187,10 +185,7 @@
     if (worker.reserved != resource_vector{}) continue;
     if (!CanHost(waiting, worker, now)) continue;
     if (IsKeptForSuspect(worker, now)) continue;
-    reservable_worker added{&worker, {}, {}, {}};
-    // Workers of the last reservation are preferred, so that it does not move
-    // before it is complete.
-    if (last_reserved.contains(id)) added.preference = kReservationStickiness;
+    reservable_worker added{&worker, {}, {}, last_reserved.contains(id)};
     AddToReservation(added, spec.need, now);
     found.push_back(added);
   }
@@ -203,8 +198,23 @@
   target.next_amount = target.next_amount + need;
   target.free_at = EstimateFreeAt(*target.worker, target.next_amount, now);
   if (target.free_at == time_point::max()) return;
-  target.free_at =
-      std::max(target.free_at, target.worker->avoid_until) - target.preference;
+  target.free_at = std::max(target.free_at, target.worker->avoid_until);
+}
+
+// Workers of the last reservation are preferred, so that it does not move
+// before it is complete. A worker that is free goes before one that is not,
+// whose runs may take longer than estimated.
+bool pool_scheduler::IsReservedBefore(const reservable_worker& left,
+                                      const reservable_worker& right,
+                                      time_point now) {
+  const auto rank = [&](const reservable_worker& each) {
+    const duration preference =
+        each.was_reserved && each.free_at != time_point::max()
+            ? duration(kReservationStickiness)
+            : duration::zero();
+    return std::pair(each.free_at > now, each.free_at - preference);
+  };
+  return rank(left) < rank(right);
 }
 
 // Finds the workers that are free first for `count` tasks that start together,
@@ -216,10 +226,11 @@
     resources_by_worker& room) {
   time_point ready_at = now;
   for (std::uint32_t i = 0; i < count; ++i) {
-    const auto best = std::min_element(reservable.begin(), reservable.end(),
-                                       [](const auto& left, const auto& right) {
-                                         return left.free_at < right.free_at;
-                                       });
+    const auto best =
+        std::min_element(reservable.begin(), reservable.end(),
+                         [&](const auto& left, const auto& right) {
+                           return IsReservedBefore(left, right, now);
+                         });
     if (best == reservable.end() || best->free_at == time_point::max()) {
       return std::nullopt;
     }
@@ -289,6 +300,9 @@
     for (const auto& [worker, need] : room) {
       if (!has_ticket_at(*worker, start_at)) unapproved.push_back(worker->info);
     }
+    if (spec.is_gang && !unapproved.empty()) {
+      NameAlternatives(waiting, start_at, now, unapproved);
+    }
   }
   // Where a decision is missing, the call names all workers without one.
   // Otherwise each refusal leads to another reservation and another call.
@@ -307,6 +321,29 @@
   return unapproved;
 }
 
+// Runs may take longer than estimated, so that other workers than the reserved
+// ones are free first. They need tickets of the same time.
+void pool_scheduler::NameAlternatives(const candidate& waiting,
+                                      time_point start_at, time_point now,
+                                      std::vector<pool_worker>& named) {
+  const graph_job& job = *waiting.job;
+  const graph_step& spec = job.submission.graph.steps[waiting.step];
+  const step_approvals& approvals = StateOf(waiting).approvals;
+  const time_point expiry =
+      start_at + job.submission.queue.advisor->ticket_lifetime;
+  std::set<std::string> ids;
+  for (const pool_worker& worker : named) ids.insert(worker.id);
+  for (auto& [id, worker] : workers_) {
+    if (named.size() >= kMaxWorkersPerCall) return;
+    if (ids.contains(id) || !CanHost(waiting, worker, now)) continue;
+    const auto status = FindApproval(approvals, worker.info, start_at);
+    if (status != approval_status::kTicketExpired) continue;
+    if (EstimateFreeAt(worker, spec.need, now) < expiry) {
+      named.push_back(worker.info);
+    }
+  }
+}
+
 // Returns true if a task needs at least half of the largest worker: of its
 // accelerators, or of its processors or memory in a pool without accelerators.
 // Such a task rarely finds enough free resources without a reservation.
--- a/src/graph/pool_scheduler.h
+++ b/src/graph/pool_scheduler.h
@@ -293,7 +293,7 @@
     worker_state* worker = nullptr;
     resource_vector next_amount;  // If one more task is added.
     time_point free_at{};         // When `next_amount` is expected to be free.
-    duration preference{};        // Subtracted in `free_at`.
+    bool was_reserved = false;    // By the step, in the last pass.
   };
   // Decisions of the advisor on workers for steps of a queue.
   struct decision_count {
@@ -594,6 +594,16 @@
   void ChargeStartShare(const candidate& step, std::size_t count,
                         time_point now);
 
+  // In pool_overdue.cc: gangs and large steps that wait for long.
+
+  // Moves the steps forward that need a reservation and that others have
+  // overtaken for too long, the oldest first.
+  void MoveOverdueStepsForward(std::vector<candidate>& waiting, time_point now);
+  // Returns how many workers the step takes if it is placed first, or nothing
+  // if it fits on none.
+  std::optional<std::size_t> CountWorkersForOverdue(
+      const candidate& waiting) const;
+
   // In pool_reservations.cc: reservations and approval calls for waiting steps.
 
   // Ends the reservations of the last pass. Marks the workers whose reservation
@@ -612,6 +622,9 @@
   // Adds one more task to what would be reserved next on the worker.
   void AddToReservation(reservable_worker& target, const resource_vector& need,
                         time_point now) const;
+  // Returns true if `left` is to be reserved rather than `right`.
+  static bool IsReservedBefore(const reservable_worker& left,
+                               const reservable_worker& right, time_point now);
   // Resources to reserve on each worker.
   using resources_by_worker = std::map<worker_state*, resource_vector>;
   std::optional<time_point> FindWorkersToReserve(
@@ -621,6 +634,10 @@
   // Returns the reserved workers for which tickets must be requested now.
   std::vector<pool_worker> ReserveWorkers(const candidate& waiting,
                                           time_point now);
+  // Adds approved workers to a call for `named` workers of which the step needs
+  // tickets by `start_at`.
+  void NameAlternatives(const candidate& waiting, time_point start_at,
+                        time_point now, std::vector<pool_worker>& named);
   bool IsLarge(const graph_step& spec) const;
   // Makes the calls for approval that fit into `capacity`.
   void RequestApprovals(time_point now, approval_capacity capacity,
