Name loans and guest jobs, and lend a step in a function of its own

A read-through of the loans: pairs become structs with named fields, and the loop over tasks leaves LendTasks. Behaviour as before; graph/lending_test and the loans of pools/partitions_test pass.

--- a/src/graph/pool_lending.cc
+++ b/src/graph/pool_lending.cc
@@ -98,55 +98,63 @@
   return waited >= kMaxUndecidedTime || !HasUndecidedWorkers(waiting, now);
 }
 
+std::size_t pool_scheduler::LendStep(const candidate& waiting,
+                                     std::span<const std::string> partitions,
+                                     loan_counts& in_all) {
+  graph_job& job = *waiting.job;
+  step_state& step = StateOf(waiting);
+  auto& lent = job.progress.occurrences[waiting.occurrence][waiting.step].lent;
+  std::size_t count = 0;
+  task_key key{job.submission.id, waiting.occurrence, waiting.step, 0};
+  for (; key.index < step.tasks.size(); ++key.index) {
+    graph_task& task = step.tasks[key.index];
+    // A suspect is tried here, where its crashes are known.
+    if (task.phase != task_phase::kWaiting || HasEarlierRun(task, key) ||
+        HasVerdictPending(job, key) || IsSuspect(job, key)) {
+      continue;
+    }
+    const std::string& target = LeastLent(partitions, lent, in_all);
+    ++in_all[target];
+    task.phase = task_phase::kLent;
+    --step.waiting;
+    ++step.lent;
+    lent[key.index] = target;
+    MarkDirty(job);
+    ++count;
+    Log(graph_events::kTaskLent,
+        {Field("task", FormatTask(key)), Field("partition", target),
+         Field("placed", step.placed), Field("lent", step.lent)});
+  }
+  return count;
+}
+
 std::size_t pool_scheduler::LendTasks(std::span<const std::string> partitions,
                                       time_point now) {
   if (partitions.empty() || !IsTakeoverComplete(now)) return 0;
-  std::size_t count = 0;
-  std::map<std::string, std::size_t> in_all;
+  loan_counts in_all;
   for (const graph_job* job : open_jobs_) {
     for (const auto& [partition, tasks] :
          LentTasks(job->submission.id, job->progress)) {
       in_all[partition] += tasks.size();
     }
   }
+  std::size_t count = 0;
   for (graph_job* job : open_jobs_) {
     if (job->is_moving || job->submission.guest) continue;
     candidate waiting{job, 0, 0, {}, {}};
     for (; waiting.occurrence < job->occurrences.size(); ++waiting.occurrence) {
-      auto& steps = job->occurrences[waiting.occurrence];
+      const auto& steps = job->occurrences[waiting.occurrence];
       for (waiting.step = 0; waiting.step < steps.size(); ++waiting.step) {
-        step_state& step = steps[waiting.step];
         if (!IsStranded(waiting, now)) continue;
-        task_key key{job->submission.id, waiting.occurrence, waiting.step, 0};
-        for (; key.index < step.tasks.size(); ++key.index) {
-          graph_task& task = step.tasks[key.index];
-          // A suspect is tried here, where its crashes are known.
-          if (task.phase != task_phase::kWaiting || HasEarlierRun(task, key) ||
-              HasVerdictPending(*job, key) || IsSuspect(*job, key)) {
-            continue;
-          }
-          auto& lent = job->progress.occurrences[key.occurrence][key.step].lent;
-          const std::string& target = LeastLent(partitions, lent, in_all);
-          ++in_all[target];
-          task.phase = task_phase::kLent;
-          --step.waiting;
-          ++step.lent;
-          lent[key.index] = target;
-          MarkDirty(*job);
-          ++count;
-          Log(graph_events::kTaskLent,
-              {Field("task", FormatTask(key)), Field("partition", target),
-               Field("placed", step.placed), Field("lent", step.lent)});
-        }
+        count += LendStep(waiting, partitions, in_all);
       }
     }
   }
   return count;
 }
 
-std::vector<std::pair<std::string, job_submission>> pool_scheduler::Loans()
-    const {
-  std::vector<std::pair<std::string, job_submission>> loans;
+std::vector<task_loan> pool_scheduler::Loans() const {
+  std::vector<task_loan> loans;
   for (const graph_job* job : open_jobs_) {
     for (const auto& [partition, tasks] : job->stored_lent) {
       job_submission guest = job->submission;
@@ -157,7 +165,7 @@
         guest.guest->tasks.push_back({key.occurrence, key.step, key.index,
                                       step.tasks[key.index].last_run});
       }
-      loans.emplace_back(partition, std::move(guest));
+      loans.push_back({partition, std::move(guest)});
     }
   }
   return loans;
@@ -200,12 +208,11 @@
   return found->second->submission.guest->home;
 }
 
-std::vector<std::pair<std::string, std::string>> pool_scheduler::GuestJobs()
-    const {
-  std::vector<std::pair<std::string, std::string>> jobs;
+std::vector<guest_job> pool_scheduler::GuestJobs() const {
+  std::vector<guest_job> jobs;
   for (const graph_job* job : open_jobs_) {
     if (!job->submission.guest) continue;
-    jobs.emplace_back(job->submission.id, job->submission.guest->home);
+    jobs.push_back({job->submission.id, job->submission.guest->home});
   }
   return jobs;
 }
--- a/src/graph/pool_scheduler.h
+++ b/src/graph/pool_scheduler.h
@@ -108,6 +108,18 @@
   log_sink log;
 };
 
+// Tasks that another partition runs.
+struct task_loan {
+  std::string partition;
+  job_submission job;  // Its `guest` names the tasks.
+};
+
+// A job of another partition that has tasks here.
+struct guest_job {
+  std::string id;
+  std::string home;  // The partition of the job.
+};
+
 // What has happened to runs since the scheduler was made.
 struct run_counts {
   std::uint64_t adopted = 0;
@@ -170,9 +182,9 @@
   // Other tasks wait for the end of those that are in their way.
   std::size_t LendTasks(std::span<const std::string> partitions,
                         time_point now);
-  // Returns what other partitions have to run for this one, by partition. Tasks
-  // whose loan is not stored are left out.
-  std::vector<std::pair<std::string, job_submission>> Loans() const;
+  // Returns what other partitions have to run for this one. Tasks whose loan is
+  // not stored are left out.
+  std::vector<task_loan> Loans() const;
   // A task of the job has started in another partition.
   void OnLoanStarted(std::string_view job_id);
   // The tasks of the job have been given up in another partition.
@@ -183,9 +195,7 @@
   // Returns the partition of a job that has only tasks of another one here, or
   // an empty text.
   std::string_view GuestHome(std::string_view job_id) const;
-  // Returns the jobs of other partitions that have tasks here, with their
-  // partitions.
-  std::vector<std::pair<std::string, std::string>> GuestJobs() const;
+  std::vector<guest_job> GuestJobs() const;
 
   // Applies a worker's report. `sent_at` is the time at which the poll was
   // sent.
@@ -577,6 +587,12 @@
   // Returns true if the step consists of lasting tasks that are kept apart, and
   // the workers here that may run them had no room for a while.
   bool IsStranded(const candidate& waiting, time_point now);
+  // Numbers of lent tasks, by partition.
+  using loan_counts = std::map<std::string, std::size_t>;
+  // Lends the waiting tasks of a stranded step, and returns how many.
+  std::size_t LendStep(const candidate& waiting,
+                       std::span<const std::string> partitions,
+                       loan_counts& in_all);
   // Returns the tasks that are lent according to the progress, by partition.
   static std::map<std::string, std::vector<task_key>> LentTasks(
       const std::string& job_id, const job_progress& progress);
--- a/src/pools/guest_exchange.cc
+++ b/src/pools/guest_exchange.cc
@@ -47,11 +47,11 @@
   if (options_.directory->LoanSupport() == member_support::kAll) {
     owner.LendTasks(WithWorkers(others));
   }
-  for (const auto& loan : owner.Loans()) {
+  for (const task_loan& loan : owner.Loans()) {
     if (signal_.StopRequested()) return;
-    const job_submission& job = loan.second;
+    const job_submission& job = loan.job;
     const job_call_response response =
-        Call(loan.first, kHostTopic, EncodeSubmission(job));
+        Call(loan.partition, kHostTopic, EncodeSubmission(job));
     if (response.status == job_call_status::kAccepted) continue;
     if (response.status == job_call_status::kState) {
       if (response.state == job_state::kActive) owner.OnLoanStarted(job.id);
@@ -59,7 +59,7 @@
       continue;
     }
     Emit(options_.log, pool_events::kHostRefused,
-         {Field("partition", partition), Field("target", loan.first),
+         {Field("partition", partition), Field("target", loan.partition),
           Field("job", job.id), Field("tasks", job.guest->tasks.size()),
           Field("reason", response.reason)});
   }
@@ -75,9 +75,9 @@
 }
 
 void guest_exchange::EndGuests(pool_owner& owner) {
-  for (const auto& [job_id, home] : owner.GuestJobs()) {
+  for (const guest_job& guest : owner.GuestJobs()) {
     if (signal_.StopRequested()) return;
-    if (HasEnded(job_id, home)) owner.EndGuest(job_id);
+    if (HasEnded(guest.id, guest.home)) owner.EndGuest(guest.id);
   }
 }
 
--- a/src/pools/pool_owner.h
+++ b/src/pools/pool_owner.h
@@ -88,8 +88,8 @@
   // Lends lasting tasks that no worker of this partition can take.
   void LendTasks(std::span<const std::string> partitions);
   // See `pool_scheduler`.
-  std::vector<std::pair<std::string, job_submission>> Loans() const;
-  std::vector<std::pair<std::string, std::string>> GuestJobs() const;
+  std::vector<task_loan> Loans() const;
+  std::vector<guest_job> GuestJobs() const;
   void OnLoanStarted(std::string_view job_id);
   void OnLoanFailed(std::string_view job_id);
   // Runs tasks for another partition, and returns the state of the job here.
--- a/src/pools/pool_owner_guests.cc
+++ b/src/pools/pool_owner_guests.cc
@@ -13,7 +13,7 @@
   }
 }
 
-std::vector<std::pair<std::string, job_submission>> pool_owner::Loans() const {
+std::vector<task_loan> pool_owner::Loans() const {
   const std::lock_guard lock(mutex_);
   if (!is_loaded_ || is_stopped_) return {};
   return scheduler_->Loans();
@@ -33,7 +33,7 @@
   RequestDecision();
 }
 
-std::vector<std::pair<std::string, std::string>> pool_owner::GuestJobs() const {
+std::vector<guest_job> pool_owner::GuestJobs() const {
   const std::lock_guard lock(mutex_);
   if (!is_loaded_ || is_stopped_) return {};
   return scheduler_->GuestJobs();
--- a/tests/graph/lending_test.cc
+++ b/tests/graph/lending_test.cc
@@ -53,11 +53,11 @@
   StoreProgress();
   const auto loans = scheduler.Loans();
   BOOST_REQUIRE_EQUAL(loans.size(), 1);
-  BOOST_TEST(loans[0].first == "pool~1");
-  BOOST_TEST(loans[0].second.queue.pool == "pool~1");
-  BOOST_TEST(loans[0].second.guest->home == "pool");
-  BOOST_REQUIRE_EQUAL(loans[0].second.guest->tasks.size(), 1);
-  BOOST_TEST(loans[0].second.guest->tasks[0].index == 2U);
+  BOOST_TEST(loans[0].partition == "pool~1");
+  BOOST_TEST(loans[0].job.queue.pool == "pool~1");
+  BOOST_TEST(loans[0].job.guest->home == "pool");
+  BOOST_REQUIRE_EQUAL(loans[0].job.guest->tasks.size(), 1);
+  BOOST_TEST(loans[0].job.guest->tasks[0].index == 2U);
   BOOST_TEST(scheduler.Audit().findings.empty());
   // It runs nowhere else from now on.
   AddWorker("w3", kWorker);
@@ -94,7 +94,7 @@
   LendAfter(kStrandedTime);
   StoreProgress();
   const auto sent = Attempt([&] {
-    return DecodeSubmission(EncodeSubmission(scheduler.Loans().front().second));
+    return DecodeSubmission(EncodeSubmission(scheduler.Loans().front().job));
   });
   BOOST_REQUIRE(sent);
   scheduler_rig host;
@@ -141,7 +141,7 @@
                         lending_rig) {
   LendAfter(kStrandedTime);
   StoreProgress();
-  const job_submission sent = scheduler.Loans().front().second;
+  const job_submission sent = scheduler.Loans().front().job;
   scheduler_rig next;
   next.scheduler.RestoreJob(sent, InitialProgress(sent), next.now);
   next.AddWorker("v1", kWorker, false);
@@ -194,8 +194,8 @@
   BOOST_TEST(lend() == 1U);
   StoreProgress();
   std::set<std::string> targets;
-  for (const auto& [partition, job] : scheduler.Loans()) {
-    targets.insert(partition);
+  for (const task_loan& loan : scheduler.Loans()) {
+    targets.insert(loan.partition);
   }
   BOOST_TEST(targets.size() == 2U);
 }
