--- a/tests/graph/lending_test.cc
+++ b/tests/graph/lending_test.cc
@@ -213,6 +213,20 @@
   BOOST_TEST(scheduler.LendTasks(kOthers, now) == 0U);
 }
 
+// Guards against a job that stays active although the host has given its tasks
+// up.
+BOOST_FIXTURE_TEST_CASE(a_job_fails_with_its_lent_tasks, lending_rig) {
+  LendAfter(kStrandedTime);
+  StoreProgress();
+  scheduler.OnLoanStarted("wide");
+  BOOST_TEST((scheduler.FindJobState("wide") == job_state::kActive));
+  scheduler.OnLoanFailed("wide", now);
+  BOOST_TEST((scheduler.FindJobState("wide") == job_state::kFailed));
+  DecideAndCarryOut();
+  BOOST_TEST(CountRunningTasks() == 0U);
+  BOOST_TEST(scheduler.Loans().empty());
+}
+
 // Guards against records of another writer that name tasks out of range.
 BOOST_AUTO_TEST_CASE(records_with_unknown_tasks_are_rejected) {
   job_submission job = SpreadJob(3);
--- a/tests/pools/partitions_test.cc
+++ b/tests/pools/partitions_test.cc
@@ -16,6 +16,7 @@
 using testing::fake_agent;
 using testing::fake_store;
 using testing::kPool;
+using testing::MakeJob;
 
 constexpr std::int64_t kPartitionWorkers = 4;
 
@@ -457,6 +458,37 @@
   BOOST_TEST(Eventually([&] { return CountRuns().first == 0; }));
 }
 
+// Guards against lent tasks that start after their job was cancelled, because
+// the call of its owner was late.
+BOOST_FIXTURE_TEST_CASE(a_late_loan_starts_nothing, cell) {
+  AddRacks(0, 4);
+  AddDaemon("a");
+  BOOST_REQUIRE(Eventually([&] { return CountPartitions() == 2; }));
+  BOOST_REQUIRE(Eventually([&] { return IsServed() && HasClaimedAll(8); }));
+  daemon_parts& daemon = *daemons[0];
+  const std::string home = PartitionName(kPool, HomePartition("wide", 2));
+  const std::string other = home == kPool ? kPool + "~1" : kPool;
+  job_submission loan = MakeJob("wide", SpreadGraph(2).steps);
+  loan.queue = daemon_parts::Queue();
+  loan.queue.pool = other;
+  loan.guest = guest_tasks{home, {{0, 0, 1, 0}}};
+  const auto host = [&] {
+    return daemon.host->OwnerOf(other)->Host(
+        loan, daemon.clock->Now() + milliseconds(1000));
+  };
+  // No job of this id was accepted, or its state was deleted.
+  BOOST_TEST((host().status == job_call_status::kUnavailable));
+  const auto submitted = daemon.gateway.Submit(
+      daemon_parts::Queue(), "wide", SpreadGraph(2), milliseconds(3000));
+  BOOST_TEST((submitted.status == job_call_status::kAccepted));
+  const auto cancelled =
+      daemon.gateway.Cancel(daemon_parts::Queue(), "wide", milliseconds(3000));
+  BOOST_TEST((cancelled.status == job_call_status::kCancelled));
+  BOOST_TEST((host().status == job_call_status::kUnavailable));
+  BOOST_TEST(!store.Has(JobKey(other, "wide")));
+  BOOST_TEST(Eventually([&] { return CountRuns().first == 0; }));
+}
+
 // Guards against a job that was moved and is lost or doubled because one of the
 // owners changes before the other has taken the job over.
 BOOST_FIXTURE_TEST_CASE(a_moved_job_survives_changes_of_owners, cell) {
