--- a/src/graph/pool_crashes.cc
+++ b/src/graph/pool_crashes.cc
@@ -168,9 +168,9 @@
   graph_job* job = FindJob(run.task.job_id);
   if (job == nullptr || !HasTask(*job, run.task)) return false;
   if (IsFinal(job->progress.state)) return false;
-  if (StepOf(*job, run.task).tasks[run.task.index].phase == task_phase::kDone) {
-    return false;
-  }
+  const task_phase phase = StepOf(*job, run.task).tasks[run.task.index].phase;
+  // A lent task runs, and is judged, in another partition.
+  if (phase == task_phase::kDone || phase == task_phase::kLent) return false;
   const task_key key = CrashKey(*job, run.task);
   auto& blamed = BlamedRuns(*job, key);
   auto& excused = ExcusedRuns(*job, key);
@@ -248,7 +248,9 @@
 void pool_scheduler::CountForJobs(const worker_crash& crash, int change) {
   for (const std::string& id : crash.jobs) {
     graph_job* job = FindJob(id);
-    if (job != nullptr) job->crashes = std::max(0, job->crashes + change);
+    if (job == nullptr) continue;
+    job->crashes = std::max(0, job->crashes + change);
+    if (change > 0) job->last_crash_at = crash.known_at;
   }
 }
 
@@ -303,7 +305,10 @@
   }
   verdicts_ = std::move(pending);
   const auto jobs = crashed_jobs_;
-  for (graph_job* job : jobs) ClearSurvivors(*job, now);
+  for (graph_job* job : jobs) {
+    ClearSurvivors(*job, now);
+    UpdateHold(*job, now);
+  }
   std::erase_if(workers_, [&](const auto& row) {
     const worker_state& worker = row.second;
     return !worker.is_listed && worker.runs.empty() &&
--- a/src/graph/pool_scheduler.h
+++ b/src/graph/pool_scheduler.h
@@ -175,9 +175,14 @@
   std::vector<std::pair<std::string, job_submission>> Loans() const;
   // A task of the job has started in another partition.
   void OnLoanStarted(std::string_view job_id);
+  // The tasks of the job have been given up in another partition.
+  void OnLoanFailed(std::string_view job_id, time_point now);
   // Adds a job of which this partition runs some tasks, or tasks to such a job.
   // Returns false if the job is unknown and must be stored first.
   bool ExtendGuest(const job_submission& job);
+  // Returns the partition of a job that has only tasks of another one here, or
+  // an empty text.
+  std::string_view GuestHome(std::string_view job_id) const;
   // Returns the jobs of other partitions that have tasks here, with their
   // partitions.
   std::vector<std::pair<std::string, std::string>> GuestJobs() const;
@@ -247,6 +252,9 @@
   }
   // Counts the known runs on a worker.
   std::size_t CountRuns(std::string_view worker) const;
+  // Returns true if a run that is to be stopped there has not been settled for
+  // so long that the worker's leases must not be renewed.
+  bool HasOverdueStop(std::string_view worker, time_point now) const;
   // Returns true if runs of this owner or of an earlier one may exist there.
   bool MayHaveRuns(std::string_view worker, time_point now) const;
   // Returns true once every run of an earlier owner is known or has expired.
@@ -440,8 +448,12 @@
   std::vector<std::uint32_t> WaitingSuspects(const candidate& waiting);
   // Returns true if a suspect of the job is placed or may be given up soon.
   bool HasPlacedSuspect(graph_job& job);
-  // Returns true if only suspects of the job may start.
+  // Returns true if only suspects of the job should start.
   bool HoldsBackTasks(graph_job& job);
+  // Notes since when tasks of the job are held back.
+  void UpdateHold(graph_job& job, time_point now);
+  // Returns true if tasks of the step that are no suspects must not start yet.
+  bool IsHeldBack(const candidate& waiting, time_point now);
   void CountSuspectWorkers(time_point now);
   std::optional<time_point> EstimateEmptyAt(const candidate& waiting,
                                             const worker_state& worker,
