--- a/src/graph/pool_model.h
+++ b/src/graph/pool_model.h
@@ -127,8 +127,8 @@
   std::uint32_t placed = 0;
   std::uint32_t lent = 0;
   std::uint32_t done = 0;
-  // Since when all workers that may run the step are known and none of its
-  // tasks was placed, and how many were placed then.
+  // For lasting tasks that are kept apart: since when some wait and none was
+  // placed, and how many were placed then.
   time_point stranded_since{};
   std::uint32_t placed_when_stranded = 0;
   // All members of the next attempt start from it.
