Insert steps that move forward in one function

Overdue steps and those that are held back each removed the moved steps from the queue and inserted them in front, with a small difference. At the time of the first insertion no step left in the queue is overdue, so one condition serves both. Behaviour as before.

--- a/src/graph/pool_overdue.cc
+++ b/src/graph/pool_overdue.cc
@@ -77,12 +77,7 @@
     moved.back().rank.is_not_overdue = false;
     each.job = nullptr;
   }
-  std::erase_if(waiting,
-                [](const candidate& each) { return each.job == nullptr; });
-  const auto after_restarts = std::find_if(
-      waiting.begin(), waiting.end(),
-      [](const candidate& each) { return each.rank.is_first_start; });
-  waiting.insert(after_restarts, moved.begin(), moved.end());
+  InsertForward(waiting, moved);
 }
 
 }  // namespace apricotwheel
--- a/src/graph/pool_scheduler.h
+++ b/src/graph/pool_scheduler.h
@@ -609,6 +609,10 @@
   double StartCost(const candidate& step) const;
   void ChargeStartShare(const candidate& step, std::size_t count,
                         time_point now);
+  // Removes the steps whose job is null, and inserts `moved` behind restarts
+  // and overdue steps.
+  static void InsertForward(std::vector<candidate>& waiting,
+                            std::span<const candidate> moved);
 
   // In pool_overdue.cc: gangs and large steps that wait for long.
 
--- a/src/graph/pool_start_share.cc
+++ b/src/graph/pool_start_share.cc
@@ -135,6 +135,11 @@
       if (waiting[index].job != nullptr) move(index);
     }
   }
+  InsertForward(waiting, moved);
+}
+
+void pool_scheduler::InsertForward(std::vector<candidate>& waiting,
+                                   std::span<const candidate> moved) {
   std::erase_if(waiting,
                 [](const candidate& step) { return step.job == nullptr; });
   const auto after_overdue =
