--- a/src/graph/pool_lending.cc
+++ b/src/graph/pool_lending.cc
@@ -115,9 +115,7 @@
     }
     const std::string& target = LeastLent(partitions, lent, in_all);
     ++in_all[target];
-    task.phase = task_phase::kLent;
-    --step.waiting;
-    ++step.lent;
+    SetPhase(step, task, task_phase::kLent);
     lent[key.index] = target;
     MarkDirty(job);
     ++count;
@@ -190,11 +188,8 @@
     graph_task& task = step.tasks[entry.index];
     // Lasting tasks are never done, so this one did not run here before.
     if (task.phase != task_phase::kDone) continue;
-    const auto last_run = std::max(task.last_run, entry.last_run);
-    task = {};
-    task.last_run = last_run;
-    --step.done;
-    ++step.waiting;
+    SetPhase(step, task, task_phase::kWaiting);
+    task = {task.phase, std::max(task.last_run, entry.last_run), {}, {}};
     known->progress.occurrences[entry.occurrence][entry.step]
         .done[entry.index] = false;
     MarkDirty(*known);
--- a/src/graph/pool_model.h
+++ b/src/graph/pool_model.h
@@ -149,6 +149,11 @@
   std::uint64_t named_in_pass = 0;
 };
 
+// Returns how many tasks of the step are in the phase.
+std::uint32_t& CountIn(step_state& step, task_phase phase);
+// Moves a task of the step to the phase, with the counts.
+void SetPhase(step_state& step, graph_task& task, task_phase phase);
+
 // A job and the state of all its tasks.
 struct graph_job {
   job_submission submission;
--- a/src/graph/pool_placement.cc
+++ b/src/graph/pool_placement.cc
@@ -455,11 +455,9 @@
            Field("last_run", task.last_run),
            Field("worker", placed.worker->info.id)});
     }
-    task.phase = task_phase::kPlaced;
+    SetPhase(step, task, task_phase::kPlaced);
     task.last_run = run.number;
     task.worker = placed.worker->info.id;
-    --step.waiting;
-    ++step.placed;
     placed.worker->used = placed.worker->used + spec.need;
     placed.worker->expected_in_pass = 0;
     start_order order{
--- a/src/graph/pool_runs.cc
+++ b/src/graph/pool_runs.cc
@@ -161,10 +161,8 @@
   if (!is_kept) {
     StopRun(adopted, now);
   } else {
-    task.phase = task_phase::kPlaced;
+    SetPhase(step, task, task_phase::kPlaced);
     task.worker = worker.info.id;
-    --step.waiting;
-    ++step.placed;
     MarkStarted(*job);
   }
   worker.runs[run.task] = std::move(adopted);
@@ -313,11 +311,7 @@
   const auto finish = [&](std::size_t index) {
     graph_task& state = step.tasks[index];
     if (state.phase == task_phase::kDone) return;
-    --(state.phase == task_phase::kWaiting  ? step.waiting
-       : state.phase == task_phase::kPlaced ? step.placed
-                                            : step.lent);
-    ++step.done;
-    state.phase = task_phase::kDone;
+    SetPhase(step, state, task_phase::kDone);
     stored[index] = true;
   };
   if (SpecOf(job, task).is_gang) {
@@ -340,10 +334,8 @@
 
 void pool_scheduler::RequeueTask(step_state& step, graph_task& task) {
   if (task.phase != task_phase::kPlaced) return;
-  task.phase = task_phase::kWaiting;
+  SetPhase(step, task, task_phase::kWaiting);
   task.worker.clear();
-  --step.placed;
-  ++step.waiting;
   step.placed_in_pass = 0;
 }
 
--- a/src/graph/pool_scheduler.cc
+++ b/src/graph/pool_scheduler.cc
@@ -30,6 +30,26 @@
          task.index < job.occurrences[task.occurrence][task.step].tasks.size();
 }
 
+std::uint32_t& CountIn(step_state& step, task_phase phase) {
+  switch (phase) {
+    case task_phase::kWaiting:
+      return step.waiting;
+    case task_phase::kPlaced:
+      return step.placed;
+    case task_phase::kLent:
+      return step.lent;
+    case task_phase::kDone:
+      break;
+  }
+  return step.done;
+}
+
+void SetPhase(step_state& step, graph_task& task, task_phase phase) {
+  --CountIn(step, task.phase);
+  task.phase = phase;
+  ++CountIn(step, phase);
+}
+
 bool IsPlacedOn(const graph_task& task, const worker_state& worker) {
   return task.phase == task_phase::kPlaced && task.worker == worker.info.id;
 }
@@ -121,16 +141,14 @@
     for (std::size_t i = 0; i < graph.steps.size(); ++i) {
       step_state& step = states[i];
       step.tasks.resize(graph.steps[i].task_count);
+      step.waiting = graph.steps[i].task_count;
       for (std::size_t index = 0; index < step.tasks.size(); ++index) {
         const bool is_done = steps[i].done[index];
-        if (is_done) step.tasks[index].phase = task_phase::kDone;
-        ++(is_done ? step.done : step.waiting);
+        if (is_done) SetPhase(step, step.tasks[index], task_phase::kDone);
       }
       for (const auto& [index, partition] : steps[i].lent) {
         if (step.tasks[index].phase != task_phase::kWaiting) continue;
-        step.tasks[index].phase = task_phase::kLent;
-        --step.waiting;
-        ++step.lent;
+        SetPhase(step, step.tasks[index], task_phase::kLent);
       }
     }
   }
