Name what an overdue stop means to a session; events in their order

The scheduler's query and the function over a worker had one name, so that each use of the latter had to be qualified. No change of behaviour.

--- a/src/graph/graph_events.h
+++ b/src/graph/graph_events.h
@@ -40,9 +40,9 @@
                                              severity::kInfo};
 inline constexpr log_event_kind kStateContradicted{
     2118, "graph_state_contradicted", severity::kError};
-inline constexpr log_event_kind kTaskLent{2120, "graph_task_lent",
-                                          severity::kInfo};
 inline constexpr log_event_kind kRunUnsettled{2119, "graph_run_unsettled",
                                               severity::kWarning};
+inline constexpr log_event_kind kTaskLent{2120, "graph_task_lent",
+                                          severity::kInfo};
 
 }  // namespace apricotwheel::graph_events
--- a/src/graph/pool_placement.cc
+++ b/src/graph/pool_placement.cc
@@ -146,8 +146,7 @@
 bool pool_scheduler::AcceptsTasks(const worker_state& worker, time_point now) {
   return worker.is_claimed && worker.is_listed && !worker.info.is_draining &&
          !worker.has_unknown_run && worker.avoid_until <= now &&
-         !IsKeptForSuspect(worker, now) &&
-         !apricotwheel::HasOverdueStop(worker, now);
+         !IsKeptForSuspect(worker, now) && !HasOverdueStop(worker, now);
 }
 
 // Collects the workers with room for the smallest need of all waiting steps.
--- a/src/graph/pool_runs.cc
+++ b/src/graph/pool_runs.cc
@@ -44,10 +44,10 @@
       });
 }
 
-bool pool_scheduler::HasOverdueStop(std::string_view id, time_point now) const {
+bool pool_scheduler::MustWithholdLeases(std::string_view id,
+                                        time_point now) const {
   const auto found = workers_.find(id);
-  return found != workers_.end() &&
-         apricotwheel::HasOverdueStop(found->second, now);
+  return found != workers_.end() && HasOverdueStop(found->second, now);
 }
 
 void pool_scheduler::ApplyReport(std::string_view id,
@@ -426,7 +426,7 @@
   }
   worker->leases_expired_at = now;
   // It doesn't answer orders, so that a new start would be lost as well.
-  if (apricotwheel::HasOverdueStop(*worker, now)) {
+  if (HasOverdueStop(*worker, now)) {
     worker->avoid_until = now + kAvoidFailingTime;
   }
   while (!worker->runs.empty()) {
--- a/src/graph/pool_scheduler.h
+++ b/src/graph/pool_scheduler.h
@@ -264,7 +264,7 @@
   std::size_t CountRuns(std::string_view worker) const;
   // Returns true if a run that is to be stopped there has not been settled for
   // so long that the worker's leases must not be renewed.
-  bool HasOverdueStop(std::string_view worker, time_point now) const;
+  bool MustWithholdLeases(std::string_view worker, time_point now) const;
   // Returns true if runs of this owner or of an earlier one may exist there.
   bool MayHaveRuns(std::string_view worker, time_point now) const;
   // Returns true once every run of an earlier owner is known or has expired.
--- a/src/pools/pool_owner_workers.cc
+++ b/src/pools/pool_owner_workers.cc
@@ -257,7 +257,7 @@
     return worker_progress{
         scheduler_->LastStoredEnd(id), scheduler_->CountRuns(id) > 0,
         scheduler_->HasUnstoredEnds(id),
-        scheduler_->HasOverdueStop(id, options_.clock->Now())};
+        scheduler_->MustWithholdLeases(id, options_.clock->Now())};
   };
   return callbacks;
 }
