Log when the leases of a worker count as ended, and how old the ownership is

From the logs of an incident it could not be told whether an owner that gave up a worker still had its pool (hypothesis 2), whether it waited for its own leases or for those of an earlier owner (hypothesis 1), or whether it took a refusal for an exit (hypothesis 3).

No decision changes.

--- a/src/pools/job_journal.cc
+++ b/src/pools/job_journal.cc
@@ -108,9 +108,11 @@
   takeover.conditions.push_back({options_.owner_key, options_.epoch});
   takeover.conditions.push_back({JournalKey(), read_revision});
   takeover.puts.push_back({JournalKey(), JournalValue(0), {}});
+  const auto sent_at = options_.clock->Now();
   const auto written = Attempt([&] { return options_.kv->Commit(takeover); });
   if (written) {
     journal_revision_ = *written;
+    callbacks_.on_ownership_confirmed(sent_at);
     return {};
   }
   if (written.failure.kind != error_kind::kConflict) {
@@ -552,6 +554,7 @@
     if (written) {
       journal_revision_ = *written;
       last_commit_duration_ = options_.clock->Now() - sent_at;
+      callbacks_.on_ownership_confirmed(sent_at);
       return report_success();
     }
     const error_kind kind = written.failure.kind;
--- a/src/pools/job_journal.h
+++ b/src/pools/job_journal.h
@@ -108,6 +108,9 @@
     std::function<void()> on_superseded;
     // The store stopped responding, see `IsStoreUnreachable`.
     std::function<void()> on_store_unreachable;
+    // A request that was sent at `sent_at` has shown that this owner has the
+    // pool.
+    std::function<void(time_point sent_at)> on_ownership_confirmed;
   };
 
   job_journal(job_journal_options options, callbacks handlers);
--- a/src/pools/pool_events.h
+++ b/src/pools/pool_events.h
@@ -80,5 +80,7 @@
     2238, "pool_ownership_renewed", severity::kWarning};
 inline constexpr log_event_kind kHostRefused{2239, "pool_host_refused",
                                              severity::kInfo};
+inline constexpr log_event_kind kLeasesEnded{2240, "pool_leases_ended",
+                                             severity::kInfo};
 
 }  // namespace apricotwheel::pool_events
--- a/src/pools/pool_metrics.cc
+++ b/src/pools/pool_metrics.cc
@@ -118,7 +118,14 @@
               .Name("apricotwheel_pool_moved_jobs_total")
               .Help("Jobs moved to another partition before they started")
               .Register(*registry)
-              .Add({})) {}
+              .Add({})),
+      confirmation_age_seconds(
+          prometheus::BuildHistogram()
+              .Name("apricotwheel_pool_confirmation_age_seconds")
+              .Help("Time since the key-value service confirmed the ownership "
+                    "when the leases of a worker counted as ended")
+              .Register(*registry)
+              .Add({}, LatencyBuckets())) {}
 
 void pool_metrics::RecordResponse(const std::string& verb,
                                   const std::string& status, double seconds) {
--- a/src/pools/pool_metrics.h
+++ b/src/pools/pool_metrics.h
@@ -38,6 +38,7 @@
   prometheus::Counter& refused_submissions;
   prometheus::Counter& overload_refusals;
   prometheus::Counter& moved_jobs;
+  prometheus::Histogram& confirmation_age_seconds;
 };
 
 }  // namespace apricotwheel
--- a/src/pools/pool_owner.cc
+++ b/src/pools/pool_owner.cc
@@ -154,6 +154,9 @@
   };
   AddMoveCallbacks(callbacks);
   callbacks.on_superseded = [this] { options_.on_superseded(); };
+  callbacks.on_ownership_confirmed = [this](time_point sent_at) {
+    authority_.Confirm(sent_at);
+  };
   callbacks.on_store_unreachable = options_.on_store_unreachable;
   return callbacks;
 }
--- a/src/pools/pool_owner.h
+++ b/src/pools/pool_owner.h
@@ -22,6 +22,7 @@
 #include "pools/agent_session.h"
 #include "pools/approval_dispatcher.h"
 #include "pools/job_journal.h"
+#include "pools/owner_authority.h"
 #include "pools/platform_services.h"
 #include "pools/pool_calls.h"
 #include "pools/pool_metrics.h"
@@ -179,7 +180,12 @@
   bool HasLeftBeforeTakeover(const std::string& id);
   agent_session::callbacks CallbacksFor(const pool_worker& worker);
 
+  // Logs that the leases of a worker have ended for this owner. Called with
+  // mutex_ held.
+  void ReportLeasesEnded(const std::string& worker, bool has_exited);
+
   const pool_owner_options options_;
+  owner_authority authority_;
   std::unique_ptr<job_journal> journal_;
   std::unique_ptr<approval_dispatcher> approval_dispatcher_;
 
--- a/src/pools/pool_owner_workers.cc
+++ b/src/pools/pool_owner_workers.cc
@@ -212,6 +212,19 @@
          kAbsenceToExit;
 }
 
+void pool_owner::ReportLeasesEnded(const std::string& worker, bool has_exited) {
+  const auto now = options_.clock->Now();
+  const duration age = now - authority_.ConfirmedAt();
+  options_.metrics->confirmation_age_seconds.Observe(
+      std::chrono::duration<double>(age).count());
+  Emit(options_.log, pool_events::kLeasesEnded,
+       {Field("pool", options_.pool), Field("epoch", options_.epoch),
+        Field("worker", worker), Field("exited", has_exited ? 1 : 0),
+        Field("unverified", scheduler_->IsUnverified(worker) ? 1 : 0),
+        Field("runs", scheduler_->CountRuns(worker)),
+        Field("confirmed_ms", ToMs(age))});
+}
+
 agent_session::callbacks pool_owner::CallbacksFor(const pool_worker& worker) {
   const std::string& id = worker.id;
   agent_session::callbacks callbacks;
@@ -230,6 +243,7 @@
     // until the same agent reports again.
     const bool has_exited = is_certain || (!IsListed(id) && IsRefused(address));
     const std::lock_guard lock(mutex_);
+    ReportLeasesEnded(id, is_certain);
     scheduler_->ExpireWorkerLeases(id, has_exited, options_.clock->Now());
     if (!listed_workers_.contains(id)) workers_changed_ = true;
     RequestDecision();
