End the authority of a pool's owner by its own clock

Cause: authority without an end. An epoch stops an owner only where its successor's word arrives, and between the sides of a cut that is nowhere. A successor waited one lease of a worker, but nothing made the predecessor stop renewing (hypothesis 1). The predecessor took the end of its own leases for the end of the runs, although the successor had claimed the worker and renewed them (hypothesis 2).

Change: an owner grants no lease beyond task_lease + confirmation_interval after the store last confirmed its ownership, by a commit or a read of the owner key, and gives no orders when that time is nearly over. A successor counts workers that it has not claimed as free after the same span from its own takeover; both use AuthoritySpan. Leases of a silent worker count as ended only if the store has confirmed the owner since. The owner key is read at least once an interval, so an idle owner notices its successor too.

Why it works: whatever a predecessor does rests on a confirmation before the takeover, and the successor waits for all that such a confirmation allows. An outage of the store now ends an owner's authority; the next commits extend it.

--- a/src/graph/pool_scheduler.h
+++ b/src/graph/pool_scheduler.h
@@ -218,6 +218,11 @@
                         std::span<const approved_worker> approved,
                         bool has_response, time_point sent_at, time_point now);
 
+  // See `pool_scheduler_options::earlier_leases_expire_at`.
+  void SetEarlierLeasesExpiry(time_point expiry) {
+    options_.earlier_leases_expire_at = expiry;
+  }
+
   // Runs one scheduling pass.
   pool_decisions Decide(time_point now, std::int64_t wall_clock_ms,
                         const approval_capacity& capacity = {});
--- a/src/pools/agent_session.cc
+++ b/src/pools/agent_session.cc
@@ -49,12 +49,15 @@
   read_at_ = received_at;
 }
 
-std::int64_t worker_clock::ExtendLeases(time_point now) {
-  const auto elapsed = now - read_at_;
-  const std::int64_t end_ms =
-      clock_ms_ +
-      std::chrono::duration_cast<milliseconds>(elapsed + lease_duration_)
-          .count();
+std::optional<std::int64_t> worker_clock::ExtendLeases(time_point now,
+                                                       time_point limit) {
+  const duration elapsed = now - read_at_;
+  const auto until_limit = std::chrono::duration_cast<duration>(
+      std::chrono::duration<double, std::nano>(limit - read_at_) *
+      kMinClockRate);
+  const duration lease_end = std::min(elapsed + lease_duration_, until_limit);
+  if (lease_end <= elapsed) return std::nullopt;
+  const std::int64_t end_ms = clock_ms_ + ToMs(lease_end);
   const auto max_duration = std::chrono::duration_cast<duration>(
       std::chrono::duration<double, std::milli>(
           static_cast<double>(end_ms - clock_ms_) / kMinClockRate));
@@ -231,7 +234,8 @@
     withholds_leases_ = progress.has_overdue_stop;
     if (worker_clock_.IsKnown() && is_reachable_ && !is_retry &&
         !withholds_leases_) {
-      request.lease_until_ms = worker_clock_.ExtendLeases(sent_at);
+      request.lease_until_ms =
+          worker_clock_.ExtendLeases(sent_at, options_.authority_end());
     }
   }
   // The first poll claims the worker and reads its clock; it does not wait.
@@ -321,7 +325,8 @@
   const bool has_exited =
       is_replaced ||
       (failure.kind == error_kind::kUnavailable && options_.has_exited());
-  if (has_exited || now >= LeasesExpireBy()) {
+  const time_point expired_by = LeasesExpireBy();
+  if (has_exited || (now >= expired_by && options_.was_owner_at(expired_by))) {
     if (has_exited) {
       Emit(options_.log, pool_events::kAgentExited,
            {Field("worker", options_.worker.id),
@@ -344,8 +349,8 @@
   // An earlier session may have granted leases that this one does not know.
   const auto max_duration = std::chrono::duration_cast<duration>(
       options_.lease_duration / kMinClockRate);
-  return std::max(expired_by,
-                  started_at_ + max_duration + duration(kExpiryMargin));
+  return std::max({expired_by, options_.earlier_leases_end(),
+                   started_at_ + max_duration + duration(kExpiryMargin)});
 }
 
 void agent_session::RunSender() {
@@ -368,7 +373,10 @@
     if (is_stopped_ || !is_reachable_ || withholds_leases_) {
       return {start_result::kUnreachable, std::nullopt};
     }
-    lease.until_ms = worker_clock_.ExtendLeases(options_.clock->Now());
+    const auto until_ms = worker_clock_.ExtendLeases(options_.clock->Now(),
+                                                     options_.authority_end());
+    if (!until_ms) return {start_result::kUnreachable, std::nullopt};
+    lease.until_ms = *until_ms;
   }
   start_response response = options_.link->start(order, lease);
   if (response.clock_ms) {
--- a/src/pools/agent_session.h
+++ b/src/pools/agent_session.h
@@ -28,9 +28,10 @@
   // `received_at`.
   void Observe(std::int64_t clock_ms, time_point received_at);
   bool IsKnown() const { return is_known_; }
-  // Extends the leases by the full duration from `now` and returns their end on
-  // the worker's clock.
-  std::int64_t ExtendLeases(time_point now);
+  // Extends the leases by the full duration from `now`, but not beyond `limit`
+  // on a slow clock of the worker, and returns their end on that clock. Returns
+  // nothing if no time is left.
+  std::optional<std::int64_t> ExtendLeases(time_point now, time_point limit);
   // Returns when all leases granted so far have expired, even if the worker's
   // clock runs slow.
   time_point ExpiredBy() const { return expired_by_; }
@@ -64,6 +65,15 @@
   // not prove that: a network that cuts the worker off may refuse connections
   // too.
   std::function<bool()> has_exited = [] { return false; };
+  // See `owner_authority`. No lease is granted beyond `authority_end`, and the
+  // end of the granted leases is no proof that nothing runs unless the pool was
+  // this owner's until then.
+  std::function<time_point()> authority_end = [] { return time_point::max(); };
+  std::function<bool(time_point since)> was_owner_at = [](time_point) {
+    return true;
+  };
+  // Leases of earlier owners may hold until then if the worker is not claimed.
+  std::function<time_point()> earlier_leases_end = [] { return time_point{}; };
   duration lease_duration = milliseconds(5900);
   clock_ptr clock;
   log_sink log;
--- a/src/pools/owner_authority.cc
+++ b/src/pools/owner_authority.cc
@@ -4,6 +4,17 @@
 
 namespace apricotwheel {
 
+namespace {
+
+// Of the clocks of two daemons, and for rounding to the worker's milliseconds.
+constexpr auto kExpiryMargin = milliseconds(200);
+
+}  // namespace
+
+duration AuthoritySpan(duration task_lease, duration confirmation_interval) {
+  return task_lease + confirmation_interval;
+}
+
 void owner_authority::Confirm(time_point sent_at) {
   const std::lock_guard lock(mutex_);
   confirmed_at_ = std::max(confirmed_at_, sent_at);
@@ -14,4 +25,45 @@
   return confirmed_at_;
 }
 
+void owner_authority::Extend(time_point asked_at) {
+  const std::lock_guard lock(mutex_);
+  extended_at_ = std::max(extended_at_, asked_at);
+}
+
+time_point owner_authority::EndsAt() const {
+  const std::lock_guard lock(mutex_);
+  if (confirmed_at_ == time_point{}) return {};
+  const time_point extended_at =
+      std::min(extended_at_, confirmed_at_ + options_.max_extension);
+  return std::max(confirmed_at_, extended_at) + options_.span;
+}
+
+void owner_authority::EndEarlierExtensions() {
+  const std::lock_guard lock(mutex_);
+  earlier_extensions_ended_at_ = options_.clock->Now();
+}
+
+time_point owner_authority::EarlierLeasesEnd() const {
+  const std::lock_guard lock(mutex_);
+  const time_point extended_until = earlier_extensions_ended_at_.value_or(
+      options_.acquired_at + options_.max_extension);
+  return extended_until + options_.span + duration(kExpiryMargin);
+}
+
+bool owner_authority::ConfirmSince(time_point since) {
+  time_point sent_at;
+  {
+    const std::lock_guard lock(mutex_);
+    if (confirmed_at_ >= since) return true;
+    sent_at = options_.clock->Now();
+    if (is_asking_ || sent_at < since) return false;
+    is_asking_ = true;
+  }
+  const bool is_confirmed = options_.confirm();
+  const std::lock_guard lock(mutex_);
+  is_asking_ = false;
+  if (is_confirmed) confirmed_at_ = std::max(confirmed_at_, sent_at);
+  return confirmed_at_ >= since;
+}
+
 }  // namespace apricotwheel
--- a/src/pools/pool_events.h
+++ b/src/pools/pool_events.h
@@ -82,5 +82,9 @@
                                              severity::kInfo};
 inline constexpr log_event_kind kLeasesEnded{2240, "pool_leases_ended",
                                              severity::kInfo};
+inline constexpr log_event_kind kAuthorityEnded{2241, "pool_authority_ended",
+                                                severity::kWarning};
+inline constexpr log_event_kind kAuthorityRegained{
+    2242, "pool_authority_regained", severity::kInfo};
 
 }  // namespace apricotwheel::pool_events
--- a/src/pools/pool_host.cc
+++ b/src/pools/pool_host.cc
@@ -229,7 +229,7 @@
   }
   owner.owner_key = pool_directory::OwnerKey(pool);
   owner.member_id = options_.directory->SelfId();
-  owner.member_lease = options_.settings.lease_ttl;
+  owner.confirmation_interval = options_.settings.lease_renew_interval;
   owner.task_lease = options_.settings.task_lease;
   owner.kv = options_.kv;
   owner.platform = options_.platform;
--- a/src/pools/pool_owner.cc
+++ b/src/pools/pool_owner.cc
@@ -26,10 +26,6 @@
 // Range of run numbers reserved for each owner. An owner starts fewer runs of
 // one task than this.
 constexpr std::uint64_t kRunsPerTenure = 100'000;
-// A worker's clock runs at most 2% slow, so its leases may last this much
-// longer, plus a margin.
-constexpr double kSlowClockFactor = 1.02;
-constexpr auto kExpiryMargin = milliseconds(200);
 // While the owner loads or hands the pool over.
 constexpr auto kLoadingRetryAfterMs = 500;
 // While the store is unreachable. Callers retry a few times within their
@@ -62,7 +58,11 @@
 }  // namespace
 
 pool_owner::pool_owner(pool_owner_options options)
-    : options_(std::move(options)) {}
+    : options_(std::move(options)),
+      authority_(
+          {AuthoritySpan(options_.task_lease, options_.confirmation_interval),
+           options_.max_extension, options_.clock->Now(),
+           [this] { return ConfirmOwnership(); }, options_.clock}) {}
 
 result<void> pool_owner::Start() {
   job_journal_options journal;
@@ -89,6 +89,8 @@
         std::chrono::duration<double>(waited).count());
   });
   BOOST_LEAF_CHECK(approval_dispatcher_->Start());
+  BOOST_LEAF_CHECK(
+      threads_.Spawn("pool-authority", [this] { RunAuthority(); }));
   return threads_.Spawn("pool-owner", [this] { Run(); });
 }
 
@@ -99,6 +101,7 @@
     is_stopped_ = true;
   }
   owner_changed_.notify_all();
+  authority_changed_.notify_all();
   requests_changed_.notify_all();
   if (journal_) journal_->Stop();
   if (approval_dispatcher_) approval_dispatcher_->Stop();
@@ -155,7 +158,7 @@
   AddMoveCallbacks(callbacks);
   callbacks.on_superseded = [this] { options_.on_superseded(); };
   callbacks.on_ownership_confirmed = [this](time_point sent_at) {
-    authority_.Confirm(sent_at);
+    OnOwnershipConfirmed(sent_at);
   };
   callbacks.on_store_unreachable = options_.on_store_unreachable;
   return callbacks;
@@ -177,7 +180,7 @@
   options_.clock->WaitUntil(lock, owner_changed_, due, [&] {
     return is_stopped_ || needs_decision_ || workers_changed_;
   });
-  return !is_stopped_;
+  return WaitForAuthority(lock);
 }
 
 bool pool_owner::LoadWithRetries() {
@@ -205,10 +208,8 @@
   const std::int64_t wall_ms = WallClockMs();
   pool_scheduler_options options;
   options.run_number_base = contents.tenure * kRunsPerTenure;
-  const auto lease = std::chrono::duration_cast<duration>(options_.task_lease *
-                                                          kSlowClockFactor);
-  options.earlier_leases_expire_at =
-      now + options_.member_lease + lease + duration(kExpiryMargin);
+  // Set by `EndEarlierLeases`.
+  options.earlier_leases_expire_at = time_point::max();
   for (const auto& [id, address] : contents.workers) {
     options.earlier_workers.insert(id);
   }
@@ -238,6 +239,7 @@
     RecordMove(id, target, now);
   }
   is_loaded_ = true;
+  authority_changed_.notify_all();
   requests_changed_.notify_all();
   RequestDecision();
 }
--- a/src/pools/pool_owner.h
+++ b/src/pools/pool_owner.h
@@ -37,9 +37,14 @@
   std::uint64_t epoch = 0;
   std::string owner_key;
   std::string member_id;
-  // Once it has expired, an earlier owner has stopped.
-  duration member_lease{};
+  // The ownership is confirmed at least at this interval.
+  duration confirmation_interval = milliseconds(1000);
   duration task_lease{};
+  // How long the members may extend the authority of an owner of the pool.
+  duration max_extension{};
+  // Returns true if the members know of no later owner. Called if the store
+  // does not respond.
+  std::function<bool()> ask_members = [] { return false; };
   kv_client* kv = nullptr;  // Like platform, outlives the owner.
   const platform_services* platform = nullptr;
   approval_dispatcher::member_source members;
@@ -99,6 +104,8 @@
   // The job has ended in its own partition.
   void EndGuest(std::string_view job_id);
 
+  // The members extend the authority of earlier owners no more.
+  void OnMembersInformed();
   // Returns true once every run of an earlier owner is known or has expired.
   bool IsTakeoverComplete() const;
   // Returns the mean time that an event waited for the scheduling pass since
@@ -110,6 +117,7 @@
   // Returns the ids of the workers that may have tasks of the pool, or nothing
   // while the stored state is being loaded.
   std::optional<std::set<std::string>> KnownWorkers() const;
+  const std::string& Pool() const { return options_.pool; }
   std::uint64_t Epoch() const { return options_.epoch; }
   // Returns true if the store does not respond to this daemon, so that it
   // cannot accept jobs.
@@ -184,6 +192,22 @@
   // mutex_ held.
   void ReportLeasesEnded(const std::string& worker, bool has_exited);
 
+  // Defined in pool_owner_authority.cc.
+  // Keeps the ownership confirmed.
+  void RunAuthority();
+  // Asks the store whether the pool is still this owner's.
+  bool ConfirmOwnership();
+  void OnOwnershipConfirmed(time_point sent_at);
+  void ExtendAuthority();
+  // Earlier owners have no authority any more. Called on the thread of
+  // `RunAuthority`.
+  void EndEarlierLeases();
+  // Returns true if orders may be given. Called with mutex_ held.
+  bool MayGiveOrders() const;
+  // Waits for that. Returns false if the owner was stopped. `lock` holds
+  // mutex_.
+  bool WaitForAuthority(std::unique_lock<std::mutex>& lock);
+
   const pool_owner_options options_;
   owner_authority authority_;
   std::unique_ptr<job_journal> journal_;
@@ -191,6 +215,8 @@
 
   mutable std::mutex mutex_;               // Guards all below.
   std::condition_variable owner_changed_;  // The owner thread waits on it.
+  // The thread of `RunAuthority` waits on it.
+  std::condition_variable authority_changed_;
   // Callers of `Submit`, `Cancel` and `Quiesce` wait on it.
   std::condition_variable requests_changed_;
   std::unique_ptr<pool_scheduler> scheduler_;
@@ -222,6 +248,7 @@
   bool workers_changed_ = false;
   bool is_loaded_ = false;
   bool needs_decision_ = false;
+  bool is_waiting_for_authority_ = false;  // The owner thread does.
   // The owner thread waits for the end of the interval after the last pass and
   // needs no notification of events.
   bool is_collecting_events_ = false;
--- /dev/null
+++ b/src/pools/pool_owner_authority.cc
@@ -0,0 +1,120 @@
+// Keeps the authority of the owner of a pool, and ends that of earlier owners.
+#include <algorithm>
+
+#include "pools/pool_events.h"
+#include "pools/pool_owner.h"
+
+namespace apricotwheel {
+
+namespace {
+
+constexpr auto kConfirmationTimeout = milliseconds(1000);
+constexpr auto kConfirmationRetryInterval = milliseconds(200);
+// Orders are given while at least this much authority is left. A run that is
+// started later would lapse unless the store responds again at once.
+constexpr auto kMinAuthority = milliseconds(1000);
+
+}  // namespace
+
+bool pool_owner::ConfirmOwnership() {
+  const auto owner = Attempt([&] {
+    return options_.kv->Get(options_.owner_key, duration(kConfirmationTimeout));
+  });
+  if (!owner) return false;
+  if (*owner.value && (*owner.value)->revision == options_.epoch) return true;
+  options_.on_superseded();
+  return false;
+}
+
+void pool_owner::OnOwnershipConfirmed(time_point sent_at) {
+  authority_.Confirm(sent_at);
+  const std::lock_guard lock(mutex_);
+  if (is_waiting_for_authority_) owner_changed_.notify_one();
+}
+
+bool pool_owner::MayGiveOrders() const {
+  return options_.clock->Now() + duration(kMinAuthority) < authority_.EndsAt();
+}
+
+bool pool_owner::WaitForAuthority(std::unique_lock<std::mutex>& lock) {
+  if (is_stopped_ || MayGiveOrders()) return !is_stopped_;
+  Emit(options_.log, pool_events::kAuthorityEnded,
+       {Field("pool", options_.pool), Field("epoch", options_.epoch),
+        Field("confirmed_ms",
+              ToMs(options_.clock->Now() - authority_.ConfirmedAt()))});
+  is_waiting_for_authority_ = true;
+  options_.clock->WaitUntil(lock, owner_changed_, time_point::max(),
+                            [&] { return is_stopped_ || MayGiveOrders(); });
+  is_waiting_for_authority_ = false;
+  if (is_stopped_) return false;
+  Emit(options_.log, pool_events::kAuthorityRegained,
+       {Field("pool", options_.pool), Field("epoch", options_.epoch)});
+  return true;
+}
+
+void pool_owner::EndEarlierLeases() {
+  const std::lock_guard lock(mutex_);
+  scheduler_->SetEarlierLeasesExpiry(options_.clock->Now());
+  workers_changed_ = true;
+  RequestDecision();
+}
+
+void pool_owner::OnMembersInformed() {
+  const std::lock_guard lock(mutex_);
+  authority_.EndEarlierExtensions();
+  authority_changed_.notify_one();
+}
+
+void pool_owner::ExtendAuthority() {
+  const auto asked_at = options_.clock->Now();
+  if (!options_.ask_members()) return;
+  authority_.Extend(asked_at);
+  const std::lock_guard lock(mutex_);
+  if (is_waiting_for_authority_) owner_changed_.notify_one();
+}
+
+void pool_owner::RunAuthority() {
+  const auto is_stopped = [this] { return is_stopped_; };
+  {
+    std::unique_lock lock(mutex_);
+    options_.clock->WaitUntil(lock, authority_changed_, time_point::max(),
+                              [&] { return is_stopped_ || is_loaded_; });
+  }
+  bool has_earlier_leases = true;
+  const auto earlier_leases_end = [&] {
+    return has_earlier_leases ? authority_.EarlierLeasesEnd()
+                              : time_point::max();
+  };
+  while (true) {
+    const time_point earlier_end = earlier_leases_end();
+    const time_point due = std::min<time_point>(
+        authority_.ConfirmedAt() + options_.confirmation_interval, earlier_end);
+    {
+      std::unique_lock lock(mutex_);
+      options_.clock->WaitUntil(lock, authority_changed_, due, [&] {
+        return is_stopped_ || earlier_leases_end() != earlier_end;
+      });
+      if (is_stopped_) return;
+    }
+    const auto now = options_.clock->Now();
+    if (now < due) continue;
+    const bool ends_earlier = now >= earlier_end;
+    // Commits confirm the ownership as well.
+    const time_point since =
+        ends_earlier ? earlier_end : now - options_.confirmation_interval / 2;
+    if (authority_.ConfirmSince(since)) {
+      OnOwnershipConfirmed(authority_.ConfirmedAt());
+      if (ends_earlier) {
+        has_earlier_leases = false;
+        EndEarlierLeases();
+      }
+      continue;
+    }
+    ExtendAuthority();
+    std::unique_lock lock(mutex_);
+    options_.clock->WaitFor(lock, authority_changed_,
+                            kConfirmationRetryInterval, is_stopped);
+  }
+}
+
+}  // namespace apricotwheel
--- a/src/pools/pool_owner_workers.cc
+++ b/src/pools/pool_owner_workers.cc
@@ -165,6 +165,11 @@
     return IsAddressReused(worker) ||
            (HasLeftBeforeTakeover(worker.id) && IsRefused(worker.address));
   };
+  options.authority_end = [this] { return authority_.EndsAt(); };
+  options.was_owner_at = [this](time_point since) {
+    return authority_.ConfirmSince(since);
+  };
+  options.earlier_leases_end = [this] { return authority_.EarlierLeasesEnd(); };
   options.lease_duration = options_.task_lease;
   options.clock = options_.clock;
   options.log = options_.log;
--- a/testing/load/owner_load.cc
+++ b/testing/load/owner_load.cc
@@ -224,7 +224,6 @@
     options.epoch = store_.Put("owners/pool", "owner");
     options.owner_key = "owners/pool";
     options.member_id = "member";
-    options.member_lease = milliseconds(1000);
     options.task_lease = milliseconds(6000);
     options.kv = kv_.get();
     options.metrics = &metrics_;
--- a/tests/pools/agent_session_test.cc
+++ b/tests/pools/agent_session_test.cc
@@ -15,6 +15,7 @@
 namespace {
 
 constexpr auto kLease = milliseconds(6000);
+constexpr auto kUnlimited = time_point::max();
 
 // A session with one worker whose behavior the test defines.
 struct fake_worker {
@@ -107,20 +108,39 @@
   worker_clock worker(kLease);
   const time_point start{std::chrono::hours(1)};
   worker.Observe(1000, start);
-  BOOST_TEST(worker.ExtendLeases(start) == 7000);
+  BOOST_TEST(*worker.ExtendLeases(start, kUnlimited) == 7000);
   const auto slow = std::chrono::duration_cast<duration>(
       std::chrono::duration<double, std::milli>(6000 / 0.98));
   BOOST_TEST((worker.ExpiredBy() >= start + slow));
   BOOST_TEST((worker.ExpiredBy() <= start + slow + milliseconds(200)));
   // A later lease ends later, and no lease expires sooner than computed.
-  BOOST_TEST(worker.ExtendLeases(start + milliseconds(500)) == 7500);
+  BOOST_TEST(*worker.ExtendLeases(start + milliseconds(500), kUnlimited) ==
+             7500);
   const auto expired_by = worker.ExpiredBy();
   // Arrives after a later reading.
   worker.Observe(900, start + milliseconds(600));
-  BOOST_TEST(worker.ExtendLeases(start + milliseconds(500)) == 7500);
+  BOOST_TEST(*worker.ExtendLeases(start + milliseconds(500), kUnlimited) ==
+             7500);
   BOOST_TEST((worker.ExpiredBy() >= expired_by));
 }
 
+// Guards against a lease that outlives the authority of the owner that granted
+// it: the successor waits for that time only, however slow the worker's clock.
+BOOST_AUTO_TEST_CASE(leases_end_with_the_authority) {
+  worker_clock worker(kLease);
+  const time_point start{std::chrono::hours(1)};
+  const time_point limit = start + milliseconds(3000);
+  worker.Observe(1000, start);
+  const auto lease_end = worker.ExtendLeases(start, limit);
+  BOOST_REQUIRE(lease_end);
+  const std::chrono::duration<double, std::milli> longest(
+      static_cast<double>(*lease_end - 1000) / 0.98);
+  BOOST_TEST((start + longest <= limit));
+  BOOST_TEST((start + longest >= limit - milliseconds(10)));
+  BOOST_TEST(!worker.ExtendLeases(limit, limit));
+  BOOST_TEST(!worker.ExtendLeases(start, time_point{}));
+}
+
 // Guards against leases that never expire: each failed poll of a worker that
 // was gone, or whose address another one used, renewed its leases, so its tasks
 // were never placed again.
--- a/tests/pools/pool_owner_test.cc
+++ b/tests/pools/pool_owner_test.cc
@@ -19,6 +19,7 @@
 
 constexpr resource_vector kSmall{1000, 1024, 0};
 constexpr auto kTimeout = std::chrono::seconds(5);
+constexpr auto kConfirmationInterval = milliseconds(500);
 // Nothing listens there.
 constexpr const char* kClosedAddress = "127.0.0.1:1";
 const std::string kOwnerKey = "owners/pool";
@@ -27,6 +28,7 @@
   fake_store store;
   std::unique_ptr<kv_client> kv = store.Client();
   clock_ptr clock;
+  duration task_lease;
   fake_agent agent{runtime_clock::Running()};
   fake_agent second_agent{runtime_clock::Running()};  // Of the worker "second".
   platform_services platform;
@@ -35,8 +37,9 @@
   pool_metrics metrics{std::make_shared<prometheus::Registry>()};
   std::unique_ptr<pool_owner> owner;
 
-  explicit rig(clock_ptr owner_clock = runtime_clock::Running())
-      : clock(std::move(owner_clock)) {
+  explicit rig(clock_ptr owner_clock = runtime_clock::Running(),
+               duration lease = milliseconds(6000))
+      : clock(std::move(owner_clock)), task_lease(lease) {
     platform.connect_agent = [this](const pool_worker& worker) {
       if (worker.id == "second") return second_agent.Link();
       auto link = agent.Link();
@@ -60,8 +63,8 @@
     options.epoch = epoch;
     options.owner_key = kOwnerKey;
     options.member_id = "member";
-    options.member_lease = milliseconds(1000);
-    options.task_lease = milliseconds(6000);
+    options.confirmation_interval = kConfirmationInterval;
+    options.task_lease = task_lease;
     options.kv = kv.get();
     options.metrics = &metrics;
     options.platform = &platform;
--- a/tests/pools/two_owners_test.cc
+++ b/tests/pools/two_owners_test.cc
@@ -96,7 +96,7 @@
     options.epoch = store.Put(kOwnerKey, one.name);
     options.owner_key = kOwnerKey;
     options.member_id = one.name;
-    options.member_lease = kInterval;
+    options.confirmation_interval = kInterval;
     options.task_lease = task_lease;
     options.kv = one.kv.get();
     options.metrics = &metrics;
--- a/tests/pools/unsettled_start_test.cc
+++ b/tests/pools/unsettled_start_test.cc
@@ -62,7 +62,6 @@
     options.epoch = store.Put(kOwnerKey, "owner");
     options.owner_key = kOwnerKey;
     options.member_id = "member";
-    options.member_lease = milliseconds(1000);
     options.task_lease = kTaskLease;
     options.kv = kv.get();
     options.metrics = &metrics;
