A refused connection and a missing entry are no exit

Cause: a worker of an earlier owner that discovery did not list for 3 s and that refused connections counted as exited, so that its leases were not waited for.

--- a/src/pools/pool_owner.h
+++ b/src/pools/pool_owner.h
@@ -182,10 +182,6 @@
   // Returns true if discovery lists a later agent at the address of the worker.
   // Two processes cannot listen there, so the worker's has exited.
   bool IsAddressReused(const pool_worker& worker) const;
-  // Returns true if the worker of an earlier owner has not been listed for so
-  // long that it is gone unless it responds. This owner has granted it no
-  // leases.
-  bool HasLeftBeforeTakeover(const std::string& id);
   agent_session::callbacks CallbacksFor(const pool_worker& worker);
 
   // Logs that the leases of a worker have ended for this owner. Called with
@@ -222,8 +218,6 @@
   std::unique_ptr<pool_scheduler> scheduler_;
   std::map<std::string, std::shared_ptr<agent_session>> sessions_;
   std::map<std::string, pool_worker> listed_workers_;  // From discovery.
-  // When workers of earlier owners were first seen to be missing there.
-  std::map<std::string, time_point> absent_since_;
   // As passed to the scheduler.
   std::map<std::string, pool_worker> scheduled_workers_;
   // The stored worker list, addresses by id.
--- a/src/pools/pool_owner_workers.cc
+++ b/src/pools/pool_owner_workers.cc
@@ -13,9 +13,6 @@
 
 // A machine that is up rejects a connection within milliseconds.
 constexpr auto kProbeTimeout = milliseconds(300);
-// Entries that expired in an outage of the store are back 2 s after its return,
-// and the listing is read every 400 ms.
-constexpr auto kAbsenceToExit = milliseconds(3000);
 constexpr auto kWorkerListTimeout = milliseconds(3000);
 
 }  // namespace
@@ -23,7 +20,6 @@
 void pool_owner::SetWorkers(std::map<std::string, pool_worker> workers) {
   const std::lock_guard lock(mutex_);
   listed_workers_ = std::move(workers);
-  for (const auto& [id, worker] : listed_workers_) absent_since_.erase(id);
   workers_changed_ = true;
   owner_changed_.notify_one();
 }
@@ -161,10 +157,7 @@
   options.worker = worker;
   options.epoch = options_.epoch;
   options.link = options_.platform->connect_agent(worker);
-  options.has_exited = [this, worker] {
-    return IsAddressReused(worker) ||
-           (HasLeftBeforeTakeover(worker.id) && IsRefused(worker.address));
-  };
+  options.has_exited = [this, worker] { return IsAddressReused(worker); };
   options.authority_end = [this] { return authority_.EndsAt(); };
   options.was_owner_at = [this](time_point since) {
     return authority_.ConfirmSince(since);
@@ -207,16 +200,6 @@
       });
 }
 
-bool pool_owner::HasLeftBeforeTakeover(const std::string& id) {
-  const std::lock_guard lock(mutex_);
-  if (listed_workers_.contains(id) || !scheduler_->IsUnverified(id)) {
-    return false;
-  }
-  const auto now = options_.clock->Now();
-  return now - absent_since_.try_emplace(id, now).first->second >=
-         kAbsenceToExit;
-}
-
 void pool_owner::ReportLeasesEnded(const std::string& worker, bool has_exited) {
   const auto now = options_.clock->Now();
   const duration age = now - authority_.ConfirmedAt();
