Members extend the authority of owners in an outage of the store

Cause: since the authority of an owner ends with its last confirmation by the store, an outage longer than 6.8 s would stop all work of a pool, although nobody can succeed an owner in it.

Change: an owner that the store does not answer asks the members; if most of them know of no later owner, its authority is extended, for at most outage_extension_ms (30 s). A new owner announces its epoch to all members, which confirm no earlier one after that, and counts the span of its predecessor from when too few are left that have not acknowledged it. Members keep nothing: what they know comes from the owner keys and the announcements, and one that restarts confirms nothing before it has listed the keys.

--- a/src/config/settings.h
+++ b/src/config/settings.h
@@ -39,6 +39,9 @@
   duration vm_list_interval = milliseconds(1000);
   duration worker_renew_interval = milliseconds(1000);
   duration task_lease = milliseconds(10'000);
+  // How long members may extend the authority of the owner of a pool after the
+  // last confirmation by the key-value service.
+  duration outage_extension = milliseconds(30'000);
   duration dispatch_authority = milliseconds(2500);
   duration clock_margin = milliseconds(250);
   duration key_retention = milliseconds(60'000);
--- a/src/pools/exit_tracker.h
+++ b/src/pools/exit_tracker.h
@@ -28,6 +28,8 @@
   bool OnAlive(const std::string& id);
 
   bool HasExited(std::string_view id) const;
+  // Returns true if the process has certainly exited.
+  bool IsReplaced(std::string_view id) const { return replaced_.contains(id); }
   // Members that count as exited because of a refused connection.
   const std::set<std::string, std::less<>>& Refusing() const {
     return refusing_;
--- a/src/pools/owner_ranking.cc
+++ b/src/pools/owner_ranking.cc
@@ -83,7 +83,8 @@
                         {"overloaded", capacity.is_overloaded},
                         {"link_kbps", capacity.link_kbps},
                         {"partitions", capacity.knows_partitions},
-                        {"loans", capacity.knows_loans}}
+                        {"loans", capacity.knows_loans},
+                        {"confirmations", capacity.knows_confirmations}}
       .dump();
 }
 
@@ -94,7 +95,8 @@
                                in.value("overloaded", false),
                                in.value("link_kbps", std::int64_t{0}),
                                in.value("partitions", false),
-                               in.value("loans", false)};
+                               in.value("loans", false),
+                               in.value("confirmations", false)};
       });
 }
 
--- a/src/pools/owner_ranking.h
+++ b/src/pools/owner_ranking.h
@@ -29,6 +29,8 @@
   // The version of the member knows tasks that another partition runs. Tasks
   // are lent only if all members do, because others would run them twice.
   bool knows_loans = false;
+  // The version of the member confirms owners in an outage of the store.
+  bool knows_confirmations = false;
 
   friend bool operator==(const member_capacity&,
                          const member_capacity&) = default;
--- a/src/pools/pool_calls.cc
+++ b/src/pools/pool_calls.cc
@@ -141,6 +141,21 @@
   });
 }
 
+std::string EncodeNotice(const ownership_notice& notice) {
+  return json{{"pool", notice.pool},
+              {"epoch", notice.epoch},
+              {"question", notice.question}}
+      .dump();
+}
+
+result<ownership_notice> DecodeNotice(std::string_view text) {
+  return ReadRecord(text, [](const json& in) -> result<ownership_notice> {
+    return ownership_notice{in.at("pool").get<std::string>(),
+                            in.at("epoch").get<std::uint64_t>(),
+                            in.at("question").get<std::uint64_t>()};
+  });
+}
+
 std::string EncodeOwner(const known_owner& owner) {
   return json{{"member", owner.member_id},
               {"epoch", owner.epoch},
--- a/src/pools/pool_calls.h
+++ b/src/pools/pool_calls.h
@@ -62,6 +62,14 @@
 // A submission with tasks that the receiver runs for another partition.
 inline constexpr std::string_view kHostTopic = "host";
 
+// One-way, `ownership_notice`s. An owner that the store does not answer asks
+// whether it still has its pool, and another daemon confirms that; a new owner
+// announces itself, and another daemon acknowledges that.
+inline constexpr std::string_view kConfirmTopic = "confirm";
+inline constexpr std::string_view kConfirmedTopic = "confirmed";
+inline constexpr std::string_view kClaimTopic = "claim";
+inline constexpr std::string_view kClaimKnownTopic = "claim_known";
+
 std::string_view ToString(job_call_status status);
 
 wire_message MakePoolCall(std::string_view topic, std::string body);
@@ -101,6 +109,14 @@
 std::string EncodeJobList(const job_list& list);
 result<job_list> DecodeJobList(std::string_view json);
 
+struct ownership_notice {
+  std::string pool;
+  std::uint64_t epoch = 0;     // Of the owner that asks or announces itself.
+  std::uint64_t question = 0;  // Counts those of one daemon.
+};
+std::string EncodeNotice(const ownership_notice& notice);
+result<ownership_notice> DecodeNotice(std::string_view json);
+
 struct known_owner {
   std::string member_id;  // Empty if the owner is not known.
   std::uint64_t epoch = 0;
--- a/src/pools/pool_directory.cc
+++ b/src/pools/pool_directory.cc
@@ -45,7 +45,11 @@
 member_capacity ConfiguredCapacity(const daemon_settings& settings) {
   return {
       std::llround(settings.processor_share * settings.processor_cores * 1000),
-      false, std::llround(settings.link_mbps * 1000), true, true};
+      false,
+      std::llround(settings.link_mbps * 1000),
+      true,
+      true,
+      true};
 }
 
 }  // namespace
@@ -109,6 +113,32 @@
   return all;
 }
 
+std::vector<recent_member> pool_directory::RecentMembers(
+    duration window) const {
+  const std::lock_guard lock(mutex_);
+  const auto now = options_.clock->Now();
+  std::vector<recent_member> recent;
+  for (const auto& [id, stored] : members_) {
+    if (id == options_.self.id || exits_.IsReplaced(id)) continue;
+    if (!stored.record && now - stored.deleted_at > window) continue;
+    const auto capacity = capacities_.find(id);
+    const bool is_supported = capacity == capacities_.end() ||
+                              !capacity->second.record ||
+                              capacity->second.record->knows_confirmations;
+    const bool may_confirm = is_supported && !stored.last_record.leaving;
+    recent.push_back({id, stored.first_seen_at, may_confirm});
+  }
+  return recent;
+}
+
+bool pool_directory::IsCurrentOwner(std::string_view pool,
+                                    const pool_ownership& owner) const {
+  const std::lock_guard lock(mutex_);
+  const auto found = owners_.find(pool);
+  return is_synced_ && !is_leaving_ && found != owners_.end() &&
+         found->second.ownership == owner;
+}
+
 std::string pool_directory::AddressOf(std::string_view member_id) const {
   const std::lock_guard lock(mutex_);
   const auto found = members_.find(member_id);
@@ -286,18 +316,36 @@
   if (event.entry.revision <= stored.revision) return;
   const std::uint64_t joined_revision =
       stored.record ? stored.joined_revision : event.entry.revision;
-  const time_point joined_at =
-      stored.record ? stored.joined_at : options_.clock->Now();
+  const auto now = options_.clock->Now();
+  const bool has_joined = record && !stored.record;
+  const time_point joined_at = has_joined ? now : stored.joined_at;
   if (record) last_joined_at_ = std::max(last_joined_at_, joined_at);
-  stored = {std::move(record), event.entry.revision, joined_revision,
-            joined_at};
-  if (!stored.record) return;
+  if (record) {
+    stored.last_record = *record;
+    if (stored.first_seen_at == time_point{}) stored.first_seen_at = now;
+  } else {
+    stored.deleted_at = now;
+  }
+  stored.record = std::move(record);
+  stored.revision = event.entry.revision;
+  stored.joined_revision = joined_revision;
+  stored.joined_at = joined_at;
+  if (stored.record) FindReplaced(id, stored);
+}
+
+void pool_directory::FindReplaced(const std::string& id,
+                                  const stored_member& joined) {
+  // Two processes cannot listen at one address, so the process of the older
+  // record has exited.
   for (const auto& [other, earlier] : members_) {
-    // Two processes cannot listen at one address, so the process of the older
-    // record has exited.
-    if (other != id && earlier.record &&
-        earlier.record->peer_address == stored.record->peer_address) {
-      exits_.OnReplaced(earlier.revision < stored.revision ? other : id);
+    if (other == id ||
+        earlier.last_record.peer_address != joined.record->peer_address) {
+      continue;
+    }
+    if (earlier.record) {
+      exits_.OnReplaced(earlier.revision < joined.revision ? other : id);
+    } else if (earlier.joined_revision < joined.joined_revision) {
+      exits_.OnReplaced(other);
     }
   }
 }
--- a/src/pools/pool_directory.h
+++ b/src/pools/pool_directory.h
@@ -52,6 +52,14 @@
   kUnknown,  // A member that has just joined has not published it yet.
 };
 
+struct recent_member {
+  std::string id;
+  time_point first_seen_at{};
+  // It may confirm owners in an outage of the store: its version does, and it
+  // is not leaving.
+  bool may_confirm = true;
+};
+
 // Membership of daemons and ownership of pools, stored as keys under the lease
 // of a member. A pool without an owner goes to the first member that creates
 // its key; members with more processor try earlier. The owner keeps it until
@@ -102,6 +110,12 @@
   std::optional<pool_ownership> OwnerOf(std::string_view pool) const;
   // Returns the members whose process has not exited.
   std::vector<member> Members() const;
+  // Returns the other members that may be alive and have been members within
+  // `window`, also those whose lease has expired since.
+  std::vector<recent_member> RecentMembers(duration window) const;
+  // Returns true if this daemon knows of no other owner of the pool and would
+  // have seen one that was announced to it.
+  bool IsCurrentOwner(std::string_view pool, const pool_ownership& owner) const;
   // Returns the pools that must have an owner; of a divided pool, its
   // partitions.
   std::vector<std::string> Pools() const;
@@ -161,7 +175,10 @@
     std::uint64_t revision = 0;
     // Revision of the first record of this member.
     std::uint64_t joined_revision = 0;
-    time_point joined_at{};  // When that record was seen here.
+    time_point joined_at{};      // When that record was seen here.
+    time_point first_seen_at{};  // Also if it has lost its lease since.
+    time_point deleted_at{};  // When its deletion was seen, if it is deleted.
+    member last_record;       // The record, or what it was.
   };
 
   struct stored_capacity {
@@ -175,6 +192,9 @@
   void ApplyEvent(const kv_event& event);
   void ApplyOwner(const std::string& pool, const kv_event& event);
   void ApplyMember(const std::string& id, const kv_event& event);
+  // Marks the members that a member with a record has replaced. Called with
+  // mutex_ held.
+  void FindReplaced(const std::string& id, const stored_member& joined);
   void ApplyCapacity(const std::string& id, const kv_event& event);
   void ApplyPartitions(const kv_event& event);
   void PublishCapacity();
--- a/src/pools/pool_host.cc
+++ b/src/pools/pool_host.cc
@@ -79,7 +79,12 @@
                [this](const wire::pool_callT& call) {
                  return HandleJobCall(call, options_.clock->Now());
                },
-               options_.clock, options_.log}) {}
+               options_.clock, options_.log}),
+      confirmations_({options_.peers, options_.directory,
+                      options_.settings.outage_extension +
+                          AuthoritySpan(options_.settings.task_lease,
+                                        options_.settings.lease_renew_interval),
+                      options_.clock, options_.log}) {}
 
 result<void> pool_host::Start() {
   options_.directory->SetAcquiredCallback(
@@ -102,9 +107,9 @@
   });
   options_.peers->SetTimedHandler(
       wire::body::pool_call,
-      [this](const std::string&, const wire_message& request,
+      [this](const std::string& sender, const wire_message& request,
              time_point received_at) {
-        return HandleRequest(request, received_at);
+        return HandleRequest(sender, request, received_at);
       });
   BOOST_LEAF_CHECK(
       threads_.Spawn("pool-rescue", [this] { RunStoreFailover(); }));
@@ -113,6 +118,7 @@
   BOOST_LEAF_CHECK(threads_.Spawn("pool-move", [this] { RunMoves(); }));
   BOOST_LEAF_CHECK(balancer_.Start());
   BOOST_LEAF_CHECK(guests_.Start());
+  BOOST_LEAF_CHECK(confirmations_.Start());
   return threads_.Spawn("pool-host", [this] { Run(); });
 }
 
@@ -126,6 +132,7 @@
   changed_.notify_all();
   balancer_.Stop();
   guests_.Stop();
+  confirmations_.Stop();
   threads_.JoinAll();
   if (worker_watcher_) worker_watcher_->Stop();
 }
@@ -175,7 +182,10 @@
       if (!owners_.contains(pool)) missing.emplace_back(pool, epoch);
     }
   }
-  for (const auto& owner : superseded) owner->Stop();
+  for (const auto& owner : superseded) {
+    confirmations_.Withdraw(owner->Pool(), owner->Epoch());
+    owner->Stop();
+  }
   if (!missing.empty() && !worker_watcher_) {
     worker_watcher_ = std::make_unique<kv_watcher>(
         kv_watcher_options{options_.platform->workers_prefix, options_.kv,
@@ -202,6 +212,8 @@
       Emit(options_.log, pool_events::kThreadFailed,
            {Field("reason", Describe(started.failure))});
     }
+    confirmations_.Announce(pool, epoch,
+                            [owner] { owner->OnMembersInformed(); });
     const std::lock_guard lock(mutex_);
     owners_[pool] = owner;
   }
@@ -231,6 +243,10 @@
   owner.member_id = options_.directory->SelfId();
   owner.confirmation_interval = options_.settings.lease_renew_interval;
   owner.task_lease = options_.settings.task_lease;
+  owner.max_extension = options_.settings.outage_extension;
+  owner.ask_members = [this, pool, epoch] {
+    return confirmations_.AskMembers(pool, epoch);
+  };
   owner.kv = options_.kv;
   owner.platform = options_.platform;
   owner.metrics = options_.metrics;
@@ -439,7 +455,24 @@
   return MakePoolReply("");
 }
 
-wire_message pool_host::HandleRequest(const wire_message& request,
+wire_message pool_host::HandleOwnershipNotice(const std::string& sender,
+                                              const wire::pool_callT& call) {
+  const auto notice = Attempt([&] { return DecodeNotice(call.body); });
+  if (!notice) return MakeFailure(notice.failure);
+  if (call.topic == kConfirmTopic) {
+    confirmations_.HandleQuestion(sender, *notice);
+  } else if (call.topic == kConfirmedTopic) {
+    confirmations_.HandleConfirmation(sender, *notice);
+  } else if (call.topic == kClaimTopic) {
+    confirmations_.HandleAnnouncement(sender, *notice);
+  } else {
+    confirmations_.HandleAcknowledgement(sender, *notice);
+  }
+  return MakePoolReply("");
+}
+
+wire_message pool_host::HandleRequest(const std::string& sender,
+                                      const wire_message& request,
                                       time_point received_at) {
   const wire::pool_callT* call = request.body.Aspool_call();
   if (call == nullptr) {
@@ -453,6 +486,10 @@
   if (call->topic == kOwnerTopic) return HandleOwnerCall(*call);
   if (call->topic == kLoadTopic) return HandleLoadReport(*call);
   if (call->topic == kAdoptTopic) return HandleAdoptionCall(*call);
+  if (call->topic == kConfirmTopic || call->topic == kConfirmedTopic ||
+      call->topic == kClaimTopic || call->topic == kClaimKnownTopic) {
+    return HandleOwnershipNotice(sender, *call);
+  }
   return MakePoolReply(EncodeResponse(HandleJobCall(*call, received_at)));
 }
 
--- a/src/pools/pool_host.h
+++ b/src/pools/pool_host.h
@@ -16,6 +16,7 @@
 #include "kernel/log.h"
 #include "kernel/thread_group.h"
 #include "peer/peer_node.h"
+#include "pools/confirmation_exchange.h"
 #include "pools/guest_exchange.h"
 #include "pools/kv_watcher.h"
 #include "pools/partition_balancer.h"
@@ -118,12 +119,16 @@
   std::optional<job_call_response> CheckHome(const std::string& partition,
                                              const std::string& job_id) const;
 
-  wire_message HandleRequest(const wire_message& request,
+  wire_message HandleRequest(const std::string& sender,
+                             const wire_message& request,
                              time_point received_at);
   wire_message HandleApprovalCall(const wire::pool_callT& call,
                                   time_point received_at);
   wire_message HandleLoadReport(const wire::pool_callT& call);
   wire_message HandleAdoptionCall(const wire::pool_callT& call);
+  // Handles a one-way message about the owner of a pool.
+  wire_message HandleOwnershipNotice(const std::string& sender,
+                                     const wire::pool_callT& call);
   // Sends an approval request to the advisor, directly or through a member.
   result<approval_dispatcher::approvals> RequestApprovals(
       const std::string& member_id, const approval_request& request,
@@ -175,6 +180,7 @@
   const pool_host_options options_;
   partition_balancer balancer_;
   guest_exchange guests_;
+  confirmation_exchange confirmations_;
   std::atomic<int> executing_submissions_ = 0;  // Forwarded by other daemons.
   // Used by the host thread only.
   std::unique_ptr<kv_watcher> worker_watcher_;
