--- a/src/pools/confirmation_exchange.cc
+++ b/src/pools/confirmation_exchange.cc
@@ -61,7 +61,9 @@
   }
   std::unique_lock lock(mutex_);
   const auto is_confirmed = [&] {
-    return questions_[key].confirmed_by.size() + 1 >= majority;
+    const auto found = questions_.find(key);
+    return found != questions_.end() &&
+           found->second.confirmed_by.size() + 1 >= majority;
   };
   options_.clock->WaitFor(lock, confirmed_, kAnswerTimeout,
                           [&] { return is_stopped_ || is_confirmed(); });
