A leaving owner does not count itself for its extension

What callers saw: a task could run twice when a cut met a planned stop.

Cause: a new owner counts leaving members and those that have acknowledged it neither among the members nor among those that may confirm an earlier owner. They answer no question then, but an earlier owner still counted itself, without asking whether it is leaving or superseded. In a cell of three, a leaving owner and one member beside it on one side of a cut were a majority there, while the successor counted one member that could confirm.

Why it works: the owner answers its own question as the others do.

--- a/src/pools/confirmation_exchange.cc
+++ b/src/pools/confirmation_exchange.cc
@@ -46,6 +46,13 @@
 
 bool confirmation_exchange::AskMembers(const std::string& pool,
                                        std::uint64_t epoch) {
+  // This member counts for itself, so it answers its own question like the
+  // others: a new owner no longer counts it once it has acknowledged that one
+  // or is leaving.
+  const pool_directory& directory = *options_.directory;
+  if (!directory.IsCurrentOwner(pool, {directory.SelfId(), epoch})) {
+    return false;
+  }
   const auto members =
       options_.directory->RecentMembers(options_.member_window);
   const std::size_t majority = MajorityOf(members.size() + 1);
--- a/tests/pools/confirmation_exchange_test.cc
+++ b/tests/pools/confirmation_exchange_test.cc
@@ -1,7 +1,11 @@
 // Owners in an outage of the store, and their successors after it.
+#include <algorithm>
+#include <atomic>
 #include <boost/test/unit_test.hpp>
 #include <map>
 #include <memory>
+#include <mutex>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -27,6 +31,8 @@
   clock_ptr clock = runtime_clock::Running();
   std::map<std::string, std::unique_ptr<leased_agent>> agents;
   std::atomic<bool> is_first_worker_silent = false;
+  std::mutex mutex;                            // Guards the next one.
+  std::set<std::string> without_first_worker;  // Daemons that don't reach it.
   std::vector<std::unique_ptr<daemon_parts>> daemons;
 
   explicit cell(std::size_t count) {
@@ -35,10 +41,11 @@
     }
     store.Put("workers/a", "");
     for (std::size_t i = 0; i < count; ++i) {
+      const std::string id = "daemon-" + std::to_string(i);
       daemons.push_back(std::make_unique<daemon_parts>(
-          store, "daemon-" + std::to_string(i), 1, nullptr,
-          [this](daemon_settings& settings, platform_services& platform) {
-            Customise(settings, platform);
+          store, id, 1, nullptr,
+          [this, id](daemon_settings& settings, platform_services& platform) {
+            Customise(id, settings, platform);
           }));
     }
     BOOST_REQUIRE(Within(milliseconds(10'000), [&] {
@@ -58,7 +65,8 @@
   // Stops the daemons, which use the agents.
   ~cell() { daemons.clear(); }
 
-  void Customise(daemon_settings& settings, platform_services& platform) {
+  void Customise(const std::string& id, daemon_settings& settings,
+                 platform_services& platform) {
     settings.task_lease = kLease;
     settings.lease_renew_interval = kInterval;
     settings.outage_extension = kExtension;
@@ -71,11 +79,15 @@
       worker.incarnation = 1;
       return std::optional<pool_worker>(worker);
     };
-    platform.connect_agent = [this](const pool_worker& worker) {
+    platform.connect_agent = [this, id](const pool_worker& worker) {
       const bool is_first = worker.id == "a";
       return agents.at(worker.id)->Link(
-          [this, is_first]() -> std::optional<error_kind> {
-            if (is_first && is_first_worker_silent) return error_kind::kTimeout;
+          [this, id, is_first]() -> std::optional<error_kind> {
+            if (!is_first) return std::nullopt;
+            const std::lock_guard lock(mutex);
+            if (is_first_worker_silent || without_first_worker.contains(id)) {
+              return error_kind::kTimeout;
+            }
             return std::nullopt;
           });
     };
@@ -92,6 +104,45 @@
     std::erase_if(daemons,
                   [&](const auto& daemon) { return daemon.get() == &victim; });
   }
+  daemon_parts& Other(std::size_t n) {
+    for (const auto& daemon : daemons) {
+      if (!daemon->Owns() && n-- == 0) return *daemon;
+    }
+    return *daemons.front();
+  }
+  // Cuts the owner, its members `with` and the worker "a" off from the store
+  // and the other daemons. Returns the epoch of the owner.
+  std::uint64_t CutOff(const std::vector<daemon_parts*>& with) {
+    const auto owner = Owner().directory->OwnerOf(kPool);
+    BOOST_REQUIRE(owner);
+    const auto is_cut = [&](const daemon_parts* daemon) {
+      return daemon->directory->SelfId() == owner->member_id ||
+             std::find(with.begin(), with.end(), daemon) != with.end();
+    };
+    for (const auto& daemon : daemons) {
+      if (is_cut(daemon.get())) {
+        *daemon->is_cut_off = true;
+      } else {
+        const std::lock_guard lock(mutex);
+        without_first_worker.insert(daemon->directory->SelfId());
+      }
+    }
+    for (const auto& one : daemons) {
+      for (const auto& other : daemons) {
+        if (is_cut(one.get()) == is_cut(other.get())) continue;
+        one->peers->SetAddress(other->directory->SelfId(), "");
+      }
+    }
+    return owner->epoch;
+  }
+  std::vector<testing::run_record> AllRuns() {
+    std::vector<testing::run_record> all;
+    for (const auto& [id, agent] : agents) {
+      const auto runs = agent->Runs();
+      all.insert(all.end(), runs.begin(), runs.end());
+    }
+    return all;
+  }
   template <class Predicate>
   bool Within(duration limit, Predicate condition) const {
     const auto until = clock->Now() + limit;
@@ -158,5 +209,31 @@
   }
 }
 
+// Guards against two owners after a planned stop that a cut interrupts: the
+// successor did not count the leaving owner as one that may confirm, but that
+// one still counted itself.
+BOOST_AUTO_TEST_CASE(a_leaving_owner_is_not_extended) {
+  cell three(3);
+  // Members count only after a while.
+  three.clock->SleepFor(milliseconds(5500));
+  daemon_parts& owner = three.Owner();
+  daemon_parts& beside = three.Other(0);
+  daemon_parts& later = three.Other(1);
+  owner.directory->MarkLeaving();
+  BOOST_REQUIRE(three.Within(milliseconds(3000), [&] {
+    const auto members = later.directory->Members();
+    return std::any_of(members.begin(), members.end(),
+                       [](const member& one) { return one.leaving; });
+  }));
+  const std::uint64_t epoch = three.CutOff({&beside});
+  three.store.Put("workers/b", "");
+  BOOST_REQUIRE(
+      Attempt([&] { return later.directory->TakeOver(kPool, epoch, false); }));
+  BOOST_TEST(
+      three.Within(3 * kSpan, [&] { return three.agents["b"]->IsRunning(); }));
+  three.clock->SleepFor(kSpan);
+  BOOST_TEST(testing::FindOverlaps(three.AllRuns()).empty());
+}
+
 }  // namespace
 }  // namespace apricotwheel
