Leases of the earlier owner outlast the claim of a worker

What callers saw: a task could run twice after a takeover.

Cause: once a worker was claimed, only the leases that this owner granted were waited for. A worker that fell silent right after its first report (which grants none) while this owner could grant no lease (its authority had ended, or a stop was overdue) counted as free at once, with the store's confirmation taken for granted, because the time of no lease is the clock's epoch. The earlier owner may have granted a full lease right before.

Evidence: leases_of_the_earlier_owner_outlast_the_claim failed without the change (no wait at all) and passes with it.

Why it works: a claim counts as a lease of full length. The first lease of this owner is longer, so nothing waits longer otherwise.

--- a/src/pools/agent_session.cc
+++ b/src/pools/agent_session.cc
@@ -65,6 +65,13 @@
   return end_ms;
 }
 
+void worker_clock::AddEarlierLeases(time_point claimed_at) {
+  const auto max_duration =
+      std::chrono::duration_cast<duration>(lease_duration_ / kMinClockRate);
+  expired_by_ = std::max(expired_by_,
+                         claimed_at + max_duration + duration(kExpiryMargin));
+}
+
 agent_session::agent_session(agent_session_options options, callbacks handlers)
     : options_(std::move(options)),
       callbacks_(std::move(handlers)),
@@ -255,6 +262,7 @@
   {
     const std::lock_guard lock(mutex_);
     if (is_stopped_) return {};
+    if (!is_claimed_) worker_clock_.AddEarlierLeases(now);
     worker_clock_.Observe(report->clock_ms, now);
     becomes_reachable = !std::exchange(is_reachable_, true);
   }
--- a/src/pools/agent_session.h
+++ b/src/pools/agent_session.h
@@ -27,6 +27,8 @@
   // Records that the worker's clock showed `clock_ms` no later than at
   // `received_at`.
   void Observe(std::int64_t clock_ms, time_point received_at);
+  // Leases that earlier owners granted until `claimed_at` may still hold.
+  void AddEarlierLeases(time_point claimed_at);
   bool IsKnown() const { return is_known_; }
   // Extends the leases by the full duration from `now`, but not beyond `limit`
   // on a slow clock of the worker, and returns their end on that clock. Returns
--- a/tests/pools/agent_session_test.cc
+++ b/tests/pools/agent_session_test.cc
@@ -40,6 +40,10 @@
   std::function<bool()> has_unstored_ends = [] { return false; };
   std::function<bool()> has_runs = [] { return true; };
   std::function<bool()> has_overdue_stop = [] { return false; };
+  std::function<time_point()> authority_end = [] { return kUnlimited; };
+  std::function<bool(time_point)> was_owner_at = [](time_point) {
+    return true;
+  };
   duration lease_duration = kLease;
   std::atomic<int> expirations = 0;
   std::atomic<int> exits = 0;  // Of these, because the agent has exited.
@@ -65,6 +69,8 @@
     };
     options.link->interrupt = [] {};
     options.has_exited = has_exited;
+    options.authority_end = authority_end;
+    options.was_owner_at = was_owner_at;
     agent_session::callbacks callbacks;
     callbacks.on_report = [](const worker_report&, time_point) {};
     callbacks.on_leases_expired = [this](bool is_exit) {
@@ -374,6 +380,28 @@
   }
 }
 
+// Guards against a task that runs twice after a takeover: the owner had claimed
+// the worker and granted no lease itself, so it counted the lease that the
+// earlier owner had granted right before as ended.
+BOOST_AUTO_TEST_CASE(leases_of_the_earlier_owner_outlast_the_claim) {
+  fake_worker worker;
+  std::atomic<int> polls = 0;
+  std::atomic<time_point> claimed_at{};
+  std::atomic<time_point> expired_at{};
+  worker.lease_duration = milliseconds(400);
+  worker.authority_end = [] { return time_point{}; };
+  worker.poll = [&](const poll_request&) -> result<worker_report> {
+    if (++polls > 1) return Fail(error_kind::kTimeout, "cut off", "wait");
+    claimed_at = worker.clock->Now();
+    return worker_report{};
+  };
+  worker.StartSession();
+  BOOST_TEST(worker.WaitFor([&] { return worker.expirations > 0; }));
+  expired_at = worker.clock->Now();
+  worker.session->Stop();
+  BOOST_TEST((expired_at.load() - claimed_at.load() >= worker.lease_duration));
+}
+
 // Guards against needless waits until an agent that is back is claimed: it is
 // polled at the retry interval, not at that of idle workers, although it has no
 // runs.
