A late report is no proof that withheld leases have ended

What callers saw: a task could run twice.

Cause: when leases are withheld because a stop is overdue, they counted as ended once their time had passed and a report had arrived. A successor may have claimed the worker after it sent the report and before the leases ended, and renewed them; this owner placed the tasks again meanwhile.

Evidence: withheld_leases_may_be_renewed_by_a_successor failed without the change and passes with it.

Why it works: as for a silent worker, the store must confirm that the pool was this owner's when the leases ended.

--- a/src/pools/agent_session.cc
+++ b/src/pools/agent_session.cc
@@ -291,7 +291,10 @@
 }
 
 void agent_session::EndWithheldLeases() {
-  if (options_.clock->Now() < LeasesExpireBy()) return;
+  const time_point expired_by = LeasesExpireBy();
+  if (options_.clock->Now() < expired_by) return;
+  // A successor may have claimed the worker since it sent the report.
+  if (!options_.was_owner_at(expired_by)) return;
   // The next report claims the worker again.
   callbacks_.on_leases_expired(false);
 }
--- a/tests/pools/agent_session_test.cc
+++ b/tests/pools/agent_session_test.cc
@@ -402,6 +402,26 @@
   BOOST_TEST((expired_at.load() - claimed_at.load() >= worker.lease_duration));
 }
 
+// Guards against a task that runs twice because of a late response: leases that
+// were withheld counted as ended, although a successor had claimed the worker
+// meanwhile and renewed them.
+BOOST_AUTO_TEST_CASE(withheld_leases_may_be_renewed_by_a_successor) {
+  fake_worker worker;
+  std::atomic<int> questions = 0;
+  std::atomic<bool> is_owner = false;
+  worker.lease_duration = milliseconds(400);
+  worker.has_overdue_stop = [] { return true; };
+  worker.was_owner_at = [&](time_point) {
+    ++questions;
+    return is_owner.load();
+  };
+  worker.StartSession();
+  BOOST_TEST(worker.WaitFor([&] { return questions > 0; }));
+  BOOST_TEST(worker.expirations == 0);
+  is_owner = true;
+  BOOST_TEST(worker.WaitFor([&] { return worker.expirations > 0; }));
+}
+
 // Guards against needless waits until an agent that is back is claimed: it is
 // polled at the retry interval, not at that of idle workers, although it has no
 // runs.
