--- a/testing/soak/cut_day.py
+++ b/testing/soak/cut_day.py
@@ -4,8 +4,13 @@
 Needs the build of deploy/system.toml.
 
     testing/soak/cut_day.py SEED [--mode MODE] [--links LINKS] [--help]
+    testing/soak/cut_day.py SEED --group [--mode any] [--shapes SHAPES]
 
-Prints one line of JSON and exits with 1 if something was broken:
+With --group the members of what is cut off (daemons with an owner, and a third of
+the workers) still reach each other, in cuts of 2 to 16 s that may overlap; see
+group_cuts.py for the shapes. CI plays one such cut (tests/soak).
+
+Prints the seed and one line of JSON, and exits with 1 if something was broken:
 idle    accepted jobs that have room and do not run at the end
 away    lasting tasks that were away for 6 s with room
 twice   pairs of runs of a task at once
@@ -19,9 +24,12 @@
 import collections
 import itertools
 import json
+import math
+import os
 import pathlib
 import random
 import re
+import subprocess
 import sys
 import tempfile
 
@@ -29,13 +37,15 @@
 sys.dont_write_bytecode = True
 sys.path[:0] = [str(ROOT / "review"), str(pathlib.Path(__file__).parent)]
 import platform_standin as standin  # noqa: E402
-from fleet import POOLS, QUEUES, Advisor, Fleet, Worker  # noqa: E402
+import group_cuts  # noqa: E402
+from fleet import LONG, POOLS, QUEUES, Advisor, Fleet, Worker  # noqa: E402
 from links import MODES, Link  # noqa: E402
 
 HOST = standin.HOST
 LINKS = ("peers", "store", "advisor", "workers")
 LEAD_S = 4.0  # From readiness to the load.
 FIRST_CUT_S = 4.0  # From the start of the load.
+AFTER_CUTS_S = 4.0  # Until the load ends.
 FINISH_S = 14.0  # From the end of the load.
 IDLE_S = 3.0
 AWAY_S = 6.0
@@ -44,6 +54,21 @@
 GENERAL_SIZES = (1, 1, 0.5, 2)
 
 
+class Daemons(standin.Daemons):
+    """Daemons of any build."""
+
+    program = None
+
+    def start(self, n):
+        if not self.program:
+            super().start(n)
+            return
+        with open(f"{self.folder}/{self.names[n]}.log", "ab") as log:
+            self.processes[n] = subprocess.Popen(
+                [self.program, "--settings", f"{self.folder}/{self.names[n]}.yaml"],
+                stdout=log, stderr=log)
+
+
 class View:
     """What one daemon sees of the store: each address is that of its own link."""
 
@@ -104,6 +129,10 @@
         self.record = standin.Record(f"{folder}/record.txt")
         self.cell = standin.Cell(folder, self.record)
         self.fleet = Fleet(self.rng)
+        self.pools = POOLS
+        self.queues = QUEUES + ((LONG,) if options.group else ())
+        self.group_cuts = group_cuts.GroupCuts(self)
+        self.load_ends_at = options.load_s
         self.views = []
         self.answers = collections.Counter()
         self.away = {}
@@ -124,11 +153,11 @@
         await self.cell.until(30, "the pools have owners", self.cell._have_owners(POOLS))
 
     async def start_workers(self):
-        for i in range(35):
+        for i in range(self.options.general):
             size = GENERAL_SIZES[i % len(GENERAL_SIZES)]
             await self.add_worker(f"general-{i:02d}", "general", f"r0-{i // 5}",
                                   int(16000 * size), int(65536 * size), 0)
-        for i in range(13):
+        for i in range(self.options.accelerated):
             await self.add_worker(f"accelerated-{i:02d}", "accelerated",
                                   f"r1-{i // 3}", 64000, 262144, 8)
 
@@ -145,7 +174,7 @@
                    "slowdown_factor": 4.0, "target_duration_ms": 3000,
                    "advisor": {"decision_ms": queue.decision,
                                "period_ms": queue.period, "validity_ms": 1500}}
-                  for queue in QUEUES]
+                  for queue in self.queues]
         self.cell.store.put_json("op/config", {
             "version": 1, "routes": routes,
             "services": [{"name": pool, "enforce_limits": False} for pool in POOLS],
@@ -168,9 +197,10 @@
             view.add("store", await self.serve(view.handle))
             view.add("advisor", await self.serve(advisor.for_caller()))
             self.views.append(view)
-        daemons = standin.Daemons(
+        daemons = Daemons(
             self.folder, 0, self.options.daemons,
             store_ports=[view.links["store"][0].port for view in self.views])
+        daemons.program = self.options.daemon
         self.cell.daemons = daemons
         peer_ports = []
         for n, view in enumerate(self.views):
@@ -187,7 +217,7 @@
                 for port in ports if m != n else ():
                     view.add(("peer", m), await self.link(port))
             for worker in self.fleet.workers.values():
-                view.add("workers", await self.link(worker.port))
+                view.add(("worker", worker.id), await self.link(worker.port))
         daemons.start_all()
 
     # -- load ------------------------------------------------------------------
@@ -224,12 +254,12 @@
                 job.state = content["state"]
 
     async def load(self):
-        rates = [queue.per_second for queue in QUEUES]
-        lasting = next(queue for queue in QUEUES if queue.name == "lasting")
+        rates = [queue.per_second * self.options.rate for queue in self.queues]
+        lasting = next(queue for queue in self.queues if queue.name == "lasting")
         for queue in (lasting, lasting):
             self.spawn(self.follow(queue))
-        while self.now() < self.options.load_s:
-            self.spawn(self.follow(self.rng.choices(QUEUES, rates)[0]))
+        while self.now() < self.load_ends_at:
+            self.spawn(self.follow(self.rng.choices(self.queues, rates)[0]))
             await asyncio.sleep(self.rng.expovariate(sum(rates)))
 
     def spawn(self, work):
@@ -259,10 +289,9 @@
         kinds = self.options.links
         for n, view in enumerate(self.views):
             for target, links in view.links.items():
-                is_peer = isinstance(target, tuple)
-                is_cut = (n in victims or target[1] in victims) if is_peer else (
-                    n in victims)
-                if is_cut and ("peers" if is_peer else target) in kinds:
+                kind = target[0] + "s" if isinstance(target, tuple) else target
+                is_cut = n in victims or (kind == "peers" and target[1] in victims)
+                if is_cut and kind in kinds:
                     yield from links
 
     def choose_victims(self, cut_before):
@@ -331,7 +360,7 @@
         logs = "".join(path.read_text() for path in pathlib.Path(self.folder).glob("*.log"))
         return {
             "seed": self.options.seed, "mode": self.options.mode,
-            "links": self.options.links, "jobs": len(jobs),
+            "links": self.options.links, "cuts": self.group_cuts.played, "jobs": len(jobs),
             "accepted": sum(1 for job in jobs if job.accepted_at),
             "idle": idle, "away": self.away, "twice": twice, "again": again,
             "faults": self.fleet.faults, "answers": dict(sorted(self.answers.items())),
@@ -355,8 +384,14 @@
         self.begin = self.record.begin = standin.now()
         self.spawn(self.load())
         self.spawn(self.watch_lasting())
-        await self.cut_repeatedly()
-        await asyncio.sleep(self.options.load_s + FINISH_S - self.now())
+        if self.options.group:
+            self.load_ends_at = math.inf
+            await asyncio.sleep(FIRST_CUT_S)
+            await self.group_cuts.run()
+            self.load_ends_at = self.now() + AFTER_CUTS_S
+        else:
+            await self.cut_repeatedly()
+        await asyncio.sleep(self.load_ends_at + FINISH_S - self.now())
         idle = await self.find_idle_jobs()
         self.is_over = True
         await asyncio.sleep(ANSWER_S)
@@ -365,8 +400,10 @@
 
 def read_options():
     parser = argparse.ArgumentParser(description=__doc__.split("\n")[0])
-    parser.add_argument("seed", type=int)
-    parser.add_argument("--mode", choices=MODES, default="refuse")
+    parser.add_argument("seed", type=int, nargs="?",
+                        help="else APRICOTWHEEL_SEED, else drawn")
+    parser.add_argument("--mode", choices=(*MODES, "any"), default="refuse",
+                        help="any: drawn by the seed")
     parser.add_argument("--links", default="peers,store",
                         help=f"what is cut, of {','.join(LINKS)}")
     parser.add_argument("--daemons", type=int, default=9)
@@ -375,22 +412,45 @@
     parser.add_argument("--cut-s", type=float, default=2.0, help="length of a cut")
     parser.add_argument("--every-s", type=float, default=6.0)
     parser.add_argument("--load-s", type=float, default=30.0)
+    parser.add_argument("--group", action="store_true",
+                        help="what is cut off is a group of daemons and workers; --links, "
+                        "--cut-s, --every-s and --load-s have no effect")
+    parser.add_argument("--shapes", default=",".join(group_cuts.SHAPES),
+                        help="of the cuts of --group, default all: %(default)s")
+    parser.add_argument("--group-cut-s", type=float,
+                        help="length of the cuts of --group, else drawn")
+    parser.add_argument("--entries", choices=("expire", "keep"), default="expire",
+                        help="of workers that do not reach the store")
+    parser.add_argument("--general", type=int, default=35, help="workers of this pool")
+    parser.add_argument("--accelerated", type=int, default=13)
+    parser.add_argument("--rate", type=float, default=1.0, help="factor of the load")
     parser.add_argument("--first-port", type=int, default=2000,
                         help="the play uses about 1000 ports from here on; the tests of "
                         "the project use 7200 to 32000")
     parser.add_argument("--program-root", default=str(ROOT),
                         help="another checkout with a build of the daemon")
+    parser.add_argument("--daemon", help="path of the daemon, else that of the build of "
+                        "deploy/system.toml")
     parser.add_argument("--folder", help="keeps the logs there")
     options = parser.parse_args()
     options.links = options.links.split(",")
     if unknown := set(options.links) - set(LINKS):
         parser.error(f"unknown links: {', '.join(sorted(unknown))}")
+    options.shapes = options.shapes.split(",")
+    if unknown := set(options.shapes) - set(group_cuts.SHAPES):
+        parser.error(f"unknown shapes: {', '.join(sorted(unknown))}")
+    if options.seed is None:
+        options.seed = int(os.environ.get("APRICOTWHEEL_SEED") or
+                           random.SystemRandom().randrange(2**32))
+    if options.mode == "any":
+        options.mode = random.Random(options.seed).choice(MODES)
     return options
 
 
 def main():
     options = read_options()
     standin.ROOT = options.program_root
+    print(f"APRICOTWHEEL_SEED={options.seed}", flush=True)
     folder = options.folder or tempfile.mkdtemp(prefix="cut-day-")
     pathlib.Path(folder).mkdir(parents=True, exist_ok=True)
     report = asyncio.run(Play(options, folder).run())
--- a/testing/soak/fleet.py
+++ b/testing/soak/fleet.py
@@ -27,12 +27,15 @@
     Queue("lasting", 0.09, "general", 1, 4, 0.0, 0.3, 560, 8),
     Queue("wide", 1.9, "accelerated", 2, 3, 0.005, 0.45, 140, 2),
 )
+# Its tasks outlast a cut.
+LONG = Queue("long", 0.8, "general", 1, 3, 0.02, 0.7, 19, 0.28)
 # Mean steps, tasks of a step, thousandths of a core, MB, accelerators and run time.
 SHAPES = {
     "short": (1.5, 6, 1500, 3100, (0,), 880),
     "batch": (2, 9, 3300, 6700, (0,), 5600),
     "gang": (1, 1.5, 31000, 160000, (2, 4, 8, 8), 5600),
     "lasting": (1, 6, 4000, 15000, (0,), 0),
+    "long": (1, 4, 1500, 3100, (0,), 15000),
     "wide": (1, 4, 5600, 23000, (1,), 3800),
 }
 POOLS = sorted({queue.pool for queue in QUEUES})
@@ -281,6 +284,8 @@
         return 200, self._answer()
 
     async def _hold(self, body):
+        if self.deadline and self.clock_ms() > self.deadline:
+            self.lapsed_at = standin.now()
         seen = body.get("observed", 0)
         ended = {(end[1], end[2]) for end in self.ends if end[0] <= seen}
         for run in self.history if ended else ():
--- a/testing/soak/links.py
+++ b/testing/soak/links.py
@@ -12,15 +12,25 @@
 #         ones are refused meanwhile.
 MODES = ("refuse", "reset", "half", "hold", "mute")
 LISTENING_MODES = ("reset", "hold")  # New connections are accepted.
+SIDES = frozenset(("client", "server"))
 
 
 class Connection:
     def __init__(self, client):
         self.sides = {"client": client, "server": None}
         self.reset_sides = set()
-        self.is_mute = False
-        self.is_open = asyncio.Event()
-        self.is_open.set()
+        self.mute_sides = set()
+        self.is_open = {side: asyncio.Event() for side in self.sides}
+        for event in self.is_open.values():
+            event.set()
+
+    def hold(self, sides):
+        for side in sides:
+            self.is_open[side].clear()
+
+    def release(self):
+        for event in self.is_open.values():
+            event.set()
 
 
 class Link:
@@ -31,6 +41,7 @@
         self.ports = ports
         self.random = random
         self.mode = None
+        self.lost_from = SIDES
         self.connections = set()
         self.port = 0
         self.server = None
@@ -40,15 +51,16 @@
         self.server = await asyncio.start_server(self._serve, HOST, self.port,
                                                  backlog=512)
 
-    def cut(self, mode):
-        self.mode = mode
+    def cut(self, mode, lost_from=SIDES):
+        """`lost_from`: whose bytes are lost, for the modes hold and mute."""
+        self.mode, self.lost_from = mode, lost_from
         if mode not in LISTENING_MODES:
             self.server.close()
         for connection in list(self.connections):
             if mode == "mute":
-                connection.is_mute = True
+                connection.mute_sides |= lost_from
             elif mode == "hold":
-                connection.is_open.clear()
+                connection.hold(lost_from)
             elif mode == "half":
                 self._reset_side(connection, self.random.choice(["client", "server"]))
             else:
@@ -59,7 +71,7 @@
     async def restore(self):
         mode, self.mode = self.mode, None
         for connection in list(self.connections):
-            connection.is_open.set()
+            connection.release()
         if mode not in LISTENING_MODES:
             await self.start()
 
@@ -76,8 +88,9 @@
         connection = Connection(writer)
         self.connections.add(connection)
         if self.mode == "hold":
-            connection.is_open.clear()
-        await connection.is_open.wait()
+            connection.hold(SIDES)  # A handshake needs both directions.
+        for event in connection.is_open.values():
+            await event.wait()
         try:
             server_reader, connection.sides["server"] = await asyncio.open_connection(
                 HOST, self.target)
@@ -91,9 +104,9 @@
     async def _forward(self, connection, reader, source, target):
         try:
             while data := await reader.read(65536):
-                if connection.is_mute:
+                if source in connection.mute_sides:
                     continue
-                await connection.is_open.wait()
+                await connection.is_open[source].wait()
                 if target in connection.reset_sides:
                     connection.sides[source].transport.abort()
                     break
