Leases follow the clock of a worker that starts anew

What callers saw: runs could outlive the authority of their owner.

Cause: a worker that starts anew under its id has a new clock. Its readings were taken for late ones, since they are lower, so a session went on computing leases from the clock of the earlier agent, until discovery listed the new one (for an owner without the store: never). Such a lease lasts as long as the worker permits, whatever the limit of the authority.

Evidence: leases_follow_the_clock_of_a_new_agent failed without the change (lease until 1006050 on a clock near 0) and passes with it.

Why it works: a report of another agent replaces the reading, and responses to orders that were sent before say nothing about the new clock.

--- a/src/pools/agent_session.cc
+++ b/src/pools/agent_session.cc
@@ -259,10 +259,17 @@
   const auto now = options_.clock->Now();
   if (!report) return HandlePollFailure(report.failure);
   bool becomes_reachable = false;
+  bool is_new_agent = false;
   {
     const std::lock_guard lock(mutex_);
     if (is_stopped_) return {};
-    if (!is_claimed_) worker_clock_.AddEarlierLeases(now);
+    is_new_agent =
+        std::exchange(incarnation_, report->incarnation) != report->incarnation;
+    if (is_new_agent) {
+      ++agents_seen_;
+      worker_clock_.Forget();
+    }
+    if (!is_claimed_ || is_new_agent) worker_clock_.AddEarlierLeases(now);
     worker_clock_.Observe(report->clock_ms, now);
     becomes_reachable = !std::exchange(is_reachable_, true);
   }
@@ -273,8 +280,6 @@
   is_claimed_ = true;
   response_timeout_ =
       std::max<duration>(response_timeout_ / 2, kMinResponseTimeout);
-  const bool is_new_agent =
-      std::exchange(incarnation_, report->incarnation) != report->incarnation;
   if (is_new_agent) last_reported_end_ = 0;
   are_leases_expired_ = false;
   failed_polls_ = 0;
@@ -379,6 +384,7 @@
 
 start_response agent_session::SendStart(const start_order& order) {
   run_lease lease{options_.epoch, 0};
+  std::uint64_t agents_seen = 0;
   {
     const std::lock_guard lock(mutex_);
     if (is_stopped_ || !is_reachable_ || withholds_leases_) {
@@ -388,11 +394,15 @@
                                                      options_.authority_end());
     if (!until_ms) return {start_result::kUnreachable, std::nullopt};
     lease.until_ms = *until_ms;
+    agents_seen = agents_seen_;
   }
   start_response response = options_.link->start(order, lease);
   if (response.clock_ms) {
     const std::lock_guard lock(mutex_);
-    worker_clock_.Observe(*response.clock_ms, options_.clock->Now());
+    // It may be the late response of an earlier agent.
+    if (agents_seen == agents_seen_) {
+      worker_clock_.Observe(*response.clock_ms, options_.clock->Now());
+    }
   }
   return response;
 }
--- a/src/pools/agent_session.h
+++ b/src/pools/agent_session.h
@@ -27,6 +27,9 @@
   // Records that the worker's clock showed `clock_ms` no later than at
   // `received_at`.
   void Observe(std::int64_t clock_ms, time_point received_at);
+  // Another agent responds now. Its clock may be any, so that of the earlier
+  // one says nothing any more.
+  void Forget() { is_known_ = false; }
   // Leases that earlier owners granted until `claimed_at` may still hold.
   void AddEarlierLeases(time_point claimed_at);
   bool IsKnown() const { return is_known_; }
@@ -165,6 +168,7 @@
   std::deque<start_order> withdrawn_starts_;
   worker_clock worker_clock_;  // Guarded by mutex_, like the next four.
   bool is_reachable_ = true;
+  std::uint64_t agents_seen_ = 0;  // That have responded to polls.
   bool withholds_leases_ = false;
   event_counts event_counts_;
   bool is_stopped_ = false;
--- a/tests/pools/agent_session_test.cc
+++ b/tests/pools/agent_session_test.cc
@@ -422,6 +422,29 @@
   BOOST_TEST(worker.WaitFor([&] { return worker.expirations > 0; }));
 }
 
+// Guards against leases of any length on an agent that has started anew with a
+// new clock: they were still computed from the clock of the earlier one.
+BOOST_AUTO_TEST_CASE(leases_follow_the_clock_of_a_new_agent) {
+  constexpr std::int64_t kOldClockMs = 1'000'000;
+  fake_worker worker;
+  std::atomic<int> polls = 0;
+  std::atomic<std::int64_t> last_lease_ms = 0;
+  worker.poll = [&](const poll_request& request) -> result<worker_report> {
+    worker.clock->SleepFor(milliseconds(5));
+    if (request.lease_until_ms) last_lease_ms = *request.lease_until_ms;
+    worker_report report;
+    const bool is_new = ++polls > 3;
+    report.incarnation = is_new ? 2 : 1;
+    report.clock_ms = (is_new ? 0 : kOldClockMs) + 5 * polls;
+    return report;
+  };
+  worker.StartSession();
+  BOOST_TEST(worker.WaitFor([&] { return last_lease_ms > kOldClockMs; }));
+  BOOST_TEST(worker.WaitFor([&] { return polls > 10; }));
+  BOOST_TEST(last_lease_ms < kOldClockMs);
+  worker.session->Stop();
+}
+
 // Guards against needless waits until an agent that is back is claimed: it is
 // polled at the retry interval, not at that of idle workers, although it has no
 // runs.
