Confirmations by members do not rest on one member's list

Findings of the review, by reading: a new owner whose watch lags did not count members that an earlier owner may ask, and an earlier owner whose watch lags counted too few for its majority. An announcement now ends only after the watch has delivered the owner key, and a confirmation says how many members its sender knows; the most counts.

Also from the review: the margin of a wait grows with the wait (1% for the drift of the daemons' clocks), orders need at most a quarter of a short span, and members are asked once an interval.

--- a/src/pools/confirmation_exchange.cc
+++ b/src/pools/confirmation_exchange.cc
@@ -44,6 +44,10 @@
   options_.peers->Post(member, MakePoolCall(topic, EncodeNotice(notice)));
 }
 
+std::size_t confirmation_exchange::CountMembers() const {
+  return options_.directory->RecentMembers(options_.member_window).size() + 1;
+}
+
 bool confirmation_exchange::AskMembers(const std::string& pool,
                                        std::uint64_t epoch) {
   // This member counts for itself, so it answers its own question like the
@@ -55,13 +59,12 @@
   }
   const auto members =
       options_.directory->RecentMembers(options_.member_window);
-  const std::size_t majority = MajorityOf(members.size() + 1);
   const pool_epoch key{pool, epoch};
-  ownership_notice notice{pool, epoch, 0};
+  ownership_notice notice{pool, epoch, 0, 0};
   {
     const std::lock_guard lock(mutex_);
     notice.question = ++last_question_;
-    questions_[key] = {notice.question, {}};
+    questions_[key] = {notice.question, {}, members.size() + 1};
   }
   for (const recent_member& member : members) {
     Post(member.id, kConfirmTopic, notice);
@@ -70,7 +73,8 @@
   const auto is_confirmed = [&] {
     const auto found = questions_.find(key);
     return found != questions_.end() &&
-           found->second.confirmed_by.size() + 1 >= majority;
+           found->second.confirmed_by.size() + 1 >=
+               MajorityOf(found->second.member_count);
   };
   options_.clock->WaitFor(lock, confirmed_, kAnswerTimeout,
                           [&] { return is_stopped_ || is_confirmed(); });
@@ -83,7 +87,9 @@
                                           {sender, notice.epoch})) {
     return;
   }
-  Post(sender, kConfirmedTopic, notice);
+  ownership_notice answer = notice;
+  answer.members = CountMembers();
+  Post(sender, kConfirmedTopic, answer);
 }
 
 void confirmation_exchange::HandleConfirmation(const std::string& sender,
@@ -94,7 +100,11 @@
     if (found == questions_.end() || found->second.number != notice.question) {
       return;
     }
-    found->second.confirmed_by.insert(sender);
+    question& asked = found->second;
+    asked.confirmed_by.insert(sender);
+    // The list of this member may be out of date.
+    asked.member_count =
+        std::max<std::size_t>(asked.member_count, notice.members);
   }
   confirmed_.notify_all();
 }
@@ -153,6 +163,7 @@
     }
     if (!pending.known_by.contains(member.id)) unaware.push_back(member.id);
   }
+  // Their number is also that of the votes that an earlier owner can get.
   if (unaware.size() < MajorityOf(known_to_earlier_owners)) return {};
   return unaware;
 }
@@ -167,7 +178,8 @@
   const announcement pending = found->second;
   lock.unlock();
   const auto unaware = FindUnaware(pending);
-  if (unaware.empty()) {
+  if (unaware.empty() &&
+      options_.directory->HasWatched(key.first, key.second)) {
     const std::lock_guard callback_lock(callback_mutex_);
     lock.lock();
     const bool is_withdrawn = announcements_.erase(key) == 0;
@@ -175,7 +187,7 @@
     if (!is_withdrawn) pending.on_known();
   } else if (is_due) {
     for (const std::string& member : unaware) {
-      Post(member, kClaimTopic, {key.first, key.second, 0});
+      Post(member, kClaimTopic, {key.first, key.second, 0, 0});
     }
   }
   lock.lock();
--- a/src/pools/confirmation_exchange.h
+++ b/src/pools/confirmation_exchange.h
@@ -70,6 +70,7 @@
   struct question {
     std::uint64_t number = 0;
     std::set<std::string> confirmed_by;
+    std::size_t member_count = 0;  // The most that any of them knows.
   };
   struct announcement {
     time_point announced_at{};
@@ -79,6 +80,8 @@
   };
 
   void Run();
+  // Returns the number of members that are or may be alive.
+  std::size_t CountMembers() const;
   // Returns the members that could still confirm an earlier owner, or nothing
   // if they are no majority.
   std::vector<std::string> FindUnaware(const announcement& pending) const;
--- a/src/pools/owner_authority.cc
+++ b/src/pools/owner_authority.cc
@@ -6,8 +6,18 @@
 
 namespace {
 
-// Of the clocks of two daemons, and for rounding to the worker's milliseconds.
+// For rounding to the worker's milliseconds, and for the drift of the clocks of
+// two daemons: 1% of the time waited.
 constexpr auto kExpiryMargin = milliseconds(200);
+constexpr int kDriftDivisor = 100;
+// Orders are given while this much authority is left, or a quarter of a shorter
+// span. A run that starts later would lapse unless the store responds again.
+constexpr auto kMinAuthority = milliseconds(1000);
+constexpr int kMinAuthorityDivisor = 4;
+
+duration WithMargin(duration wait) {
+  return wait + wait / kDriftDivisor + duration(kExpiryMargin);
+}
 
 }  // namespace
 
@@ -38,6 +48,12 @@
   return std::max(confirmed_at_, extended_at) + options_.span;
 }
 
+bool owner_authority::AllowsOrders() const {
+  const duration least =
+      std::min<duration>(kMinAuthority, options_.span / kMinAuthorityDivisor);
+  return options_.clock->Now() + least < EndsAt();
+}
+
 void owner_authority::EndEarlierExtensions() {
   const std::lock_guard lock(mutex_);
   earlier_extensions_ended_at_ = options_.clock->Now();
@@ -45,9 +61,11 @@
 
 time_point owner_authority::EarlierLeasesEnd() const {
   const std::lock_guard lock(mutex_);
-  const time_point extended_until = earlier_extensions_ended_at_.value_or(
-      options_.acquired_at + options_.max_extension);
-  return extended_until + options_.span + duration(kExpiryMargin);
+  if (earlier_extensions_ended_at_) {
+    return *earlier_extensions_ended_at_ + WithMargin(options_.span);
+  }
+  return options_.acquired_at +
+         WithMargin(options_.max_extension + options_.span);
 }
 
 bool owner_authority::ConfirmSince(time_point since) {
--- a/src/pools/owner_authority.h
+++ b/src/pools/owner_authority.h
@@ -49,6 +49,8 @@
   void EndEarlierExtensions();
   // No lease that the owner grants may end later.
   time_point EndsAt() const;
+  // Returns true if enough authority is left to start runs.
+  bool AllowsOrders() const;
   // Returns when all leases that earlier owners have granted have ended.
   time_point EarlierLeasesEnd() const;
   // Returns true if the pool was this owner's at `since`, so that no other
--- a/src/pools/pool_calls.cc
+++ b/src/pools/pool_calls.cc
@@ -144,7 +144,8 @@
 std::string EncodeNotice(const ownership_notice& notice) {
   return json{{"pool", notice.pool},
               {"epoch", notice.epoch},
-              {"question", notice.question}}
+              {"question", notice.question},
+              {"members", notice.members}}
       .dump();
 }
 
@@ -152,7 +153,8 @@
   return ReadRecord(text, [](const json& in) -> result<ownership_notice> {
     return ownership_notice{in.at("pool").get<std::string>(),
                             in.at("epoch").get<std::uint64_t>(),
-                            in.at("question").get<std::uint64_t>()};
+                            in.at("question").get<std::uint64_t>(),
+                            in.at("members").get<std::uint64_t>()};
   });
 }
 
--- a/src/pools/pool_calls.h
+++ b/src/pools/pool_calls.h
@@ -113,6 +113,8 @@
   std::string pool;
   std::uint64_t epoch = 0;     // Of the owner that asks or announces itself.
   std::uint64_t question = 0;  // Counts those of one daemon.
+  // In a confirmation: how many members the sender knows.
+  std::uint64_t members = 0;
 };
 std::string EncodeNotice(const ownership_notice& notice);
 result<ownership_notice> DecodeNotice(std::string_view json);
--- a/src/pools/pool_directory.cc
+++ b/src/pools/pool_directory.cc
@@ -67,7 +67,7 @@
       election_signal_(options_.clock),
       watcher_({std::string(kWatchedPrefix), options_.kv, options_.clock,
                 options_.log},
-               {[this](const kv_event& event) { ApplyEvent(event); },
+               {[this](const kv_event& event) { ApplyWatchedEvent(event); },
                 [this](bool is_listing) { HandleBatch(is_listing); }}) {
   PublishCapacity();
 }
@@ -221,6 +221,21 @@
   election_signal_.Wake();
 }
 
+void pool_directory::ApplyWatchedEvent(const kv_event& event) {
+  ApplyEvent(event);
+  if (!event.entry.key.starts_with(kOwnersPrefix)) return;
+  const std::lock_guard lock(mutex_);
+  watched_epochs_[event.entry.key.substr(kOwnersPrefix.size())] =
+      event.entry.revision;
+}
+
+bool pool_directory::HasWatched(std::string_view pool,
+                                std::uint64_t epoch) const {
+  const std::lock_guard lock(mutex_);
+  const auto found = watched_epochs_.find(pool);
+  return found != watched_epochs_.end() && found->second >= epoch;
+}
+
 void pool_directory::ApplyEvent(const kv_event& event) {
   const std::string& key = event.entry.key;
   if (key.starts_with(kOwnersPrefix)) {
--- a/src/pools/pool_directory.h
+++ b/src/pools/pool_directory.h
@@ -116,6 +116,9 @@
   // Returns true if this daemon knows of no other owner of the pool and would
   // have seen one that was announced to it.
   bool IsCurrentOwner(std::string_view pool, const pool_ownership& owner) const;
+  // Returns true if the watch has delivered the ownership, so that all members
+  // of before are known.
+  bool HasWatched(std::string_view pool, std::uint64_t epoch) const;
   // Returns the pools that must have an owner; of a divided pool, its
   // partitions.
   std::vector<std::string> Pools() const;
@@ -190,6 +193,8 @@
   void RunElection();
   void HandleBatch(bool is_listing);
   void ApplyEvent(const kv_event& event);
+  // Applies an event of the watch, which delivers all changes in their order.
+  void ApplyWatchedEvent(const kv_event& event);
   void ApplyOwner(const std::string& pool, const kv_event& event);
   void ApplyMember(const std::string& id, const kv_event& event);
   // Marks the members that a member with a record has replaced. Called with
@@ -235,6 +240,8 @@
   std::map<std::string, stored_member, std::less<>> members_;
   std::map<std::string, stored_owner, std::less<>> owners_;
   std::map<std::string, stored_capacity, std::less<>> capacities_;
+  // The last revision of each owner key that the watch has delivered, by pool.
+  std::map<std::string, std::uint64_t, std::less<>> watched_epochs_;
   time_point last_joined_at_{};  // When the newest member was first seen.
   time_point overloaded_until_{};
   int overload_count_ = 0;
--- a/src/pools/pool_owner.h
+++ b/src/pools/pool_owner.h
@@ -198,10 +198,8 @@
   // Earlier owners have no authority any more. Called on the thread of
   // `RunAuthority`.
   void EndEarlierLeases();
-  // Returns true if orders may be given. Called with mutex_ held.
-  bool MayGiveOrders() const;
-  // Waits for that. Returns false if the owner was stopped. `lock` holds
-  // mutex_.
+  // Waits until orders may be given. Returns false if the owner was stopped.
+  // `lock` holds mutex_.
   bool WaitForAuthority(std::unique_lock<std::mutex>& lock);
 
   const pool_owner_options options_;
--- a/src/pools/pool_owner_authority.cc
+++ b/src/pools/pool_owner_authority.cc
@@ -10,9 +10,6 @@
 
 constexpr auto kConfirmationTimeout = milliseconds(1000);
 constexpr auto kConfirmationRetryInterval = milliseconds(200);
-// Orders are given while at least this much authority is left. A run that is
-// started later would lapse unless the store responds again at once.
-constexpr auto kMinAuthority = milliseconds(1000);
 
 }  // namespace
 
@@ -32,19 +29,16 @@
   if (is_waiting_for_authority_) owner_changed_.notify_one();
 }
 
-bool pool_owner::MayGiveOrders() const {
-  return options_.clock->Now() + duration(kMinAuthority) < authority_.EndsAt();
-}
-
 bool pool_owner::WaitForAuthority(std::unique_lock<std::mutex>& lock) {
-  if (is_stopped_ || MayGiveOrders()) return !is_stopped_;
+  if (is_stopped_ || authority_.AllowsOrders()) return !is_stopped_;
   Emit(options_.log, pool_events::kAuthorityEnded,
        {Field("pool", options_.pool), Field("epoch", options_.epoch),
         Field("confirmed_ms",
               ToMs(options_.clock->Now() - authority_.ConfirmedAt()))});
   is_waiting_for_authority_ = true;
-  options_.clock->WaitUntil(lock, owner_changed_, time_point::max(),
-                            [&] { return is_stopped_ || MayGiveOrders(); });
+  options_.clock->WaitUntil(lock, owner_changed_, time_point::max(), [&] {
+    return is_stopped_ || authority_.AllowsOrders();
+  });
   is_waiting_for_authority_ = false;
   if (is_stopped_) return false;
   Emit(options_.log, pool_events::kAuthorityRegained,
@@ -81,6 +75,7 @@
                               [&] { return is_stopped_ || is_loaded_; });
   }
   bool has_earlier_leases = true;
+  time_point next_question_at{};
   const auto earlier_leases_end = [&] {
     return has_earlier_leases ? authority_.EarlierLeasesEnd()
                               : time_point::max();
@@ -110,7 +105,10 @@
       }
       continue;
     }
-    ExtendAuthority();
+    if (now >= next_question_at) {
+      next_question_at = now + options_.confirmation_interval;
+      ExtendAuthority();
+    }
     std::unique_lock lock(mutex_);
     options_.clock->WaitFor(lock, authority_changed_,
                             kConfirmationRetryInterval, is_stopped);
