An expired lease of an earlier owner ends no task

What callers would see: a task of a job runs on under the successor of its worker's owner, and is queued and started again.

Cause: an owner of a partition that is cut off from a worker reports the tasks there as failed when its own lease has expired. Its successor may have claimed the worker and renewed them, and the shard owner accepted the end from whoever sent it.

Change: events name the epoch of the partition (a new field of running_task; 0 from an earlier build). A shard owner refuses an end by an expired lease from a member that does not own the partition in its view, or owned it under an earlier epoch. Ends that a worker reported are accepted as before.

Evidence: shard_owner_test an_earlier_owners_expired_lease_ends_nothing failed without the check (the end was accepted). Why it works: the sender drops the event when it notices the loss, and the inventory of the current owner shows whether the task ended. Not covered: a shard owner whose own view is as old as the sender's.

--- a/src/jobs/shard_owner.h
+++ b/src/jobs/shard_owner.h
@@ -142,6 +142,9 @@
   wire::taskT ToWireTask(const task_ref& ref) const;
 
   // shard_owner_events.cc
+  // Returns true if `member` has lost the worker's partition since.
+  bool IsFromEarlierOwner(const std::string& member,
+                          const wire::running_taskT& event) const;
   // Returns true if the event is accepted without a commit. Adds the task and
   // its job to `to_commit` if the event is accepted once the job is committed.
   // Otherwise the event is refused and will be sent again.
--- a/src/jobs/shard_owner_events.cc
+++ b/src/jobs/shard_owner_events.cc
@@ -3,6 +3,7 @@
 #include <utility>
 
 #include "jobs/shard_owner.h"
+#include "workers/worker_lease.h"
 
 namespace apricotwheel {
 
@@ -14,6 +15,15 @@
 
 }  // namespace
 
+bool shard_owner::IsFromEarlierOwner(const std::string& member,
+                                     const wire::running_taskT& event) const {
+  const auto current = seen_partitions_.find(event.partition);
+  if (current == seen_partitions_.end()) return false;
+  return current->second.owner != member ||
+         (event.partition_epoch != 0 &&
+          event.partition_epoch < current->second.epoch);
+}
+
 bool shard_owner::ApplyEvent(
     const std::string& member, const wire::running_taskT& event,
     std::vector<std::pair<std::string, std::string>>& to_commit) {
@@ -32,6 +42,12 @@
     if (ref && ref.job != nullptr) to_commit.emplace_back(id, ref.job->job_id);
     return !ref || ref.job == nullptr;
   }
+  // An earlier owner knows only when its own leases expired. If the task ended,
+  // its successor's inventory shows it.
+  if (event.message == kLeaseExpiredMessage &&
+      IsFromEarlierOwner(member, event)) {
+    return false;
+  }
   auto& task = *ref.task;
   // The event is of an earlier attempt, which had ended before this one was
   // placed on another worker.
--- a/src/workers/worker_fleet.cc
+++ b/src/workers/worker_fleet.cc
@@ -121,7 +121,10 @@
   event.state = static_cast<std::uint8_t>(task.status.state);
   event.worker = task.worker;
   const auto worker = workers_.find(task.worker);
-  if (worker != workers_.end()) event.partition = worker->second.partition;
+  if (worker != workers_.end()) {
+    event.partition = worker->second.partition;
+    event.partition_epoch = worker->second.epoch;
+  }
   event.address = task.status.address;
   event.checkpoint = task.status.checkpoint;
   event.message = task.status.message;
--- a/src/workers/worker_fleet_reconcile.cc
+++ b/src/workers/worker_fleet_reconcile.cc
@@ -297,9 +297,10 @@
       continue;
     lost_any = true;
     task.unconfirmed_start_expires_at_ms.reset();
-    EndTask(task, task_state::kFailed,
-            task.start_sent ? "lease expired" : "not started: lease expired",
-            false);
+    EndTask(
+        task, task_state::kFailed,
+        task.start_sent ? kLeaseExpiredMessage : "not started: lease expired",
+        false);
   }
   // The worker may never respond again, so ended tasks do not wait until it has
   // removed them from its task list.
--- a/src/workers/worker_lease.h
+++ b/src/workers/worker_lease.h
@@ -2,11 +2,16 @@
 
 #include <cstdint>
 #include <optional>
+#include <string_view>
 
 #include "kernel/clock.h"
 
 namespace apricotwheel {
 
+// The message of a task that counts as ended because its lease has expired,
+// without a report of the worker.
+inline constexpr std::string_view kLeaseExpiredMessage = "lease expired";
+
 struct worker_lease_options {
   // How long a worker may run its tasks after a renewal.
   duration task_lease = milliseconds(10'000);
--- a/tests/jobs/shard_owner_test.cc
+++ b/tests/jobs/shard_owner_test.cc
@@ -443,6 +443,45 @@
   BOOST_TEST(StateOf(job) != "failed");
 }
 
+// Guards against a task that runs twice because an owner of its worker's
+// partition that has been succeeded, and was cut off from the worker, reports
+// its own lease as expired while the successor renews the task.
+BOOST_FIXTURE_TEST_CASE(an_earlier_owners_expired_lease_ends_nothing, fixture) {
+  const auto job = Submit("batch", 1);
+  const auto task = job + "/0";
+  RunRounds(1);
+  BOOST_TEST(DeliverEvent(task, task_state::kRunning));
+  const auto earlier = running[task];
+  const std::string later = earlier == "m1" ? "m2" : "m1";
+  const auto set_owner = [&](const std::string& member, std::uint64_t epoch) {
+    auto view = std::make_shared<cluster_view>(*cell.view);
+    view->owners.partitions["a/" + earlier] = {member, epoch};
+    cell.view = view;
+    RunRounds(1);
+  };
+  auto expired = Event(task, task_state::kFailed, "lease expired");
+  expired.partition_epoch = 1;
+  const auto is_accepted = [&] {
+    const std::vector events{expired};
+    return RunWithCommits([&] {
+             return owner->OnTaskEvents(earlier, events);
+           }).size() == 1;
+  };
+  set_owner(later, 2);
+  BOOST_TEST(!is_accepted());
+  // The earlier owner gets the partition back and does not know it yet.
+  set_owner(earlier, 3);
+  BOOST_TEST(!is_accepted());
+  RunRounds(20, milliseconds(1000));
+  BOOST_TEST(started.size() == 1u);
+  BOOST_TEST(StateOf(job) == "running");
+  expired.partition_epoch = 3;
+  running.erase(task);
+  BOOST_TEST(is_accepted());
+  RunRounds(20, milliseconds(1000));
+  BOOST_TEST(started.size() == 2u);
+}
+
 // A new owner does not know yet which service instances run. The declared ones
 // must count against the quota, or the team exceeds it.
 BOOST_FIXTURE_TEST_CASE(unknown_instances_count_against_quota, fixture) {
--- a/tests/workers/worker_fleet_test.cc
+++ b/tests/workers/worker_fleet_test.cc
@@ -262,6 +262,15 @@
   BOOST_TEST(Inventory().partitions.at(0)->complete);
 }
 
+// Guards against a successor that cannot tell which ownership the end of a task
+// belongs to.
+BOOST_FIXTURE_TEST_CASE(events_name_the_epoch_of_the_partition, fixture) {
+  ClaimWorker("w1");
+  Place("t/0");
+  ExecuteCommands("w1");
+  BOOST_TEST(fleet.PendingEvents().at(0).partition_epoch == 1u);
+}
+
 // A daemon whose VM list is older than that of a peer may not know all workers.
 // Its inventory must not be complete then.
 BOOST_FIXTURE_TEST_CASE(stale_vm_list_gives_no_complete_inventory, fixture) {
