An inventory counts only for the epoch of its partition

What callers would see: a task that runs is taken for lost and started again after its partition went to another owner and back.

Cause: a daemon that gets a partition back holds its workers under the earlier epoch until each session has been replaced. An expired lease of that epoch, or a last renewal that went well, counted as claimed, so its inventory was complete without the tasks that the owner in between had started. A daemon whose view was older than that of the shard owner reported in the same way.

Change: a worker that is held under an earlier epoch leaves the inventory incomplete. Inventories name the epoch of the partition (a new field; 0 from an earlier build), and a shard owner passes over one of an earlier epoch than in its view.

Evidence: worker_fleet_test inventory_waits_for_claims_of_the_epoch and shard_owner_test inventory_of_an_earlier_ownership_is_ignored [2 != 1] failed without the checks.

--- a/src/jobs/shard_owner_inventory.cc
+++ b/src/jobs/shard_owner_inventory.cc
@@ -90,8 +90,11 @@
   std::lock_guard guard(mutex_);
   for (const auto& line : response.partitions) {
     const auto found = cell.view->owners.partitions.find(line->partition);
+    // A member that lost the partition and got it back may still report for its
+    // earlier ownership.
     if (line->complete && found != cell.view->owners.partitions.end() &&
-        found->second.owner == member) {
+        found->second.owner == member &&
+        (line->epoch == 0 || line->epoch >= found->second.epoch)) {
       inventory_scan_.complete_partitions.insert(line->partition);
     }
   }
--- a/src/workers/worker_fleet.h
+++ b/src/workers/worker_fleet.h
@@ -54,6 +54,9 @@
   bool vm_list_is_current = true;
   // Partitions where a VM that is no longer listed may still run tasks.
   std::set<std::string> uncertain_partitions;
+  // Of the owned partitions. A worker that is still held under an earlier epoch
+  // may have run tasks of another owner since.
+  std::map<std::string, std::uint64_t> epochs;
 };
 
 // Returns true if version `own_version` of the VM list is at least as new as
--- a/src/workers/worker_fleet_place.cc
+++ b/src/workers/worker_fleet_place.cc
@@ -287,9 +287,12 @@
   for (const auto& [partition, names] : expected.partitions) {
     auto line = std::make_unique<wire::partition_inventoryT>();
     line->partition = partition;
+    const auto epoch = expected.epochs.find(partition);
+    if (epoch != expected.epochs.end()) line->epoch = epoch->second;
     const auto claimed_or_expired = [&](const worker_entry& worker) {
-      return worker.phase == worker_phase::kReady ||
-             IsLeaseExpired(worker, now);
+      return worker.epoch >= line->epoch &&
+             (worker.phase == worker_phase::kReady ||
+              IsLeaseExpired(worker, now));
     };
     line->complete = expected.vm_list_is_current &&
                      !expected.uncertain_partitions.contains(partition) &&
--- a/src/workers/worker_manager.cc
+++ b/src/workers/worker_manager.cc
@@ -109,7 +109,9 @@
   const auto view = options.cluster->View();
   if (!view) return expected;
   for (const auto& [name, owner] : view->owners.partitions) {
-    if (owner.owner == options.member_id) expected.partitions[name];
+    if (owner.owner != options.member_id) continue;
+    expected.partitions[name];
+    expected.epochs[name] = owner.epoch;
   }
   const auto vms = options.cluster->Vms();
   if (!vms) return {};
--- a/tests/jobs/shard_owner_test.cc
+++ b/tests/jobs/shard_owner_test.cc
@@ -26,6 +26,7 @@
   std::size_t stop_calls = 0;
   std::string member_refusing_commits;
   bool lose_place_replies = false;
+  std::uint64_t inventory_epoch = 0;  // As of an earlier build.
   std::set<std::string>
       without_inventory;  // Members whose inventory requests fail.
   std::mutex mutex;       // Members are called in several threads.
@@ -153,6 +154,7 @@
     auto line = std::make_unique<wire::partition_inventoryT>();
     line->partition = "a/" + member;
     line->complete = complete[member];
+    line->epoch = inventory_epoch;
     response->partitions.push_back(std::move(line));
     for (const auto& [id, running_member] : running) {
       if (running_member != member) continue;
@@ -482,6 +484,29 @@
   BOOST_TEST(started.size() == 2u);
 }
 
+// Guards against a task that runs twice because a member that lost a partition
+// and got it back reports the inventory of its earlier ownership.
+BOOST_FIXTURE_TEST_CASE(inventory_of_an_earlier_ownership_is_ignored, fixture) {
+  const auto job = Submit("batch", 1);
+  const auto task = job + "/0";
+  RunRounds(1);
+  BOOST_TEST(DeliverEvent(task, task_state::kRunning));
+  RunRounds(5, milliseconds(1000));
+  const auto member = running[task];
+  running.erase(task);
+  inventory_epoch = 1;
+  auto view = std::make_shared<cluster_view>(*cell.view);
+  for (auto& [name, partition] : view->owners.partitions) partition.epoch = 3;
+  cell.view = view;
+  RunRounds(20, milliseconds(1000));
+  BOOST_TEST(started.size() == 1u);
+  inventory_epoch = 3;
+  running[task] = member;
+  RunRounds(20, milliseconds(1000));
+  BOOST_TEST(started.size() == 1u);
+  BOOST_TEST(StateOf(job) == "running");
+}
+
 // A new owner does not know yet which service instances run. The declared ones
 // must count against the quota, or the team exceeds it.
 BOOST_FIXTURE_TEST_CASE(unknown_instances_count_against_quota, fixture) {
--- a/tests/workers/worker_fleet_test.cc
+++ b/tests/workers/worker_fleet_test.cc
@@ -19,6 +19,7 @@
   worker_fleet::shard_epochs epochs{};
   bool vm_list_is_current = true;
   std::set<std::string> uncertain_partitions;
+  std::uint64_t partition_epoch = 1;
 
   void AddWorker(const std::string& id, vm_state state = vm_state::kLive) {
     fleet.UpsertWorker({id, "127.0.0.1:1", "a", "r", state, {4000, 8000, 0}},
@@ -95,9 +96,12 @@
     request.shard_epoch = shard_epoch;
     std::vector<std::string> names;
     for (const auto& line : fleet.Workers()) names.push_back(line.worker);
-    return fleet.BuildInventory(
-        request, {{{"a/r", names}}, vm_list_is_current, uncertain_partitions},
-        epochs);
+    return fleet.BuildInventory(request,
+                                {{{"a/r", names}},
+                                 vm_list_is_current,
+                                 uncertain_partitions,
+                                 {{"a/r", partition_epoch}}},
+                                epochs);
   }
   // Returns the state of the only pending event, or -1.
   int EventState() {
@@ -262,6 +266,19 @@
   BOOST_TEST(Inventory().partitions.at(0)->complete);
 }
 
+// Guards against an inventory without the tasks of an owner in between, from a
+// daemon that lost a partition and got it back before its sessions noticed.
+BOOST_FIXTURE_TEST_CASE(inventory_waits_for_claims_of_the_epoch, fixture) {
+  ClaimWorker("w1");
+  ClaimWorker("w2");
+  fleet.OnWorkerUnreachable("w2");
+  clock->Advance(milliseconds(10'600));
+  BOOST_TEST(Inventory().partitions.at(0)->complete);
+  partition_epoch = 3;
+  BOOST_TEST(!Inventory().partitions.at(0)->complete);
+  BOOST_TEST(Inventory().partitions.at(0)->epoch == 3u);
+}
+
 // Guards against a successor that cannot tell which ownership the end of a task
 // belongs to.
 BOOST_FIXTURE_TEST_CASE(events_name_the_epoch_of_the_partition, fixture) {
