--- a/testing/soak/cut_day.py
+++ b/testing/soak/cut_day.py
@@ -136,6 +136,7 @@
         self.views = []
         self.answers = collections.Counter()
         self.away = {}
+        self.away_in_calm = {}  # Of `away`, without a cut for a while; not a check.
         self.is_over = False
         self.begin = 0.0
         self.tasks = []
@@ -282,6 +283,8 @@
                         seen_at[task] = now
                     elif now - seen_at.setdefault(task, now) > AWAY_S:
                         self.away[task] = round(now - seen_at[task], 1)
+                        if self.group_cuts.is_calm():
+                            self.away_in_calm[task] = self.away[task]
 
     # -- faults ------------------------------------------------------------------
     def links_of(self, victims):
@@ -362,7 +365,8 @@
             "seed": self.options.seed, "mode": self.options.mode,
             "links": self.options.links, "cuts": self.group_cuts.played, "jobs": len(jobs),
             "accepted": sum(1 for job in jobs if job.accepted_at),
-            "idle": idle, "away": self.away, "twice": twice, "again": again,
+            "idle": idle, "away": self.away, "away in calm": self.away_in_calm,
+            "twice": twice, "again": again,
             "faults": self.fleet.faults, "answers": dict(sorted(self.answers.items())),
             "start_s": {"half": round(waits[len(waits) // 2], 2),
                         "95 of 100": round(waits[len(waits) * 19 // 20], 2),
--- a/testing/soak/group_cuts.py
+++ b/testing/soak/group_cuts.py
@@ -15,6 +15,7 @@
 ENTRY_S = 4.5  # A silent worker's entry expires after that.
 PAUSED_ON_S = 1.0  # From the end of the cut.
 STOP_S = 15.0
+CALM_S = 7.0  # The rule on lasting tasks holds after that.
 
 # plain:       one group, in both directions.
 # deaf, heard: one group; nothing reaches it, or nothing gets out of it.
@@ -58,6 +59,8 @@
         self.cut_links = set()
         self.silent_workers = {}  # Name -> since when.
         self.lock = asyncio.Lock()  # Restoring a link takes a while.
+        self.disturbed_at = 0.0  # Last moment with a cut or what is beside it.
+        self.disturbances = 0
         self.played = []
         self.is_over = False
 
@@ -74,7 +77,17 @@
         self.is_over = True
         await expiry
 
+    def is_calm(self):
+        return standin.now() - self.disturbed_at > CALM_S
+
     async def _play(self, number, shape, length):
+        self.disturbances += 1
+        try:
+            await self._play_shape(number, shape, length)
+        finally:
+            self.disturbances -= 1
+
+    async def _play_shape(self, number, shape, length):
         mode = self.options.mode
         if shape in ("deaf", "heard") and mode not in ONE_WAY_MODES:
             mode = self.rng.choice(ONE_WAY_MODES)
@@ -199,6 +212,8 @@
     async def _expire_entries(self):
         while not self.is_over:
             await asyncio.sleep(0.1)
+            if self.disturbances:
+                self.disturbed_at = standin.now()
             if self.options.entries == "keep" or not self.play.cell.store.up.is_set():
                 continue
             for name, since in self.silent_workers.items():
