--- a/testing/soak/cut_day.py
+++ b/testing/soak/cut_day.py
@@ -16,6 +16,7 @@
 twice   pairs of runs of a task at once
 again   starts after an end as done was acknowledged within the lease
 faults  starts above a worker's room, or of what nobody submitted
+"away in calm" (without a cut for 7 s) is shown only.
 A run that holds does not prove the absence of a fault.
 """
 import argparse
