--- a/src/pools/confirmation_exchange.cc
+++ b/src/pools/confirmation_exchange.cc
@@ -163,7 +163,7 @@
     }
     if (!pending.known_by.contains(member.id)) unaware.push_back(member.id);
   }
-  // Their number is also that of the votes that an earlier owner can get.
+  // An earlier owner gets at most their confirmations.
   if (unaware.size() < MajorityOf(known_to_earlier_owners)) return {};
   return unaware;
 }
