--- a/src/pools/job_journal.h
+++ b/src/pools/job_journal.h
@@ -110,7 +110,8 @@
     std::function<void()> on_store_unreachable;
     // A request that was sent at `sent_at` has shown that this owner has the
     // pool.
-    std::function<void(time_point sent_at)> on_ownership_confirmed;
+    std::function<void(time_point sent_at)> on_ownership_confirmed =
+        [](time_point) {};
   };
 
   job_journal(job_journal_options options, callbacks handlers);
