--- a/src/pools/agent_session.cc
+++ b/src/pools/agent_session.cc
@@ -39,6 +39,13 @@
 // reports ends again until they are acknowledged, which needs a commit.
 constexpr auto kNewEndsCommitWait = milliseconds(100);
 
+// Returns the longest time that a lease of this duration on the clock of a
+// worker can hold.
+duration LongestHold(duration lease) {
+  return std::chrono::duration_cast<duration>(lease / kMinClockRate) +
+         duration(kExpiryMargin);
+}
+
 }  // namespace
 
 void worker_clock::Observe(std::int64_t clock_ms, time_point received_at) {
@@ -66,10 +73,8 @@
 }
 
 void worker_clock::AddEarlierLeases(time_point claimed_at) {
-  const auto max_duration =
-      std::chrono::duration_cast<duration>(lease_duration_ / kMinClockRate);
-  expired_by_ = std::max(expired_by_,
-                         claimed_at + max_duration + duration(kExpiryMargin));
+  expired_by_ =
+      std::max(expired_by_, claimed_at + LongestHold(lease_duration_));
 }
 
 agent_session::agent_session(agent_session_options options, callbacks handlers)
@@ -363,10 +368,8 @@
   }
   if (is_claimed_) return expired_by;
   // An earlier session may have granted leases that this one does not know.
-  const auto max_duration = std::chrono::duration_cast<duration>(
-      options_.lease_duration / kMinClockRate);
   return std::max({expired_by, options_.earlier_leases_end(),
-                   started_at_ + max_duration + duration(kExpiryMargin)});
+                   started_at_ + LongestHold(options_.lease_duration)});
 }
 
 void agent_session::RunSender() {
--- a/src/pools/confirmation_exchange.h
+++ b/src/pools/confirmation_exchange.h
@@ -11,7 +11,6 @@
 #include <vector>
 
 #include "kernel/clock.h"
-#include "kernel/log.h"
 #include "kernel/thread_group.h"
 #include "peer/peer_node.h"
 #include "pools/pool_calls.h"
@@ -25,7 +24,6 @@
   // All members that an earlier owner may ask were members within this time.
   duration member_window{};
   clock_ptr clock;
-  log_sink log;
 };
 
 // Lets owners keep their authority in an outage of the key-value service, in
--- a/src/pools/pool_host.cc
+++ b/src/pools/pool_host.cc
@@ -84,7 +84,7 @@
                       options_.settings.outage_extension +
                           AuthoritySpan(options_.settings.task_lease,
                                         options_.settings.lease_renew_interval),
-                      options_.clock, options_.log}) {}
+                      options_.clock}) {}
 
 result<void> pool_host::Start() {
   options_.directory->SetAcquiredCallback(
