--- a/testing/soak/cut_day.py
+++ b/testing/soak/cut_day.py
@@ -39,7 +39,8 @@
 sys.path[:0] = [str(ROOT / "review"), str(pathlib.Path(__file__).parent)]
 import platform_standin as standin  # noqa: E402
 import group_cuts  # noqa: E402
-from fleet import LONG, POOLS, QUEUES, Advisor, Fleet, Worker  # noqa: E402
+from fleet import (LONG, POOLS, QUEUES, Advisor, Fleet, Worker,  # noqa: E402
+                   execute_unreliably)
 from links import MODES, Link  # noqa: E402
 
 HOST = standin.HOST
@@ -73,8 +74,9 @@
 class View:
     """What one daemon sees of the store: each address is that of its own link."""
 
-    def __init__(self, store):
+    def __init__(self, store, late_rng):
         self.store = store
+        self.late_rng = late_rng  # Set if writes may be lost or late.
         self.links = collections.defaultdict(list)  # By what they lead to.
         self.own_ports, self.real_ports = {}, {}
 
@@ -87,7 +89,12 @@
         if "puts" in body:
             body = dict(body, puts=[translate(put, self.real_ports)
                                     for put in body["puts"]])
-        answer = await self.store._handle(method, path, query, headers, body)
+        def execute():
+            return self.store._handle(method, path, query, headers, body)
+        if self.late_rng and path == "/api/kv-txn":
+            answer = await execute_unreliably(self.late_rng, execute, lambda: True)
+        else:
+            answer = await execute()
         if answer is None:
             return None
         status, content = answer
@@ -129,7 +136,8 @@
         standin.free_ports = lambda count: [next(self.ports) for _ in range(count)]
         self.record = standin.Record(f"{folder}/record.txt")
         self.cell = standin.Cell(folder, self.record)
-        self.fleet = Fleet(self.rng)
+        self.late_rng = random.Random(f"{options.seed} late") if options.late else None
+        self.fleet = Fleet(self.rng, self.late_rng)
         self.pools = POOLS
         self.queues = QUEUES + ((LONG,) if options.group else ())
         self.group_cuts = group_cuts.GroupCuts(self)
@@ -195,7 +203,7 @@
     async def start_daemons(self):
         advisor = Advisor(self.fleet)
         for _ in range(self.options.daemons):
-            view = View(self.cell.store)
+            view = View(self.cell.store, self.late_rng)
             view.add("store", await self.serve(view.handle))
             view.add("advisor", await self.serve(advisor.for_caller()))
             self.views.append(view)
@@ -352,12 +360,19 @@
         return [pair for runs in by_task.values()
                 for pair in itertools.combinations(runs, 2)]
 
+    def describe(self, run):
+        """Names the owner of a run by its epoch; times are those of the record."""
+        begun, ended = (f"{at - self.record.begin:.2f}" if at else "?"
+                        for at in (run["begun"], run["ended"]))
+        return (f"{run['task']} run {run['run']} on {run['worker'].id} epoch "
+                f"{run['epoch']} from {begun} to {ended} {run['how']}")
+
     def report(self, idle):
         pairs = self.pair_runs()
         end = standin.now()
-        twice = [f"{a['task']} on {a['worker'].id} and {b['worker'].id}"
+        twice = [f"{self.describe(a)} and {self.describe(b)}"
                  for a, b in pairs if b["begun"] < (a["ended"] or end)]
-        again = [f"{a['task']} on {b['worker'].id}"
+        again = [f"{self.describe(a)} and {self.describe(b)}"
                  for a, b in pairs if a["acknowledged"] and b["begun"] > a["ended"]]
         jobs = self.fleet.jobs.values()
         waits = sorted(job.started_at - job.sent_at for job in jobs if job.started_at)
@@ -424,6 +439,14 @@
                         help="of the cuts of --group, default all: %(default)s")
     parser.add_argument("--group-cut-s", type=float,
                         help="length of the cuts of --group, else drawn")
+    parser.add_argument("--gap-s", type=float, help="from the end of a cut of --group to "
+                        "the next one, else drawn; below 0 they overlap")
+    parser.add_argument("--zones", action="store_true",
+                        help="a group is a third of the daemons, whoever owns a pool, and "
+                        "the next cut is of the next third")
+    parser.add_argument("--late", action="store_true",
+                        help="some calls to workers and writes to the store are carried out "
+                        "without an answer, or late, and clocks of workers are slow")
     parser.add_argument("--entries", choices=("expire", "keep"), default="expire",
                         help="of workers that do not reach the store")
     parser.add_argument("--general", type=int, default=35, help="workers of this pool")
--- a/testing/soak/fleet.py
+++ b/testing/soak/fleet.py
@@ -15,6 +15,11 @@
 GANG_TIMEOUT_S = 3.0
 MEAN_LIFE_OF_LASTING_TASK_S = 20.0
 TICKET_MS = 1500
+# Of the calls of a play with --late, as the users' protocol allows.
+LOST_SHARE = 0.015  # Executed, and the answer is lost.
+LATE_SHARE = 0.015  # Executed this long afterwards, unanswered.
+LATE_S = (0.05, 0.5, 1.5, 4)
+SLOW_CLOCK_RATE = 0.98
 
 # `share` is the part of the workers that may run a step; decision and period are times of the
 # advisor in milliseconds.
@@ -79,11 +84,27 @@
         return len(self.phases) - 1
 
 
+async def execute_unreliably(rng, execute, is_current):
+    """Returns the answer of `execute`, or None if it is lost. A call that is carried
+    out late is dropped unless `is_current` still holds."""
+    async def execute_late():
+        await asyncio.sleep(rng.choice(LATE_S))
+        if is_current():
+            await execute()
+    draw = rng.random()
+    if draw < LATE_SHARE:
+        asyncio.create_task(execute_late())
+        return None
+    answer = await execute()
+    return None if draw < LATE_SHARE + LOST_SHARE else answer
+
+
 class Fleet:
     """All workers and jobs, and what was seen of them."""
 
-    def __init__(self, rng):
+    def __init__(self, rng, late_rng=None):
         self.rng = rng
+        self.late_rng = late_rng  # Set if calls may be lost or late.
         self.workers = {}
         self.jobs = {}
         self.tickets = {}  # (step, worker) -> (ticket, ends at)
@@ -163,6 +184,23 @@
         self.room = (self.capacity["cpu"], self.capacity["mem_mb"], self.capacity["gpu"])
         self.used = [0, 0, 0]
         self.lapsed_at = 0.0
+        self.clock_rate = 1
+        if fleet.late_rng:
+            self.clock_rate = fleet.late_rng.choice((1, SLOW_CLOCK_RATE))
+
+    def clock_ms(self):
+        return int((standin.now() - self.born_at) * 1000 * self.clock_rate) + 1000
+
+    async def start(self):
+        self.used = [0, 0, 0]
+        self.lapsed_at = 0.0
+        await super().start()
+
+    async def crash(self):
+        runs = list(self.runs.values())
+        await super().crash()
+        for run in runs:
+            self._break_gang(run)
 
     def log(self, text):
         pass  # A record of all runs would be too long.
@@ -193,10 +231,14 @@
         job_id, _, step, _ = task.split(".")
         if how == "done":
             self.fleet.jobs[job_id].done[int(step)].add(task)
-        elif run["gang"]:
-            for other in self.fleet.gangs[run["gang"]].values():
-                if other["worker"].runs.get(other["task"]) is other:
-                    other["worker"]._end(other["task"], "broken")
+        else:
+            self._break_gang(run)
+
+    def _break_gang(self, run):
+        for other in list(self.fleet.gangs[run["gang"]].values()) if run["gang"] else ():
+            worker = other["worker"]
+            if worker.alive and worker.runs.get(other["task"]) is other:
+                worker._end(other["task"], "broken")
 
     def end_later(self, run, seconds, how):
         born = self.born
@@ -228,6 +270,7 @@
             return 409, self._answer(reason="ticket")
         self._extend(body)
         self._begin(job, int(step), index, task, number)
+        self.runs[task]["epoch"] = body.get("fencing_token", 0)
         return 200, self._answer()
 
     def _begin(self, job, step, index, task, number):
@@ -268,6 +311,15 @@
         super()._extend(body)
 
     async def _handle(self, method, path, query, headers, body):
+        born = self.born
+        def execute():
+            return self._execute(method, path, query, headers, body)
+        if not self.fleet.late_rng:
+            return await execute()
+        return await execute_unreliably(self.fleet.late_rng, execute,
+                                        lambda: self.alive and self.born == born)
+
+    async def _execute(self, method, path, query, headers, body):
         if path != "/api/run-stop":
             return await super()._handle(method, path, query, headers, body)
         if headers.get("x-expected-instance", self.id) != self.id:
--- a/testing/soak/group_cuts.py
+++ b/testing/soak/group_cuts.py
@@ -23,11 +23,16 @@
 # swap:        when the group comes back another one leaves.
 # paused:      the owner is paused inside the cut and woken after it.
 # stopped:     a daemon of the group gets SIGTERM and is started again.
+# killed:      the owner is killed and is started again, mostly inside the cut.
+# reborn:      workers of the group crash, also with runs, and start again under their ids.
 # outage:      the store is silent for all, inside the cut or over its end.
 SHAPES = ("plain", "deaf", "heard", "three sides", "swap", "paused", "stopped",
-          "outage")
+          "killed", "reborn", "outage")
 ONE_WAY_MODES = ("hold", "mute")  # A sender is not told of what is lost.
 OUTSIDE = 0
+ZONES = 3
+DEAD_S = (0.1, 1, 4)  # From a kill or a crash to the next start.
+CRASHES = 4
 
 
 class Cut:
@@ -72,7 +77,10 @@
             shape = self.rng.choice(self.options.shapes)
             length = self.options.group_cut_s or self.rng.choice(LENGTHS_S)
             cuts.append(asyncio.create_task(self._play(i, shape, length)))
-            await asyncio.sleep(max(1, length + self.rng.choice(GAPS_S)))
+            gap = self.rng.choice(GAPS_S)
+            if self.options.gap_s is not None:
+                gap = self.options.gap_s
+            await asyncio.sleep(max(1, length + gap))
         await asyncio.gather(*cuts)
         self.is_over = True
         await expiry
@@ -126,6 +134,19 @@
             n = self.rng.choice(inside)
             await asyncio.sleep(self.rng.uniform(0.2, 0.8) * length)
             await self._restart(n)
+        elif shape == "killed":
+            await asyncio.sleep(self.rng.uniform(0.2, 0.8) * length)
+            self._note("killed", owners[0])
+            daemons.processes[owners[0]].kill()
+            daemons.processes[owners[0]].wait()
+            await asyncio.sleep(self.rng.choice(DEAD_S))
+            daemons.start(owners[0])
+            self._note("started", owners[0])
+        elif shape == "reborn":
+            names = sorted(member for member in group if isinstance(member, str))
+            for name in self.rng.sample(names, min(CRASHES, len(names))):
+                await asyncio.sleep(self.rng.uniform(0, 0.25) * length)
+                await self._crash(name)
         elif shape == "outage":
             await asyncio.sleep(self.rng.choice((0.2, 0.9)) * length)
             store = self.play.cell.store
@@ -149,6 +170,14 @@
         daemons.start(n)
         self._note("started", n)
 
+    async def _crash(self, name):
+        worker = self.play.fleet.workers[name]
+        self.play.record.add(f"worker {name}: crashes")
+        await worker.crash()
+        await asyncio.sleep(self.rng.choice(DEAD_S))
+        await worker.start()
+        self.play.record.add(f"worker {name}: starts")
+
     def _note(self, what, n):
         self.play.record.add(f"daemon {n + 1}: {what}")
 
@@ -157,13 +186,16 @@
 
     def _choose_group(self, number, taken):
         """An owner, if there is one outside of `taken`, other daemons and every
-        third worker."""
+        third worker; with --zones all daemons of a zone and its workers."""
+        workers = set(sorted(self.play.fleet.workers)[number % ZONES::ZONES])
+        if self.options.zones:
+            return workers | set(range(number % ZONES, self.options.daemons, ZONES))
         free = [n for n in range(self.options.daemons) if n not in taken]
         owners = [n for n in free if n in self._owners()]
         group = {self.rng.choice(owners or free)}
         while len(group) < self.options.victims:
             group.add(self.rng.choice(free))
-        return group | set(sorted(self.play.fleet.workers)[number % 3::3])
+        return group | workers
 
     # -- links -----------------------------------------------------------------
     async def _begin(self, cut, text):
