Owners that have stopped tell their successors when their leases end

Cause: nobody told the successor anything, so it waited for the longest authority that an owner can have, although the owner that stopped knew when its leases on each worker end.

Change: an owner that has stopped and has a successor posts that (`lease_release`), after its last order. The word counts only for the owner that took the pool over at the request of that very owner: the store then shows that nobody owned the pool in between. Where the earlier owner had not settled itself, it passes on what it waits for.

--- a/src/pools/agent_session.cc
+++ b/src/pools/agent_session.cc
@@ -367,6 +367,9 @@
     expired_by = worker_clock_.ExpiredBy();
   }
   if (is_claimed_) return expired_by;
+  if (const auto released_by = options_.released_leases_end()) {
+    return std::max(expired_by, *released_by);
+  }
   // An earlier session may have granted leases that this one does not know.
   return std::max({expired_by, options_.earlier_leases_end(),
                    started_at_ + LongestHold(options_.lease_duration)});
--- a/src/pools/agent_session.h
+++ b/src/pools/agent_session.h
@@ -79,6 +79,10 @@
   };
   // Leases of earlier owners may hold until then if the worker is not claimed.
   std::function<time_point()> earlier_leases_end = [] { return time_point{}; };
+  // When those of earlier owners and sessions end, if that is known from them.
+  std::function<std::optional<time_point>()> released_leases_end = [] {
+    return std::optional<time_point>();
+  };
   duration lease_duration = milliseconds(5900);
   clock_ptr clock;
   log_sink log;
@@ -115,6 +119,9 @@
   void Send(throttle_order order) { Enqueue(std::move(order)); }
   // Wakes the poll thread: ends were stored.
   void Wake();
+  // Returns when no lease that was granted to the worker can hold any more. For
+  // the poll thread, and for others after `Stop`.
+  time_point LeasesExpireBy();
 
  private:
   using worker_order = std::variant<start_order, stop_order, throttle_order>;
@@ -127,8 +134,6 @@
   duration HandlePollFailure(const error& failure);
   // Ends the wait for an overdue stop once the leases have expired.
   void EndWithheldLeases();
-  // Returns when no lease that was granted to the worker can hold any more.
-  time_point LeasesExpireBy();
   // Events for which the poll thread may wait. A caller reads them before it
   // checks for work and passes them to a wait, which then returns at once if an
   // event came in between.
--- a/src/pools/owner_authority.cc
+++ b/src/pools/owner_authority.cc
@@ -6,9 +6,9 @@
 
 namespace {
 
-// For rounding to the worker's milliseconds, and for the drift of the clocks of
-// two daemons: 1% of the time waited.
+// For rounding to the worker's milliseconds.
 constexpr auto kExpiryMargin = milliseconds(200);
+// For the drift of the clocks of two daemons: 1% of the time waited.
 constexpr int kDriftDivisor = 100;
 // Orders are given while this much authority is left, or a quarter of a shorter
 // span. A run that starts later would lapse unless the store responds again.
@@ -16,11 +16,13 @@
 constexpr int kMinAuthorityDivisor = 4;
 
 duration WithMargin(duration wait) {
-  return wait + wait / kDriftDivisor + duration(kExpiryMargin);
+  return WithDrift(wait) + duration(kExpiryMargin);
 }
 
 }  // namespace
 
+duration WithDrift(duration wait) { return wait + wait / kDriftDivisor; }
+
 duration AuthoritySpan(duration task_lease, duration confirmation_interval) {
   return task_lease + confirmation_interval;
 }
--- a/src/pools/owner_authority.h
+++ b/src/pools/owner_authority.h
@@ -14,6 +14,10 @@
 // lease that is granted right before the next confirmation has its full length.
 duration AuthoritySpan(duration task_lease, duration confirmation_interval);
 
+// Returns how long to wait by this daemon's clock for a time that another
+// daemon measures by its own.
+duration WithDrift(duration wait);
+
 struct owner_authority_options {
   duration span{};  // See `AuthoritySpan`.
   // How long after the last confirmation the members may extend the authority;
--- a/src/pools/pool_calls.cc
+++ b/src/pools/pool_calls.cc
@@ -1,5 +1,7 @@
 #include "pools/pool_calls.h"
 
+#include <algorithm>
+
 #include "graph/record_reading.h"
 
 namespace apricotwheel {
@@ -158,6 +160,31 @@
   });
 }
 
+std::string EncodeRelease(const lease_release& release) {
+  return json{{"pool", release.pool},
+              {"epoch", release.epoch},
+              {"remaining_ms", release.remaining_ms},
+              {"others_remaining_ms", release.others_remaining_ms}}
+      .dump();
+}
+
+result<lease_release> DecodeRelease(std::string_view text) {
+  return ReadRecord(text, [](const json& in) -> result<lease_release> {
+    lease_release release;
+    in.at("pool").get_to(release.pool);
+    in.at("epoch").get_to(release.epoch);
+    in.at("others_remaining_ms").get_to(release.others_remaining_ms);
+    std::int64_t least = release.others_remaining_ms;
+    for (const auto& [worker, remaining] :
+         in.at("remaining_ms").get_ref<const json::object_t&>()) {
+      least = std::min(
+          least, release.remaining_ms[worker] = remaining.get<std::int64_t>());
+    }
+    if (least < 0) return CorruptRecord("the rest of a lease is negative");
+    return release;
+  });
+}
+
 std::string EncodeOwner(const known_owner& owner) {
   return json{{"member", owner.member_id},
               {"epoch", owner.epoch},
--- a/src/pools/pool_calls.h
+++ b/src/pools/pool_calls.h
@@ -1,6 +1,8 @@
 #pragma once
 
 #include <cstdint>
+#include <functional>
+#include <map>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -70,6 +72,9 @@
 inline constexpr std::string_view kClaimTopic = "claim";
 inline constexpr std::string_view kClaimKnownTopic = "claim_known";
 
+// One-way, a `lease_release` for the successor of an owner that has stopped.
+inline constexpr std::string_view kReleaseTopic = "released";
+
 std::string_view ToString(job_call_status status);
 
 wire_message MakePoolCall(std::string_view topic, std::string body);
@@ -119,6 +124,18 @@
 std::string EncodeNotice(const ownership_notice& notice);
 result<ownership_notice> DecodeNotice(std::string_view json);
 
+// When the leases end that an owner and those before it have granted, by the
+// word of that owner, which has stopped.
+struct lease_release {
+  std::string pool;
+  std::uint64_t epoch = 0;  // Of the owner.
+  // In milliseconds from the time at which the message was sent.
+  std::map<std::string, std::int64_t, std::less<>> remaining_ms;  // By worker.
+  std::int64_t others_remaining_ms = 0;  // Of workers that are not named.
+};
+std::string EncodeRelease(const lease_release& release);
+result<lease_release> DecodeRelease(std::string_view json);
+
 struct known_owner {
   std::string member_id;  // Empty if the owner is not known.
   std::uint64_t epoch = 0;
--- a/src/pools/pool_events.h
+++ b/src/pools/pool_events.h
@@ -86,5 +86,7 @@
                                                 severity::kWarning};
 inline constexpr log_event_kind kAuthorityRegained{
     2242, "pool_authority_regained", severity::kInfo};
+inline constexpr log_event_kind kLeasesReleased{2243, "pool_leases_released",
+                                                severity::kInfo};
 
 }  // namespace apricotwheel::pool_events
--- a/src/pools/pool_host.cc
+++ b/src/pools/pool_host.cc
@@ -185,6 +185,7 @@
   for (const auto& owner : superseded) {
     confirmations_.Withdraw(owner->Pool(), owner->Epoch());
     owner->Stop();
+    SendRelease(*owner);
   }
   if (!missing.empty() && !worker_watcher_) {
     worker_watcher_ = std::make_unique<kv_watcher>(
@@ -214,8 +215,11 @@
     }
     confirmations_.Announce(pool, epoch,
                             [owner] { owner->OnMembersInformed(); });
-    const std::lock_guard lock(mutex_);
-    owners_[pool] = owner;
+    {
+      const std::lock_guard lock(mutex_);
+      owners_[pool] = owner;
+    }
+    ApplyRelease(pool);
   }
   bool needs_distribution = !missing.empty();
   {
@@ -483,6 +487,7 @@
     return HandleApprovalCall(*call, received_at);
   }
   if (call->topic == kTakeoverTopic) return HandleTakeoverCall(*call);
+  if (call->topic == kReleaseTopic) return HandleRelease(*call, received_at);
   if (call->topic == kOwnerTopic) return HandleOwnerCall(*call);
   if (call->topic == kLoadTopic) return HandleLoadReport(*call);
   if (call->topic == kAdoptTopic) return HandleAdoptionCall(*call);
--- a/src/pools/pool_host.h
+++ b/src/pools/pool_host.h
@@ -172,6 +172,13 @@
   };
   void MoveIfNeeded(const std::string& pool, pool_owner& owner,
                     owner_watch& watch);
+  // Tells the successor of a stopped owner, if it is known, when the leases
+  // end.
+  void SendRelease(const pool_owner& owner);
+  wire_message HandleRelease(const wire::pool_callT& call,
+                             time_point received_at);
+  // Passes what the owner before this daemon's has released to the latter.
+  void ApplyRelease(const std::string& pool);
   wire_message HandleTakeoverCall(const wire::pool_callT& call);
   wire_message HandleOwnerCall(const wire::pool_callT& call);
 
@@ -192,7 +199,19 @@
   // Epochs of own pools whose owner seems to be succeeded; handled by
   // RunOwnershipChecks.
   epochs_by_pool unsettled_epochs_;
-  std::map<std::string, pool_worker> workers_;  // By key.
+  // Of pools that this daemon has taken over from a known owner. The store
+  // shows that there was no other owner between the two.
+  struct succession {
+    std::uint64_t epoch = 0;
+    std::uint64_t earlier_epoch = 0;
+  };
+  std::map<std::string, succession> successions_;
+  struct received_release {
+    lease_release release;
+    time_point received_at{};
+  };
+  std::map<std::string, received_release> releases_;  // Not passed on yet.
+  std::map<std::string, pool_worker> workers_;        // By key.
   bool are_workers_listed_ = false;
   std::mutex distribution_mutex_;  // Held while workers are distributed.
   // Of pools that may have to be divided; guarded by distribution_mutex_.
--- a/src/pools/pool_owner.cc
+++ b/src/pools/pool_owner.cc
@@ -110,7 +110,10 @@
     const std::lock_guard lock(mutex_);
     sessions.swap(sessions_);
   }
-  for (auto& [id, session] : sessions) session->Stop();
+  for (auto& [id, session] : sessions) {
+    session->Stop();
+    KeepLeasesOf(id, *session);
+  }
 }
 
 void pool_owner::Quiesce(time_point deadline) {
--- a/src/pools/pool_owner.h
+++ b/src/pools/pool_owner.h
@@ -106,6 +106,11 @@
 
   // The members extend the authority of earlier owners no more.
   void OnMembersInformed();
+  // The owner that this one has followed directly has stopped.
+  void OnLeasesReleased(const lease_release& release, time_point received_at);
+  // Returns when the leases of this owner and of those before it end. To be
+  // called after `Stop`.
+  lease_release ReleasedLeases() const;
   // Returns true once every run of an earlier owner is known or has expired.
   bool IsTakeoverComplete() const;
   // Returns the mean time that an event waited for the scheduling pass since
@@ -198,6 +203,10 @@
   // Earlier owners have no authority any more. Called on the thread of
   // `RunAuthority`.
   void EndEarlierLeases();
+  // Notes when the leases end that a stopped session has granted.
+  void KeepLeasesOf(const std::string& worker, agent_session& session);
+  // See `agent_session_options::released_leases_end`.
+  std::optional<time_point> ReleasedLeasesEnd(const std::string& worker) const;
   // Waits until orders may be given. Returns false if the owner was stopped.
   // `lock` holds mutex_.
   bool WaitForAuthority(std::unique_lock<std::mutex>& lock);
@@ -218,6 +227,14 @@
   std::map<std::string, pool_worker> listed_workers_;  // From discovery.
   // As passed to the scheduler.
   std::map<std::string, pool_worker> scheduled_workers_;
+  // When the leases end that stopped sessions have granted, by worker.
+  std::map<std::string, time_point, std::less<>> leases_of_stopped_sessions_;
+  // By the word of the owner that this one has followed.
+  struct released_leases {
+    std::map<std::string, time_point, std::less<>> ends;  // By worker.
+    time_point others_end{};
+  };
+  std::optional<released_leases> released_leases_;
   // The stored worker list, addresses by id.
   std::map<std::string, std::string> worker_list_;
   // Targets, by id, of jobs that were accepted here and moved there.
--- a/src/pools/pool_owner_authority.cc
+++ b/src/pools/pool_owner_authority.cc
@@ -59,6 +59,71 @@
   authority_changed_.notify_one();
 }
 
+void pool_owner::KeepLeasesOf(const std::string& worker,
+                              agent_session& session) {
+  const time_point expired_by = session.LeasesExpireBy();
+  const std::lock_guard lock(mutex_);
+  const auto now = options_.clock->Now();
+  std::erase_if(leases_of_stopped_sessions_,
+                [&](const auto& row) { return row.second <= now; });
+  time_point& kept = leases_of_stopped_sessions_[worker];
+  kept = std::max(kept, expired_by);
+}
+
+lease_release pool_owner::ReleasedLeases() const {
+  const std::lock_guard lock(mutex_);
+  const auto now = options_.clock->Now();
+  const auto remaining_ms = [&](time_point end) {
+    return ToMs(std::max<duration>(end - now + milliseconds(1), {}));
+  };
+  lease_release release{options_.pool, options_.epoch, {}, 0};
+  for (const auto& [worker, expired_by] : leases_of_stopped_sessions_) {
+    release.remaining_ms[worker] = remaining_ms(expired_by);
+  }
+  if (!is_loaded_ || !scheduler_->IsTakeoverComplete(now)) {
+    release.others_remaining_ms =
+        remaining_ms(released_leases_ ? released_leases_->others_end
+                                      : authority_.EarlierLeasesEnd());
+  }
+  return release;
+}
+
+void pool_owner::OnLeasesReleased(const lease_release& release,
+                                  time_point received_at) {
+  const auto end = [&](std::int64_t remaining_ms) {
+    return received_at + WithDrift(milliseconds(remaining_ms));
+  };
+  released_leases released;
+  released.others_end = end(release.others_remaining_ms);
+  std::int64_t longest_ms = 0;
+  for (const auto& [worker, remaining_ms] : release.remaining_ms) {
+    released.ends[worker] = end(remaining_ms);
+    longest_ms = std::max(longest_ms, remaining_ms);
+  }
+  Emit(options_.log, pool_events::kLeasesReleased,
+       {Field("pool", options_.pool), Field("epoch", options_.epoch),
+        Field("earlier", release.epoch),
+        Field("workers", release.remaining_ms.size()),
+        Field("longest_ms", longest_ms),
+        Field("others_ms", release.others_remaining_ms)});
+  const std::lock_guard lock(mutex_);
+  released_leases_ = std::move(released);
+}
+
+std::optional<time_point> pool_owner::ReleasedLeasesEnd(
+    const std::string& worker) const {
+  const std::lock_guard lock(mutex_);
+  if (!released_leases_) return std::nullopt;
+  const auto named = released_leases_->ends.find(worker);
+  const time_point earlier = named == released_leases_->ends.end()
+                                 ? released_leases_->others_end
+                                 : named->second;
+  const auto own = leases_of_stopped_sessions_.find(worker);
+  return own == leases_of_stopped_sessions_.end()
+             ? earlier
+             : std::max(earlier, own->second);
+}
+
 void pool_owner::ExtendAuthority() {
   const auto asked_at = options_.clock->Now();
   if (!options_.ask_members()) return;
--- a/src/pools/pool_owner_workers.cc
+++ b/src/pools/pool_owner_workers.cc
@@ -71,7 +71,7 @@
   if (!has_new && worker_list != worker_list_) {
     journal_->StoreWorkerList(worker_list, options_.clock->Now());
   }
-  std::vector<std::shared_ptr<agent_session>> closed;
+  std::vector<std::pair<std::string, std::shared_ptr<agent_session>>> closed;
   std::vector<pool_worker> added;
   {
     const std::lock_guard lock(mutex_);
@@ -90,7 +90,7 @@
       if (is_same_agent) continue;
       const auto session = sessions_.find(id);
       if (session != sessions_.end()) {
-        closed.push_back(session->second);
+        closed.emplace_back(*session);
         sessions_.erase(session);
       }
       added.push_back(worker);
@@ -110,13 +110,16 @@
       const bool is_idle = !listed.contains(it->first) &&
                            !scheduler_->MayHaveRuns(it->first, now);
       if (is_idle) {
-        closed.push_back(it->second);
+        closed.emplace_back(*it);
         scheduler_->RemoveWorker(it->first);
       }
       it = is_idle ? sessions_.erase(it) : std::next(it);
     }
   }
-  for (const auto& session : closed) session->Stop();
+  for (const auto& [id, session] : closed) {
+    session->Stop();
+    KeepLeasesOf(id, *session);
+  }
   for (const auto& worker : added) AddSession(worker);
 }
 
@@ -163,6 +166,9 @@
     return authority_.ConfirmSince(since);
   };
   options.earlier_leases_end = [this] { return authority_.EarlierLeasesEnd(); };
+  options.released_leases_end = [this, id = worker.id] {
+    return ReleasedLeasesEnd(id);
+  };
   options.lease_duration = options_.task_lease;
   options.clock = options_.clock;
   options.log = options_.log;
--- a/src/pools/pool_succession.cc
+++ b/src/pools/pool_succession.cc
@@ -317,6 +317,55 @@
   }
 }
 
+void pool_host::SendRelease(const pool_owner& owner) {
+  const auto successor = options_.directory->OwnerOf(owner.Pool());
+  if (!successor || successor->epoch <= owner.Epoch() ||
+      successor->member_id == options_.directory->SelfId()) {
+    return;
+  }
+  options_.peers->Post(
+      successor->member_id,
+      MakePoolCall(kReleaseTopic, EncodeRelease(owner.ReleasedLeases())));
+}
+
+wire_message pool_host::HandleRelease(const wire::pool_callT& call,
+                                      time_point received_at) {
+  auto release = Attempt([&] { return DecodeRelease(call.body); });
+  if (!release) return MakeFailure(release.failure);
+  const std::string pool = release->pool;
+  {
+    const std::lock_guard lock(mutex_);
+    // That of an owner before the last one may arrive late.
+    if (owned_epochs_.contains(pool) &&
+        release->epoch >= releases_[pool].release.epoch) {
+      releases_[pool] = {std::move(*release), received_at};
+    }
+  }
+  ApplyRelease(pool);
+  return MakePoolReply("");
+}
+
+void pool_host::ApplyRelease(const std::string& pool) {
+  std::shared_ptr<pool_owner> owner;
+  received_release received;
+  {
+    const std::lock_guard lock(mutex_);
+    const auto found = releases_.find(pool);
+    const auto taken = successions_.find(pool);
+    const auto current = owners_.find(pool);
+    if (found == releases_.end() || taken == successions_.end() ||
+        current == owners_.end() ||
+        found->second.release.epoch != taken->second.earlier_epoch ||
+        current->second->Epoch() != taken->second.epoch) {
+      return;
+    }
+    owner = current->second;
+    received = std::move(found->second);
+    releases_.erase(found);
+  }
+  owner->OnLeasesReleased(received.release, received.received_at);
+}
+
 wire_message pool_host::HandleTakeoverCall(const wire::pool_callT& call) {
   const auto request = Attempt([&] { return DecodeTakeover(call.body); });
   if (!request) return MakeFailure(request.failure);
@@ -325,6 +374,11 @@
                                         request->only_if_quick);
   });
   if (!epoch) return MakeFailure(epoch.failure);
+  {
+    const std::lock_guard lock(mutex_);
+    successions_[request->pool] = {*epoch, request->epoch};
+  }
+  ApplyRelease(request->pool);
   return MakePoolReply(EncodeOwner({options_.directory->SelfId(), *epoch, ""}));
 }
 
