pool_owner: a host reports the state of a loan once it is stored

What callers could see: a job shown as failed without cause. The owner of its partition fails a job when the partition that runs some of its tasks says that they failed. That one answered with its state in memory, also when it could not store it any more because it had a successor, to which the tasks go on.

The test failed before: a host without the store answered `failed`.

--- a/src/pools/pool_owner_guests.cc
+++ b/src/pools/pool_owner_guests.cc
@@ -51,7 +51,7 @@
     if (scheduler_->ExtendGuest(job)) {
       RequestDecision();
       response.status = job_call_status::kState;
-      response.state = *scheduler_->FindJobState(job.id);
+      response.state = *scheduler_->FindStoredJobState(job.id);
       return response;
     }
   }
--- a/tests/pools/pool_owner_test.cc
+++ b/tests/pools/pool_owner_test.cc
@@ -336,6 +336,26 @@
       [&] { return cell.owner->State("job").state == job_state::kCompleted; }));
 }
 
+// Guards against a job that fails in its own partition by the word of a host
+// that has not stored the failure: the host may have a successor.
+BOOST_AUTO_TEST_CASE(a_host_reports_a_failure_once_it_is_stored) {
+  rig cell;
+  job_submission loan = MakeJob("job", {MakeStep(1, kSmall)});
+  loan.queue.max_attempts = 1;
+  loan.guest = guest_tasks{"pool~1", {{0, 0, 0, 0}}};
+  const auto host = [&] { return cell.owner->Host(loan, cell.Deadline()); };
+  BOOST_TEST((cell.owner->Submit(loan, cell.Deadline()).status ==
+              job_call_status::kAccepted));
+  BOOST_TEST(cell.Eventually([&] { return cell.agent.RunCount() == 1; }));
+  cell.store.SetUnresponsive(true);
+  cell.agent.EndAllRuns(run_outcome::kFailed);
+  cell.clock->SleepFor(milliseconds(300));
+  BOOST_TEST((host().state == job_state::kActive));
+  cell.store.SetUnresponsive(false);
+  BOOST_TEST(
+      cell.Eventually([&] { return host().state == job_state::kFailed; }));
+}
+
 // Guards against stop orders of a cancelled job that are not sent: the worker
 // id was read from an order that had been moved.
 BOOST_AUTO_TEST_CASE(a_cancelled_job_is_stopped_on_its_worker) {
