Released leases: pass on what an earlier owner has named, and keep the bound

An owner that has not settled itself passed on the end for all others, but not the ends of workers that its own predecessor had named and that it has no session with, so that its successor could have counted one of them as free too early. And a release could be later than the end of all earlier authority, which the successor knows by itself. A record is checked without an assignment in an expression.

--- a/src/pools/pool_calls.cc
+++ b/src/pools/pool_calls.cc
@@ -1,7 +1,5 @@
 #include "pools/pool_calls.h"
 
-#include <algorithm>
-
 #include "graph/record_reading.h"
 
 namespace apricotwheel {
@@ -174,13 +172,14 @@
     in.at("pool").get_to(release.pool);
     in.at("epoch").get_to(release.epoch);
     in.at("others_remaining_ms").get_to(release.others_remaining_ms);
-    std::int64_t least = release.others_remaining_ms;
-    for (const auto& [worker, remaining] :
+    bool is_valid = release.others_remaining_ms >= 0;
+    for (const auto& [worker, value] :
          in.at("remaining_ms").get_ref<const json::object_t&>()) {
-      least = std::min(
-          least, release.remaining_ms[worker] = remaining.get<std::int64_t>());
+      const auto remaining_ms = value.get<std::int64_t>();
+      is_valid = is_valid && remaining_ms >= 0;
+      release.remaining_ms[worker] = remaining_ms;
     }
-    if (least < 0) return CorruptRecord("the rest of a lease is negative");
+    if (!is_valid) return CorruptRecord("the rest of a lease is negative");
     return release;
   });
 }
--- a/src/pools/pool_host.h
+++ b/src/pools/pool_host.h
@@ -177,7 +177,8 @@
   void SendRelease(const pool_owner& owner);
   wire_message HandleRelease(const wire::pool_callT& call,
                              time_point received_at);
-  // Passes what the owner before this daemon's has released to the latter.
+  // Passes the release of the earlier owner to the own one, once both are
+  // there.
   void ApplyRelease(const std::string& pool);
   wire_message HandleTakeoverCall(const wire::pool_callT& call);
   wire_message HandleOwnerCall(const wire::pool_callT& call);
--- a/src/pools/pool_owner_authority.cc
+++ b/src/pools/pool_owner_authority.cc
@@ -77,8 +77,17 @@
     return ToMs(std::max<duration>(end - now + milliseconds(1), {}));
   };
   lease_release release{options_.pool, options_.epoch, {}, 0};
-  for (const auto& [worker, expired_by] : leases_of_stopped_sessions_) {
-    release.remaining_ms[worker] = remaining_ms(expired_by);
+  const auto name = [&](const std::string& worker, time_point end) {
+    std::int64_t& named = release.remaining_ms[worker];
+    named = std::max(named, remaining_ms(end));
+  };
+  for (const auto& [worker, end] : leases_of_stopped_sessions_) {
+    name(worker, end);
+  }
+  if (released_leases_) {
+    for (const auto& [worker, end] : released_leases_->ends) {
+      if (end > now) name(worker, end);
+    }
   }
   if (!is_loaded_ || !scheduler_->IsTakeoverComplete(now)) {
     release.others_remaining_ms =
@@ -115,9 +124,10 @@
   const std::lock_guard lock(mutex_);
   if (!released_leases_) return std::nullopt;
   const auto named = released_leases_->ends.find(worker);
-  const time_point earlier = named == released_leases_->ends.end()
-                                 ? released_leases_->others_end
-                                 : named->second;
+  const time_point earlier = std::min(authority_.EarlierLeasesEnd(),
+                                      named == released_leases_->ends.end()
+                                          ? released_leases_->others_end
+                                          : named->second);
   const auto own = leases_of_stopped_sessions_.find(worker);
   return own == leases_of_stopped_sessions_.end()
              ? earlier
