Soak: attempts, order of steps, false completions; a successor that hands the pool on

The soak judged runs that overlap or start again, and now also starts after as many noted failures as the queue allows, before the step before was done, and jobs that are shown as completed and are not. The shape "handed on" stops the successor of an owner that is cut off, so that a release has to name the leases of both; the test in pools/two_owners_test guards the same.

--- a/testing/soak/cut_day.py
+++ b/testing/soak/cut_day.py
@@ -15,7 +15,10 @@
 away    lasting tasks that were away for 6 s with room
 twice   pairs of runs of a task at once
 again   starts after an end as done was acknowledged within the lease
-faults  starts above a worker's room, or of what nobody submitted
+faults  starts above a worker's room, of what nobody submitted, or before the step
+        before was done; jobs that are shown as completed and are not
+beyond attempts
+        starts after as many noted failures as the queue allows
 With --group, lasting tasks count only if they are "away in calm": without a cut for 7 s.
 A run that holds does not prove the absence of a fault.
 """
@@ -262,6 +265,8 @@
                 self.fleet.faults.append(f"{job.id} was accepted and is unknown")
             if content.get("state") in ("completed", "failed"):
                 job.state = content["state"]
+            if job.state == "completed" and not job.is_done(job.due_step()):
+                self.fleet.faults.append(f"{job.id} was shown as completed and is not")
 
     async def load(self):
         rates = [queue.per_second * self.options.rate for queue in self.queues]
@@ -360,6 +365,22 @@
         return [pair for runs in by_task.values()
                 for pair in itertools.combinations(runs, 2)]
 
+    def runs_beyond_attempts(self):
+        """Returns the starts of single tasks after as many runs as the queue allows had
+        failed and were noted."""
+        beyond = []
+        failures = collections.defaultdict(list)
+        runs = self.fleet.all_runs()
+        for run in runs:
+            if run.get("is_failure_noted"):
+                failures[run["task"]].append(run["ended"])
+        for run in runs:
+            job = self.fleet.jobs[run["task"].split(".")[0]]
+            before = sum(1 for ended in failures[run["task"]] if ended < run["begun"])
+            if not job.lasts() and not run["gang"] and before >= job.queue.attempts:
+                beyond.append(self.describe(run))
+        return beyond
+
     def describe(self, run):
         """Names the owner of a run by its epoch; times are those of the record."""
         begun, ended = (f"{at - self.record.begin:.2f}" if at else "?"
@@ -383,7 +404,7 @@
             "accepted": sum(1 for job in jobs if job.accepted_at),
             "idle": idle, "away": self.away, "away in calm": self.away_in_calm,
             "twice": twice, "again": again,
-            "faults": self.fleet.faults, "answers": dict(sorted(self.answers.items())),
+            "faults": self.fleet.faults, "beyond attempts": self.runs_beyond_attempts(), "answers": dict(sorted(self.answers.items())),
             "start_s": {"half": round(waits[len(waits) // 2], 2),
                         "95 of 100": round(waits[len(waits) * 19 // 20], 2),
                         "longest": round(waits[-1], 2)},
@@ -485,7 +506,8 @@
     print(json.dumps(report))
     # Tasks behind a cut of a group run on there, or wait until it has certainly ended.
     away = "away in calm" if options.group else "away"
-    broken = [report[name] for name in ("idle", away, "twice", "again", "faults")]
+    broken = [report[name] for name in
+              ("idle", away, "twice", "again", "faults", "beyond attempts")]
     return 1 if any(broken) else 0
 
 
--- a/testing/soak/fleet.py
+++ b/testing/soak/fleet.py
@@ -77,9 +77,13 @@
         """Returns true if a caller waits for its end."""
         return self.accepted_at and not self.is_cancelled and not self.lasts()
 
+    def is_done(self, step):
+        phase = self.phases[step]
+        return len(self.done[step]) >= (1 if phase.get("gang") else phase["count"])
+
     def due_step(self):
-        for i, phase in enumerate(self.phases):
-            if len(self.done[i]) < (1 if phase.get("gang") else phase["count"]):
+        for i in range(len(self.phases)):
+            if not self.is_done(i):
                 return i
         return len(self.phases) - 1
 
@@ -281,6 +285,8 @@
             self.fleet.faults.append(f"{task} was started above the room of {self.id}")
         for i, amount in enumerate(need):
             self.used[i] += amount
+        if step and not job.is_done(step - 1):
+            self.fleet.faults.append(f"{task} was started before the step before it was done")
         gang = (f"{job.id}.{step}", number) if phase.get("gang") else None
         run = {"worker": self, "task": task, "run": number, "begun": standin.now(),
                "ended": None, "how": None, "need": need, "gang": gang,
@@ -341,9 +347,12 @@
         seen = body.get("observed", 0)
         ended = {(end[1], end[2]) for end in self.ends if end[0] <= seen}
         for run in self.history if ended else ():
-            if ((run["task"], run["run"]) in ended and run["how"] == "done" and
-                    self.lapsed_at < run["ended"]):
-                run["acknowledged"] = standin.now()
+            # An end counts as noted unless the lease has lapsed in between.
+            if (run["task"], run["run"]) in ended and self.lapsed_at < run["ended"]:
+                if run["how"] == "done":
+                    run["acknowledged"] = standin.now()
+                elif run["how"] == "failed":
+                    run["is_failure_noted"] = True
         return await super()._hold(body)
 
 
--- a/testing/soak/group_cuts.py
+++ b/testing/soak/group_cuts.py
@@ -23,11 +23,12 @@
 # swap:        when the group comes back another one leaves.
 # paused:      the owner is paused inside the cut and woken after it.
 # stopped:     a daemon of the group gets SIGTERM and is started again.
+# handed on:   a successor outside of the group gets SIGTERM and is started again.
 # killed:      the owner is killed and is started again, mostly inside the cut.
 # reborn:      workers of the group crash, also with runs, and start again under their ids.
 # outage:      the store is silent for all, inside the cut or over its end.
 SHAPES = ("plain", "deaf", "heard", "three sides", "swap", "paused", "stopped",
-          "killed", "reborn", "outage")
+          "handed on", "killed", "reborn", "outage")
 ONE_WAY_MODES = ("hold", "mute")  # A sender is not told of what is lost.
 OUTSIDE = 0
 ZONES = 3
@@ -134,6 +135,15 @@
             n = self.rng.choice(inside)
             await asyncio.sleep(self.rng.uniform(0.2, 0.8) * length)
             await self._restart(n)
+        elif shape == "handed on":
+            before = self._owners()
+            ends_at = standin.now() + length
+            while not (successors := self._owners() - before - group):
+                if standin.now() > ends_at:
+                    return
+                await asyncio.sleep(0.1)
+            await asyncio.sleep(self.rng.uniform(0, 3))
+            await self._restart(min(successors))
         elif shape == "killed":
             await asyncio.sleep(self.rng.uniform(0.2, 0.8) * length)
             self._note("killed", owners[0])
--- a/tests/pools/two_owners_test.cc
+++ b/tests/pools/two_owners_test.cc
@@ -1,6 +1,8 @@
 // An owner that is cut off together with workers, and its successor.
+#include <algorithm>
 #include <atomic>
 #include <boost/test/unit_test.hpp>
+#include <cstdint>
 #include <map>
 #include <memory>
 #include <set>
@@ -218,5 +220,27 @@
   BOOST_TEST(cell.AllRuns().size() == 1);
 }
 
+// Guards against a release that leaves out the leases of an owner before: a
+// successor that stops before it has settled waited for them itself.
+BOOST_AUTO_TEST_CASE(a_release_includes_the_leases_of_earlier_owners) {
+  cut_rig cell;
+  cell.RunTaskOn("cut");
+  cell.Cut(error_kind::kTimeout);
+  cut_rig::List(cell.later, {"cut", "kept"});
+  BOOST_REQUIRE(cell.Within(milliseconds(5000), [&] {
+    return cell.later.owner->KnownWorkers().has_value();
+  }));
+  cell.later.owner->Stop();
+  const lease_release release = cell.later.owner->ReleasedLeases();
+  BOOST_TEST(cell.agents["cut"]->IsRunning());
+  std::int64_t remaining_ms = release.others_remaining_ms;
+  const auto named = release.remaining_ms.find("cut");
+  if (named != release.remaining_ms.end()) {
+    remaining_ms = std::min(remaining_ms, named->second);
+  }
+  cell.clock->SleepFor(milliseconds(remaining_ms));
+  BOOST_TEST(!cell.agents["cut"]->IsRunning());
+}
+
 }  // namespace
 }  // namespace apricotwheel
