--- a/testing/soak/group_cuts.py
+++ b/testing/soak/group_cuts.py
@@ -64,6 +64,7 @@
         self.active = []
         self.cut_links = set()
         self.silent_workers = {}  # Name -> since when.
+        self.restarting = set()  # Cuts overlap, and so do their disturbances.
         self.lock = asyncio.Lock()  # Restoring a link takes a while.
         self.disturbed_at = 0.0  # Last moment with a cut or what is beside it.
         self.disturbances = 0
@@ -146,12 +147,7 @@
             await self._restart(min(successors))
         elif shape == "killed":
             await asyncio.sleep(self.rng.uniform(0.2, 0.8) * length)
-            self._note("killed", owners[0])
-            daemons.processes[owners[0]].kill()
-            daemons.processes[owners[0]].wait()
-            await asyncio.sleep(self.rng.choice(DEAD_S))
-            daemons.start(owners[0])
-            self._note("started", owners[0])
+            await self._restart(owners[0], self._kill)
         elif shape == "reborn":
             names = sorted(member for member in group if isinstance(member, str))
             for name in self.rng.sample(names, min(CRASHES, len(names))):
@@ -165,11 +161,26 @@
                 await asyncio.sleep(self.rng.choice(OUTAGES_S))
                 store.come_back()
 
-    async def _restart(self, n):
-        daemons = self.play.cell.daemons
-        process = daemons.processes[n]
+    async def _restart(self, n, end=None):
+        if n in self.restarting:
+            return
+        self.restarting.add(n)
+        await (end or self._stop)(n)
+        self.play.cell.daemons.start(n)
+        self.restarting.discard(n)
+        self._note("started", n)
+
+    async def _kill(self, n):
+        process = self.play.cell.daemons.processes[n]
+        self._note("killed", n)
+        process.kill()
+        process.wait()
+        await asyncio.sleep(self.rng.choice(DEAD_S))
+
+    async def _stop(self, n):
+        process = self.play.cell.daemons.processes[n]
         self._note("SIGTERM", n)
-        daemons.signal(n, signal.SIGTERM)
+        process.send_signal(signal.SIGTERM)
         ends_at = standin.now() + STOP_S
         while process.poll() is None and standin.now() < ends_at:
             await asyncio.sleep(0.05)
@@ -177,8 +188,6 @@
             self._note("killed", n)
             process.kill()
             process.wait()
-        daemons.start(n)
-        self._note("started", n)
 
     async def _crash(self, name):
         worker = self.play.fleet.workers[name]
