--- a/tests/pools/confirmation_exchange_test.cc
+++ b/tests/pools/confirmation_exchange_test.cc
@@ -70,15 +70,7 @@
     settings.task_lease = kLease;
     settings.lease_renew_interval = kInterval;
     settings.outage_extension = kExtension;
-    platform.decode_worker = [](std::string_view key, std::string_view) {
-      pool_worker worker;
-      worker.id = key.substr(std::string_view("workers/").size());
-      worker.pool = kPool;
-      worker.address = worker.id == "a" ? "127.0.0.1:1" : "127.0.0.1:2";
-      worker.capacity = {8000, 8192, 0};
-      worker.incarnation = 1;
-      return std::optional<pool_worker>(worker);
-    };
+    platform.decode_worker = testing::DecodeFirstOrSecond;
     platform.connect_agent = [this, id](const pool_worker& worker) {
       const bool is_first = worker.id == "a";
       return agents.at(worker.id)->Link(
--- a/tests/pools/daemon_parts.h
+++ b/tests/pools/daemon_parts.h
@@ -4,7 +4,9 @@
 #include <boost/test/unit_test.hpp>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
+#include <string_view>
 
 #include "pools/pool_host.h"
 #include "pools/queue_gateway.h"
@@ -16,6 +18,19 @@
 
 inline const std::string kPool = "pool";
 
+// Reads the entries of the workers "a" and "b" of the pool. Nothing listens at
+// their addresses.
+inline std::optional<pool_worker> DecodeFirstOrSecond(std::string_view key,
+                                                      std::string_view) {
+  pool_worker worker;
+  worker.id = key.substr(std::string_view("workers/").size());
+  worker.pool = kPool;
+  worker.address = worker.id == "a" ? "127.0.0.1:1" : "127.0.0.1:2";
+  worker.capacity = {8000, 8192, 0};
+  worker.incarnation = 1;
+  return worker;
+}
+
 // The parts of a daemon that serve pools, without its listeners.
 struct daemon_parts {
   static constexpr auto kJobTimeout = milliseconds(3000);
