Events of restarted workers and of ends that are missing

Cause: the logs tell neither which runs a report of a new incarnation ends, nor that a poll was answered by another agent than it was meant for, nor that an end is missing, so that the hypotheses of the incident can't be told apart. Change: events 2121, 2122, 2123 and 2244.

--- a/src/graph/graph_events.h
+++ b/src/graph/graph_events.h
@@ -44,6 +44,12 @@
                                               severity::kWarning};
 inline constexpr log_event_kind kTaskLent{2120, "graph_task_lent",
                                           severity::kInfo};
+inline constexpr log_event_kind kWorkerRestarted{2121, "graph_worker_restarted",
+                                                 severity::kInfo};
+inline constexpr log_event_kind kEndsMissing{2122, "graph_ends_missing",
+                                             severity::kWarning};
+inline constexpr log_event_kind kLateStart{2123, "graph_late_start",
+                                           severity::kWarning};
 inline constexpr log_event_kind kRunMoved{2130, "graph_run_moved",
                                           severity::kInfo};
 inline constexpr log_event_kind kMovesDelayed{2131, "graph_moves_delayed",
--- a/src/graph/pool_model.h
+++ b/src/graph/pool_model.h
@@ -82,7 +82,10 @@
   std::uint64_t expected_in_pass = 0;
   bool has_unknown_run = false;   // No task is placed here while one exists.
   std::uint64_t applied_end = 0;  // Ends up to this one are in the progress.
-  std::uint64_t stored_end = 0;   // Ends up to this one are stored.
+  // The next end that the agent lists follows `applied_end`: this owner has
+  // seen all earlier ones.
+  bool knows_ends = false;
+  std::uint64_t stored_end = 0;  // Ends up to this one are stored.
   // Runs whose leases expired before they ended. Their tasks are placed again,
   // so that their results are ignored. The value is true if a crash of the
   // worker counts against the task.
--- a/src/graph/pool_runs.cc
+++ b/src/graph/pool_runs.cc
@@ -65,6 +65,7 @@
   if (report.incarnation < worker->agent_incarnation) return;
   if (report.incarnation != worker->agent_incarnation) {
     if (worker->agent_incarnation != 0) {
+      LogRestart(*worker, report, sent_at);
       if (!worker->is_leave_planned) OnWorkerCrashed(*worker, &report, now);
       ResetWorker(*worker, now);
     }
@@ -84,6 +85,12 @@
   }
   for (const reported_end& end : report.ended) {
     if (end.sequence <= worker->applied_end) continue;
+    if (worker->knows_ends && end.sequence != worker->applied_end + 1) {
+      Log(graph_events::kEndsMissing,
+          {Field("worker", id), Field("after", worker->applied_end),
+           Field("before", end.sequence)});
+    }
+    worker->knows_ends = true;
     worker->applied_end = end.sequence;
     has_unstored_ends_ = true;
     ApplyEnd(*worker, end, now);
@@ -106,6 +113,27 @@
   ReleaseMissing(*worker, report, sent_at, now);
 }
 
+void pool_scheduler::LogRestart(const worker_state& worker,
+                                const worker_report& report,
+                                time_point sent_at) const {
+  std::size_t unanswered = 0;
+  std::size_t answered_later = 0;
+  for (const auto& [task, run] : worker.runs) {
+    if (run.confirmed_at == time_point{}) {
+      ++unanswered;
+    } else if (run.confirmed_at >= sent_at) {
+      ++answered_later;
+    }
+  }
+  const std::uint64_t first_end =
+      report.ended.empty() ? 0 : report.ended.front().sequence;
+  Log(graph_events::kWorkerRestarted,
+      {Field("worker", worker.info.id), Field("runs", worker.runs.size()),
+       Field("unanswered", unanswered), Field("answered_later", answered_later),
+       Field("stored_end", worker.stored_end),
+       Field("running", report.running.size()), Field("first_end", first_end)});
+}
+
 // Takes over a run that the worker lists and this owner did not order. Runs
 // that must not go on are stopped.
 void pool_scheduler::AdoptRun(worker_state& worker, const reported_run& run,
@@ -471,6 +499,7 @@
   worker.is_claimed = false;
   worker.is_exit_assumed = false;
   worker.applied_end = 0;
+  worker.knows_ends = true;
   worker.stored_end = 0;
   worker.expired_runs.clear();
   worker.consecutive_failures = 0;
@@ -526,7 +555,14 @@
   worker_state* worker = FindWorker(order.worker);
   if (worker == nullptr) return;
   const auto found = worker->runs.find(order.task);
-  if (found == worker->runs.end() || found->second.number != order.run) return;
+  if (found == worker->runs.end() || found->second.number != order.run) {
+    if (result == start_result::kStarted) {
+      Log(graph_events::kLateStart,
+          {Field("task", FormatTask(order.task)), Field("run", order.run),
+           Field("worker", order.worker)});
+    }
+    return;
+  }
   task_run& run = found->second;
   const auto unanswered = unanswered_starts_.find(run.ordered_at);
   if (unanswered != unanswered_starts_.end()) {
--- a/src/graph/pool_scheduler.h
+++ b/src/graph/pool_scheduler.h
@@ -436,6 +436,8 @@
   // Stops the runs of all placed tasks of the step of `member`.
   void StopStep(graph_job& job, const task_key& member, time_point now);
   void StopJob(graph_job& job, time_point now);
+  void LogRestart(const worker_state& worker, const worker_report& report,
+                  time_point sent_at) const;
   // Ends all runs of a worker whose agent has restarted.
   void ResetWorker(worker_state& worker, time_point now);
   // Counts consecutive failures on the worker.
--- a/src/pools/agent_session.cc
+++ b/src/pools/agent_session.cc
@@ -282,6 +282,13 @@
     Emit(options_.log, pool_events::kWorkerReachable,
          {Field("worker", options_.worker.id)});
   }
+  if (is_new_agent &&
+      (request.acknowledged_end > 0 || request.lease_until_ms)) {
+    Emit(options_.log, pool_events::kMisdirectedPoll,
+         {Field("worker", options_.worker.id),
+          Field("acknowledged", request.acknowledged_end),
+          Field("lease", request.lease_until_ms ? 1 : 0)});
+  }
   is_claimed_ = true;
   response_timeout_ =
       std::max<duration>(response_timeout_ / 2, kMinResponseTimeout);
--- a/src/pools/pool_events.h
+++ b/src/pools/pool_events.h
@@ -88,6 +88,8 @@
     2242, "pool_authority_regained", severity::kInfo};
 inline constexpr log_event_kind kLeasesReleased{2243, "pool_leases_released",
                                                 severity::kInfo};
+inline constexpr log_event_kind kMisdirectedPoll{2244, "pool_misdirected_poll",
+                                                 severity::kWarning};
 inline constexpr log_event_kind kWorkerLeft{2270, "pool_worker_left",
                                             severity::kInfo};
 
