Acknowledgements and leases go to the agent of the last report only

Cause: a poll acknowledged the last stored end before the owner knew which agent receives it: on a new connection, after a failed poll and in the first poll of a session. A worker that had restarted under its id deleted ends that nobody had seen; their runs counted as lost with the worker and started again after an end that was taken note of. Change: polls that wait, and those after a failure, state nothing. A renewal acknowledges and grants; it is sent only on the connection of the last report, never while a start is on the way, and after a renewal without a response no start is sent before a report. So no path that outlives the agent can let the next one execute a start and then an older acknowledgement.

--- a/src/clients/http_connection.cc
+++ b/src/clients/http_connection.cc
@@ -304,6 +304,10 @@
   if (socket_ >= 0 && (!buffer_.empty() || IsStaleConnection(socket_))) Close();
   response_started_ = false;
   if (socket_ < 0) {
+    if (request.needs_open_connection) {
+      return Fail(error_kind::kConflict, "the connection has closed",
+                  "find out which process listens there now");
+    }
     BOOST_LEAF_CHECK(Connect(std::min(deadline, start + connect_timeout)));
   }
   // `response` is only inspected, so that an error is returned unchanged.
--- a/src/clients/http_connection.h
+++ b/src/clients/http_connection.h
@@ -20,6 +20,8 @@
   std::string target;
   header_list headers;
   std::string body;
+  // Send it only on the connection of an earlier exchange that is still open.
+  bool needs_open_connection = false;
 };
 
 struct http_response {
@@ -44,6 +46,7 @@
 
   // Sends a request and reads the whole response. Fails with
   //  `unavailable` if no byte of the request can have been sent,
+  //  `conflict` if nothing was sent because it needs an open connection,
   //  `timeout` if the connection ended before the response began or the time
   //    ran out,
   //  `corrupt` if the response is malformed or truncated.
--- a/src/pools/agent_session.cc
+++ b/src/pools/agent_session.cc
@@ -12,9 +12,9 @@
 constexpr double kMinClockRate = 0.98;
 // Safety margin on top of the computed expiry of the leases.
 constexpr auto kExpiryMargin = milliseconds(100);
-// A long poll renews the leases when it is sent. If its response is lost, ends
-// are not read before this timeout: it is short compared with the run time of
-// tasks and long compared with the time between two ends on a busy worker.
+// If the response of a long poll is lost, ends are not read before this
+// timeout: it is short compared with the run time of tasks and long compared
+// with the time between two ends on a busy worker.
 constexpr auto kLongPollTimeout = milliseconds(500);
 constexpr auto kPollRetryInterval = milliseconds(250);
 // A single lost response is retried almost at once. The worker counts as
@@ -29,6 +29,9 @@
 // repeated with the same timeout, and fills the link further. Each such failure
 // doubles the timeout up to this one.
 constexpr auto kMaxResponseTimeout = milliseconds(1200);
+// Leases are renewed this many times while one lasts, so that a few lost
+// renewals end none.
+constexpr int kRenewalsPerLease = 6;
 // An idle worker is polled at this interval, to detect that its agent has
 // restarted.
 constexpr auto kIdlePollInterval = milliseconds(15'000);
@@ -98,6 +101,7 @@
   stored_.notify_one();
   events_changed_.notify_one();
   orders_changed_.notify_one();
+  calls_changed_.notify_all();
   options_.link->interrupt();
   threads_.JoinAll();
   // The threads have ended, so the pending orders need no lock.
@@ -232,37 +236,88 @@
   }
 }
 
-duration agent_session::PollOnce(const worker_progress& progress) {
-  poll_request request;
-  request.epoch = options_.epoch;
-  request.acknowledged_end = progress.last_stored_end;
-  const auto sent_at = options_.clock->Now();
-  // A poll without a response may have renewed the leases. Retries do not renew
-  // them, because the leases of an unreachable worker would otherwise never
-  // expire.
-  const bool is_retry = failed_polls_ > 0;
+bool agent_session::IsRenewalDue(const worker_progress& progress) {
+  const auto now = options_.clock->Now();
   {
     const std::lock_guard lock(mutex_);
     withholds_leases_ = progress.has_overdue_stop;
-    if (worker_clock_.IsKnown() && is_reachable_ && !is_retry &&
-        !withholds_leases_) {
-      request.lease_until_ms =
-          worker_clock_.ExtendLeases(sent_at, options_.authority_end());
+    // A start without a response may reach the next agent. The agent is known
+    // to be the same once a later poll was answered.
+    if (!is_agent_known_ || answered_poll_sent_at_ <= start_lost_at_) {
+      return false;
     }
   }
+  if (progress.last_stored_end > acknowledged_end_) return true;
+  return progress.has_runs && !progress.has_overdue_stop &&
+         now >= next_renewal_at_ && now < options_.authority_end();
+}
+
+bool agent_session::BeginRenewal() {
+  std::unique_lock lock(mutex_);
+  options_.clock->WaitUntil(lock, calls_changed_, time_point::max(), [&] {
+    return is_stopped_ || !is_start_on_the_way_;
+  });
+  if (is_stopped_) return false;
+  is_renewal_on_the_way_ = true;
+  return true;
+}
+
+void agent_session::EndRenewal(bool has_response) {
+  {
+    const std::lock_guard lock(mutex_);
+    is_renewal_on_the_way_ = false;
+    is_renewal_lost_ = !has_response;
+  }
+  calls_changed_.notify_all();
+}
+
+poll_request agent_session::MakeRenewal(const worker_progress& progress,
+                                        time_point now) {
+  poll_request request;
+  request.epoch = options_.epoch;
+  request.needs_same_agent = true;
+  request.acknowledged_end = progress.last_stored_end;
+  request.response_timeout = response_timeout_;
+  const std::lock_guard lock(mutex_);
+  if (progress.has_runs && !withholds_leases_) {
+    request.lease_until_ms =
+        worker_clock_.ExtendLeases(now, options_.authority_end());
+  }
+  return request;
+}
+
+poll_request agent_session::MakeRead(const worker_progress& progress,
+                                     time_point now) {
+  poll_request request;
+  request.epoch = options_.epoch;
+  request.response_timeout = response_timeout_;
+  const bool is_retry = failed_polls_ > 0;
   // The first poll claims the worker and reads its clock; it does not wait.
   if (is_claimed_ && !is_retry && progress.has_runs)
     request.wait = kLongPollTimeout;
-  request.response_timeout = response_timeout_;
   if (is_retry && !are_leases_expired_) {
     // The end of the leases must not be noticed late.
-    request.response_timeout =
-        std::clamp<duration>(LeasesExpireBy() - sent_at, kMinResponseTimeout,
-                             request.response_timeout);
+    request.response_timeout = std::clamp<duration>(
+        LeasesExpireBy() - now, kMinResponseTimeout, request.response_timeout);
   }
+  return request;
+}
+
+duration agent_session::PollOnce(const worker_progress& progress) {
+  const bool is_renewal = IsRenewalDue(progress) && BeginRenewal();
+  const auto sent_at = options_.clock->Now();
+  const poll_request request =
+      is_renewal ? MakeRenewal(progress, sent_at) : MakeRead(progress, sent_at);
   const auto report = Attempt([&] { return options_.link->poll(request); });
   const auto now = options_.clock->Now();
+  const bool is_unsent =
+      !report && report.failure.kind == error_kind::kConflict;
+  if (is_renewal) EndRenewal(report || is_unsent);
+  is_agent_known_ = static_cast<bool>(report);
+  // The next poll finds out which agent listens there now.
+  if (is_unsent) return {};
   if (!report) return HandlePollFailure(report.failure);
+  answered_poll_sent_at_ = sent_at;
   bool becomes_reachable = false;
   bool is_new_agent = false;
   {
@@ -277,7 +332,9 @@
     if (!is_claimed_ || is_new_agent) worker_clock_.AddEarlierLeases(now);
     worker_clock_.Observe(report->clock_ms, now);
     becomes_reachable = !std::exchange(is_reachable_, true);
+    is_renewal_lost_ = false;
   }
+  calls_changed_.notify_all();
   if (becomes_reachable) {
     Emit(options_.log, pool_events::kWorkerReachable,
          {Field("worker", options_.worker.id)});
@@ -292,11 +349,19 @@
   is_claimed_ = true;
   response_timeout_ =
       std::max<duration>(response_timeout_ / 2, kMinResponseTimeout);
-  if (is_new_agent) last_reported_end_ = 0;
+  if (is_new_agent) {
+    last_reported_end_ = 0;
+    acknowledged_end_ = 0;
+    next_renewal_at_ = {};
+  } else if (is_renewal) {
+    acknowledged_end_ = request.acknowledged_end;
+    if (request.lease_until_ms) {
+      next_renewal_at_ = sent_at + options_.lease_duration / kRenewalsPerLease;
+    }
+  }
   are_leases_expired_ = false;
   failed_polls_ = 0;
   callbacks_.on_report(*report, sent_at);
-  acknowledged_end_ = is_new_agent ? 0 : request.acknowledged_end;
   has_new_ends_ = false;
   for (const reported_end& end : report->ended) {
     if (end.sequence <= last_reported_end_) continue;
@@ -340,6 +405,7 @@
     if (is_stopped_) return {};
     becomes_unreachable = std::exchange(is_reachable_, false);
   }
+  calls_changed_.notify_all();
   if (becomes_unreachable) {
     Emit(options_.log, pool_events::kWorkerUnreachable,
          {Field("worker", options_.worker.id),
@@ -399,7 +465,11 @@
   run_lease lease{options_.epoch, 0};
   std::uint64_t agents_seen = 0;
   {
-    const std::lock_guard lock(mutex_);
+    std::unique_lock lock(mutex_);
+    options_.clock->WaitUntil(lock, calls_changed_, time_point::max(), [&] {
+      return is_stopped_ || !is_reachable_ ||
+             (!is_renewal_on_the_way_ && !is_renewal_lost_);
+    });
     if (is_stopped_ || !is_reachable_ || withholds_leases_) {
       return {start_result::kUnreachable, std::nullopt};
     }
@@ -408,15 +478,20 @@
     if (!until_ms) return {start_result::kUnreachable, std::nullopt};
     lease.until_ms = *until_ms;
     agents_seen = agents_seen_;
+    is_start_on_the_way_ = true;
   }
   start_response response = options_.link->start(order, lease);
-  if (response.clock_ms) {
+  {
     const std::lock_guard lock(mutex_);
+    is_start_on_the_way_ = false;
+    const auto now = options_.clock->Now();
+    if (response.result == start_result::kUnknown) start_lost_at_ = now;
     // It may be the late response of an earlier agent.
-    if (agents_seen == agents_seen_) {
-      worker_clock_.Observe(*response.clock_ms, options_.clock->Now());
+    if (response.clock_ms && agents_seen == agents_seen_) {
+      worker_clock_.Observe(*response.clock_ms, now);
     }
   }
+  calls_changed_.notify_all();
   return response;
 }
 
--- a/src/pools/agent_session.h
+++ b/src/pools/agent_session.h
@@ -51,7 +51,7 @@
 
 // What the owner knows about the runs and ends of a worker.
 struct worker_progress {
-  // Last end that is stored; the next poll acknowledges it.
+  // Last end that is stored, so that it may be acknowledged.
   std::uint64_t last_stored_end = 0;
   bool has_runs = false;
   // The scheduler has applied ends that are not stored yet.
@@ -91,6 +91,13 @@
 // The pool owner's session with one worker. One thread renews the worker's
 // leases and polls its report; another sends the orders in the sequence in
 // which they were queued.
+//
+// A worker that restarts under its id executes calls that were meant for the
+// agent before. An acknowledgement would then delete ends that nobody has seen.
+// So polls that wait, and those after a failure, state nothing, and a renewal,
+// which acknowledges ends and extends leases, goes to the agent of the last
+// report only. No start is on the way together with a renewal, so that no run
+// of a next agent can have ended before that executes the renewal.
 class agent_session {
  public:
   // Called on the threads of the session.
@@ -131,6 +138,14 @@
   void RunSender();
   // Polls the worker once and returns how long to wait before the next poll.
   duration PollOnce(const worker_progress& progress);
+  bool IsRenewalDue(const worker_progress& progress);
+  // Waits for the start that is on the way. Returns false if the session was
+  // stopped.
+  bool BeginRenewal();
+  void EndRenewal(bool has_response);
+  poll_request MakeRenewal(const worker_progress& progress, time_point now);
+  // Returns a poll that states nothing.
+  poll_request MakeRead(const worker_progress& progress, time_point now);
   duration HandlePollFailure(const error& failure);
   // Ends the wait for an overdue stop once the leases have expired.
   void EndWithheldLeases();
@@ -171,20 +186,31 @@
   // Starts whose stop was ordered before they were sent. They are never sent,
   // because the worker may restart and forget the stop.
   std::deque<start_order> withdrawn_starts_;
-  worker_clock worker_clock_;  // Guarded by mutex_, like the next four.
+  // Either call has ended, or a poll was answered or has failed.
+  std::condition_variable calls_changed_;
+  worker_clock worker_clock_;  // Guarded by mutex_, like the next eight.
   bool is_reachable_ = true;
+  bool is_start_on_the_way_ = false;
+  bool is_renewal_on_the_way_ = false;
+  // No poll was answered since the last renewal, which got no response.
+  bool is_renewal_lost_ = false;
+  time_point start_lost_at_{};     // When a start last got no response.
   std::uint64_t agents_seen_ = 0;  // That have responded to polls.
   bool withholds_leases_ = false;
   event_counts event_counts_;
   bool is_stopped_ = false;
   bool is_claimed_ = false;  // From here on: used by the poll thread only.
   bool are_leases_expired_ = false;
-  int failed_polls_ = 0;          // Consecutive failures.
-  duration response_timeout_;     // Of the next poll.
+  // No poll has failed since the agent has reported.
+  bool is_agent_known_ = false;
+  time_point answered_poll_sent_at_{};  // When the last answered one was sent.
+  time_point next_renewal_at_{};        // Of the leases.
+  int failed_polls_ = 0;                // Consecutive failures.
+  duration response_timeout_;           // Of the next poll.
   std::int64_t incarnation_ = 0;  // Of the agent that answered the last poll.
   // Highest sequence number in the reports of that agent.
   std::uint64_t last_reported_end_ = 0;
-  std::uint64_t acknowledged_end_ = 0;  // By the last successful poll.
+  std::uint64_t acknowledged_end_ = 0;  // By the last successful renewal.
   bool has_new_ends_ = false;           // In its last report.
   time_point started_at_{};
   thread_group threads_;
--- a/src/pools/platform_services.h
+++ b/src/pools/platform_services.h
@@ -27,8 +27,8 @@
 // to retransmit a segment.
 inline constexpr auto kMinResponseTimeout = milliseconds(300);
 
-// What the owner of a pool sends to a worker to renew the leases and to
-// acknowledge ends.
+// What the owner of a pool sends to a worker to read its report, and to renew
+// the leases and acknowledge ends.
 struct poll_request {
   std::uint64_t epoch = 0;
   // The worker may forget ends up to this one.
@@ -39,6 +39,9 @@
   duration wait{};  // Long-poll timeout: the worker responds at the next end.
   // Time that the response may take beyond that.
   duration response_timeout = kMinResponseTimeout;
+  // Send it only on the connection on which the last report came, so that the
+  // agent of that report receives it.
+  bool needs_same_agent = false;
 };
 
 struct run_lease {
@@ -51,13 +54,14 @@
   std::optional<std::int64_t> clock_ms;  // Present if the worker responded.
 };
 
-// The calls to one incarnation of a worker. Each blocks. `poll` may run at the
-// same time as one of the other calls; each is used by one thread at a time.
+// The calls to a worker, whichever incarnation receives them. Each blocks.
+// `poll` may run at the same time as one of the other calls; each is used by
+// one thread at a time.
 struct agent_link {
-  // Renews the leases and returns the report of the worker. Fails with
-  // `stale_epoch` if the worker obeys a higher epoch, `not_found` if another
-  // incarnation responded, `unavailable` if nothing was sent, `timeout` if it
-  // may have taken effect.
+  // Returns the report of the worker. Fails with `stale_epoch` if the worker
+  // obeys a higher epoch, `not_found` if a worker with another id responded,
+  // `conflict` if it needs the same agent and the connection has closed,
+  // `unavailable` if nothing was sent, `timeout` if it may have taken effect.
   std::function<result<worker_report>(const poll_request& request)> poll;
   std::function<start_response(const start_order& order,
                                const run_lease& lease)>
--- a/tests/adapter/minion_contract_test.cc
+++ b/tests/adapter/minion_contract_test.cc
@@ -132,6 +132,30 @@
   BOOST_TEST(report->ended[1].checkpoint == "00bb");
 }
 
+// Guards against an acknowledgement that reaches the next agent at an address:
+// once the connection of the last report has closed, nothing is sent.
+BOOST_AUTO_TEST_CASE(a_poll_for_the_same_agent_needs_its_connection) {
+  rig test;
+  poll_request renewal{7, 57, 486'000, {}};
+  renewal.needs_same_agent = true;
+  const json report = {
+      {"clock_ms", 1}, {"running", json::array()}, {"finished", json::array()}};
+  const auto poll = [&](const poll_request& request) {
+    return Attempt([&] { return test.link->poll(request); });
+  };
+  BOOST_TEST((poll(renewal).failure.kind == error_kind::kConflict));
+  BOOST_TEST(test.peer.RequestCount() == 0);
+  test.peer.EnqueueResponse(200, report);
+  test.peer.EnqueueResponse(200, report);
+  BOOST_TEST(static_cast<bool>(poll({7, 0, {}, {}})));
+  BOOST_TEST(static_cast<bool>(poll(renewal)));
+  BOOST_TEST(test.peer.LastRequest().body.at("observed") == 57);
+  test.peer.EnqueueResponse({200, json::object(), true});
+  BOOST_TEST((poll({7, 0, {}, {}}).failure.kind == error_kind::kTimeout));
+  BOOST_TEST((poll(renewal).failure.kind == error_kind::kConflict));
+  BOOST_TEST(test.peer.RequestCount() == 3);
+}
+
 // A malformed row is logged; all other rows are read.
 BOOST_AUTO_TEST_CASE(a_malformed_row_is_skipped) {
   rig test;
--- a/tests/pools/restarted_agent_test.cc
+++ b/tests/pools/restarted_agent_test.cc
@@ -20,8 +20,17 @@
   clock_ptr clock = runtime_clock::Running();
   std::mutex mutex;
   std::int64_t incarnation = 1;
-  // Calls fail with this kind.
+  std::int64_t connected_to = 0;  // The agent that answered the last poll.
+  // Polls fail with this kind.
   std::optional<error_kind> failure;
+  bool loses_renewals = false;
+  std::atomic<int> renewals_lost = 0;
+  std::atomic<bool> is_renewing = false;
+  std::atomic<bool> is_starting = false;
+  std::atomic<int> overlaps = 0;  // Of a start and a renewal.
+  std::atomic<int> starts = 0;
+  std::atomic<int> reads_before_start = 0;  // After a renewal was lost.
+  duration lease_duration = milliseconds(5900);
   std::vector<poll_request> polls;  // That the present agent has executed.
   std::atomic<int> polls_lost = 0;
   std::unique_ptr<agent_session> session;
@@ -34,7 +43,13 @@
     options.link->poll = [this](const poll_request& request) {
       return Poll(request);
     };
-    options.link->start = [](const start_order&, const run_lease&) {
+    options.lease_duration = lease_duration;
+    options.link->start = [this](const start_order&, const run_lease&) {
+      is_starting = true;
+      if (is_renewing) ++overlaps;
+      clock->SleepFor(kCallTime);
+      is_starting = false;
+      ++starts;
       return start_response{start_result::kStarted, 1};
     };
     options.link->stop = [](const stop_order&, std::uint64_t) { return true; };
@@ -56,18 +71,34 @@
   }
 
   result<worker_report> Poll(const poll_request& request) {
+    const bool is_renewal = IsRenewal(request);
+    is_renewing = is_renewal;
+    if (is_renewal && is_starting) ++overlaps;
     clock->SleepFor(kCallTime);
+    is_renewing = false;
     const std::lock_guard lock(mutex);
+    if (request.needs_same_agent && connected_to != incarnation) {
+      return Fail(error_kind::kConflict, "closed", "read");
+    }
+    if (is_renewal && loses_renewals) {
+      ++renewals_lost;
+      return Fail(error_kind::kTimeout, "lost", "read");
+    }
+    if (renewals_lost > 0 && starts == 0) ++reads_before_start;
     if (failure) {
       ++polls_lost;
       return Fail(*failure, "no agent", "wait");
     }
     polls.push_back(request);
+    connected_to = incarnation;
     worker_report report;
     report.incarnation = incarnation;
     report.clock_ms = ToMs(clock->Now().time_since_epoch());
     return report;
   }
+  static bool IsRenewal(const poll_request& request) {
+    return request.acknowledged_end > 0 || request.lease_until_ms;
+  }
   void Fall(error_kind kind) {
     const std::lock_guard lock(mutex);
     failure = kind;
@@ -128,6 +159,54 @@
   BOOST_TEST(!worker.FirstPoll().lease_until_ms.has_value());
 }
 
+// Guards against the same where no poll has failed: the worker restarts between
+// two polls, and its address accepts connections all the while.
+BOOST_AUTO_TEST_CASE(a_renewal_reaches_no_other_agent) {
+  constexpr auto kLimit = std::chrono::seconds(5);
+  restarting_worker worker;
+  worker.lease_duration = milliseconds(60);
+  worker.StartSession();
+  for (int restarts = 0; restarts < 5; ++restarts) {
+    BOOST_REQUIRE(
+        worker.Within(kLimit, [&] { return worker.PollCount() >= 5; }));
+    worker.Restart();
+    BOOST_REQUIRE(
+        worker.Within(kLimit, [&] { return worker.PollCount() > 0; }));
+    BOOST_TEST(!worker.IsRenewal(worker.FirstPoll()));
+  }
+}
+
+// Guards against a result that is lost: a start and a renewal were on the way
+// when the agent restarted, the next one executed both, and the run had ended
+// in between.
+BOOST_AUTO_TEST_CASE(no_start_is_on_the_way_beside_a_renewal) {
+  constexpr int kStarts = 40;
+  restarting_worker worker;
+  worker.lease_duration = milliseconds(60);
+  worker.StartSession();
+  for (int i = 0; i < kStarts; ++i) {
+    worker.session->Send(start_order{"w1", {"job", 0, 0, 0}, 1, "", "", ""});
+    worker.clock->SleepFor(milliseconds(3));
+  }
+  BOOST_TEST(worker.Within(std::chrono::seconds(5),
+                           [&] { return worker.starts == kStarts; }));
+  BOOST_TEST(worker.overlaps == 0);
+}
+
+// Guards against the same where the renewal got no response: it may still be on
+// the way.
+BOOST_AUTO_TEST_CASE(a_start_waits_for_a_report_after_a_lost_renewal) {
+  constexpr auto kLimit = std::chrono::seconds(5);
+  restarting_worker worker;
+  worker.loses_renewals = true;
+  worker.StartSession();
+  BOOST_REQUIRE(
+      worker.Within(kLimit, [&] { return worker.renewals_lost > 0; }));
+  worker.session->Send(start_order{"w1", {"job", 0, 0, 0}, 1, "", "", ""});
+  BOOST_TEST(worker.Within(kLimit, [&] { return worker.starts > 0; }));
+  BOOST_TEST(worker.reads_before_start > 0);
+}
+
 // Guards against ends that are never acknowledged.
 BOOST_AUTO_TEST_CASE(a_known_agent_gets_acknowledgements_and_leases) {
   constexpr auto kLimit = std::chrono::seconds(5);
