A start that may reach the next agent of a worker is settled there

Cause: the first report of another incarnation ended all known runs. A start without a response, a lost copy of one, or one that the new agent answered after it had made that report, was executed there while its task ran elsewhere. Change: such runs are kept. What the new agent answered is decided by its next report. Runs that the earlier agent certainly had end at once, as before.

--- a/src/graph/pool_crashes.cc
+++ b/src/graph/pool_crashes.cc
@@ -121,11 +121,13 @@
 
 void pool_scheduler::OnWorkerCrashed(worker_state& worker,
                                      const worker_report* report,
-                                     time_point now) {
+                                     time_point sent_at, time_point now) {
   std::vector<crashed_run> runs;
   for (const auto& [task, run] : worker.runs) {
     if (run.job == nullptr) continue;
     if (report != nullptr && Lists(*report, task, run.number)) continue;
+    // The next agent has answered its start.
+    if (report != nullptr && run.confirmed_at >= sent_at) continue;
     runs.push_back({task, run.number, IsEvidence(worker, run), run.is_alone});
   }
   for (const auto& [run, is_evidence] : worker.expired_runs) {
--- a/src/graph/pool_model.h
+++ b/src/graph/pool_model.h
@@ -40,6 +40,11 @@
   time_point stopping_since{};
   time_point confirmed_at{};  // When the worker last confirmed its state.
   time_point next_stop_at{};  // When the next stop order is due.
+  // Until then a copy of its start order may be executed, by this agent or a
+  // later one of the worker. Without end while the order has no result.
+  time_point may_start_until = time_point::max();
+  // It was ordered from an earlier agent of the worker than the present one.
+  bool is_of_earlier_agent = false;
   std::string checkpoint;
   std::int64_t percent = 0;
   std::int64_t load = 0;
--- a/src/graph/pool_runs.cc
+++ b/src/graph/pool_runs.cc
@@ -40,6 +40,14 @@
 // run ended.
 constexpr auto kMaxContactGap = milliseconds(1000);
 
+bool IsRunning(const worker_report& report, const task_key& task,
+               std::uint64_t run) {
+  return std::any_of(report.running.begin(), report.running.end(),
+                     [&](const reported_run& each) {
+                       return each.run == run && each.task == task;
+                     });
+}
+
 }  // namespace
 
 bool HasOverdueStop(const worker_state& worker, time_point now) {
@@ -66,8 +74,10 @@
   if (report.incarnation != worker->agent_incarnation) {
     if (worker->agent_incarnation != 0) {
       LogRestart(*worker, report, sent_at);
-      if (!worker->is_leave_planned) OnWorkerCrashed(*worker, &report, now);
-      ResetWorker(*worker, now);
+      if (!worker->is_leave_planned) {
+        OnWorkerCrashed(*worker, &report, sent_at, now);
+      }
+      ResetWorker(*worker, report, sent_at, now);
     }
     worker->agent_incarnation = report.incarnation;
     worker->is_leave_planned = worker->info.incarnation == report.incarnation &&
@@ -151,6 +161,7 @@
   adopted.phase = run_phase::kRunning;
   adopted.ordered_at = now;
   adopted.confirmed_at = now;
+  adopted.may_start_until = {};
   adopted.checkpoint = run.checkpoint;
   ++run_counts_.adopted;
   const auto log_adoption = [&](std::uint64_t last_run, bool is_kept) {
@@ -328,9 +339,10 @@
   for (const reported_run& run : report.running) listed.insert(run.task);
   std::vector<task_key> missing;
   for (const auto& [task, run] : worker.runs) {
-    const bool is_confirmed =
-        run.phase == run_phase::kRunning ||
-        (run.phase == run_phase::kStopping && run.stop_confirmed);
+    const bool is_stopped =
+        run.phase == run_phase::kStopping && run.stop_confirmed &&
+        (!run.is_of_earlier_agent || run.may_start_until <= now);
+    const bool is_confirmed = run.phase == run_phase::kRunning || is_stopped;
     // A report that was requested before the last confirmation may be older
     // than that and proves nothing.
     if (is_confirmed && run.confirmed_at < sent_at && !listed.contains(task)) {
@@ -490,10 +502,35 @@
   }
 }
 
-void pool_scheduler::ResetWorker(worker_state& worker, time_point now) {
-  while (!worker.runs.empty()) {
-    const auto& [task, run] = *worker.runs.begin();
-    const std::string checkpoint = run.checkpoint;
+bool pool_scheduler::MayBeOfNextAgent(const task_run& run, time_point sent_at,
+                                      time_point now) {
+  if (run.may_start_until > now) return true;
+  return run.phase == run_phase::kRunning && run.confirmed_at >= sent_at;
+}
+
+void pool_scheduler::KeepForNextAgent(task_run& run, time_point now) {
+  run.is_of_earlier_agent = true;
+  // Only the next report shows whether the new agent has answered the start.
+  if (run.may_start_until <= now) return;
+  // The new agent knows of no stop, and must reject the start from now on.
+  StopRun(run, now);
+  run.stop_confirmed = false;
+  run.next_stop_at = now;
+}
+
+void pool_scheduler::ResetWorker(worker_state& worker,
+                                 const worker_report& report,
+                                 time_point sent_at, time_point now) {
+  std::vector<task_key> lost;
+  for (auto& [task, run] : worker.runs) {
+    if (!MayBeOfNextAgent(run, sent_at, now)) {
+      lost.push_back(task);
+    } else if (!IsRunning(report, task, run.number)) {
+      KeepForNextAgent(run, now);
+    }
+  }
+  for (const task_key& task : lost) {
+    const std::string checkpoint = worker.runs.at(task).checkpoint;
     EndRun(worker, task, run_outcome::kLeaseExpired, checkpoint, now);
   }
   worker.is_claimed = false;
@@ -521,7 +558,7 @@
   }
   // If the leases only expired, a new incarnation may still show a crash.
   if (has_exited && !worker->is_leave_planned) {
-    OnWorkerCrashed(*worker, nullptr, now);
+    OnWorkerCrashed(*worker, nullptr, now, now);
     worker->is_exit_assumed = true;
   }
   worker->leases_expired_at = now;
@@ -569,6 +606,9 @@
     unanswered_starts_.erase(unanswered);
   }
   graph_job* job = run.job;
+  const bool may_start_late =
+      order.has_lost_copies || result == start_result::kUnknown;
+  run.may_start_until = may_start_late ? now + kMaxCallDelay : time_point{};
   if (result == start_result::kStarted) {
     run.confirmed_at = now;
     worker->last_contact_at = now;
--- a/src/graph/pool_scheduler.h
+++ b/src/graph/pool_scheduler.h
@@ -38,6 +38,9 @@
   std::string payload;
   std::string checkpoint;
   std::string ticket;
+  // In the result of the order: a copy of it got no response and may still be
+  // executed.
+  bool has_lost_copies = false;
 };
 
 struct stop_order {
@@ -438,8 +441,16 @@
   void StopJob(graph_job& job, time_point now);
   void LogRestart(const worker_state& worker, const worker_report& report,
                   time_point sent_at) const;
-  // Ends all runs of a worker whose agent has restarted.
-  void ResetWorker(worker_state& worker, time_point now);
+  // Returns true if the agent that has made the report, which was requested at
+  // `sent_at`, or a later one may have the run, although an earlier agent was
+  // to start it.
+  static bool MayBeOfNextAgent(const task_run& run, time_point sent_at,
+                               time_point now);
+  void KeepForNextAgent(task_run& run, time_point now);
+  // Ends the runs that an earlier agent of the worker had than that of the
+  // report.
+  void ResetWorker(worker_state& worker, const worker_report& report,
+                   time_point sent_at, time_point now);
   // Counts consecutive failures on the worker.
   void RecordOutcome(worker_state& worker, run_outcome outcome, time_point now);
 
@@ -471,10 +482,10 @@
     std::string worker;
   };
   // Counts the crash for the runs that were on the worker. `report` is that of
-  // the next incarnation if it showed the crash: a start that was ordered
-  // before may have reached that one.
+  // the next incarnation, requested at `sent_at`, if it showed the crash: a
+  // start that was ordered before may have reached that one.
   void OnWorkerCrashed(worker_state& worker, const worker_report* report,
-                       time_point now);
+                       time_point sent_at, time_point now);
   // Returns true if a crash of the worker counts against the task of the run.
   static bool IsEvidence(const worker_state& worker, const task_run& run);
   // Returns false if the crash is counted already or does not matter any more.
--- a/src/pools/agent_session.cc
+++ b/src/pools/agent_session.cc
@@ -514,7 +514,9 @@
   }
   if (response.result == start_result::kStaleEpoch)
     callbacks_.on_epoch_rejected();
-  callbacks_.on_start_result(order, response.result);
+  start_order sent = order;
+  sent.has_lost_copies = attempts > 1;
+  callbacks_.on_start_result(sent, response.result);
 }
 
 }  // namespace apricotwheel
--- a/tests/graph/restarted_worker_test.cc
+++ b/tests/graph/restarted_worker_test.cc
@@ -102,11 +102,53 @@
   BOOST_TEST(rig.Decide().starts.empty());
   rig.scheduler.OnStopResult({"w1", rig.order.task, rig.order.run}, true,
                              rig.now);
+  rig.scheduler.OnStartResult(rig.order, start_result::kUnknown, rig.now);
   rig.AdvanceClock(milliseconds(1));
   BOOST_TEST(rig.CountRunsDuring(kLongTime) == 1);
   BOOST_TEST(rig.CountRuns(rig.order.task) == 1);
 }
 
+// Guards against the same where the worker restarts twice: the agent after the
+// next one knows of no stop either.
+BOOST_AUTO_TEST_CASE(a_start_may_reach_the_agent_after_the_next) {
+  restart_rig rig;
+  rig.scheduler.OnStartResult(rig.order, start_result::kUnknown, rig.now);
+  const time_point lost_at = rig.now;
+  for (int restarts = 0; restarts < 2; ++restarts) {
+    rig.Restart("w1");
+    BOOST_TEST(rig.CountRunsDuring(milliseconds(500)) == 0);
+  }
+  rig.ExecuteUnanswered(rig.order);
+  BOOST_TEST(rig.CountRunsDuring(milliseconds(500)) == 1);
+  // After the stop it goes on elsewhere, once no copy can arrive any more.
+  rig.Restart("w1");
+  while (rig.now < lost_at + kMaxCallDelay) {
+    rig.ReportAll();
+    BOOST_TEST(rig.Decide().starts.empty());
+    rig.scheduler.OnStopResult({"w1", rig.order.task, rig.order.run}, true,
+                               rig.now);
+    rig.AdvanceClock(milliseconds(100));
+  }
+  rig.ReportAll();
+  BOOST_TEST(rig.CountRunsDuring(milliseconds(200)) == 1);
+}
+
+// Guards against a task that runs twice because of a copy of its start: the
+// first one got no response, the second started the run, and the agent that
+// had it has restarted.
+BOOST_AUTO_TEST_CASE(a_lost_copy_of_a_start_may_reach_the_next_agent) {
+  restart_rig rig;
+  start_order repeated = rig.order;
+  repeated.has_lost_copies = true;
+  rig.CarryOutStart(repeated);
+  rig.ReportWorker("w1");
+  rig.Restart("w1");
+  rig.ReportWorker("w1");
+  BOOST_TEST(rig.Decide().starts.empty());
+  rig.ExecuteUnanswered(rig.order);
+  BOOST_TEST(rig.CountRunsDuring(kLongTime) == 1);
+}
+
 // Guards against a task that runs twice: the next agent answered its start
 // right after it had made its first report, which ended the run.
 BOOST_AUTO_TEST_CASE(a_start_is_answered_after_the_report_was_made) {
