Late starts outlast the leases of a worker that restarts unseen

Cause: a start without a response is bounded by a lease on the clock of the agent that it was meant for. A later agent, whose clock starts anew, grants it a whole lease from its arrival, so its run could outlive what the owner computed for a silent worker, and the task started elsewhere meanwhile. A renewal without a response could delete ends of runs that were started at the next agent. Change: runs of which a start may still arrive are kept when the leases end, and end a lease after its last possible arrival; the other runs of the worker end as before. A new agent gets no start while a renewal meant for the one before may arrive. Both are carried over to the next session with the worker and to the successor of a planned hand-over.

--- a/src/graph/pool_runs.cc
+++ b/src/graph/pool_runs.cc
@@ -547,7 +547,7 @@
 }
 
 void pool_scheduler::ExpireWorkerLeases(std::string_view id, bool has_exited,
-                                        time_point now) {
+                                        time_point now, bool may_start_late) {
   unverified_workers_.erase(std::string(id));
   worker_state* worker = FindWorker(id);
   if (worker == nullptr) return;
@@ -566,8 +566,17 @@
   if (HasOverdueStop(*worker, now)) {
     worker->avoid_until = now + kAvoidFailingTime;
   }
-  while (!worker->runs.empty()) {
-    const auto& [task, run] = *worker->runs.begin();
+  std::vector<task_key> ended;
+  for (auto& [task, run] : worker->runs) {
+    // The agent of the last contact would have shown a start that had arrived.
+    if (may_start_late && run.may_start_until > worker->last_contact_at) {
+      StopRun(run, now);
+    } else {
+      ended.push_back(task);
+    }
+  }
+  for (const task_key& task : ended) {
+    const task_run& run = worker->runs.at(task);
     worker->expired_runs[{task, run.number}] = IsEvidence(*worker, run);
     const std::string checkpoint = run.checkpoint;
     EndRun(*worker, task, run_outcome::kLeaseExpired, checkpoint, now);
--- a/src/graph/pool_scheduler.h
+++ b/src/graph/pool_scheduler.h
@@ -257,9 +257,10 @@
                    time_point sent_at, time_point now);
   // All leases of the worker have expired or its agent has exited, so that no
   // run that was ordered before can still exist there. An exit counts as a
-  // crash unless the worker drains.
+  // crash unless the worker drains. If `may_start_late`, runs are kept of which
+  // a later agent may still execute the start, until another call.
   void ExpireWorkerLeases(std::string_view worker, bool has_exited,
-                          time_point now);
+                          time_point now, bool may_start_late = false);
   // Handles the result of a start order.
   void OnStartResult(const start_order& order, start_result result,
                      time_point now);
--- a/src/pools/agent_session.cc
+++ b/src/pools/agent_session.cc
@@ -84,6 +84,7 @@
     : options_(std::move(options)),
       callbacks_(std::move(handlers)),
       worker_clock_(options_.lease_duration),
+      late_calls_(options_.earlier_calls),
       response_timeout_(kMinResponseTimeout) {}
 
 result<void> agent_session::Start() {
@@ -267,6 +268,9 @@
     const std::lock_guard lock(mutex_);
     is_renewal_on_the_way_ = false;
     is_renewal_lost_ = !has_response;
+    if (!has_response) {
+      late_calls_.renewals = options_.clock->Now() + duration(kMaxCallDelay);
+    }
   }
   calls_changed_.notify_all();
 }
@@ -329,7 +333,11 @@
       ++agents_seen_;
       worker_clock_.Forget();
     }
-    if (!is_claimed_ || is_new_agent) worker_clock_.AddEarlierLeases(now);
+    if (!is_claimed_ || is_new_agent) {
+      worker_clock_.AddEarlierLeases(
+          std::max({now, late_calls_.starts, late_calls_.renewals}));
+    }
+    if (is_new_agent) starts_withheld_until_ = late_calls_.renewals;
     worker_clock_.Observe(report->clock_ms, now);
     becomes_reachable = !std::exchange(is_reachable_, true);
     is_renewal_lost_ = false;
@@ -360,6 +368,7 @@
     }
   }
   are_leases_expired_ = false;
+  may_start_late_ = false;
   failed_polls_ = 0;
   callbacks_.on_report(*report, sent_at);
   has_new_ends_ = false;
@@ -378,7 +387,16 @@
   // A successor may have claimed the worker since it sent the report.
   if (!options_.was_owner_at(expired_by)) return;
   // The next report claims the worker again.
-  callbacks_.on_leases_expired(false);
+  const bool may_start_late = options_.clock->Now() < LateStartsExpireBy();
+  callbacks_.on_leases_expired({false, may_start_late});
+}
+
+void agent_session::EndLateStarts(time_point now) {
+  if (!may_start_late_) return;
+  const time_point expired_by = LateStartsExpireBy();
+  if (now < expired_by || !options_.was_owner_at(expired_by)) return;
+  may_start_late_ = false;
+  callbacks_.on_leases_expired({has_exited_, false});
 }
 
 duration agent_session::HandlePollFailure(const error& failure) {
@@ -411,7 +429,10 @@
          {Field("worker", options_.worker.id),
           Field("reason", Describe(failure))});
   }
-  if (are_leases_expired_) return kPollRetryInterval;
+  if (are_leases_expired_) {
+    EndLateStarts(now);
+    return kPollRetryInterval;
+  }
   // Two processes cannot listen at one address, so another agent's answer where
   // this worker has responded before shows that it has exited. The address of a
   // worker that never responded there may be another one's.
@@ -428,7 +449,10 @@
     }
     are_leases_expired_ = true;
     is_claimed_ = false;
-    callbacks_.on_leases_expired(has_exited);
+    has_exited_ = has_exited;
+    // A worker with another id rejects all calls meant for this one.
+    may_start_late_ = !is_replaced && now < LateStartsExpireBy();
+    callbacks_.on_leases_expired({has_exited, may_start_late_});
   }
   return kPollRetryInterval;
 }
@@ -448,6 +472,18 @@
                    started_at_ + LongestHold(options_.lease_duration)});
 }
 
+time_point agent_session::LateStartsExpireBy() {
+  const late_calls late = LateCalls();
+  if (late.starts == time_point{}) return {};
+  return std::max(late.starts, late.renewals) +
+         LongestHold(options_.lease_duration);
+}
+
+late_calls agent_session::LateCalls() {
+  const std::lock_guard lock(mutex_);
+  return late_calls_;
+}
+
 void agent_session::RunSender() {
   while (const auto next = NextOrder()) {
     if (const auto* start = std::get_if<start_order>(&*next)) {
@@ -470,11 +506,13 @@
       return is_stopped_ || !is_reachable_ ||
              (!is_renewal_on_the_way_ && !is_renewal_lost_);
     });
-    if (is_stopped_ || !is_reachable_ || withholds_leases_) {
+    const auto now = options_.clock->Now();
+    if (is_stopped_ || !is_reachable_ || withholds_leases_ ||
+        now < starts_withheld_until_) {
       return {start_result::kUnreachable, std::nullopt};
     }
-    const auto until_ms = worker_clock_.ExtendLeases(options_.clock->Now(),
-                                                     options_.authority_end());
+    const auto until_ms =
+        worker_clock_.ExtendLeases(now, options_.authority_end());
     if (!until_ms) return {start_result::kUnreachable, std::nullopt};
     lease.until_ms = *until_ms;
     agents_seen = agents_seen_;
@@ -485,7 +523,10 @@
     const std::lock_guard lock(mutex_);
     is_start_on_the_way_ = false;
     const auto now = options_.clock->Now();
-    if (response.result == start_result::kUnknown) start_lost_at_ = now;
+    if (response.result == start_result::kUnknown) {
+      start_lost_at_ = now;
+      late_calls_.starts = now + duration(kMaxCallDelay);
+    }
     // It may be the late response of an earlier agent.
     if (response.clock_ms && agents_seen == agents_seen_) {
       worker_clock_.Observe(*response.clock_ms, now);
--- a/src/pools/agent_session.h
+++ b/src/pools/agent_session.h
@@ -61,6 +61,20 @@
   bool has_overdue_stop = false;
 };
 
+// Until when calls without a response may still be executed, also by a later
+// agent of the worker.
+struct late_calls {
+  time_point starts{};
+  time_point renewals{};
+};
+
+// Why and how far the leases of a worker have ended.
+struct lease_expiry {
+  bool has_exited = false;  // The agent has exited.
+  // A later agent may still execute a start, and run it for a lease.
+  bool may_start_late = false;
+};
+
 struct agent_session_options {
   pool_worker worker;
   std::uint64_t epoch = 0;
@@ -83,6 +97,7 @@
   std::function<std::optional<time_point>()> released_leases_end = [] {
     return std::optional<time_point>();
   };
+  late_calls earlier_calls;  // Of earlier sessions with the worker.
   duration lease_duration = milliseconds(5900);
   clock_ptr clock;
   log_sink log;
@@ -103,8 +118,9 @@
   // Called on the threads of the session.
   struct callbacks {
     std::function<void(const worker_report&, time_point sent_at)> on_report;
-    // All leases have expired or the agent has exited: nothing runs there.
-    std::function<void(bool has_exited)> on_leases_expired;
+    // All leases have expired or the agent has exited: nothing runs there, but
+    // for late starts. Called again when these cannot run any more either.
+    std::function<void(const lease_expiry&)> on_leases_expired;
     std::function<void(const start_order&, start_result)> on_start_result;
     std::function<void(const stop_order&, bool is_accepted)> on_stop_result;
     // The worker has obeyed the owner of a higher epoch.
@@ -129,6 +145,9 @@
   // Returns when no lease that was granted to the worker can hold any more. For
   // the poll thread, and for others after `Stop`.
   time_point LeasesExpireBy();
+  // Returns when late starts cannot run any more, at a later agent either.
+  time_point LateStartsExpireBy();
+  late_calls LateCalls();
 
  private:
   using worker_order = std::variant<start_order, stop_order, throttle_order>;
@@ -149,6 +168,9 @@
   duration HandlePollFailure(const error& failure);
   // Ends the wait for an overdue stop once the leases have expired.
   void EndWithheldLeases();
+  void ReportLeasesExpired(bool has_exited, time_point now);
+  // Reports the end of late starts once it has come.
+  void EndLateStarts(time_point now);
   // Events for which the poll thread may wait. A caller reads them before it
   // checks for work and passes them to a wait, which then returns at once if an
   // event came in between.
@@ -188,19 +210,24 @@
   std::deque<start_order> withdrawn_starts_;
   // Either call has ended, or a poll was answered or has failed.
   std::condition_variable calls_changed_;
-  worker_clock worker_clock_;  // Guarded by mutex_, like the next eight.
+  worker_clock worker_clock_;  // Guarded by mutex_, like the next ten.
   bool is_reachable_ = true;
   bool is_start_on_the_way_ = false;
   bool is_renewal_on_the_way_ = false;
   // No poll was answered since the last renewal, which got no response.
   bool is_renewal_lost_ = false;
-  time_point start_lost_at_{};     // When a start last got no response.
+  time_point start_lost_at_{};  // When a start last got no response.
+  late_calls late_calls_;
+  // A late renewal would delete ends of new runs until then.
+  time_point starts_withheld_until_{};
   std::uint64_t agents_seen_ = 0;  // That have responded to polls.
   bool withholds_leases_ = false;
   event_counts event_counts_;
   bool is_stopped_ = false;
   bool is_claimed_ = false;  // From here on: used by the poll thread only.
   bool are_leases_expired_ = false;
+  bool has_exited_ = false;  // The leases have expired by that.
+  bool may_start_late_ = false;
   // No poll has failed since the agent has reported.
   bool is_agent_known_ = false;
   time_point answered_poll_sent_at_{};  // When the last answered one was sent.
--- a/src/pools/pool_owner.h
+++ b/src/pools/pool_owner.h
@@ -213,7 +213,7 @@
 
   // Logs that the leases of a worker have ended for this owner. Called with
   // mutex_ held.
-  void ReportLeasesEnded(const std::string& worker, bool has_exited);
+  void ReportLeasesEnded(const std::string& worker, const lease_expiry& expiry);
 
   // Defined in pool_owner_authority.cc.
   // Keeps the ownership confirmed.
@@ -226,6 +226,7 @@
   // `RunAuthority`.
   void EndEarlierLeases();
   // Notes when the leases end that a stopped session has granted.
+  late_calls LateCallsOfStoppedSessions(const std::string& worker) const;
   void KeepLeasesOf(const std::string& worker, agent_session& session);
   // See `agent_session_options::released_leases_end`.
   std::optional<time_point> ReleasedLeasesEnd(const std::string& worker) const;
@@ -253,6 +254,7 @@
   std::map<std::string, limit_portion> portions_;    // By organisation.
   // When the leases end that stopped sessions have granted, by worker.
   std::map<std::string, time_point, std::less<>> leases_of_stopped_sessions_;
+  std::map<std::string, late_calls, std::less<>> late_calls_;  // Of these.
   // By the word of the owner that this one has followed.
   struct released_leases {
     std::map<std::string, time_point, std::less<>> ends;  // By worker.
--- a/src/pools/pool_owner_authority.cc
+++ b/src/pools/pool_owner_authority.cc
@@ -61,15 +61,28 @@
 
 void pool_owner::KeepLeasesOf(const std::string& worker,
                               agent_session& session) {
-  const time_point expired_by = session.LeasesExpireBy();
+  const time_point expired_by =
+      std::max(session.LeasesExpireBy(), session.LateStartsExpireBy());
+  const late_calls late = session.LateCalls();
   const std::lock_guard lock(mutex_);
   const auto now = options_.clock->Now();
+  std::erase_if(late_calls_, [&](const auto& row) {
+    return std::max(row.second.starts, row.second.renewals) <= now;
+  });
+  late_calls_[worker] = late;
   std::erase_if(leases_of_stopped_sessions_,
                 [&](const auto& row) { return row.second <= now; });
   time_point& kept = leases_of_stopped_sessions_[worker];
   kept = std::max(kept, expired_by);
 }
 
+late_calls pool_owner::LateCallsOfStoppedSessions(
+    const std::string& worker) const {
+  const std::lock_guard lock(mutex_);
+  const auto found = late_calls_.find(worker);
+  return found == late_calls_.end() ? late_calls{} : found->second;
+}
+
 lease_release pool_owner::ReleasedLeases() const {
   const std::lock_guard lock(mutex_);
   const auto now = options_.clock->Now();
--- a/src/pools/pool_owner_workers.cc
+++ b/src/pools/pool_owner_workers.cc
@@ -171,6 +171,7 @@
   options.released_leases_end = [this, id = worker.id] {
     return ReleasedLeasesEnd(id);
   };
+  options.earlier_calls = LateCallsOfStoppedSessions(worker.id);
   options.lease_duration = options_.task_lease;
   options.clock = options_.clock;
   options.log = options_.log;
@@ -208,14 +209,16 @@
       });
 }
 
-void pool_owner::ReportLeasesEnded(const std::string& worker, bool has_exited) {
+void pool_owner::ReportLeasesEnded(const std::string& worker,
+                                   const lease_expiry& expiry) {
   const auto now = options_.clock->Now();
   const duration age = now - authority_.ConfirmedAt();
   options_.metrics->confirmation_age_seconds.Observe(
       std::chrono::duration<double>(age).count());
   Emit(options_.log, pool_events::kLeasesEnded,
        {Field("pool", options_.pool), Field("epoch", options_.epoch),
-        Field("worker", worker), Field("exited", has_exited ? 1 : 0),
+        Field("worker", worker), Field("exited", expiry.has_exited ? 1 : 0),
+        Field("late_starts", expiry.may_start_late ? 1 : 0),
         Field("unverified", scheduler_->IsUnverified(worker) ? 1 : 0),
         Field("runs", scheduler_->CountRuns(worker)),
         Field("confirmed_ms", ToMs(age))});
@@ -233,17 +236,19 @@
     if (!listed_workers_.contains(id)) workers_changed_ = true;
     RequestDecision();
   };
-  callbacks.on_leases_expired = [this, id,
-                                 address = worker.address](bool is_certain) {
-    // Nothing runs there in any case. What looks like an exit counts as a crash
-    // until the same agent reports again.
-    const bool has_exited = is_certain || (!IsListed(id) && IsRefused(address));
-    const std::lock_guard lock(mutex_);
-    ReportLeasesEnded(id, is_certain);
-    scheduler_->ExpireWorkerLeases(id, has_exited, options_.clock->Now());
-    if (!listed_workers_.contains(id)) workers_changed_ = true;
-    RequestDecision();
-  };
+  callbacks.on_leases_expired =
+      [this, id, address = worker.address](const lease_expiry& expiry) {
+        // What looks like an exit counts as a crash until the same agent
+        // reports again.
+        const bool has_exited =
+            expiry.has_exited || (!IsListed(id) && IsRefused(address));
+        const std::lock_guard lock(mutex_);
+        ReportLeasesEnded(id, expiry);
+        scheduler_->ExpireWorkerLeases(id, has_exited, options_.clock->Now(),
+                                       expiry.may_start_late);
+        if (!listed_workers_.contains(id)) workers_changed_ = true;
+        RequestDecision();
+      };
   callbacks.on_start_result = [this](const start_order& order,
                                      start_result result) {
     options_.metrics->CountStart(std::string(ToString(result)));
--- a/tests/graph/restarted_worker_test.cc
+++ b/tests/graph/restarted_worker_test.cc
@@ -199,6 +199,27 @@
   }
 }
 
+// Guards against a task that runs twice: its worker fell silent before it
+// answered the start, and the leases of the agent that was known then counted
+// as the end of what a next agent executes.
+BOOST_AUTO_TEST_CASE(a_start_to_a_silent_worker_outlasts_the_leases) {
+  restart_rig rig;
+  rig.scheduler.AdmitJob(MakeJob("known", {MakeStep(1, kSmall)}), rig.now);
+  const start_order known = rig.Decide().starts.at(0);
+  rig.CarryOutStart(known);
+  rig.ReportAll();
+  rig.scheduler.OnStartResult(rig.order, start_result::kUnknown, rig.now);
+  rig.scheduler.ExpireWorkerLeases("w1", false, rig.now, true);
+  rig.scheduler.ExpireWorkerLeases("w2", false, rig.now, true);
+  rig.AddWorker("w3", kWorker);
+  // What the earlier agent had certainly starts again, the other task waits.
+  const auto starts = rig.Decide().starts;
+  BOOST_REQUIRE_EQUAL(starts.size(), 1);
+  BOOST_TEST((starts[0].task == known.task));
+  rig.scheduler.ExpireWorkerLeases("w1", false, rig.now, false);
+  BOOST_TEST(rig.Decide().starts.size() == 1);
+}
+
 // Guards against a gang of which some members run twice.
 BOOST_AUTO_TEST_CASE(a_gang_waits_for_a_start_that_may_come_late) {
   restart_rig rig(2, true);
--- a/tests/pools/agent_session_test.cc
+++ b/tests/pools/agent_session_test.cc
@@ -73,9 +73,9 @@
     options.was_owner_at = was_owner_at;
     agent_session::callbacks callbacks;
     callbacks.on_report = [](const worker_report&, time_point) {};
-    callbacks.on_leases_expired = [this](bool is_exit) {
+    callbacks.on_leases_expired = [this](const lease_expiry& expiry) {
       ++expirations;
-      if (is_exit) ++exits;
+      if (expiry.has_exited) ++exits;
     };
     callbacks.on_start_result = [this](const start_order&,
                                        start_result answer) {
--- a/tests/pools/restarted_agent_test.cc
+++ b/tests/pools/restarted_agent_test.cc
@@ -30,6 +30,10 @@
   std::atomic<int> overlaps = 0;  // Of a start and a renewal.
   std::atomic<int> starts = 0;
   std::atomic<int> reads_before_start = 0;  // After a renewal was lost.
+  bool loses_starts = false;
+  std::atomic<time_point> last_start_at{};
+  std::atomic<time_point> leases_expired_at{};
+  std::atomic<time_point> late_starts_expired_at{};
   duration lease_duration = milliseconds(5900);
   std::vector<poll_request> polls;  // That the present agent has executed.
   std::atomic<int> polls_lost = 0;
@@ -50,13 +54,19 @@
       clock->SleepFor(kCallTime);
       is_starting = false;
       ++starts;
+      last_start_at = clock->Now();
+      if (loses_starts) return start_response{};
       return start_response{start_result::kStarted, 1};
     };
     options.link->stop = [](const stop_order&, std::uint64_t) { return true; };
     options.link->interrupt = [] {};
     agent_session::callbacks callbacks;
     callbacks.on_report = [](const worker_report&, time_point) {};
-    callbacks.on_leases_expired = [](bool) {};
+    callbacks.on_leases_expired = [this](const lease_expiry& expiry) {
+      auto& at =
+          expiry.may_start_late ? leases_expired_at : late_starts_expired_at;
+      at = clock->Now();
+    };
     callbacks.on_start_result = [](const start_order&, start_result) {};
     callbacks.on_stop_result = [](const stop_order&, bool) {};
     callbacks.on_epoch_rejected = [] {};
@@ -207,6 +217,51 @@
   BOOST_TEST(worker.reads_before_start > 0);
 }
 
+// Guards against the same at the next agent: a renewal that the one before did
+// not answer may delete ends of runs that start there.
+BOOST_AUTO_TEST_CASE(a_new_agent_gets_no_start_while_a_renewal_may_arrive) {
+  constexpr auto kLimit = std::chrono::seconds(5);
+  restarting_worker worker;
+  worker.loses_renewals = true;
+  worker.StartSession();
+  BOOST_REQUIRE(
+      worker.Within(kLimit, [&] { return worker.renewals_lost > 0; }));
+  worker.Fall(error_kind::kTimeout);
+  const time_point fell_at = worker.clock->Now();
+  {
+    const std::lock_guard lock(worker.mutex);
+    worker.loses_renewals = false;
+  }
+  worker.Restart();
+  BOOST_REQUIRE(worker.Within(kLimit, [&] { return worker.PollCount() > 0; }));
+  BOOST_TEST(worker.Within(kLimit, [&] {
+    worker.session->Send(start_order{"w1", {"job", 0, 0, 0}, 1, "", "", ""});
+    return worker.starts > 0;
+  }));
+  BOOST_TEST((worker.last_start_at.load() - fell_at >= kMaxCallDelay / 2));
+}
+
+// Guards against a task that runs twice: a start without a response was
+// executed by a next agent, and its lease began then.
+BOOST_AUTO_TEST_CASE(a_late_start_outlasts_the_leases) {
+  constexpr auto kLimit = std::chrono::seconds(10);
+  restarting_worker worker;
+  worker.lease_duration = milliseconds(300);
+  worker.loses_starts = true;
+  worker.StartSession();
+  BOOST_REQUIRE(worker.Within(kLimit, [&] { return worker.PollCount() >= 3; }));
+  worker.session->Send(start_order{"w1", {"job", 0, 0, 0}, 1, "", "", ""});
+  BOOST_REQUIRE(worker.Within(kLimit, [&] { return worker.starts == 3; }));
+  worker.Fall(error_kind::kTimeout);
+  BOOST_TEST(worker.Within(kLimit, [&] {
+    return worker.late_starts_expired_at.load() != time_point{};
+  }));
+  const time_point lost_at = worker.last_start_at;
+  BOOST_TEST((worker.leases_expired_at.load() - lost_at < kMaxCallDelay));
+  BOOST_TEST((worker.late_starts_expired_at.load() - lost_at >=
+              kMaxCallDelay + worker.lease_duration));
+}
+
 // Guards against ends that are never acknowledged.
 BOOST_AUTO_TEST_CASE(a_known_agent_gets_acknowledgements_and_leases) {
   constexpr auto kLimit = std::chrono::seconds(5);
