A renewal waits for a report after a start without a response

Cause: a renewal that had waited for a start was sent although that start got no response, so that the next agent could execute both. Change: it is given up for a poll that states nothing. Calls count as late for 2 s instead of 3 s: a lasting task of a worker that is gone has to run again within about 8.5 s.

--- a/src/graph/worker_report.h
+++ b/src/graph/worker_report.h
@@ -13,7 +13,7 @@
 
 // A call without a response may still be executed for this time after it was
 // sent, also by an agent that has started at the worker's address since.
-inline constexpr auto kMaxCallDelay = milliseconds(3000);
+inline constexpr auto kMaxCallDelay = milliseconds(2000);
 
 // Identifies one task of a job graph.
 struct task_key {
--- a/src/pools/agent_session.cc
+++ b/src/pools/agent_session.cc
@@ -258,7 +258,7 @@
   options_.clock->WaitUntil(lock, calls_changed_, time_point::max(), [&] {
     return is_stopped_ || !is_start_on_the_way_;
   });
-  if (is_stopped_) return false;
+  if (is_stopped_ || answered_poll_sent_at_ <= start_lost_at_) return false;
   is_renewal_on_the_way_ = true;
   return true;
 }
--- a/src/pools/agent_session.h
+++ b/src/pools/agent_session.h
@@ -158,8 +158,8 @@
   // Polls the worker once and returns how long to wait before the next poll.
   duration PollOnce(const worker_progress& progress);
   bool IsRenewalDue(const worker_progress& progress);
-  // Waits for the start that is on the way. Returns false if the session was
-  // stopped.
+  // Waits for the start that is on the way. Returns false if that got no
+  // response or the session was stopped.
   bool BeginRenewal();
   void EndRenewal(bool has_response);
   poll_request MakeRenewal(const worker_progress& progress, time_point now);
--- a/tests/pools/restarted_agent_test.cc
+++ b/tests/pools/restarted_agent_test.cc
@@ -31,6 +31,8 @@
   std::atomic<int> starts = 0;
   std::atomic<int> reads_before_start = 0;  // After a renewal was lost.
   bool loses_starts = false;
+  std::atomic<bool> is_start_lost = false;  // Since the last answered read.
+  std::atomic<int> renewals_after_lost_start = 0;
   std::atomic<time_point> last_start_at{};
   std::atomic<time_point> leases_expired_at{};
   std::atomic<time_point> late_starts_expired_at{};
@@ -55,6 +57,7 @@
       is_starting = false;
       ++starts;
       last_start_at = clock->Now();
+      if (loses_starts) is_start_lost = true;
       if (loses_starts) return start_response{};
       return start_response{start_result::kStarted, 1};
     };
@@ -84,6 +87,8 @@
     const bool is_renewal = IsRenewal(request);
     is_renewing = is_renewal;
     if (is_renewal && is_starting) ++overlaps;
+    if (is_renewal && is_start_lost) ++renewals_after_lost_start;
+    if (!is_renewal) is_start_lost = false;
     clock->SleepFor(kCallTime);
     is_renewing = false;
     const std::lock_guard lock(mutex);
@@ -203,6 +208,25 @@
   BOOST_TEST(worker.overlaps == 0);
 }
 
+// Guards against the same where the start got no response.
+BOOST_AUTO_TEST_CASE(a_renewal_waits_for_a_report_after_a_lost_start) {
+  constexpr int kStarts = 10;
+  constexpr int kAttempts = 3;
+  restarting_worker worker;
+  worker.lease_duration = milliseconds(60);
+  worker.loses_starts = true;
+  worker.StartSession();
+  for (int i = 0; i < kStarts; ++i) {
+    worker.session->Send(start_order{"w1", {"job", 0, 0, 0}, 1, "", "", ""});
+    worker.clock->SleepFor(milliseconds(10));
+  }
+  BOOST_TEST(worker.Within(std::chrono::seconds(5), [&] {
+    return worker.starts == kStarts * kAttempts;
+  }));
+  BOOST_TEST(worker.overlaps == 0);
+  BOOST_TEST(worker.renewals_after_lost_start == 0);
+}
+
 // Guards against the same where the renewal got no response: it may still be on
 // the way.
 BOOST_AUTO_TEST_CASE(a_start_waits_for_a_report_after_a_lost_renewal) {
