--- a/testing/soak/group_cuts.py
+++ b/testing/soak/group_cuts.py
@@ -8,6 +8,7 @@
 import signal
 
 import platform_standin as standin
+from links import OUTLIVE
 
 LENGTHS_S = (2, 7, 13, 16)  # Below and above a lease, and lease and authority.
 GAPS_S = (-5, 1, 4)  # From the end of a cut to the next one.
@@ -26,14 +27,19 @@
 # handed on:   a successor outside of the group gets SIGTERM and is started again.
 # killed:      the owner is killed and is started again, mostly inside the cut.
 # reborn:      workers of the group crash, also with runs, and start again under their ids.
+# restarted:   only workers, which start again under their ids right before the cut;
+#              calls that were sent meanwhile reach the next process.
 # outage:      the store is silent for all, inside the cut or over its end.
 SHAPES = ("plain", "deaf", "heard", "three sides", "swap", "paused", "stopped",
-          "handed on", "killed", "reborn", "outage")
+          "handed on", "killed", "reborn", "restarted", "outage")
 ONE_WAY_MODES = ("hold", "mute")  # A sender is not told of what is lost.
 OUTSIDE = 0
 ZONES = 3
 DEAD_S = (0.1, 1, 4)  # From a kill or a crash to the next start.
 CRASHES = 4
+SETTLE_S = 0.02  # Calls on their way arrive.
+DOWN_S = (0.05, 0.2, 0.4, 0.6)  # Of workers that start again before a cut,
+UP_S = (0.1, 0.4, 0.6, 1.5)  # and from their start to the cut.
 
 
 class Cut:
@@ -104,6 +110,9 @@
         groups = [self._choose_group(number, set())]
         if shape == "three sides":
             groups.append(self._choose_group(number + 1, groups[0]))
+        if shape == "restarted":
+            groups = [{member for member in groups[0] if isinstance(member, str)}]
+            await self._restart_workers(groups[0])
         cut = Cut(groups, mode, {"deaf": {OUTSIDE}, "heard": {1}}.get(shape))
         await self._begin(cut, f"{shape}, {mode}, {length} s, {show(groups)}")
         others = asyncio.create_task(self._disturb(shape, groups[0], length))
@@ -189,6 +198,24 @@
             process.kill()
             process.wait()
 
+    async def _restart_workers(self, names):
+        down_s, up_s = self.rng.choice(DOWN_S), self.rng.choice(UP_S)
+        self.play.record.add(f"workers start again: {show([names])}, down for "
+                             f"{down_s} s, cut {up_s} s later")
+        async with self.lock:
+            links = [link for view in self.play.views
+                     for target, links in view.links.items() if target in names
+                     for link in links if link not in self.cut_links]
+            for link in links:
+                link.cut(OUTLIVE)
+            await asyncio.sleep(SETTLE_S)
+            workers = [self.play.fleet.workers[name] for name in names]
+            await asyncio.gather(*(worker.crash() for worker in workers))
+            await asyncio.sleep(down_s)
+            await asyncio.gather(*(worker.start() for worker in workers))
+            await asyncio.gather(*(link.restore() for link in links))
+        await asyncio.sleep(up_s)
+
     async def _crash(self, name):
         worker = self.play.fleet.workers[name]
         self.play.record.add(f"worker {name}: crashes")
--- a/testing/soak/links.py
+++ b/testing/soak/links.py
@@ -10,9 +10,14 @@
 # hold:   bytes and new connections wait until the link is restored.
 # mute:   open connections deliver nothing, also after the link is restored; new
 #         ones are refused meanwhile.
+# outlive: like hold, and the client's side of a connection stays open when the server
+#         ends: what was sent reaches the next process that listens there, on some
+#         connections later than on others.
 MODES = ("refuse", "reset", "half", "hold", "mute")
-LISTENING_MODES = ("reset", "hold")  # New connections are accepted.
+OUTLIVE = "outlive"
+LISTENING_MODES = ("reset", "hold", OUTLIVE)  # New connections are accepted.
 SIDES = frozenset(("client", "server"))
+OVERTAKEN_S = (0, 0, 0.1, 0.3, 0.5)
 
 
 class Connection:
@@ -20,10 +25,17 @@
         self.sides = {"client": client, "server": None}
         self.reset_sides = set()
         self.mute_sides = set()
+        self.outlives = False  # The server's side has ended, or may end.
+        self.delay_s = 0  # From the restoration of the link.
         self.is_open = {side: asyncio.Event() for side in self.sides}
         for event in self.is_open.values():
             event.set()
 
+    def outlive(self, delay_s):
+        self.outlives = True
+        self.delay_s = delay_s
+        self.hold(SIDES)
+
     def hold(self, sides):
         for side in sides:
             self.is_open[side].clear()
@@ -61,6 +73,8 @@
                 connection.mute_sides |= lost_from
             elif mode == "hold":
                 connection.hold(lost_from)
+            elif mode == OUTLIVE:
+                connection.outlive(self.random.choice(OVERTAKEN_S))
             elif mode == "half":
                 self._reset_side(connection, self.random.choice(["client", "server"]))
             else:
@@ -89,17 +103,37 @@
         self.connections.add(connection)
         if self.mode == "hold":
             connection.hold(SIDES)  # A handshake needs both directions.
+        elif self.mode == OUTLIVE:
+            connection.outlive(self.random.choice(OVERTAKEN_S))
         for event in connection.is_open.values():
             await event.wait()
+        server_reader = await self._connect(connection)
+        if server_reader is None:
+            return
+        await asyncio.gather(self._forward(connection, reader, "client", "server"),
+                             self._forward(connection, server_reader, "server", "client"))
+
+    async def _connect(self, connection):
+        """Returns the reader of the server's side, or None if nobody listens."""
         try:
-            server_reader, connection.sides["server"] = await asyncio.open_connection(
+            reader, connection.sides["server"] = await asyncio.open_connection(
                 HOST, self.target)
+            return reader
         except OSError:
-            writer.transport.abort()
+            connection.sides["client"].transport.abort()
             self.connections.discard(connection)
-            return
-        await asyncio.gather(self._forward(connection, reader, "client", "server"),
-                             self._forward(connection, server_reader, "server", "client"))
+            return None
+
+    async def _send_on(self, connection, data):
+        """Sends held bytes of a client to the process that listens now."""
+        await asyncio.sleep(connection.delay_s)
+        connection.outlives = False
+        if connection.sides["server"].is_closing():
+            reader = await self._connect(connection)
+            if reader is None:
+                return
+            asyncio.create_task(self._forward(connection, reader, "server", "client"))
+        connection.sides["server"].write(data)
 
     async def _forward(self, connection, reader, source, target):
         try:
@@ -110,11 +144,17 @@
                 if target in connection.reset_sides:
                     connection.sides[source].transport.abort()
                     break
+                if source == "client" and connection.outlives:
+                    await self._send_on(connection, data)
+                    continue
                 connection.sides[target].write(data)
                 await connection.sides[target].drain()
         except (ConnectionError, OSError):
             pass
         finally:
+            if source == "server" and connection.outlives:
+                connection.sides["server"].close()
+                return
             # The other side of a half-open connection stays.
             if source not in connection.reset_sides:
                 if target not in connection.reset_sides:
