--- a/testing/soak/fleet.py
+++ b/testing/soak/fleet.py
@@ -317,6 +317,8 @@
         super()._extend(body)
 
     async def _handle(self, method, path, query, headers, body):
+        if not self.alive:
+            return None
         born = self.born
         def execute():
             return self._execute(method, path, query, headers, body)
