--- a/src/pools/agent_session.cc
+++ b/src/pools/agent_session.cc
@@ -49,6 +49,12 @@
          duration(kExpiryMargin);
 }
 
+// Returns true if a poll that failed so may have been executed.
+bool MayHaveTakenEffect(error_kind kind) {
+  return kind != error_kind::kStaleEpoch && kind != error_kind::kNotFound &&
+         kind != error_kind::kConflict && kind != error_kind::kUnavailable;
+}
+
 }  // namespace
 
 void worker_clock::Observe(std::int64_t clock_ms, time_point received_at) {
@@ -263,12 +269,12 @@
   return true;
 }
 
-void agent_session::EndRenewal(bool has_response) {
+void agent_session::EndRenewal(bool is_settled) {
   {
     const std::lock_guard lock(mutex_);
     is_renewal_on_the_way_ = false;
-    is_renewal_lost_ = !has_response;
-    if (!has_response) {
+    is_renewal_lost_ = !is_settled;
+    if (!is_settled) {
       late_calls_.renewals = options_.clock->Now() + duration(kMaxCallDelay);
     }
   }
@@ -314,13 +320,15 @@
       is_renewal ? MakeRenewal(progress, sent_at) : MakeRead(progress, sent_at);
   const auto report = Attempt([&] { return options_.link->poll(request); });
   const auto now = options_.clock->Now();
-  const bool is_unsent =
-      !report && report.failure.kind == error_kind::kConflict;
-  if (is_renewal) EndRenewal(report || is_unsent);
+  if (is_renewal) {
+    EndRenewal(report || !MayHaveTakenEffect(report.failure.kind));
+  }
   is_agent_known_ = static_cast<bool>(report);
-  // The next poll finds out which agent listens there now.
-  if (is_unsent) return {};
-  if (!report) return HandlePollFailure(report.failure);
+  if (!report) {
+    // The next poll finds out which agent listens there now.
+    if (report.failure.kind == error_kind::kConflict) return {};
+    return HandlePollFailure(report.failure);
+  }
   answered_poll_sent_at_ = sent_at;
   bool becomes_reachable = false;
   bool is_new_agent = false;
--- a/src/pools/agent_session.h
+++ b/src/pools/agent_session.h
@@ -161,7 +161,7 @@
   // Waits for the start that is on the way. Returns false if that got no
   // response or the session was stopped.
   bool BeginRenewal();
-  void EndRenewal(bool has_response);
+  void EndRenewal(bool is_settled);
   poll_request MakeRenewal(const worker_progress& progress, time_point now);
   // Returns a poll that states nothing.
   poll_request MakeRead(const worker_progress& progress, time_point now);
