Renewals don't starve while starts are lost; further gaps that a review has found

Beside it, by the same cause: an exit ended a start that was on the way; a stopped run that the next agent had answered was dropped; the number of the stored end had no incarnation; a late start left the rest of its gang in place, and counted an exit twice. Change: the read after a lost start does not wait, and starts let a due renewal go first; a start on the way counts as late, and is not repeated at another agent; ends are acknowledged for the incarnation of the last report only; the others as named above.

--- a/src/graph/pool_runs.cc
+++ b/src/graph/pool_runs.cc
@@ -341,7 +341,7 @@
   for (const auto& [task, run] : worker.runs) {
     const bool is_stopped =
         run.phase == run_phase::kStopping && run.stop_confirmed &&
-        (!run.is_of_earlier_agent || run.may_start_until <= now);
+        (!run.is_of_earlier_agent || run.may_start_until <= sent_at);
     const bool is_confirmed = run.phase == run_phase::kRunning || is_stopped;
     // A report that was requested before the last confirmation may be older
     // than that and proves nothing.
@@ -505,7 +505,13 @@
 bool pool_scheduler::MayBeOfNextAgent(const task_run& run, time_point sent_at,
                                       time_point now) {
   if (run.may_start_until > now) return true;
-  return run.phase == run_phase::kRunning && run.confirmed_at >= sent_at;
+  return run.phase != run_phase::kStarting && run.confirmed_at >= sent_at;
+}
+
+void pool_scheduler::StopLateStart(task_run& run, time_point now) {
+  StopRun(run, now);
+  if (run.job == nullptr || !SpecOf(*run.job, run.task).is_gang) return;
+  StopStep(*run.job, run.task, now);
 }
 
 void pool_scheduler::KeepForNextAgent(task_run& run, time_point now) {
@@ -513,7 +519,7 @@
   // Only the next report shows whether the new agent has answered the start.
   if (run.may_start_until <= now) return;
   // The new agent knows of no stop, and must reject the start from now on.
-  StopRun(run, now);
+  StopLateStart(run, now);
   run.stop_confirmed = false;
   run.next_stop_at = now;
 }
@@ -557,7 +563,7 @@
          Field("listed", worker->is_listed ? 1 : 0)});
   }
   // If the leases only expired, a new incarnation may still show a crash.
-  if (has_exited && !worker->is_leave_planned) {
+  if (has_exited && !worker->is_leave_planned && !worker->is_exit_assumed) {
     OnWorkerCrashed(*worker, nullptr, now, now);
     worker->is_exit_assumed = true;
   }
@@ -570,7 +576,7 @@
   for (auto& [task, run] : worker->runs) {
     // The agent of the last contact would have shown a start that had arrived.
     if (may_start_late && run.may_start_until > worker->last_contact_at) {
-      StopRun(run, now);
+      StopLateStart(run, now);
     } else {
       ended.push_back(task);
     }
--- a/src/graph/pool_scheduler.cc
+++ b/src/graph/pool_scheduler.cc
@@ -407,6 +407,11 @@
   return found == workers_.end() ? 0 : found->second.stored_end;
 }
 
+std::int64_t pool_scheduler::IncarnationOf(std::string_view worker) const {
+  const auto found = workers_.find(worker);
+  return found == workers_.end() ? 0 : found->second.agent_incarnation;
+}
+
 bool pool_scheduler::HasUnstoredEnds(std::string_view worker) const {
   const auto found = workers_.find(worker);
   return found != workers_.end() &&
--- a/src/graph/pool_scheduler.h
+++ b/src/graph/pool_scheduler.h
@@ -295,6 +295,8 @@
   void OnProgressNotStored(const progress_batch& batch);
   // Returns the last end of the worker that may be acknowledged.
   std::uint64_t LastStoredEnd(std::string_view worker) const;
+  // Returns the incarnation of the agent that has these ends.
+  std::int64_t IncarnationOf(std::string_view worker) const;
   // Returns true if ends of the worker cannot be acknowledged yet.
   bool HasUnstoredEnds(std::string_view worker) const;
 
@@ -448,6 +450,8 @@
   static bool MayBeOfNextAgent(const task_run& run, time_point sent_at,
                                time_point now);
   void KeepForNextAgent(task_run& run, time_point now);
+  // Stops a run that may still begin, and the other members of its gang.
+  void StopLateStart(task_run& run, time_point now);
   // Ends the runs that an earlier agent of the worker had than that of the
   // report.
   void ResetWorker(worker_state& worker, const worker_report& report,
--- a/src/pools/agent_session.cc
+++ b/src/pools/agent_session.cc
@@ -29,6 +29,8 @@
 // repeated with the same timeout, and fills the link further. Each such failure
 // doubles the timeout up to this one.
 constexpr auto kMaxResponseTimeout = milliseconds(1200);
+// A start without a response counts as lost within this time.
+constexpr auto kStartTimeout = milliseconds(1000);
 // Leases are renewed this many times while one lasts, so that a few lost
 // renewals end none.
 constexpr int kRenewalsPerLease = 6;
@@ -248,25 +250,34 @@
   {
     const std::lock_guard lock(mutex_);
     withholds_leases_ = progress.has_overdue_stop;
-    // A start without a response may reach the next agent. The agent is known
-    // to be the same once a later poll was answered.
-    if (!is_agent_known_ || answered_poll_sent_at_ <= start_lost_at_) {
-      return false;
-    }
   }
+  if (!is_agent_known_ || IsStartUnsettled()) return false;
+  if (progress.incarnation != incarnation_) return false;
   if (progress.last_stored_end > acknowledged_end_) return true;
   return progress.has_runs && !progress.has_overdue_stop &&
          now >= next_renewal_at_ && now < options_.authority_end();
 }
 
+bool agent_session::IsStartUnsettled() {
+  const std::lock_guard lock(mutex_);
+  return answered_poll_sent_at_ <= start_lost_at_;
+}
+
 bool agent_session::BeginRenewal() {
-  std::unique_lock lock(mutex_);
-  options_.clock->WaitUntil(lock, calls_changed_, time_point::max(), [&] {
-    return is_stopped_ || !is_start_on_the_way_;
-  });
-  if (is_stopped_ || answered_poll_sent_at_ <= start_lost_at_) return false;
-  is_renewal_on_the_way_ = true;
-  return true;
+  bool is_begun = false;
+  {
+    std::unique_lock lock(mutex_);
+    is_renewal_due_ = true;
+    options_.clock->WaitUntil(lock, calls_changed_, time_point::max(), [&] {
+      return is_stopped_ || !is_start_on_the_way_ ||
+             answered_poll_sent_at_ <= start_lost_at_;
+    });
+    is_renewal_due_ = false;
+    is_begun = !is_stopped_ && answered_poll_sent_at_ > start_lost_at_;
+    is_renewal_on_the_way_ = is_begun;
+  }
+  if (!is_begun) calls_changed_.notify_all();
+  return is_begun;
 }
 
 void agent_session::EndRenewal(bool is_settled) {
@@ -302,9 +313,11 @@
   request.epoch = options_.epoch;
   request.response_timeout = response_timeout_;
   const bool is_retry = failed_polls_ > 0;
-  // The first poll claims the worker and reads its clock; it does not wait.
-  if (is_claimed_ && !is_retry && progress.has_runs)
+  // The first poll claims the worker and reads its clock; it does not wait. Nor
+  // does the one after a lost start, for which renewals wait.
+  if (is_claimed_ && !is_retry && progress.has_runs && !IsStartUnsettled()) {
     request.wait = kLongPollTimeout;
+  }
   if (is_retry && !are_leases_expired_) {
     // The end of the leases must not be noticed late.
     request.response_timeout = std::clamp<duration>(
@@ -487,6 +500,11 @@
          LongestHold(options_.lease_duration);
 }
 
+std::uint64_t agent_session::AgentsSeen() {
+  const std::lock_guard lock(mutex_);
+  return agents_seen_;
+}
+
 late_calls agent_session::LateCalls() {
   const std::lock_guard lock(mutex_);
   return late_calls_;
@@ -508,11 +526,12 @@
 start_response agent_session::SendStart(const start_order& order) {
   run_lease lease{options_.epoch, 0};
   std::uint64_t agents_seen = 0;
+  time_point earlier_starts;
   {
     std::unique_lock lock(mutex_);
     options_.clock->WaitUntil(lock, calls_changed_, time_point::max(), [&] {
       return is_stopped_ || !is_reachable_ ||
-             (!is_renewal_on_the_way_ && !is_renewal_lost_);
+             (!is_renewal_due_ && !is_renewal_on_the_way_ && !is_renewal_lost_);
     });
     const auto now = options_.clock->Now();
     if (is_stopped_ || !is_reachable_ || withholds_leases_ ||
@@ -525,6 +544,8 @@
     lease.until_ms = *until_ms;
     agents_seen = agents_seen_;
     is_start_on_the_way_ = true;
+    earlier_starts = std::exchange(
+        late_calls_.starts, now + duration(kStartTimeout + kMaxCallDelay));
   }
   start_response response = options_.link->start(order, lease);
   {
@@ -534,9 +555,15 @@
     if (response.result == start_result::kUnknown) {
       start_lost_at_ = now;
       late_calls_.starts = now + duration(kMaxCallDelay);
+    } else {
+      late_calls_.starts = earlier_starts;
     }
     // It may be the late response of an earlier agent.
     if (response.clock_ms && agents_seen == agents_seen_) {
+      // A clock that has gone back may be that of the next agent.
+      if (*response.clock_ms < worker_clock_.LastReading()) {
+        worker_clock_.AddEarlierLeases(now);
+      }
       worker_clock_.Observe(*response.clock_ms, now);
     }
   }
@@ -545,10 +572,13 @@
 }
 
 void agent_session::SendStartWithRetries(const start_order& order) {
+  const std::uint64_t agents_seen = AgentsSeen();
   start_response response = SendStart(order);
   int attempts = 1;
-  for (; attempts < kMaxStartAttempts &&
-         response.result == start_result::kUnknown;
+  // A repetition is meant for the agent that may have executed the start.
+  for (;
+       attempts < kMaxStartAttempts &&
+       response.result == start_result::kUnknown && AgentsSeen() == agents_seen;
        ++attempts) {
     Emit(options_.log, pool_events::kResponseLost,
          {Field("worker", options_.worker.id), Field("call", "start"),
--- a/src/pools/agent_session.h
+++ b/src/pools/agent_session.h
@@ -33,6 +33,8 @@
   // Leases that earlier owners granted until `claimed_at` may still hold.
   void AddEarlierLeases(time_point claimed_at);
   bool IsKnown() const { return is_known_; }
+  // Returns the highest reading of the present agent's clock.
+  std::int64_t LastReading() const { return is_known_ ? clock_ms_ : 0; }
   // Extends the leases by the full duration from `now`, but not beyond `limit`
   // on a slow clock of the worker, and returns their end on that clock. Returns
   // nothing if no time is left.
@@ -51,7 +53,8 @@
 
 // What the owner knows about the runs and ends of a worker.
 struct worker_progress {
-  // Last end that is stored, so that it may be acknowledged.
+  // Last end that is stored, so that it may be acknowledged to the agent of
+  // `incarnation`.
   std::uint64_t last_stored_end = 0;
   bool has_runs = false;
   // The scheduler has applied ends that are not stored yet.
@@ -59,6 +62,7 @@
   // A stop has not been settled for long. Only the end of all leases settles it
   // for certain, so they are not renewed until it is.
   bool has_overdue_stop = false;
+  std::int64_t incarnation = 0;
 };
 
 // Until when calls without a response may still be executed, also by a later
@@ -158,6 +162,9 @@
   // Polls the worker once and returns how long to wait before the next poll.
   duration PollOnce(const worker_progress& progress);
   bool IsRenewalDue(const worker_progress& progress);
+  // Returns true if no poll was answered since a start got no response. The
+  // start may reach the next agent, which may be there already.
+  bool IsStartUnsettled();
   // Waits for the start that is on the way. Returns false if that got no
   // response or the session was stopped.
   bool BeginRenewal();
@@ -188,6 +195,7 @@
   // Waits for an order and reports the starts that were withdrawn. Returns null
   // if the session was stopped.
   std::optional<worker_order> NextOrder();
+  std::uint64_t AgentsSeen();
   // Sends a start order once.
   start_response SendStart(const start_order& order);
   // Sends a start order, with retries until a response arrives or the attempts
@@ -210,9 +218,10 @@
   std::deque<start_order> withdrawn_starts_;
   // Either call has ended, or a poll was answered or has failed.
   std::condition_variable calls_changed_;
-  worker_clock worker_clock_;  // Guarded by mutex_, like the next ten.
+  worker_clock worker_clock_;  // Guarded by mutex_, like the next 11.
   bool is_reachable_ = true;
   bool is_start_on_the_way_ = false;
+  bool is_renewal_due_ = false;  // It waits for a start.
   bool is_renewal_on_the_way_ = false;
   // No poll was answered since the last renewal, which got no response.
   bool is_renewal_lost_ = false;
--- a/src/pools/pool_owner_workers.cc
+++ b/src/pools/pool_owner_workers.cc
@@ -272,7 +272,8 @@
     return worker_progress{
         scheduler_->LastStoredEnd(id), scheduler_->CountRuns(id) > 0,
         scheduler_->HasUnstoredEnds(id),
-        scheduler_->MustWithholdLeases(id, options_.clock->Now())};
+        scheduler_->MustWithholdLeases(id, options_.clock->Now()),
+        scheduler_->IncarnationOf(id)};
   };
   return callbacks;
 }
--- a/tests/graph/restarted_worker_test.cc
+++ b/tests/graph/restarted_worker_test.cc
@@ -220,6 +220,48 @@
   BOOST_TEST(rig.Decide().starts.size() == 1);
 }
 
+// Guards against the same for a run that is stopped after that answer: it was
+// dropped without its stop.
+BOOST_AUTO_TEST_CASE(a_start_is_answered_after_the_report_and_stopped) {
+  restart_rig rig;
+  const auto requested_at = rig.now;
+  rig.Restart("w1");
+  const worker_report report = rig.MakeReport("w1");
+  rig.AdvanceClock(kCallTime);
+  rig.CarryOutStart(rig.order);
+  rig.scheduler.CancelJob("job", rig.now);
+  rig.scheduler.ApplyReport("w1", report, requested_at, rig.now);
+  BOOST_TEST(rig.Decide().stops.size() == 1);
+}
+
+// Guards against members of a gang that hold their room while another one may
+// still start late.
+BOOST_AUTO_TEST_CASE(a_late_start_stops_the_rest_of_its_gang) {
+  restart_rig rig(2, true);
+  start_order other = rig.order;
+  other.task.index = 1 - rig.order.task.index;
+  rig.CarryOutStart(other);
+  rig.ReportAll();
+  rig.scheduler.OnStartResult(rig.order, start_result::kUnknown, rig.now);
+  rig.Restart("w1");
+  rig.ReportWorker("w1");
+  std::size_t members = 0;
+  for (const stop_order& stop : rig.Decide().stops) {
+    members += stop.task == rig.order.task ? 1 : 0;
+  }
+  BOOST_TEST(members == 1);
+}
+
+// Guards against a crash that is counted twice: for the leases and again for
+// the starts that outlast them.
+BOOST_AUTO_TEST_CASE(an_exit_counts_once) {
+  restart_rig rig;
+  rig.scheduler.OnStartResult(rig.order, start_result::kUnknown, rig.now);
+  rig.scheduler.ExpireWorkerLeases("w1", true, rig.now, true);
+  rig.scheduler.ExpireWorkerLeases("w1", true, rig.now, false);
+  BOOST_TEST(rig.scheduler.WorkersCrashed() == 1);
+}
+
 // Guards against a gang of which some members run twice.
 BOOST_AUTO_TEST_CASE(a_gang_waits_for_a_start_that_may_come_late) {
   restart_rig rig(2, true);
--- a/tests/pools/agent_session_test.cc
+++ b/tests/pools/agent_session_test.cc
@@ -45,6 +45,7 @@
     return true;
   };
   duration lease_duration = kLease;
+  std::atomic<std::int64_t> incarnation = 0;  // Of the last report.
   std::atomic<int> expirations = 0;
   std::atomic<int> exits = 0;  // Of these, because the agent has exited.
   std::atomic<int> progress_calls = 0;
@@ -72,7 +73,9 @@
     options.authority_end = authority_end;
     options.was_owner_at = was_owner_at;
     agent_session::callbacks callbacks;
-    callbacks.on_report = [](const worker_report&, time_point) {};
+    callbacks.on_report = [this](const worker_report& report, time_point) {
+      incarnation = report.incarnation;
+    };
     callbacks.on_leases_expired = [this](const lease_expiry& expiry) {
       ++expirations;
       if (expiry.has_exited) ++exits;
@@ -87,7 +90,7 @@
     callbacks.progress = [this] {
       ++progress_calls;
       return worker_progress{last_stored_end(), has_runs(), has_unstored_ends(),
-                             has_overdue_stop()};
+                             has_overdue_stop(), incarnation};
     };
     session = std::make_unique<agent_session>(std::move(options), callbacks);
     BOOST_REQUIRE(Attempt([&] { return session->Start(); }));
--- a/tests/pools/restarted_agent_test.cc
+++ b/tests/pools/restarted_agent_test.cc
@@ -20,6 +20,8 @@
   clock_ptr clock = runtime_clock::Running();
   std::mutex mutex;
   std::int64_t incarnation = 1;
+  // Of the agent whose end is stored; absent: the present one.
+  std::optional<std::int64_t> progress_incarnation;
   std::int64_t connected_to = 0;  // The agent that answered the last poll.
   // Polls fail with this kind.
   std::optional<error_kind> failure;
@@ -31,6 +33,10 @@
   std::atomic<int> starts = 0;
   std::atomic<int> reads_before_start = 0;  // After a renewal was lost.
   bool loses_starts = false;
+  int loses_every = 0;             // One start of these.
+  duration read_time = kCallTime;  // Of a read that may wait.
+  time_point renewed_at{};
+  duration longest_renewal_gap{};
   std::atomic<bool> is_start_lost = false;  // Since the last answered read.
   std::atomic<int> renewals_after_lost_start = 0;
   std::atomic<time_point> last_start_at{};
@@ -57,8 +63,10 @@
       is_starting = false;
       ++starts;
       last_start_at = clock->Now();
-      if (loses_starts) is_start_lost = true;
-      if (loses_starts) return start_response{};
+      if (loses_starts || (loses_every > 0 && starts % loses_every == 0)) {
+        is_start_lost = true;
+        return start_response{};
+      }
       return start_response{start_result::kStarted, 1};
     };
     options.link->stop = [](const stop_order&, std::uint64_t) { return true; };
@@ -73,8 +81,10 @@
     callbacks.on_start_result = [](const start_order&, start_result) {};
     callbacks.on_stop_result = [](const stop_order&, bool) {};
     callbacks.on_epoch_rejected = [] {};
-    callbacks.progress = [] {
-      return worker_progress{kStoredEnd, true, false, false};
+    callbacks.progress = [this] {
+      const std::lock_guard lock(mutex);
+      return worker_progress{kStoredEnd, true, false, false,
+                             progress_incarnation.value_or(incarnation)};
     };
     session = std::make_unique<agent_session>(std::move(options), callbacks);
     BOOST_REQUIRE(Attempt([&] { return session->Start(); }));
@@ -89,7 +99,7 @@
     if (is_renewal && is_starting) ++overlaps;
     if (is_renewal && is_start_lost) ++renewals_after_lost_start;
     if (!is_renewal) is_start_lost = false;
-    clock->SleepFor(kCallTime);
+    clock->SleepFor(request.wait > duration::zero() ? read_time : kCallTime);
     is_renewing = false;
     const std::lock_guard lock(mutex);
     if (request.needs_same_agent && connected_to != incarnation) {
@@ -105,6 +115,13 @@
       return Fail(*failure, "no agent", "wait");
     }
     polls.push_back(request);
+    if (is_renewal) {
+      const auto now = clock->Now();
+      if (renewed_at != time_point{}) {
+        longest_renewal_gap = std::max(longest_renewal_gap, now - renewed_at);
+      }
+      renewed_at = now;
+    }
     connected_to = incarnation;
     worker_report report;
     report.incarnation = incarnation;
@@ -216,6 +233,8 @@
   worker.lease_duration = milliseconds(60);
   worker.loses_starts = true;
   worker.StartSession();
+  BOOST_REQUIRE(worker.Within(std::chrono::seconds(5),
+                              [&] { return worker.PollCount() > 0; }));
   for (int i = 0; i < kStarts; ++i) {
     worker.session->Send(start_order{"w1", {"job", 0, 0, 0}, 1, "", "", ""});
     worker.clock->SleepFor(milliseconds(10));
@@ -286,6 +305,39 @@
               kMaxCallDelay + worker.lease_duration));
 }
 
+// Guards against acknowledgements and leases that starve while some starts get
+// no response: reads that wait held each renewal up until the next lost start.
+BOOST_AUTO_TEST_CASE(renewals_go_on_while_starts_are_lost) {
+  constexpr auto kLongestGap = milliseconds(300);
+  restarting_worker worker;
+  worker.lease_duration = milliseconds(300);
+  worker.loses_every = 3;
+  worker.read_time = milliseconds(100);
+  worker.StartSession();
+  for (int i = 0; i < 60; ++i) {
+    worker.session->Send(start_order{"w1", {"job", 0, 0, 0}, 1, "", "", ""});
+    worker.clock->SleepFor(milliseconds(25));
+  }
+  const std::lock_guard lock(worker.mutex);
+  BOOST_TEST((worker.longest_renewal_gap < kLongestGap));
+  BOOST_TEST(worker.renewals_after_lost_start == 0);
+}
+
+// Guards against an acknowledgement with the number of another agent's end: the
+// scheduler ignores the report of an agent whose start time is earlier than
+// that of its predecessor.
+BOOST_AUTO_TEST_CASE(ends_of_another_incarnation_are_not_acknowledged) {
+  restarting_worker worker;
+  worker.progress_incarnation = 9;
+  worker.StartSession();
+  BOOST_TEST(worker.Within(std::chrono::seconds(5),
+                           [&] { return worker.PollCount() >= 20; }));
+  const std::lock_guard lock(worker.mutex);
+  for (const poll_request& poll : worker.polls) {
+    BOOST_TEST(!worker.IsRenewal(poll));
+  }
+}
+
 // Guards against ends that are never acknowledged.
 BOOST_AUTO_TEST_CASE(a_known_agent_gets_acknowledgements_and_leases) {
   constexpr auto kLimit = std::chrono::seconds(5);
