--- a/src/pools/agent_session.h
+++ b/src/pools/agent_session.h
@@ -175,7 +175,6 @@
   duration HandlePollFailure(const error& failure);
   // Ends the wait for an overdue stop once the leases have expired.
   void EndWithheldLeases();
-  void ReportLeasesExpired(bool has_exited, time_point now);
   // Reports the end of late starts once it has come.
   void EndLateStarts(time_point now);
   // Events for which the poll thread may wait. A caller reads them before it
