Refuse bodies with a content coding

Callers saw nothing; the daemon grew. Cause: the HTTP library unpacks a body with Content-Encoding after its packed size was checked, to any size. No page and no interface of this project has packed bodies, and one that was passed on to an instance arrived unpacked under the same header. Change: such a request gets 415 with `Accept-Encoding: identity` before its body is read. `identity` is accepted.

--- a/src/clients/request_limits.cc
+++ b/src/clients/request_limits.cc
@@ -41,6 +41,8 @@
         {"malformed_body", 400, "the chunks of the body are malformed",
          "send chunks as in RFC 9112"},
         {"body_too_large", 413, "the body is too large",
+        {"content_coding", 415, "the body has a content coding",
+         "send the body without Content-Encoding"},
          "send a smaller body or raise max_body_bytes"},
         {"body_timeout", 408, "the body of the request took too long",
          "send the body without pauses"},
@@ -90,6 +92,7 @@
          "Apricotwheel-Outcome: not_run\r\nApricotwheel-Reason: " +
          std::string(answer.reason) +
          "\r\nContent-Type: application/json\r\nConnection: close\r\n"
+         (answer.status == 415 ? "Accept-Encoding: identity\r\n" : "") +
          "Content-Length: " +
          std::to_string(body.size()) + "\r\n\r\n" + body;
 }
@@ -173,6 +176,10 @@
 }
 
 void head_reader::EndHead() {
+  } else if (EqualsIgnoreCase(name, "Content-Encoding") && !value.empty() &&
+             !EqualsIgnoreCase(value, "identity")) {
+    // The library would unpack the body to any size.
+    return Refuse(refusal_reason::kContentCoding);
   if (framing_ == body_framing::kChunked && has_length_) {
     return Refuse(refusal_reason::kMalformedHead);
   }
--- a/src/clients/request_limits.h
+++ b/src/clients/request_limits.h
@@ -38,6 +38,7 @@
   kHeadTimeout,
   kMalformedBody,
   kLongBody,
+  kContentCoding,
   kBodyTimeout,
   kMemory,
   kCount
--- a/tests/clients/refused_requests_test.cc
+++ b/tests/clients/refused_requests_test.cc
@@ -95,6 +95,9 @@
     {kPost + "Content-Length: 1001\r\n\r\n", 413},
     {kPost + "Transfer-Encoding: chunked\r\n\r\n3e9\r\n", 413},
     {kPost + "Transfer-Encoding: chunked\r\n\r\n1\r\nabc\r\n", 400},
+    {kPost + "content-encoding: gzip\r\nContent-Length: 1\r\n\r\na", 415},
+    {kPost + "Content-Encoding: identity, br\r\nContent-Length: 1\r\n\r\na",
+     415},
 };
 
 // Guards against a refusal without an answer, one that says "not run" of a
