Responses are not compressed by the HTTP library

Cause: for clients that accept br or gzip, the library compresses each response, also one of 20 bytes, with up to some MB of state. A crowd that only asks for the length of a queue multiplies that by its connections. Change: the listener hides Accept-Encoding from the library, as it does with Range. Instances of services still get the header, and their coded responses are passed on as they are; before, the library would have coded them once more.

--- a/src/clients/http_listener.cc
+++ b/src/clients/http_listener.cc
@@ -120,6 +120,16 @@
     request.path.resize(kMaxMatchedPathBytes);
   }
 }
+  // cpp-httplib would compress responses, with up to some MB for each.
+  const auto codings = request.headers.equal_range("Accept-Encoding");
+  std::vector<std::string> accepted;
+  for (auto header = codings.first; header != codings.second; ++header) {
+    accepted.push_back(std::move(header->second));
+  }
+  request.headers.erase(codings.first, codings.second);
+  for (auto& coding : accepted) {
+    request.headers.emplace(kHiddenAcceptEncoding, std::move(coding));
+  }
 
 bool WaitReady(int socket, short events, duration timeout) {
   pollfd entry{socket, events, 0};
--- a/src/clients/http_listener.h
+++ b/src/clients/http_listener.h
@@ -27,6 +27,11 @@
   metrics_ptr metrics = {};  // Null counts nothing.
 };
 
+// Name under which a route sees the header Accept-Encoding. The library does
+// not compress responses.
+inline constexpr const char* kHiddenAcceptEncoding =
+    "Accept-Encoding-not-applied";
+
 // An HTTP server with one thread for each connection. A connection over
 // `max_connections` receives a 503 with Retry-After and the header
 // `Apricotwheel-Outcome: not_run`, and is closed. So does a request outside the
--- a/src/daemon/service_api.cc
+++ b/src/daemon/service_api.cc
@@ -6,6 +6,7 @@
 #include <string>
 #include <string_view>
 
+#include "clients/http_listener.h"
 #include "daemon/http_responses.h"
 
 namespace apricotwheel {
@@ -156,7 +157,10 @@
   BOOST_LEAF_ASSIGN(request.ticket,
                     ParseBoundedHeader(http, kTicketHeader, kMaxTicketBytes));
   for (const auto& [name, value] : http.headers) {
-    if (IsForwarded(name)) request.headers.emplace_back(name, value);
+    if (!IsForwarded(name)) continue;
+    // The instance may compress its response, which is passed on as it is.
+    const bool is_hidden = EqualsIgnoringCase(name, kHiddenAcceptEncoding);
+    request.headers.emplace_back(is_hidden ? "Accept-Encoding" : name, value);
   }
   return request;
 }
--- a/tests/clients/refused_requests_test.cc
+++ b/tests/clients/refused_requests_test.cc
@@ -113,6 +113,20 @@
   test.CheckServes();
 }
 
+// Guards against responses that the library compresses, which takes some MB for
+// each, and against the refusal of a body without a coding.
+BOOST_AUTO_TEST_CASE(content_codings_are_not_applied) {
+  const fixture test;
+  BOOST_TEST(test.Send(kPost +
+                       "Accept-Encoding: br, gzip\r\nConnection: close\r\n"
+                       "Content-Encoding: identity\r\n"
+                       "Content-Length: 2\r\n\r\nab"));
+  const std::string answer = test.ReadAll();
+  BOOST_TEST(answer.starts_with("HTTP/1.1 200"));
+  BOOST_TEST(answer.find("Content-Encoding") == std::string::npos);
+  BOOST_TEST(answer.ends_with("\r\n\r\nab"));
+}
+
 // Guards against a request that never ends because each byte comes in time.
 BOOST_AUTO_TEST_CASE(slow_requests_end) {
   for (const std::string& begin :
