Parameters of a target count in the memory of requests

Cause: the HTTP library builds a map and a set of the parameters in a query and in a form of up to 8 kB. 1,300 short ones take some 300 kB, of which 8 kB were counted, and a handler that waits for the store keeps them for seconds. Change: each parameter counts 256 bytes; forms are hidden from the library, as multipart bodies are, because no route reads them.

--- a/src/clients/http_listener.cc
+++ b/src/clients/http_listener.cc
@@ -40,6 +40,8 @@
 constexpr std::string_view kMultipartType = "multipart/form-data";
 // Threads that reject connections over the limit with 503.
 constexpr std::size_t kMaxRejectThreads = 32;
+// It builds a map of the parameters in such a body, which no route reads.
+constexpr std::string_view kFormType = "application/x-www-form-urlencoded";
 constexpr auto kRejectReadTimeout = milliseconds(500);
 constexpr auto kIoTimeout = std::chrono::seconds(30);
 // Time that `Stop` leaves for incomplete requests to arrive.
@@ -60,6 +62,8 @@
 // a socket with unread data would reset the connection and lose the answer.
 constexpr auto kLingerTime = milliseconds(500);
 constexpr std::size_t kLingerBytes = 1 << 20;
+// A parameter of a query in the library's map and in its set of those seen.
+constexpr std::size_t kParameterMemoryBytes = 256;
 constexpr auto kRefusalLogInterval = milliseconds(10'000);
 constexpr std::size_t kMachineMemoryDivisor = 4;
 
@@ -131,6 +135,7 @@
     request.headers.emplace(kHiddenAcceptEncoding, std::move(coding));
   }
 
+    if (header->second.starts_with(kFormType)) header->second[0] = 'A';
 bool WaitReady(int socket, short events, duration timeout) {
   pollfd entry{socket, events, 0};
   const auto wait = std::chrono::ceil<milliseconds>(timeout).count();
@@ -301,6 +306,7 @@
       --hider_.line_bytes;
       return ReadInsertedByte(output);
     }
+                              head_.ParameterCount() * kParameterMemoryBytes +
     *output = byte;
     ++head_sent_;
     return 1;
--- a/src/clients/request_limits.cc
+++ b/src/clients/request_limits.cc
@@ -125,6 +125,7 @@
   if (byte == '\n') EndLine();
 }
 
+  if (is_request_line && (byte == '?' || byte == '&')) ++parameter_count_;
 void head_reader::EndLine() {
   std::string_view line(text_);
   line.remove_prefix(line_begin_);
--- a/src/clients/request_limits.h
+++ b/src/clients/request_limits.h
@@ -75,6 +75,8 @@
   body_framing Framing() const { return framing_; }
   std::size_t BodyBytes() const { return body_bytes_; }  // For kLength.
 
+  // An upper bound of the parameters in the query of the target.
+  std::size_t ParameterCount() const { return parameter_count_; }
  private:
   void TakeByte(char byte);
   void EndLine();
@@ -90,6 +92,7 @@
   body_framing framing_ = body_framing::kNone;
   std::size_t body_bytes_ = 0;
   bool has_length_ = false;
+  std::size_t parameter_count_ = 0;
   bool is_complete_ = false;
   refusal_reason refusal_ = refusal_reason::kNone;
 };
