Connections that keep the daemon waiting give their slots to new ones

Callers saw 503, or no answer, for as long as a crowd stayed: the first `max_http_connections` connections kept every slot for 60 s each, silent or not, and those over the limit occupied the refusing threads, and then the accepting one, for up to a second each. Change: a new connection takes the slot of the one that has kept the daemon waiting for the longest time: silent, incomplete, or not reading its response for a second (src/clients/connection_slots). A request that is being handled keeps its slot. The accepting thread refuses without a wait.

--- a/src/clients/http_listener.cc
+++ b/src/clients/http_listener.cc
@@ -15,12 +15,14 @@
 #include <charconv>
 #include <condition_variable>
 #include <limits>
-#include <map>
 #include <mutex>
+#include <optional>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 #include "clients/clients_events.h"
+#include "clients/connection_slots.h"
 
 namespace apricotwheel {
 
@@ -38,12 +40,14 @@
 constexpr std::string_view kRangeName = "range";
 constexpr std::string_view kHiddenRangeSuffix = "-not-parsed";
 constexpr std::string_view kMultipartType = "multipart/form-data";
-// Threads that reject connections over the limit with 503.
-constexpr std::size_t kMaxRejectThreads = 32;
 // It builds a map of the parameters in such a body, which no route reads.
 constexpr std::string_view kFormType = "application/x-www-form-urlencoded";
+// Threads that reject connections over the limit with 503.
+constexpr std::size_t kMaxRejectThreads = 32;
 constexpr auto kRejectReadTimeout = milliseconds(500);
 constexpr auto kIoTimeout = std::chrono::seconds(30);
+// For a whole response.
+constexpr auto kResponseTimeout = std::chrono::seconds(30);
 // Time that `Stop` leaves for incomplete requests to arrive.
 constexpr auto kStopReadTimeout = milliseconds(1000);
 
@@ -58,16 +62,20 @@
 constexpr std::size_t kBodyMemoryFactor = 3;
 // A field in the library's map, besides its text.
 constexpr std::size_t kFieldMemoryBytes = 128;
+// A parameter of a query in the library's map and in its set of those seen.
+constexpr std::size_t kParameterMemoryBytes = 256;
 // What a refused client still sends is discarded for this long, because closing
 // a socket with unread data would reset the connection and lose the answer.
 constexpr auto kLingerTime = milliseconds(500);
 constexpr std::size_t kLingerBytes = 1 << 20;
-// A parameter of a query in the library's map and in its set of those seen.
-constexpr std::size_t kParameterMemoryBytes = 256;
 constexpr auto kRefusalLogInterval = milliseconds(10'000);
 constexpr std::size_t kMachineMemoryDivisor = 4;
 
 thread_local int current_socket = -1;
+// The memory that the current request is charged to.
+thread_local request_memory* current_memory = nullptr;
+// This thread accepts connections, so it must not wait for any of them.
+thread_local bool is_accept_thread = false;
 // The path of the current request if its routes see only a part of it.
 thread_local std::string current_path;
 
@@ -112,11 +120,22 @@
   }
   request.headers.erase(first, last);
   for (auto& range : ranges) request.headers.emplace("Range", std::move(range));
+  // cpp-httplib would compress responses, with up to some MB for each.
+  const auto codings = request.headers.equal_range("Accept-Encoding");
+  std::vector<std::string> accepted;
+  for (auto header = codings.first; header != codings.second; ++header) {
+    accepted.push_back(std::move(header->second));
+  }
+  request.headers.erase(codings.first, codings.second);
+  for (auto& coding : accepted) {
+    request.headers.emplace(kHiddenAcceptEncoding, std::move(coding));
+  }
   // Media types have no case, but cpp-httplib knows this one in lower case
   // only.
   const auto types = request.headers.equal_range("Content-Type");
   for (auto header = types.first; header != types.second; ++header) {
     if (header->second.starts_with(kMultipartType)) header->second[0] = 'M';
+    if (header->second.starts_with(kFormType)) header->second[0] = 'A';
   }
   current_path.clear();
   if (request.path.size() > kMaxMatchedPathBytes) {
@@ -124,18 +143,7 @@
     request.path.resize(kMaxMatchedPathBytes);
   }
 }
-  // cpp-httplib would compress responses, with up to some MB for each.
-  const auto codings = request.headers.equal_range("Accept-Encoding");
-  std::vector<std::string> accepted;
-  for (auto header = codings.first; header != codings.second; ++header) {
-    accepted.push_back(std::move(header->second));
-  }
-  request.headers.erase(codings.first, codings.second);
-  for (auto& coding : accepted) {
-    request.headers.emplace(kHiddenAcceptEncoding, std::move(coding));
-  }
 
-    if (header->second.starts_with(kFormType)) header->second[0] = 'A';
 bool WaitReady(int socket, short events, duration timeout) {
   pollfd entry{socket, events, 0};
   const auto wait = std::chrono::ceil<milliseconds>(timeout).count();
@@ -169,10 +177,11 @@
 class socket_stream : public httplib::Stream {
  public:
   socket_stream(int socket, const request_limits& limits,
-                request_memory& memory)
+                request_memory& memory, connection_slots& slots)
       : socket_(socket),
         limits_(limits),
         memory_(memory),
+        slots_(slots),
         head_(limits),
         body_(limits) {}
 
@@ -191,7 +200,7 @@
     }
     body_.Begin(head_.Framing(), head_.BodyBytes());
     body_deadline_ = clock_->Now() + limits_.body_time;
-    if (body_.IsComplete()) memory_.SetComplete(socket_);
+    if (body_.IsComplete()) BeginHandling();
     return refusal_;
   }
   // Why the rest of the request was refused while the library read it.
@@ -220,8 +229,18 @@
   ssize_t write(const char* data, size_t size) override {
     // The library answers a body that it cannot read; the refusal replaces it.
     if (refusal_ != refusal_reason::kNone) return static_cast<ssize_t>(size);
-    if (!is_writable()) return -1;
-    return send(socket_, data, size, MSG_NOSIGNAL);
+    if (!write_deadline_) write_deadline_ = clock_->Now() + kResponseTimeout;
+    for (std::size_t sent = 0; sent < size;) {
+      const ssize_t count =
+          send(socket_, data + sent, size - sent, MSG_NOSIGNAL | MSG_DONTWAIT);
+      if (count > 0) {
+        sent += static_cast<std::size_t>(count);
+      } else if (count == 0 || (errno != EAGAIN && errno != EINTR) ||
+                 !WaitForReader()) {
+        return -1;
+      }
+    }
+    return static_cast<ssize_t>(size);
   }
   void get_remote_ip_and_port(std::string& ip, int& port) const override {
     sockaddr_in address{};
@@ -243,10 +262,25 @@
     head_ = head_reader(limits_);
     head_sent_ = 0;
     body_ = body_reader(limits_);
+    write_deadline_.reset();
     refusal_ = refusal_reason::kNone;
   }
 
  private:
+  void BeginHandling() {
+    memory_.SetComplete(socket_);
+    slots_.BeginHandling(socket_);
+  }
+  // Waits until the peer has read a part of the response. Returns false if that
+  // takes too long or the slot is given to another connection.
+  bool WaitForReader() {
+    const auto now = clock_->Now();
+    if (now >= *write_deadline_) return false;
+    slots_.BeginBlockedWrite(socket_, now);
+    const bool is_ready = WaitReady(socket_, POLLOUT, *write_deadline_ - now);
+    slots_.BeginHandling(socket_);
+    return is_ready && !slots_.IsClosing(socket_);
+  }
   // Reads more bytes. Returns false at the end of the stream and after
   // `deadline`, with the refusal set.
   bool Fill(time_point deadline, refusal_reason after_deadline) {
@@ -258,9 +292,12 @@
     } else if ((count = recv(socket_, buffer_, sizeof buffer_, 0)) <= 0) {
       refusal_ = refusal_reason::kClosed;
     }
-    // The reading side is also shut down to free memory.
+    // The reading side is also shut down to free memory or a slot.
     if (count <= 0 && memory_.IsClosing(socket_)) {
       refusal_ = refusal_reason::kMemory;
+    } else if (count <= 0 && slots_.IsClosing(socket_)) {
+      refusal_ = head_.HasBytes() ? refusal_reason::kSlotTaken
+                                  : refusal_reason::kIdleSlotTaken;
     }
     begin_ = 0;
     end_ = count > 0 ? static_cast<std::size_t>(count) : 0;
@@ -269,6 +306,7 @@
   bool Hold() {
     const std::size_t bytes = head_.Text().capacity() +
                               head_.FieldCount() * kFieldMemoryBytes +
+                              head_.ParameterCount() * kParameterMemoryBytes +
                               body_.DataBytes() * kBodyMemoryFactor;
     if (memory_.Hold(socket_, bytes, clock_->Now())) return true;
     refusal_ = refusal_reason::kMemory;
@@ -288,7 +326,7 @@
       return -1;
     }
     if (!Hold()) return -1;
-    if (body_.IsComplete()) memory_.SetComplete(socket_);
+    if (body_.IsComplete()) BeginHandling();
     std::copy_n(buffer_ + begin_, count, output);
     begin_ += count;
     return static_cast<ssize_t>(count);
@@ -306,7 +344,6 @@
       --hider_.line_bytes;
       return ReadInsertedByte(output);
     }
-                              head_.ParameterCount() * kParameterMemoryBytes +
     *output = byte;
     ++head_sent_;
     return 1;
@@ -322,6 +359,7 @@
   int socket_;
   const request_limits& limits_;
   request_memory& memory_;
+  connection_slots& slots_;
   const clock_ptr clock_ = runtime_clock::Running();
   char buffer_[4096];
   std::size_t begin_ = 0;
@@ -330,6 +368,7 @@
   std::size_t head_sent_ = 0;  // Bytes of the head that the library has read.
   body_reader body_;
   time_point body_deadline_;
+  std::optional<time_point> write_deadline_;
   refusal_reason refusal_ = refusal_reason::kNone;
   range_hider hider_;
   std::string_view inserted_;
@@ -350,13 +389,13 @@
                        .Register(*metrics);
     for (std::size_t index = 0; index < counters_.size(); ++index) {
       const auto reason = static_cast<refusal_reason>(index);
-      if (AnswerOf(reason).status == 0) continue;
+      if (!AnswerOf(reason).is_counted) continue;
       counters_[index] =
           &family.Add({{"reason", std::string(AnswerOf(reason).reason)}});
     }
   }
   void Count(refusal_reason reason) {
-    if (AnswerOf(reason).status == 0) return;
+    if (!AnswerOf(reason).is_counted) return;
     const auto index = static_cast<std::size_t>(reason);
     if (counters_[index] != nullptr) counters_[index]->Increment();
     std::string counts;
@@ -393,9 +432,9 @@
  public:
   http_listener_options options;
   std::unique_ptr<request_memory> memory;
+  std::unique_ptr<connection_slots> slots;
   refusal_log refusals;
   std::mutex mutex;
-  std::map<int, bool> idle_by_socket;
   std::condition_variable connection_closed;
   bool stopping = false;
 
@@ -404,9 +443,9 @@
   void CloseIdleConnections() {
     const std::lock_guard lock(mutex);
     stopping = true;
-    for (const auto& [socket, idle] : idle_by_socket) {
-      if (idle) shutdown(socket, SHUT_RD);
-    }
+    slots->ForEach([](int socket, bool is_idle) {
+      if (is_idle) shutdown(socket, SHUT_RD);
+    });
   }
 
   // Waits up to `kStopReadTimeout` for all connections to close, then shuts
@@ -415,10 +454,8 @@
   void EndIncompleteRequests() {
     std::unique_lock lock(mutex);
     runtime_clock::Running()->WaitFor(lock, connection_closed, kStopReadTimeout,
-                                      [&] { return idle_by_socket.empty(); });
-    for (const auto& [socket, idle] : idle_by_socket) {
-      shutdown(socket, SHUT_RD);
-    }
+                                      [&] { return slots->Count() == 0; });
+    slots->ForEach([](int socket, bool) { shutdown(socket, SHUT_RD); });
   }
 
  private:
@@ -426,8 +463,8 @@
     bool admitted = false;
     {
       const std::lock_guard lock(mutex);
-      admitted = !stopping && idle_by_socket.size() < options.max_connections;
-      if (admitted) idle_by_socket[socket] = true;
+      admitted = !stopping && !is_accept_thread &&
+                 slots->Add(socket, runtime_clock::Running()->Now());
     }
     if (!admitted) {
       Reject(socket);
@@ -436,7 +473,9 @@
     Serve(socket);
     ReleaseMemory(socket);
     const std::lock_guard lock(mutex);
-    idle_by_socket.erase(socket);
+    // The rest of a response that is not read would stay in the kernel.
+    if (slots->IsClosing(socket)) ResetAtClose(socket);
+    slots->Remove(socket);
     connection_closed.notify_all();
     shutdown(socket, SHUT_RDWR);
     close(socket);
@@ -444,21 +483,24 @@
   }
 
   void Serve(int socket) {
-    socket_stream stream(socket, options.limits, *memory);
+    const auto clock = runtime_clock::Running();
+    socket_stream stream(socket, options.limits, *memory, *slots);
     current_socket = socket;
+    current_memory = memory.get();
     while (stream.HasBuffered() || WaitForRequest(socket)) {
       bool last = false;
       {
         const std::lock_guard lock(mutex);
-        idle_by_socket[socket] = false;
+        slots->BeginRequest(socket, clock->Now());
         last = stopping;
       }
       if (!ServeRequest(stream, last)) break;
       ReleaseMemory(socket);
       const std::lock_guard lock(mutex);
-      if (stopping) break;
-      idle_by_socket[socket] = true;
+      if (stopping || slots->IsClosing(socket)) break;
+      slots->BeginIdle(socket, clock->Now());
     }
+    current_memory = nullptr;
     current_socket = -1;
   }
 
@@ -476,6 +518,7 @@
     bool served = false;
     if (stream.ReadHead() == refusal_reason::kNone) {
       served = process_request(stream, last, closed, PrepareForRoutes);
+      if (served) slots->SetServed(stream.socket());
     }
     if (stream.Refusal() != refusal_reason::kNone) {
       Refuse(stream.socket(), stream.Refusal());
@@ -494,7 +537,13 @@
     if (AnswerOf(reason).status == 0) return;
     const std::string response = FormatRefusal(reason);
     send(socket, response.data(), response.size(), MSG_NOSIGNAL | MSG_DONTWAIT);
-    Linger(socket);
+    // Another connection waits for the slot.
+    if (reason != refusal_reason::kSlotTaken) Linger(socket);
+  }
+
+  static void ResetAtClose(int socket) {
+    const linger reset{1, 0};
+    setsockopt(socket, SOL_SOCKET, SO_LINGER, &reset, sizeof reset);
   }
 
   static void Linger(int socket) {
@@ -517,16 +566,18 @@
   void Reject(int socket) {
     refusals.Count(refusal_reason::kConnectionLimit);
     char request[4096];
+    const duration timeout =
+        is_accept_thread ? duration::zero() : duration(kRejectReadTimeout);
     // Closing a socket with unread data would reset the connection and lose the
     // response.
-    if (WaitReady(socket, POLLIN, kRejectReadTimeout)) {
+    if (WaitReady(socket, POLLIN, timeout)) {
       recv(socket, request, sizeof request, MSG_DONTWAIT);
     }
     const std::string response =
         FormatRefusal(refusal_reason::kConnectionLimit);
     send(socket, response.data(), response.size(), MSG_NOSIGNAL | MSG_DONTWAIT);
     shutdown(socket, SHUT_WR);
-    if (WaitReady(socket, POLLIN, kRejectReadTimeout)) {
+    if (WaitReady(socket, POLLIN, timeout)) {
       recv(socket, request, sizeof request, MSG_DONTWAIT);
     }
     close(socket);
@@ -534,7 +585,7 @@
 };
 
 // Runs each connection in a thread of its own. When `max_threads` threads are
-// running, the accepting thread handles the connection itself, which bounds the
+// running, the accepting thread rejects the connection itself, which bounds the
 // number of threads.
 class connection_threads : public httplib::TaskQueue {
  public:
@@ -546,7 +597,9 @@
           Attempt([&] { return threads_.Spawn("http", body); });
       if (started) return;
     }
+    is_accept_thread = true;
     body();
+    is_accept_thread = false;
   }
   void shutdown() override { threads_.JoinAll(); }
 
@@ -618,6 +671,13 @@
           ? limits.max_request_memory_bytes
           : MachineMemoryBytes() / kMachineMemoryDivisor,
       [](int connection) { shutdown(connection, SHUT_RD); });
+  server.slots = std::make_unique<connection_slots>(
+      limits.max_connections,
+      [](int connection, connection_slots::end_of_wait end) {
+        shutdown(connection, end == connection_slots::end_of_wait::kReading
+                                 ? SHUT_RD
+                                 : SHUT_RDWR);
+      });
   server.set_payload_max_length(limits.limits.max_body_bytes);
   server.set_keep_alive_max_count(std::numeric_limits<std::size_t>::max());
   server.set_read_timeout(kIoTimeout);
@@ -690,8 +750,7 @@
 }
 
 std::size_t http_listener::OpenConnections() const {
-  const std::lock_guard lock(state_->server.mutex);
-  return state_->server.idle_by_socket.size();
+  return state_->server.slots->Count();
 }
 
 }  // namespace apricotwheel
--- a/src/clients/http_listener.h
+++ b/src/clients/http_listener.h
@@ -33,9 +33,11 @@
     "Accept-Encoding-not-applied";
 
 // An HTTP server with one thread for each connection. A connection over
-// `max_connections` receives a 503 with Retry-After and the header
-// `Apricotwheel-Outcome: not_run`, and is closed. So does a request outside the
-// limits, with the status of its `refusal_answer`.
+// `max_connections` takes the slot of one that keeps the daemon waiting, see
+// `connection_slots`. If all of them have requests that are being handled, it
+// receives a 503 with Retry-After and the header `Apricotwheel-Outcome:
+// not_run`, and is closed. So does a request outside the limits, with the
+// status of its `refusal_answer`.
 class http_listener {
  public:
   // Opens the listening socket. Routes are added to `Server()` before `Start`.
--- a/src/clients/request_limits.cc
+++ b/src/clients/request_limits.cc
@@ -20,10 +20,13 @@
 constexpr std::array<refusal_answer,
                      static_cast<std::size_t>(refusal_reason::kCount)>
     kAnswers = {{
-        {"none", 0, "", ""},
-        {"closed", 0, "", ""},
+        {"none", 0, "", "", false},
+        {"closed", 0, "", "", false},
         {"connection_limit", 503, "too many connections",
          "reuse connections or try again later"},
+        {"slot_taken", 503, "too many connections and an incomplete request",
+         "send whole requests or try again later"},
+        {"idle_slot_taken", 0, "", ""},
         {"empty_lines", 400, "too many empty lines before the request",
          "send requests without empty lines between them"},
         {"malformed_head", 400, "the head of the request is malformed",
--- a/src/clients/request_limits.h
+++ b/src/clients/request_limits.h
@@ -29,6 +29,8 @@
   kNone,
   kClosed,  // The peer closed in the midst of a request; there is no answer.
   kConnectionLimit,
+  kSlotTaken,      // Another connection took the slot of an incomplete request.
+  kIdleSlotTaken,  // The same without any byte of a request.
   kEmptyLines,
   kMalformedHead,
   kLongTarget,
@@ -49,6 +51,7 @@
   int status;               // 0 if the connection is closed without an answer.
   std::string_view message;
   std::string_view remedy;
+  bool is_counted = true;  // In the metric and the log.
 };
 const refusal_answer& AnswerOf(refusal_reason reason);
 // Returns a whole HTTP response that ends the connection. All refusals happen
