The tree of a JSON body counts in the memory of requests

Cause: a request was charged with three times its body, and the tree of a body like "[],[],.." is some twenty times larger, within every limit. Change: before a handler parses a body, it reserves twice what the tree takes at most (EstimateJsonMemory reads the text and builds nothing).

--- a/src/clients/http_listener.cc
+++ b/src/clients/http_listener.cc
@@ -722,6 +722,11 @@
 httplib::Server& http_listener::Server() { return state_->server; }
 const std::string& http_listener::Address() const { return state_->address; }
 int http_listener::CurrentSocket() { return current_socket; }
+memory_grant http_listener::ReserveMemory(std::size_t bytes) {
+  if (current_memory == nullptr) return memory_grant::kGranted;
+  return current_memory->Reserve(current_socket, bytes,
+                                 runtime_clock::Running()->Now());
+}
 std::string http_listener::PathOf(const httplib::Request& request) {
   return current_path.empty() ? request.path : current_path;
 }
--- a/src/clients/http_listener.h
+++ b/src/clients/http_listener.h
@@ -66,6 +66,10 @@
   // handles, or -1. Test stand-ins use it to inject connection faults.
   static int CurrentSocket();
 
+  // Charges the request that the calling thread handles with more memory, until
+  // its end. Elsewhere, grants all.
+  static memory_grant ReserveMemory(std::size_t bytes);
+
   // Returns the whole path of the request that the calling thread handles.
   static std::string PathOf(const httplib::Request& request);
 
--- a/src/clients/request_limits.cc
+++ b/src/clients/request_limits.cc
@@ -41,11 +41,11 @@
          "send fewer or shorter header fields"},
         {"head_timeout", 408, "the head of the request took too long",
          "send the head without pauses"},
+        {"content_coding", 415, "the body has a content coding",
+         "send the body without Content-Encoding"},
         {"malformed_body", 400, "the chunks of the body are malformed",
          "send chunks as in RFC 9112"},
         {"body_too_large", 413, "the body is too large",
-        {"content_coding", 415, "the body has a content coding",
-         "send the body without Content-Encoding"},
          "send a smaller body or raise max_body_bytes"},
         {"body_timeout", 408, "the body of the request took too long",
          "send the body without pauses"},
@@ -92,10 +92,10 @@
       std::string(answer.reason) + R"("})";
   return "HTTP/1.1 " + std::to_string(answer.status) + " Refused\r\n" +
          (is_overload ? "Retry-After: 1\r\n" : "") +
+         (answer.status == 415 ? "Accept-Encoding: identity\r\n" : "") +
          "Apricotwheel-Outcome: not_run\r\nApricotwheel-Reason: " +
          std::string(answer.reason) +
          "\r\nContent-Type: application/json\r\nConnection: close\r\n"
-         (answer.status == 415 ? "Accept-Encoding: identity\r\n" : "") +
          "Content-Length: " +
          std::to_string(body.size()) + "\r\n\r\n" + body;
 }
@@ -125,10 +125,10 @@
     return Refuse(is_request_line ? refusal_reason::kLongTarget
                                   : refusal_reason::kLongHead);
   }
+  if (is_request_line && (byte == '?' || byte == '&')) ++parameter_count_;
   if (byte == '\n') EndLine();
 }
 
-  if (is_request_line && (byte == '?' || byte == '&')) ++parameter_count_;
 void head_reader::EndLine() {
   std::string_view line(text_);
   line.remove_prefix(line_begin_);
@@ -176,14 +176,14 @@
       return Refuse(refusal_reason::kMalformedHead);
     }
     framing_ = body_framing::kChunked;
-  }
-}
-
-void head_reader::EndHead() {
   } else if (EqualsIgnoreCase(name, "Content-Encoding") && !value.empty() &&
              !EqualsIgnoreCase(value, "identity")) {
     // The library would unpack the body to any size.
     return Refuse(refusal_reason::kContentCoding);
+  }
+}
+
+void head_reader::EndHead() {
   if (framing_ == body_framing::kChunked && has_length_) {
     return Refuse(refusal_reason::kMalformedHead);
   }
@@ -311,6 +311,19 @@
   return true;
 }
 
+memory_grant request_memory::Reserve(int connection, std::size_t bytes,
+                                     time_point now) {
+  const std::lock_guard lock(mutex_);
+  auto& held = holders_[connection];
+  if (held.bytes + bytes > max_bytes_) return memory_grant::kTooLarge;
+  if (!MakeRoom(bytes, connection, now)) return memory_grant::kNoneNow;
+  if (held.bytes == 0) held.since = now;
+  held.bytes += bytes;
+  held_ += bytes;
+  if (held.is_closing) closing_ += bytes;
+  return memory_grant::kGranted;
+}
+
 void request_memory::SetComplete(int connection) {
   const std::lock_guard lock(mutex_);
   holders_[connection].is_complete = true;
--- a/src/clients/request_limits.h
+++ b/src/clients/request_limits.h
@@ -38,9 +38,9 @@
   kFieldCount,
   kLongHead,
   kHeadTimeout,
+  kContentCoding,
   kMalformedBody,
   kLongBody,
-  kContentCoding,
   kBodyTimeout,
   kMemory,
   kCount
@@ -75,11 +75,11 @@
   // The head from the request line to the empty line, both included.
   const std::string& Text() const { return text_; }
   std::size_t FieldCount() const { return field_count_; }
+  // An upper bound of the parameters in the query of the target.
+  std::size_t ParameterCount() const { return parameter_count_; }
   body_framing Framing() const { return framing_; }
   std::size_t BodyBytes() const { return body_bytes_; }  // For kLength.
 
-  // An upper bound of the parameters in the query of the target.
-  std::size_t ParameterCount() const { return parameter_count_; }
  private:
   void TakeByte(char byte);
   void EndLine();
@@ -92,10 +92,10 @@
   std::size_t line_begin_ = 0;
   std::size_t empty_lines_ = 0;
   std::size_t field_count_ = 0;
+  std::size_t parameter_count_ = 0;
   body_framing framing_ = body_framing::kNone;
   std::size_t body_bytes_ = 0;
   bool has_length_ = false;
-  std::size_t parameter_count_ = 0;
   bool is_complete_ = false;
   refusal_reason refusal_ = refusal_reason::kNone;
 };
@@ -130,6 +130,12 @@
   refusal_reason refusal_ = refusal_reason::kNone;
 };
 
+enum class memory_grant {
+  kGranted,
+  kNoneNow,   // Others hold too much.
+  kTooLarge,  // No request may hold so much.
+};
+
 // Counts the memory that the requests of all connections of a listener hold. If
 // it is short, the connection is closed whose incomplete request has held the
 // most bytes for the longest time (bytes times age). Ordinary requests are
@@ -145,6 +151,8 @@
   // Sets the bytes that the incomplete request of a connection holds. Returns
   // false if there is no memory for them or the connection is being closed.
   bool Hold(int connection, std::size_t bytes, time_point now);
+  // Adds to the bytes that a request holds until it is released.
+  memory_grant Reserve(int connection, std::size_t bytes, time_point now);
   // A complete request is being handled and is not closed.
   void SetComplete(int connection);
   // The request has ended. Returns whether so much has been freed since the
--- a/src/daemon/job_api.cc
+++ b/src/daemon/job_api.cc
@@ -4,6 +4,10 @@
 #include <charconv>
 #include <string>
 
+#include "clients/http_listener.h"
+#include "daemon/http_responses.h"
+#include "kernel/json_reading.h"
+
 namespace apricotwheel {
 
 namespace {
@@ -23,6 +27,18 @@
   response.set_content(job_response.body, "application/json");
 }
 
+// The tree of the body would take more memory than requests may hold.
+void WriteNoMemory(memory_grant granted, httplib::Response& response) {
+  const bool is_temporary = granted == memory_grant::kNoneNow;
+  response.set_header("Apricotwheel-Outcome", "not_run");
+  if (is_temporary) response.set_header("Retry-After", "1");
+  WriteErrorResponse(
+      response, is_temporary ? 503 : 413,
+      {is_temporary ? error_kind::kOverloaded : error_kind::kInvalidArgument,
+       "there is no memory for the values of the body",
+       is_temporary ? "try again later" : "split the job into several jobs"});
+}
+
 // Returns the long poll time of `wait_ms`, at most kMaxWaitMs; 0 if the
 // parameter is missing or does not start with a number.
 duration ParseLongPollTime(const httplib::Request& request) {
@@ -39,6 +55,11 @@
   using httplib_response = httplib::Response;
   server.Post("/v1/jobs", [&jobs](const httplib_request& request,
                                   httplib_response& response) {
+    const auto granted =
+        http_listener::ReserveMemory(2 * EstimateJsonMemory(request.body));
+    if (granted != memory_grant::kGranted) {
+      return WriteNoMemory(granted, response);
+    }
     WriteJobResponse(jobs.Submit(request.body), response);
   });
   server.Get("/v1/jobs",
--- a/src/kernel/json_reading.cc
+++ b/src/kernel/json_reading.cc
@@ -9,6 +9,12 @@
 
 constexpr int kMaxDepth = 64;
 
+// Blocks of the allocator for the parts of a tree. A value counts three times,
+// because an array that grows is copied to one of twice the size.
+constexpr std::size_t kValueBytes = 3 * sizeof(nlohmann::json);
+constexpr std::size_t kContainerBytes = 80;  // Of an array or object, or text.
+constexpr std::size_t kMemberBytes = 96;     // The node and its key.
+
 boost::leaf::error_id OutOfRange() {
   return Fail(error_kind::kCorrupt, "a number is out of range",
               "check which program writes it");
@@ -45,6 +51,29 @@
   return false;
 }
 
+std::size_t EstimateJsonMemory(std::string_view text) {
+  // The texts of strings and keys are copied once.
+  std::size_t bytes = text.size() + kValueBytes;
+  bool is_in_string = false;
+  for (std::size_t i = 0; i < text.size(); ++i) {
+    const char letter = text[i];
+    if (is_in_string) {
+      if (letter == '\\') ++i;
+      if (letter == '"') is_in_string = false;
+    } else if (letter == '"') {
+      is_in_string = true;
+      bytes += kContainerBytes;
+    } else if (letter == '[' || letter == '{') {
+      bytes += kContainerBytes + kValueBytes;
+    } else if (letter == ':') {
+      bytes += kMemberBytes;
+    } else if (letter == ',') {
+      bytes += kValueBytes;
+    }
+  }
+  return bytes;
+}
+
 result<std::int64_t> ReadInteger(const nlohmann::json& value, std::int64_t low,
                                  std::int64_t high) {
   std::int64_t number = 0;
--- a/src/kernel/json_reading.h
+++ b/src/kernel/json_reading.h
@@ -18,6 +18,11 @@
 // value could use up the stack.
 bool IsNestedTooDeep(std::string_view text);
 
+// Returns an upper bound of the memory that the tree of a JSON text takes while
+// it is built, without building it. The tree of "[],[],.." is many times larger
+// than its text.
+std::size_t EstimateJsonMemory(std::string_view text);
+
 // Returns a whole number between the limits, which may be written with a
 // fraction of 0. Fails with `corrupt` for anything else; the conversions of the
 // library wrap around numbers that are too large.
--- a/tests/clients/request_limits_test.cc
+++ b/tests/clients/request_limits_test.cc
@@ -187,6 +187,31 @@
   BOOST_TEST(memory.HeldBytes() <= 1500U);
 }
 
+// Guards against a running request that takes more memory than there is, and
+// against one that is told to come back and can never be served.
+BOOST_AUTO_TEST_CASE(running_requests_reserve_memory) {
+  std::vector<int> closed;
+  request_memory memory(1000, [&](int id) { closed.push_back(id); });
+  const time_point start;
+  BOOST_TEST(memory.Hold(1, 100, start));
+  memory.SetComplete(1);
+  BOOST_TEST((memory.Reserve(1, 901, start) == memory_grant::kTooLarge));
+  BOOST_TEST((memory.Reserve(1, 800, start) == memory_grant::kGranted));
+  BOOST_TEST(memory.Hold(2, 100, start));
+  memory.SetComplete(2);
+  BOOST_TEST((memory.Reserve(2, 10, start) == memory_grant::kNoneNow));
+  memory.Release(1);
+  BOOST_TEST(memory.HeldBytes() == 100U);
+  // Incomplete requests go first.
+  BOOST_TEST(memory.Hold(3, 800, start));
+  BOOST_TEST((memory.Reserve(2, 400, start + milliseconds(1)) ==
+              memory_grant::kGranted));
+  BOOST_TEST((closed == std::vector<int>{3}));
+  memory.Release(3);
+  memory.Release(2);
+  BOOST_TEST(memory.HeldBytes() == 0U);
+}
+
 // Guards against memory errors, endless loops and memory without a bound on any
 // bytes. Pieces of legal requests are joined at random, with single bytes
 // changed. A run of more rounds: APRICOTWHEEL_FUZZ_ROUNDS.
--- a/tests/kernel/kernel_test.cc
+++ b/tests/kernel/kernel_test.cc
@@ -1,10 +1,12 @@
 #include <boost/test/unit_test.hpp>
 #include <condition_variable>
 #include <mutex>
+#include <nlohmann/json.hpp>
 #include <thread>
 
 #include "kernel/clock.h"
 #include "kernel/error.h"
+#include "kernel/json_reading.h"
 #include "kernel/log.h"
 #include "kernel/plugin_registry.h"
 #include "kernel/random.h"
@@ -94,6 +96,22 @@
 
 // Guards against a namespace-scope `registration` that registers nothing, and a
 // failed lookup whose error does not list the known names.
+// Guards against texts whose trees take more memory than was counted.
+BOOST_AUTO_TEST_CASE(json_trees_are_estimated_from_above) {
+  const std::string brackets = "[[],[],[],[]]";
+  // Five arrays, and three values more in the vector that grows to four.
+  BOOST_TEST(EstimateJsonMemory(brackets) >=
+             5 * sizeof(std::vector<nlohmann::json>) +
+                 8 * sizeof(nlohmann::json));
+  std::string wide = "[[]";
+  for (int i = 1; i < 1000; ++i) wide += ",[]";
+  wide += "]";
+  BOOST_TEST(EstimateJsonMemory(wide) >= 1000 * 60U);
+  // Brackets and commas in a text are no values.
+  const std::string text = "\"" + std::string(1000, '[') + "\\\",,,\"";
+  BOOST_TEST(EstimateJsonMemory(text) < 2000U);
+}
+
 BOOST_AUTO_TEST_CASE(plugins_register_themselves) {
   auto& registry = plugin_registry<sample_plugin>::Instance();
   const auto found = Attempt([&] { return registry.Find("sample"); });
