Bound the memory of accepted jobs, and load what fits of a larger store

Callers saw 429 or nothing while a pool had no owner. Cause: accepted work had no bound in memory. A job within all limits (1,000 steps of 10 tasks) took about 2.3 MB; the owner grew until it ended, and so did each successor that loaded the same store. Change: jobs are estimated by steps, tasks, occurrences and payload. A new job may take half of what is free; else it gets 429 before anything is stored, or 400 if it can never fit. A successor reads the store page by page, loads what fits, and keeps the other jobs deferred: known to callers, loaded as memory becomes free, when they are cancelled, or before a worker's report of their runs or ends is applied. Finished jobs release their graphs.

--- a/src/clients/kv_client.cc
+++ b/src/clients/kv_client.cc
@@ -225,6 +225,24 @@
   return std::move(listing.entries);
 }
 
+result<void> kv_client::ForEach(std::string_view prefix,
+                                const std::function<void(kv_entry)>& visit) {
+  if (!state_->protocol.list_page) {
+    BOOST_LEAF_AUTO(entries, List(prefix));
+    for (kv_entry& entry : entries) visit(std::move(entry));
+    return {};
+  }
+  std::string after;
+  while (true) {
+    ++state_->calls;
+    BOOST_LEAF_AUTO(page, state_->protocol.list_page(prefix, after));
+    if (!page.entries.empty()) after = page.entries.back().key;
+    const bool is_last = !page.has_more || page.entries.empty();
+    for (kv_entry& entry : page.entries) visit(std::move(entry));
+    if (is_last) return {};
+  }
+}
+
 result<kv_listing> kv_client::ListWithRevision(std::string_view prefix) {
   ++state_->calls;
   return state_->protocol.list(prefix);
--- a/src/clients/kv_client.h
+++ b/src/clients/kv_client.h
@@ -40,6 +40,11 @@
   std::uint64_t revision = 0;
 };
 
+struct kv_page {
+  std::vector<kv_entry> entries;
+  bool has_more = false;  // Entries with later keys.
+};
+
 struct kv_condition {
   std::string key;
   std::uint64_t revision = 0;  // 0 requires that the key does not exist.
@@ -66,6 +71,11 @@
                                                 duration timeout)>
       get;
   std::function<result<kv_listing>(std::string_view prefix)> list;
+  // Returns entries with keys after `after`, in their order. Without this
+  // operation, all entries are one page.
+  std::function<result<kv_page>(std::string_view prefix,
+                                std::string_view after)>
+      list_page = {};
   // Returns the revision of the writes. Fails with `conflict` if a condition
   // does not hold, and with `not_found` if a lease has expired or was revoked.
   std::function<result<std::uint64_t>(const kv_transaction& writes,
@@ -94,6 +104,12 @@
   protocol.list = [service](std::string_view prefix) {
     return List(*service, prefix);
   };
+  if constexpr (requires { ListPage(*service, "", ""); }) {
+    protocol.list_page = [service](std::string_view prefix,
+                                   std::string_view after) {
+      return ListPage(*service, prefix, after);
+    };
+  }
   protocol.commit = [service](const kv_transaction& writes, duration timeout) {
     return Commit(*service, writes, timeout);
   };
@@ -145,6 +161,10 @@
   result<std::optional<kv_entry>> Get(std::string_view key,
                                       std::optional<duration> timeout = {});
   result<std::vector<kv_entry>> List(std::string_view prefix);
+  // Calls `visit` with each entry, without holding all of them at once. Pages
+  // are not a snapshot.
+  result<void> ForEach(std::string_view prefix,
+                       const std::function<void(kv_entry)>& visit);
   // Also returns the revision at which to start a watch.
   result<kv_listing> ListWithRevision(std::string_view prefix);
 
--- a/src/config/settings.cc
+++ b/src/config/settings.cc
@@ -52,7 +52,7 @@
 using s = daemon_settings;
 
 // clang-format off
-constexpr std::array<setting_row, 50> kSettings = {{
+constexpr std::array<setting_row, 51> kSettings = {{
     {"name", kName, "", &s::name, true, 0, 0,
      "name of this daemon, unique in the cell"},
     {"failure_domain", kName, "", &s::failure_domain, true, 0, 0,
@@ -125,6 +125,8 @@
      "time from the end of the head to the end of the body"},
     {"http_memory_percent", kNumber, "percent", &s::http_memory_percent, false, 1, 90,
      "part of the machine's memory that the requests of all callers may hold together"},
+    {"job_memory_percent", kNumber, "percent", &s::job_memory_percent, false, 1, 90,
+     "part of the machine's memory that the accepted jobs of all pools may take"},
     {"machine_memory_mb", kNumber, "MB", &s::machine_memory_mb, false, 0, 16 << 20,
      "memory of the machine; 0 takes what the system reports"},
     {"max_frame_bytes", kNumber, "bytes", &s::max_frame_bytes, false, 65'536, 256 << 20,
--- a/src/config/settings.h
+++ b/src/config/settings.h
@@ -62,6 +62,7 @@
   duration http_head_timeout = milliseconds(10'000);
   duration http_body_timeout = milliseconds(30'000);
   std::int64_t http_memory_percent = 25;
+  std::int64_t job_memory_percent = 25;
   std::int64_t machine_memory_mb = 0;  // 0: as the system reports it.
   std::int64_t max_frame_bytes = 8 << 20;
   std::int64_t max_handler_threads = 256;
--- a/src/graph/graph_codec.cc
+++ b/src/graph/graph_codec.cc
@@ -148,11 +148,11 @@
 
 // Each row of such a field is [task index, [run numbers]]. Records of earlier
 // versions lack some of the fields.
-result<void> ReadRuns(const json& in, const char* field,
-                      std::vector<std::vector<std::uint64_t>>& runs) {
+result<void> ReadRuns(const json& in, const char* field, std::size_t task_count,
+                      run_numbers& runs) {
   for (const json& row : in.value(field, json::array())) {
-    const auto index = row.at(0).get<std::size_t>();
-    if (index >= runs.size()) {
+    const auto index = row.at(0).get<std::uint32_t>();
+    if (index >= task_count) {
       return CorruptRecord("`" + std::string(field) +
                            "` names a task that the step does not have");
     }
@@ -161,10 +161,9 @@
   return {};
 }
 
-void PutRuns(json& out, const char* field,
-             const std::vector<std::vector<std::uint64_t>>& runs) {
-  for (std::size_t i = 0; i < runs.size(); ++i) {
-    if (!runs[i].empty()) out[field].push_back({i, runs[i]});
+void PutRuns(json& out, const char* field, const run_numbers& runs) {
+  for (const auto& [index, numbers] : runs) {
+    if (!numbers.empty()) out[field].push_back({index, numbers});
   }
 }
 
@@ -177,16 +176,17 @@
   for (std::size_t i = 0; i < text.size(); ++i) {
     step.done[i] = text[i] == '1';
   }
-  BOOST_LEAF_CHECK(ReadRuns(in, "failed_runs", step.failed_runs));
-  BOOST_LEAF_CHECK(ReadRuns(in, "crashed_runs", step.crashed_runs));
+  const std::size_t count = step.done.size();
+  BOOST_LEAF_CHECK(ReadRuns(in, "failed_runs", count, step.failed_runs));
+  BOOST_LEAF_CHECK(ReadRuns(in, "crashed_runs", count, step.crashed_runs));
   for (const json& row : in.value("lent", json::array())) {
     const auto index = row.at(0).get<std::uint32_t>();
-    if (index >= step.done.size()) {
+    if (index >= count) {
       return CorruptRecord("`lent` names a task that the step does not have");
     }
     row.at(1).get_to(step.lent[index]);
   }
-  return ReadRuns(in, "excused_runs", step.excused_runs);
+  return ReadRuns(in, "excused_runs", count, step.excused_runs);
 }
 
 }  // namespace
@@ -264,9 +264,7 @@
   const std::size_t count = std::max(1U, graph.schedule.repetitions);
   std::vector<step_progress> steps;
   for (const graph_step& step : graph.steps) {
-    const std::vector<std::vector<std::uint64_t>> no_runs(step.task_count);
-    steps.push_back(
-        {std::vector<bool>(step.task_count), no_runs, no_runs, no_runs, {}});
+    steps.push_back({std::vector<bool>(step.task_count), {}, {}, {}, {}});
   }
   progress.occurrences.assign(count, steps);
   return progress;
--- a/src/graph/job_graph.h
+++ b/src/graph/job_graph.h
@@ -96,17 +96,20 @@
   std::optional<guest_tasks> guest;  // The only tasks that run here.
 };
 
+// Numbers of runs by task index. Most tasks have none.
+using run_numbers = std::map<std::uint32_t, std::vector<std::uint64_t>>;
+
 // Progress of one step that survives a restart of the daemon.
 struct step_progress {
   std::vector<bool> done;  // By task index.
-  // Numbers of the failed runs by task index; a gang counts all in [0].
-  std::vector<std::vector<std::uint64_t>> failed_runs;
-  // Numbers of the runs that were on a worker when it crashed, by task index; a
-  // gang counts all in [0].
-  std::vector<std::vector<std::uint64_t>> crashed_runs;
+  // Numbers of the failed runs; a gang counts all in [0].
+  run_numbers failed_runs;
+  // Numbers of the runs that were on a worker when it crashed; a gang counts
+  // all in [0].
+  run_numbers crashed_runs;
   // The same for crashes that are no evidence against the task: many workers
   // fell at once, or the worker had not confirmed the run.
-  std::vector<std::vector<std::uint64_t>> excused_runs;
+  run_numbers excused_runs;
   // The partitions that run tasks of the step for this one, by task index.
   std::map<std::uint32_t, std::string> lent;
 };
--- a/src/graph/pool_crashes.cc
+++ b/src/graph/pool_crashes.cc
@@ -102,9 +102,10 @@
     const auto& steps = job.progress.occurrences[key.occurrence];
     for (key.step = 0; key.step < steps.size(); ++key.step) {
       const step_progress& step = steps[key.step];
-      for (key.index = 0; key.index < step.done.size(); ++key.index) {
-        if (!step.crashed_runs[key.index].empty() ||
-            !step.excused_runs[key.index].empty()) {
+      for (const run_numbers* runs : {&step.crashed_runs, &step.excused_runs}) {
+        for (const auto& [index, numbers] : *runs) {
+          if (numbers.empty()) continue;
+          key.index = index;
           job.crashed_tasks.insert(key);
         }
       }
--- a/src/graph/pool_model.h
+++ b/src/graph/pool_model.h
@@ -205,6 +205,8 @@
   bool is_beyond_rate = false;
   // The final state is stored, so that no later owner starts its tasks again.
   bool is_result_stored = false;
+  // See `EstimateJobMemory`.
+  std::size_t memory_bytes = 0;
   // The job is being moved to another partition and must not start here.
   bool is_moving = false;
   // The tasks that the stored progress says are lent, by partition. Only these
--- a/src/graph/pool_moves.cc
+++ b/src/graph/pool_moves.cc
@@ -139,6 +139,7 @@
   if (job == nullptr) return;
   open_jobs_.erase(job);
   dirty_jobs_.erase(job);
+  job_memory_bytes_ -= job->memory_bytes;
   std::erase_if(wanted_approvals_, [&](const wanted_approval& each) {
     return each.waiting.job == job;
   });
--- a/src/graph/pool_scheduler.cc
+++ b/src/graph/pool_scheduler.cc
@@ -5,11 +5,15 @@
 
 #include "graph/graph_codec.h"
 #include "graph/graph_events.h"
+#include "graph/job_footprint.h"
 
 namespace apricotwheel {
 
 namespace {
 
+// Interval at which the graphs of finished jobs are released.
+constexpr auto kGraphReleaseInterval = milliseconds(1000);
+
 // Returns for each step the longest chain of estimates that begins with it.
 std::vector<std::int64_t> LongestPathsMs(const job_graph& graph) {
   std::vector<std::int64_t> path_ms(graph.steps.size(), 0);
@@ -170,6 +174,10 @@
     }
   }
   graph_job& kept = *added;
+  kept.memory_bytes = IsFinal(kept.progress.state)
+                          ? kFinishedJobBytes
+                          : EstimateJobMemory(kept.submission);
+  job_memory_bytes_ += kept.memory_bytes;
   jobs_[kept.submission.id] = std::move(added);
   if (IsFinal(kept.progress.state)) {
     kept.is_result_stored = true;  // The job comes from the store.
@@ -285,6 +293,7 @@
       continue;
     }
     dirty_jobs_.erase(job);
+    job_memory_bytes_ -= job->memory_bytes;
     jobs_.erase(id);
     jobs_to_delete_.push_back(id);
   }
@@ -294,6 +303,38 @@
   }
 }
 
+void pool_scheduler::ReleaseFinishedGraphs(time_point now) {
+  if (kept_graphs_.empty()) return;
+  if (now < next_graph_release_at_) {
+    next_decision_at_ = std::min(next_decision_at_, next_graph_release_at_);
+    return;
+  }
+  next_graph_release_at_ = now + duration(kGraphReleaseInterval);
+  std::set<const graph_job*> running;
+  for (const auto& [id, worker] : workers_) {
+    for (const auto& [task, run] : worker.runs) running.insert(run.job);
+  }
+  std::vector<std::string> left;
+  for (std::string& id : std::exchange(kept_graphs_, {})) {
+    graph_job* job = FindJob(id);
+    if (job == nullptr) continue;
+    if (running.contains(job) || dirty_jobs_.contains(job)) {
+      left.push_back(std::move(id));
+      continue;
+    }
+    // What remains is what is loaded of a finished job.
+    job->submission.graph = {};
+    job->progress.occurrences = {};
+    job->occurrences = {};
+    job->longest_path_ms = {};
+    job->crashed_tasks = {};
+    job->stored_lent = {};
+    job_memory_bytes_ -= job->memory_bytes - kFinishedJobBytes;
+    job->memory_bytes = kFinishedJobBytes;
+  }
+  kept_graphs_ = std::move(left);
+}
+
 bool pool_scheduler::IsTakeoverComplete(time_point now) const {
   return unverified_workers_.empty() ||
          now >= options_.earlier_leases_expire_at;
@@ -307,6 +348,7 @@
   ReviewCrashes(now);
   ++pass_;
   DeleteFinishedJobs(now);
+  ReleaseFinishedGraphs(now);
   ReviewMoves(now);
   CollectStops(now, decisions);
   CollectThrottles(decisions);
@@ -381,7 +423,10 @@
       job->stored_lent = LentTasks(entry.job_id, entry.progress);
       continue;
     }
-    if (!std::exchange(job->is_result_stored, true)) --unstored_results_;
+    if (!std::exchange(job->is_result_stored, true)) {
+      --unstored_results_;
+      kept_graphs_.push_back(entry.job_id);
+    }
   }
   for (const auto& [id, mark] : batch.ends_by_worker) {
     worker_state* worker = FindWorker(id);
--- a/src/graph/pool_scheduler.h
+++ b/src/graph/pool_scheduler.h
@@ -304,6 +304,8 @@
   std::uint64_t WorkersExamined() const { return workers_examined_; }
   // Counts the ready steps with waiting tasks in the last pass.
   std::size_t CountWaitingSteps() const { return waiting_step_count_; }
+  // Returns about the memory that all jobs take.
+  std::size_t JobMemoryBytes() const { return job_memory_bytes_; }
   // Counts the jobs that are not finished.
   std::size_t CountOpenJobs() const { return open_jobs_.size(); }
   // Counts the starts without a result.
@@ -402,6 +404,9 @@
   void FinishJob(graph_job& job, job_state state, time_point now);
   // Removes finished jobs after the retention time.
   void DeleteFinishedJobs(time_point now);
+  // Releases the graphs and task states of finished jobs without runs. Their
+  // final states are kept.
+  void ReleaseFinishedGraphs(time_point now);
   void Log(const log_event_kind& kind, std::vector<log_field> fields) const;
 
   // In pool_audit.cc.
@@ -924,6 +929,10 @@
   std::set<graph_job*> dirty_jobs_;  // Jobs with progress that is not stored.
   // End times and ids of finished jobs, oldest first.
   std::deque<std::pair<time_point, std::string>> finished_jobs_;
+  // Ids of finished jobs whose state is stored and whose graphs are still kept.
+  std::vector<std::string> kept_graphs_;
+  time_point next_graph_release_at_{};
+  std::size_t job_memory_bytes_ = 0;
   std::vector<std::string> jobs_to_delete_;
   // Number of finished jobs whose state is not stored.
   std::size_t unstored_results_ = 0;
--- a/src/graph/pool_suspects.cc
+++ b/src/graph/pool_suspects.cc
@@ -346,7 +346,7 @@
 
 void pool_scheduler::EndIsolation(const task_key& task) {
   graph_job* job = FindJob(task.job_id);
-  if (job == nullptr) return;
+  if (job == nullptr || !HasTask(*job, task)) return;
   worker_state* worker =
       FindWorker(StepOf(*job, task).tasks[task.index].worker);
   if (worker == nullptr) return;
--- a/src/pools/job_journal.cc
+++ b/src/pools/job_journal.cc
@@ -4,7 +4,9 @@
 #include <iterator>
 #include <map>
 #include <nlohmann/json.hpp>
+#include <tuple>
 
+#include "graph/job_footprint.h"
 #include "pools/partition_table.h"
 #include "pools/pool_events.h"
 
@@ -52,6 +54,29 @@
   return "apricotwheel/" + std::string(kind) + "/" + std::string(pool) + "/";
 }
 
+// Order in which jobs are loaded: has not started, priority, time of
+// acceptance, id.
+using load_rank = std::tuple<bool, int, std::int64_t, std::string>;
+
+load_rank RankOf(const stored_job& job) {
+  const job_submission& submission = job.submission;
+  return {!job.progress.has_started, submission.queue.priority,
+          submission.accepted_at_ms, submission.id};
+}
+
+// Tasks that one partition runs for another are reported by the other one, not
+// by the workers here.
+bool MayBeDeferred(const stored_job& job) {
+  if (job.submission.guest) return false;
+  return std::none_of(
+      job.progress.occurrences.begin(), job.progress.occurrences.end(),
+      [](const std::vector<step_progress>& steps) {
+        return std::any_of(
+            steps.begin(), steps.end(),
+            [](const step_progress& step) { return !step.lent.empty(); });
+      });
+}
+
 }  // namespace
 
 std::string JobKey(std::string_view pool, std::string_view job_id) {
@@ -66,6 +91,17 @@
   return Prefix("moved", partition) + std::string(job_id);
 }
 
+deferred_job Defer(const stored_job& job) {
+  deferred_job deferred;
+  deferred.queue = job.submission.queue.name;
+  deferred.organisation = job.submission.organisation;
+  deferred.state = job.progress.state;
+  deferred.priority = job.submission.queue.priority;
+  deferred.accepted_at_ms = job.submission.accepted_at_ms;
+  deferred.memory_bytes = EstimateJobMemory(job.submission);
+  return deferred;
+}
+
 result<std::optional<job_state>> ReadStoredJobState(kv_client& kv,
                                                     std::string_view pool,
                                                     std::string_view job_id) {
@@ -186,38 +222,81 @@
     contents.moved_jobs[entry.key.substr(moved_prefix.size())] =
         std::move(entry.value);
   }
-  BOOST_LEAF_AUTO(jobs, options_.kv->List(Prefix("jobs", options_.pool)));
-  BOOST_LEAF_AUTO(rows, options_.kv->List(Prefix("progress", options_.pool)));
-  std::map<std::string, std::string> progress;
-  const std::size_t skip = Prefix("progress", options_.pool).size();
-  for (auto& row : rows) {
-    progress[row.key.substr(skip)] = std::move(row.value);
-  }
-  for (const auto& entry : jobs) {
-    auto job = Attempt([&] { return DecodeSubmission(entry.value); });
-    if (!job) {
-      Emit(options_.log, pool_events::kRecordInvalid,
-           {Field("key", entry.key), Field("reason", Describe(job.failure))});
-      continue;
-    }
-    stored_job stored{std::move(*job), {}};
-    stored.progress = InitialProgress(stored.submission);
-    const auto found = progress.find(stored.submission.id);
-    if (found != progress.end()) {
-      auto decoded = Attempt([&] {
-        return DecodeProgress(found->second, stored.submission.graph);
-      });
-      if (decoded) {
-        stored.progress = std::move(*decoded);
-      } else {
-        Emit(options_.log, pool_events::kRecordInvalid,
-             {Field("key", ProgressKey(options_.pool, stored.submission.id)),
-              Field("reason", Describe(decoded.failure))});
-      }
-      progress.erase(found);
+  BOOST_LEAF_CHECK(LoadJobs(contents));
+  return contents;
+}
+
+std::optional<stored_job> job_journal::DecodeJob(
+    const kv_entry& record, const std::string* progress) const {
+  auto job = Attempt([&] { return DecodeSubmission(record.value); });
+  if (!job) {
+    Emit(options_.log, pool_events::kRecordInvalid,
+         {Field("key", record.key), Field("reason", Describe(job.failure))});
+    return std::nullopt;
+  }
+  stored_job stored{std::move(*job), {}};
+  if (progress != nullptr) {
+    auto decoded = Attempt(
+        [&] { return DecodeProgress(*progress, stored.submission.graph); });
+    if (decoded) {
+      stored.progress = std::move(*decoded);
+      return stored;
     }
-    contents.jobs.push_back(std::move(stored));
+    Emit(options_.log, pool_events::kRecordInvalid,
+         {Field("key", ProgressKey(options_.pool, stored.submission.id)),
+          Field("reason", Describe(decoded.failure))});
   }
+  stored.progress = InitialProgress(stored.submission);
+  return stored;
+}
+
+result<std::optional<stored_job>> job_journal::ReadJob(
+    std::string_view job_id) {
+  BOOST_LEAF_AUTO(record, options_.kv->Get(JobKey(options_.pool, job_id)));
+  if (!record) return std::optional<stored_job>();
+  BOOST_LEAF_AUTO(progress,
+                  options_.kv->Get(ProgressKey(options_.pool, job_id)));
+  return DecodeJob(*record, progress ? &progress->value : nullptr);
+}
+
+result<void> job_journal::LoadJobs(journal_contents& contents) {
+  // By id. No other process writes the progress of this pool any more.
+  std::map<std::string, std::string> progress;
+  const std::string progress_prefix = Prefix("progress", options_.pool);
+  BOOST_LEAF_CHECK(options_.kv->ForEach(progress_prefix, [&](kv_entry entry) {
+    progress[entry.key.substr(progress_prefix.size())] = std::move(entry.value);
+  }));
+  // Jobs that may be deferred; those that are needed least come last.
+  std::map<load_rank, stored_job> waiting;
+  std::size_t waiting_bytes = 0;
+  std::size_t loaded_bytes = 0;
+  const std::size_t max_bytes = options_.free_job_memory();
+  BOOST_LEAF_CHECK(options_.kv->ForEach(
+      Prefix("jobs", options_.pool), [&](const kv_entry& entry) {
+        const std::string id =
+            entry.key.substr(Prefix("jobs", options_.pool).size());
+        const auto found = progress.find(id);
+        auto job = DecodeJob(
+            entry, found == progress.end() ? nullptr : &found->second);
+        if (!job) return;
+        if (found != progress.end()) progress.erase(found);
+        const std::size_t bytes = EstimateJobMemory(job->submission);
+        if (MayBeDeferred(*job)) {
+          waiting_bytes += bytes;
+          waiting.emplace(RankOf(*job), std::move(*job));
+        } else {
+          loaded_bytes += bytes;
+          contents.jobs.push_back(std::move(*job));
+        }
+        while (!waiting.empty() && loaded_bytes + waiting_bytes > max_bytes) {
+          const auto last = std::prev(waiting.end());
+          const deferred_job deferred = Defer(last->second);
+          waiting_bytes -= deferred.memory_bytes;
+          contents.deferred[last->second.submission.id] = deferred;
+          waiting.erase(last);
+        }
+      }));
+  for (auto& [rank, job] : waiting) contents.jobs.push_back(std::move(job));
   for (const auto& row : progress) {
     const auto state =
         Attempt([&] { return DecodeProgressSummary(row.second); });
@@ -232,7 +311,7 @@
             Field("reason", Describe(state.failure))});
     }
   }
-  return contents;
+  return {};
 }
 
 result<void> job_journal::Start() {
--- a/src/pools/job_journal.h
+++ b/src/pools/job_journal.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <deque>
 #include <functional>
+#include <limits>
 #include <memory>
 #include <mutex>
 #include <optional>
@@ -48,6 +49,17 @@
   job_progress progress;
 };
 
+// A stored job that is not loaded, for want of memory.
+struct deferred_job {
+  std::string queue;
+  std::string organisation;
+  job_state state = job_state::kQueued;
+  int priority = 0;
+  std::int64_t accepted_at_ms = 0;  // Unix time.
+  std::size_t memory_bytes = 0;     // See `EstimateJobMemory`.
+};
+deferred_job Defer(const stored_job& job);
+
 // The stored state of a pool, as a new owner loads it.
 struct journal_contents {
   // Number of earlier takeovers of the journal, including those of failed calls
@@ -55,6 +67,7 @@
   // contrast, is the store's revision of the owner key.
   std::uint64_t tenure = 0;
   std::vector<stored_job> jobs;
+  std::map<std::string, deferred_job, std::less<>> deferred;  // By id.
   // Final states of finished jobs by id; their graphs are not kept.
   std::vector<std::pair<std::string, job_state>> finished;
   // By id, of the finished jobs that name one.
@@ -89,6 +102,11 @@
   std::string owner_key;
   std::uint64_t epoch = 0;  // Revision of the owner key.
   std::string writer;       // Member id.
+  // Memory that loaded jobs may take. Beyond it, those that have not started
+  // are deferred first, and of these the least urgent.
+  std::function<std::size_t()> free_job_memory = [] {
+    return std::numeric_limits<std::size_t>::max();
+  };
   kv_client* kv = nullptr;  // Like metrics, outlives the journal.
   pool_metrics* metrics = nullptr;
   clock_ptr clock;
@@ -131,6 +149,8 @@
   // Takes the journal over from the previous owner and reads it. Fails with
   // `conflict` if this owner has been superseded.
   result<journal_contents> Load();
+  // Reads one job that is not finished. Returns null if there is no record.
+  result<std::optional<stored_job>> ReadJob(std::string_view job_id);
   result<void> Start();
   void Stop();
 
@@ -193,6 +213,12 @@
     std::uint64_t flush = 0;
   };
 
+  // Decodes the records of a job. `progress` is null if none is stored. Returns
+  // null, and logs it, if the record is invalid.
+  std::optional<stored_job> DecodeJob(const kv_entry& record,
+                                      const std::string* progress) const;
+  // Reads the records of all jobs, finished ones included.
+  result<void> LoadJobs(journal_contents& contents);
   // The commit thread: calls `RunCommits` and then wakes the waiting callers.
   void Run();
   // Commits groups until the journal stops or a group cannot be committed.
--- a/src/pools/owner_ranking.cc
+++ b/src/pools/owner_ranking.cc
@@ -84,7 +84,8 @@
                         {"link_kbps", capacity.link_kbps},
                         {"partitions", capacity.knows_partitions},
                         {"loans", capacity.knows_loans},
-                        {"confirmations", capacity.knows_confirmations}}
+                        {"confirmations", capacity.knows_confirmations},
+                        {"job_memory_bytes", capacity.job_memory_bytes}}
       .dump();
 }
 
@@ -96,7 +97,8 @@
                                in.value("link_kbps", std::int64_t{0}),
                                in.value("partitions", false),
                                in.value("loans", false),
-                               in.value("confirmations", false)};
+                               in.value("confirmations", false),
+                               in.value("job_memory_bytes", std::int64_t{0})};
       });
 }
 
--- a/src/pools/owner_ranking.h
+++ b/src/pools/owner_ranking.h
@@ -31,6 +31,8 @@
   bool knows_loans = false;
   // The version of the member confirms owners in an outage of the store.
   bool knows_confirmations = false;
+  // What the jobs of all pools may take there; 0 if it is not known.
+  std::int64_t job_memory_bytes = 0;
 
   friend bool operator==(const member_capacity&,
                          const member_capacity&) = default;
--- a/src/pools/pool_directory.cc
+++ b/src/pools/pool_directory.cc
@@ -2,7 +2,9 @@
 
 #include <algorithm>
 #include <cmath>
+#include <limits>
 
+#include "pools/job_memory.h"
 #include "pools/pool_events.h"
 
 namespace apricotwheel {
@@ -49,7 +51,8 @@
       std::llround(settings.link_mbps * 1000),
       true,
       true,
-      true};
+      true,
+      static_cast<std::int64_t>(JobMemoryBytes(settings))};
 }
 
 }  // namespace
@@ -180,6 +183,19 @@
   return support;
 }
 
+std::size_t pool_directory::LeastJobMemory() const {
+  const std::lock_guard lock(mutex_);
+  std::size_t least = std::numeric_limits<std::size_t>::max();
+  for (const auto& [id, stored] : members_) {
+    if (!stored.record || exits_.HasExited(id)) continue;
+    const auto found = capacities_.find(id);
+    if (found == capacities_.end() || !found->second.record) continue;
+    const std::int64_t bytes = found->second.record->job_memory_bytes;
+    if (bytes > 0) least = std::min(least, static_cast<std::size_t>(bytes));
+  }
+  return least;
+}
+
 result<void> pool_directory::StorePartitions(const std::string& pool,
                                              std::uint64_t epoch,
                                              const partition_table& table) {
--- a/src/pools/pool_directory.h
+++ b/src/pools/pool_directory.h
@@ -102,6 +102,9 @@
   member_support LoanSupport() const {
     return SupportOf(&member_capacity::knows_loans);
   }
+  // Returns the least memory that the jobs of all pools may take at a member
+  // that has published it.
+  std::size_t LeastJobMemory() const;
   // Stores the partitions of a pool whose first partition this member owns with
   // `epoch`.
   result<void> StorePartitions(const std::string& pool, std::uint64_t epoch,
--- a/src/pools/pool_events.h
+++ b/src/pools/pool_events.h
@@ -90,6 +90,8 @@
                                                 severity::kInfo};
 inline constexpr log_event_kind kMisdirectedPoll{2244, "pool_misdirected_poll",
                                                  severity::kWarning};
+inline constexpr log_event_kind kMemoryRefusals{2245, "pool_memory_refusals",
+                                                severity::kWarning};
 inline constexpr log_event_kind kWorkerLeft{2270, "pool_worker_left",
                                             severity::kInfo};
 
--- a/src/pools/pool_host.cc
+++ b/src/pools/pool_host.cc
@@ -69,6 +69,7 @@
 pool_host::pool_host(pool_host_options options)
     : options_(std::move(options)),
       balancer_({options_.peers, options_.directory,
+      job_memory_(JobMemoryBytes(options_.settings)),
                  [this] { return CurrentOwners(); }, options_.clock,
                  options_.log}),
       guests_({options_.kv, options_.peers, options_.directory,
@@ -272,6 +273,10 @@
     return departures_.HasLeft(worker.id, worker.address, worker.incarnation);
   };
   owner.kv = options_.kv;
+  owner.jobs_memory = &job_memory_;
+  owner.least_job_memory = [directory = options_.directory] {
+    return directory->LeastJobMemory();
+  };
   owner.platform = options_.platform;
   owner.metrics = options_.metrics;
   owner.members = [directory = options_.directory, pool] {
--- a/src/pools/pool_host.h
+++ b/src/pools/pool_host.h
@@ -192,6 +192,7 @@
   owner_map CurrentOwners() const;
 
   const pool_host_options options_;
+  job_memory job_memory_;
   partition_balancer balancer_;
   guest_exchange guests_;
   limit_exchange limits_;
--- a/src/pools/pool_metrics.cc
+++ b/src/pools/pool_metrics.cc
@@ -140,6 +140,12 @@
               .Help("Jobs refused because they would complete too late")
               .Register(*registry)
               .Add({})),
+      memory_refusals(
+          prometheus::BuildCounter()
+              .Name("apricotwheel_pool_memory_refusals_total")
+              .Help("Jobs refused because accepted jobs take the memory")
+              .Register(*registry)
+              .Add({})),
       moved_jobs(
           prometheus::BuildCounter()
               .Name("apricotwheel_pool_moved_jobs_total")
--- a/src/pools/pool_metrics.h
+++ b/src/pools/pool_metrics.h
@@ -46,6 +46,7 @@
   prometheus::Counter& expired_requests;
   prometheus::Counter& refused_submissions;
   prometheus::Counter& overload_refusals;
+  prometheus::Counter& memory_refusals;
   prometheus::Counter& moved_jobs;
   prometheus::Counter& rejected_keys;
   prometheus::Counter& forbidden_requests;
--- a/src/pools/pool_owner.cc
+++ b/src/pools/pool_owner.cc
@@ -4,6 +4,7 @@
 #include <cmath>
 #include <utility>
 
+#include "graph/job_footprint.h"
 #include "pools/pool_events.h"
 
 namespace apricotwheel {
@@ -72,6 +73,7 @@
   journal.owner_key = options_.owner_key;
   journal.epoch = options_.epoch;
   journal.writer = options_.member_id;
+  journal.free_job_memory = [this] { return MemoryToLoad(); };
   journal.kv = options_.kv;
   journal.metrics = options_.metrics;
   journal.clock = options_.clock;
@@ -91,6 +93,8 @@
   BOOST_LEAF_CHECK(approval_dispatcher_->Start());
   BOOST_LEAF_CHECK(
       threads_.Spawn("pool-authority", [this] { RunAuthority(); }));
+  BOOST_LEAF_CHECK(
+      threads_.Spawn("pool-deferred", [this] { RunDeferredLoads(); }));
   return threads_.Spawn("pool-owner", [this] { Run(); });
 }
 
@@ -103,9 +107,13 @@
   owner_changed_.notify_all();
   authority_changed_.notify_all();
   requests_changed_.notify_all();
+  deferred_changed_.notify_all();
   if (journal_) journal_->Stop();
   if (approval_dispatcher_) approval_dispatcher_->Stop();
   threads_.JoinAll();
+  if (options_.jobs_memory != nullptr) {
+    options_.jobs_memory->SetUsed(MemoryKey(), 0);
+  }
   options_.metrics->SetWorkerSpeeds(options_.pool, {});
   {
     const std::lock_guard lock(mutex_);
@@ -157,6 +165,7 @@
   callbacks.on_job_accepted = [this](const job_submission& job) {
     const std::lock_guard lock(mutex_);
     scheduler_->AdmitJob(job, options_.clock->Now());
+    UpdateJobMemory();
     RequestDecision();
   };
   AddMoveCallbacks(callbacks);
@@ -191,7 +200,7 @@
   while (true) {
     auto contents = Attempt([&] { return journal_->Load(); });
     if (contents) {
-      Restore(*contents);
+      Restore(std::move(*contents));
       return true;
     }
     Emit(options_.log, pool_events::kCommitFailed,
@@ -236,7 +245,7 @@
   RequestDecision();
 }
 
-void pool_owner::Restore(const journal_contents& contents) {
+void pool_owner::Restore(journal_contents contents) {
   const auto now = options_.clock->Now();
   const std::int64_t wall_ms = WallClockMs();
   pool_scheduler_options options;
@@ -250,10 +259,12 @@
   options.remote_slowdown = options_.remote_slowdown;
   options.log = options_.log;
   auto scheduler = std::make_unique<pool_scheduler>(std::move(options));
-  for (const auto& job : contents.jobs) {
+  const std::size_t loaded = contents.jobs.size();
+  for (auto& job : contents.jobs) {
     const auto age = milliseconds(
         std::max<std::int64_t>(0, wall_ms - job.submission.accepted_at_ms));
-    scheduler->RestoreJob(job.submission, job.progress, now - age);
+    scheduler->RestoreJob(std::move(job.submission), std::move(job.progress),
+                          now - age);
   }
   for (const auto& [id, state] : contents.finished) {
     job_submission job;
@@ -268,12 +279,16 @@
   }
   Emit(options_.log, pool_events::kPoolLoaded,
        {Field("pool", options_.pool), Field("epoch", options_.epoch),
-        Field("tenure", contents.tenure), Field("jobs", contents.jobs.size()),
+        Field("tenure", contents.tenure), Field("jobs", loaded),
+        Field("deferred", contents.deferred.size()),
         Field("finished", contents.finished.size()),
         Field("earlier_workers", contents.workers.size())});
   const std::lock_guard lock(mutex_);
   if (organisations_) scheduler->SetOrganisations(*organisations_);
   scheduler_ = std::move(scheduler);
+  deferred_jobs_ = std::move(contents.deferred);
+  if (!deferred_jobs_.empty()) deferred_changed_.notify_all();
+  UpdateJobMemory();
   worker_list_ = contents.workers;
   for (const auto& [id, target] : contents.moved_jobs) {
     RecordMove(id, target, now);
@@ -304,6 +319,7 @@
       }
       if (!WaitForPass(lock)) return;
       decisions = DecideNow();
+      UpdateJobMemory();
       const auto now = options_.clock->Now();
       last_pass_at_ = now;
       ReportActivityIfDue(now);
@@ -453,6 +469,9 @@
 
 bool pool_owner::IsClosedTo(std::string_view job_id,
                             const caller_identity& caller) const {
+  if (const deferred_job* job = FindDeferred(job_id)) {
+    return !MayAccess(caller, {job->organisation, job->queue});
+  }
   const auto organisation = scheduler_->FindOrganisation(job_id);
   return organisation &&
          !MayAccess(caller, {*organisation, *scheduler_->FindQueueOf(job_id)});
@@ -460,6 +479,7 @@
 
 job_call_response pool_owner::Submit(const job_submission& job,
                                      time_point deadline) {
+  std::size_t reserved = 0;
   {
     std::unique_lock lock(mutex_);
     ++activity_.requests;
@@ -481,7 +501,8 @@
     // The organisation of a job that was moved is known there. Senders that
     // name the caller's organisation ask there.
     if (moved && !job.organisation.empty()) return *moved;
-    if (scheduler_->FindJobState(job.id) || moved) {
+    if (scheduler_->FindJobState(job.id) || moved ||
+        FindDeferred(job.id) != nullptr) {
       return MakeResponse(job_call_status::kAccepted);
     }
     if (auto reason = scheduler_->FindWiderGang(job)) {
@@ -496,6 +517,11 @@
               scheduler_->FindOverload(job, options_.clock->Now())) {
         return Refuse(job, *overload);
       }
+      // The partition of a guest job has counted it.
+      if (!job.guest) {
+        if (auto refusal = ReserveMemory(job)) return *refusal;
+        reserved = EstimateJobMemory(job);
+      }
     }
     submitting_jobs_.insert(job.id);
   }
@@ -503,6 +529,9 @@
   {
     const std::lock_guard lock(mutex_);
     submitting_jobs_.erase(submitting_jobs_.find(job.id));
+    if (options_.jobs_memory != nullptr) {
+      options_.jobs_memory->Release(reserved);
+    }
     if (outcome == submit_outcome::kUnknown) {
       unresolved_submissions_.insert(job.id);
     } else if (outcome == submit_outcome::kStored) {
@@ -557,6 +586,15 @@
 job_call_response pool_owner::Cancel(std::string_view job_id,
                                      time_point deadline,
                                      const caller_identity& caller) {
+  bool is_deferred = false;
+  {
+    const std::lock_guard lock(mutex_);
+    is_deferred =
+        FindDeferred(job_id) != nullptr && !IsClosedTo(job_id, caller);
+  }
+  if (is_deferred && !LoadDeferred(std::string(job_id))) {
+    return Unavailable("the job could not be read");
+  }
   {
     std::unique_lock lock(mutex_);
     ++activity_.requests;
@@ -603,7 +641,10 @@
   if (IsClosedTo(job_id, caller)) {
     return MakeResponse(job_call_status::kForbidden);
   }
-  const auto state = scheduler_->FindStoredJobState(job_id);
+  const deferred_job* deferred = FindDeferred(job_id);
+  const auto state = deferred != nullptr
+                         ? std::optional(deferred->state)
+                         : scheduler_->FindStoredJobState(job_id);
   if (!state) return MakeResponse(job_call_status::kAbsent);
   job_call_response response = MakeResponse(job_call_status::kState);
   response.state = *state;
@@ -615,7 +656,7 @@
   ++activity_.requests;
   if (!is_loaded_ || is_stopped_) return Unavailable("the pool is loading");
   job_call_response response = MakeResponse(job_call_status::kCount);
-  response.count = scheduler_->CountPendingJobs(queue);
+  response.count = scheduler_->CountPendingJobs(queue) + CountDeferred(queue);
   return response;
 }
 
--- a/src/pools/pool_owner.h
+++ b/src/pools/pool_owner.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <deque>
 #include <functional>
+#include <limits>
 #include <map>
 #include <memory>
 #include <mutex>
@@ -22,6 +23,7 @@
 #include "pools/agent_session.h"
 #include "pools/approval_dispatcher.h"
 #include "pools/job_journal.h"
+#include "pools/job_memory.h"
 #include "pools/owner_authority.h"
 #include "pools/platform_services.h"
 #include "pools/pool_calls.h"
@@ -49,6 +51,13 @@
   // Returns true if the platform has shown that the worker has left.
   std::function<bool(const pool_worker& worker)> has_left =
       [](const pool_worker&) { return false; };
+  // Bounds the memory of jobs, if set. Outlives the owner.
+  job_memory* jobs_memory = nullptr;
+  // The least that the jobs of all pools may take at any member, so that each
+  // can take the pool over.
+  std::function<std::size_t()> least_job_memory = [] {
+    return std::numeric_limits<std::size_t>::max();
+  };
   kv_client* kv = nullptr;  // Like platform, outlives the owner.
   const platform_services* platform = nullptr;
   approval_dispatcher::member_source members;
@@ -161,7 +170,7 @@
   // Logs the activity of the owner if it is due. Called with mutex_ held.
   void ReportActivityIfDue(time_point now);
   // Creates the scheduler from the stored state.
-  void Restore(const journal_contents& contents);
+  void Restore(journal_contents contents);
   // Queues the decisions of the scheduler. Called with mutex_ held.
   void SendDecisions(pool_decisions decisions);
   // Makes the owner thread decide again. Called with mutex_ held.
@@ -190,6 +199,28 @@
       const approval_request& request,
       const outcome<approval_dispatcher::approvals>& approved);
 
+  // Defined in pool_owner_memory.cc.
+  std::string MemoryKey() const;
+  // Returns how much of the free memory a takeover may use.
+  std::size_t MemoryToLoad() const;
+  // Called with mutex_ held, like the next four.
+  void UpdateJobMemory();
+  // Reserves memory for a new job, or returns the refusal.
+  std::optional<job_call_response> ReserveMemory(const job_submission& job);
+  const deferred_job* FindDeferred(std::string_view job_id) const;
+  std::size_t CountDeferred(std::string_view queue) const;
+  // Returns the deferred job to load now, or an empty text.
+  std::string NextDeferred() const;
+  // Loads a deferred job, whether there is memory for it or not. Returns false
+  // if the store does not respond or the owner was stopped.
+  bool LoadDeferred(const std::string& job_id);
+  // Loads the deferred jobs that a worker reports. Without them, their runs
+  // would count as unknown and their ends would be lost. Returns false if that
+  // failed and the report must not be applied.
+  bool LoadReported(const worker_report& report);
+  // Loads deferred jobs as memory becomes free.
+  void RunDeferredLoads();
+
   // Defined in pool_owner_workers.cc.
   // Applies a change of the listed workers: stores the worker list, updates the
   // scheduler, and opens and closes sessions.
@@ -271,6 +302,10 @@
   std::map<std::string, std::set<std::string>> unadopted_jobs_;
   std::set<std::string, std::less<>> moving_jobs_;  // Their commit is pending.
   std::set<std::string, std::less<>> submitting_jobs_;
+  std::map<std::string, deferred_job, std::less<>> deferred_jobs_;  // By id.
+  std::condition_variable deferred_changed_;
+  std::uint64_t memory_refusals_ = 0;
+  time_point memory_reported_at_{};
   // Submissions whose commit got no response.
   std::set<std::string, std::less<>> unresolved_submissions_;
   struct queue_refusals {
--- a/src/pools/pool_owner_moves.cc
+++ b/src/pools/pool_owner_moves.cc
@@ -128,7 +128,9 @@
     const std::lock_guard lock(mutex_);
     if (!is_loaded_ || is_stopped_) return fail();
     for (const std::string& id : jobs) {
-      if (!scheduler_->FindJobState(id)) unknown.push_back(id);
+      if (!scheduler_->FindJobState(id) && FindDeferred(id) == nullptr) {
+        unknown.push_back(id);
+      }
     }
   }
   if (unknown.empty()) return {};
@@ -157,6 +159,7 @@
         milliseconds(std::max<std::int64_t>(0, wall_ms - job.accepted_at_ms));
     scheduler_->AdmitJob(std::move(job), now - age);
   }
+  UpdateJobMemory();
   RequestDecision();
   return {};
 }
--- a/src/pools/pool_owner_workers.cc
+++ b/src/pools/pool_owner_workers.cc
@@ -230,6 +230,8 @@
   callbacks.on_report = [this, id](const worker_report& report,
                                    time_point sent_at) {
     options_.metrics->worker_reports.Increment();
+    // A report that is not applied is not acknowledged, so it comes again.
+    if (!LoadReported(report)) return;
     const std::lock_guard lock(mutex_);
     ++activity_.reports;
     scheduler_->ApplyReport(id, report, sent_at, options_.clock->Now());
--- a/tests/graph/crashing_tasks_test.cc
+++ b/tests/graph/crashing_tasks_test.cc
@@ -8,6 +8,7 @@
 
 using testing::MakeJob;
 using testing::MakeStep;
+using testing::RunsAt;
 using testing::scheduler_rig;
 
 constexpr resource_vector kSmall{1000, 1024, 0};
@@ -192,8 +193,9 @@
   BOOST_TEST(rig.scheduler.WorkersCrashed() == 1);
   const auto batch = rig.StoreProgress();
   BOOST_REQUIRE_EQUAL(batch.jobs.size(), 1);
-  BOOST_TEST(batch.jobs[0].progress.occurrences[0][0].crashed_runs[0].size() ==
-             1);
+  BOOST_TEST(
+      RunsAt(batch.jobs[0].progress.occurrences[0][0].crashed_runs, 0).size() ==
+      1);
 }
 
 // Guards against a network cut that counts as a crash, and against a crash that
@@ -215,7 +217,7 @@
     const auto batch = rig.StoreProgress();
     BOOST_REQUIRE_EQUAL(batch.jobs.size(), 1);
     const auto& step = batch.jobs[0].progress.occurrences[0][0];
-    BOOST_TEST(step.crashed_runs[0].size() == 1);
+    BOOST_TEST(RunsAt(step.crashed_runs, 0).size() == 1);
     // A second report of the incarnation counts nothing again.
     rig.ReportWorker("w0");
     BOOST_TEST(rig.scheduler.WorkersCrashed() == 1);
@@ -234,7 +236,8 @@
   rig.ReportWorker("w0");
   const auto batch = rig.StoreProgress();
   BOOST_REQUIRE_EQUAL(batch.jobs.size(), 1);
-  BOOST_TEST(batch.jobs[0].progress.occurrences[0][0].crashed_runs[0].empty());
+  BOOST_TEST(
+      RunsAt(batch.jobs[0].progress.occurrences[0][0].crashed_runs, 0).empty());
 }
 
 // Guards against a worker that is remembered for ever because its agent never
@@ -321,8 +324,8 @@
   std::size_t excused = 0;
   for (const auto& entry : rig.StoreProgress().jobs) {
     const auto& step = entry.progress.occurrences[0][0];
-    BOOST_TEST(step.crashed_runs[0].empty());
-    excused += step.excused_runs[0].size();
+    BOOST_TEST(RunsAt(step.crashed_runs, 0).empty());
+    excused += RunsAt(step.excused_runs, 0).size();
   }
   BOOST_TEST(excused == 4);
 }
@@ -339,9 +342,9 @@
   rig.Run(kCrashAfter + kTick);
   BOOST_TEST(rig.scheduler.WorkersCrashed() == 6);
   for (const auto& entry : rig.StoreProgress().jobs) {
-    for (const auto& runs : entry.progress.occurrences[0][0].crashed_runs) {
-      BOOST_TEST(runs.size() == 1);
-    }
+    const auto& crashed = entry.progress.occurrences[0][0].crashed_runs;
+    BOOST_TEST(crashed.size() == 6);
+    for (const auto& [index, runs] : crashed) BOOST_TEST(runs.size() == 1);
   }
 }
 
@@ -494,9 +497,10 @@
   BOOST_TEST(rig.StartsOf({"other", 0, 0, 0}) == 1);
   bool is_cleared = false;
   for (const auto& entry : rig.StoreProgress().jobs) {
-    is_cleared = is_cleared ||
-                 (entry.job_id == "lasting" &&
-                  entry.progress.occurrences[0][0].crashed_runs[0].empty());
+    is_cleared =
+        is_cleared ||
+        (entry.job_id == "lasting" &&
+         RunsAt(entry.progress.occurrences[0][0].crashed_runs, 0).empty());
   }
   BOOST_TEST(is_cleared);
 }
@@ -517,8 +521,8 @@
     for (const auto& entry : rig.StoreProgress().jobs) {
       const auto& step = entry.progress.occurrences[0][0];
       const bool is_new = entry.job_id == "new";
-      BOOST_TEST(step.crashed_runs[0].size() == (is_new ? 1 : 0));
-      BOOST_TEST(step.excused_runs[0].size() == (is_new ? 0 : 1));
+      BOOST_TEST(RunsAt(step.crashed_runs, 0).size() == (is_new ? 1 : 0));
+      BOOST_TEST(RunsAt(step.excused_runs, 0).size() == (is_new ? 0 : 1));
     }
   }
 }
--- a/tests/graph/departures_test.cc
+++ b/tests/graph/departures_test.cc
@@ -12,6 +12,7 @@
 
 using testing::MakeJob;
 using testing::MakeStep;
+using testing::RunsAt;
 using testing::scheduler_rig;
 
 constexpr resource_vector kTask{2000, 1024, 0};
@@ -207,9 +208,9 @@
   const auto batch = rig.scheduler.TakeProgress();
   BOOST_REQUIRE_EQUAL(batch.jobs.size(), 1);
   const step_progress& stored = batch.jobs[0].progress.occurrences[0][0];
-  BOOST_TEST(stored.failed_runs[0].empty());
-  BOOST_TEST(stored.crashed_runs[0].empty());
-  BOOST_TEST(stored.excused_runs[0].empty());
+  BOOST_TEST(RunsAt(stored.failed_runs, 0).empty());
+  BOOST_TEST(RunsAt(stored.crashed_runs, 0).empty());
+  BOOST_TEST(RunsAt(stored.excused_runs, 0).empty());
 }
 
 // Guards against moves that exceed the disruption budget, and against a budget
@@ -402,7 +403,8 @@
     successor.scheduler.CancelJob("job", successor.now);
     const auto batch = successor.scheduler.TakeProgress();
     BOOST_REQUIRE_EQUAL(batch.jobs.size(), 1);
-    BOOST_TEST(batch.jobs[0].progress.occurrences[0][0].failed_runs[0].empty());
+    BOOST_TEST(RunsAt(batch.jobs[0].progress.occurrences[0][0].failed_runs, 0)
+                   .empty());
   }
 }
 
--- a/tests/graph/pool_scheduler_test.cc
+++ b/tests/graph/pool_scheduler_test.cc
@@ -9,6 +9,7 @@
 
 using testing::MakeJob;
 using testing::MakeStep;
+using testing::RunsAt;
 using testing::scheduler_rig;
 
 constexpr resource_vector kSmall{1000, 1024, 0};
@@ -119,8 +120,9 @@
   BOOST_TEST(again.starts[0].checkpoint == again.starts[1].checkpoint);
   const auto batch = rig.StoreProgress();
   BOOST_REQUIRE_EQUAL(batch.jobs.size(), 1);
-  BOOST_TEST(batch.jobs[0].progress.occurrences[0][0].failed_runs[0].size() ==
-             1);
+  BOOST_TEST(
+      RunsAt(batch.jobs[0].progress.occurrences[0][0].failed_runs, 0).size() ==
+      1);
 }
 
 // Guards against a completed gang that runs again because the ends of some
@@ -464,6 +466,33 @@
       boost::test_tools::per_element());
 }
 
+// Guards against memory that finished jobs keep, and against a release while
+// runs still refer to the job.
+BOOST_AUTO_TEST_CASE(finished_jobs_release_their_graphs) {
+  scheduler_rig rig;
+  rig.AddWorker("w1", kWorker);
+  rig.scheduler.AdmitJob(MakeJob("job", {MakeStep(2, kSmall)}), rig.now);
+  rig.DecideAndCarryOut();
+  const std::size_t open_bytes = rig.scheduler.JobMemoryBytes();
+  BOOST_TEST(rig.scheduler.CancelJob("job", rig.now));
+  rig.StoreProgress();
+  rig.AdvanceClock(std::chrono::seconds(2));
+  rig.Decide();
+  BOOST_TEST(rig.scheduler.JobMemoryBytes() == open_bytes);
+  rig.EndAll(run_outcome::kStopped);
+  rig.StoreProgress();
+  rig.AdvanceClock(std::chrono::seconds(2));
+  rig.Decide();
+  BOOST_TEST(rig.scheduler.JobMemoryBytes() < open_bytes);
+  BOOST_TEST((rig.scheduler.FindJobState("job") == job_state::kCancelled));
+  // A late copy of a start is stopped like a run of any finished job.
+  rig.agents["w1"].running[{"job", 0, 0, 1}] = {{"job", 0, 0, 1}, 7, {}, 0, 0};
+  rig.ReportWorker("w1");
+  rig.stops.clear();
+  rig.Decide();
+  BOOST_TEST(rig.stops.size() == 1U);
+}
+
 // Guards against starts that are ordered faster than the owner can send them.
 // Hundreds queued on a link of 10 Mbit/s, and workers refused them since their
 // tickets had expired on the way.
--- a/tests/graph/scheduler_rig.h
+++ b/tests/graph/scheduler_rig.h
@@ -22,6 +22,13 @@
   return step;
 }
 
+// Returns the numbers that are noted for the task.
+inline std::vector<std::uint64_t> RunsAt(const run_numbers& runs,
+                                         std::uint32_t index) {
+  const auto found = runs.find(index);
+  return found == runs.end() ? std::vector<std::uint64_t>() : found->second;
+}
+
 inline job_submission MakeJob(std::string id, std::vector<graph_step> steps,
                               int priority = 1) {
   job_submission job;
--- a/tests/graph/takeover_test.cc
+++ b/tests/graph/takeover_test.cc
@@ -7,6 +7,7 @@
 
 using testing::MakeJob;
 using testing::MakeStep;
+using testing::RunsAt;
 using testing::scheduler_rig;
 
 constexpr resource_vector kSmall{1000, 1024, 0};
@@ -157,8 +158,9 @@
   BOOST_TEST((rig.scheduler.FindJobState("gang") == job_state::kActive));
   const auto batch = rig.StoreProgress();
   BOOST_REQUIRE_EQUAL(batch.jobs.size(), 1);
-  BOOST_TEST(batch.jobs[0].progress.occurrences[0][0].failed_runs[0].size() ==
-             1);
+  BOOST_TEST(
+      RunsAt(batch.jobs[0].progress.occurrences[0][0].failed_runs, 0).size() ==
+      1);
 }
 
 // Guards against a completed task that runs again because the earlier owner did
--- a/tests/pools/stored_records_test.cc
+++ b/tests/pools/stored_records_test.cc
@@ -16,6 +16,7 @@
 using testing::fake_store;
 using testing::MakeJob;
 using testing::MakeStep;
+using testing::RunsAt;
 
 const std::string kOwnerKey = "owners/pool";
 
@@ -123,8 +124,8 @@
       Attempt([&] { return DecodeProgress(kProgress, job->graph); });
   BOOST_REQUIRE(progress);
   BOOST_TEST(EncodeProgress(*progress) == kProgress);
-  BOOST_TEST(progress->occurrences[0][0].crashed_runs[0].empty());
-  BOOST_TEST(progress->occurrences[0][0].excused_runs[0].empty());
+  BOOST_TEST(RunsAt(progress->occurrences[0][0].crashed_runs, 0).empty());
+  BOOST_TEST(RunsAt(progress->occurrences[0][0].excused_runs, 0).empty());
   const auto state =
       Attempt([] { return DecodeProgressState(kFinalProgress); });
   BOOST_REQUIRE(state);
