A forwarded submission reserves memory at the owner

Cause: up to 64 forwarded submissions are decoded at a time, and nothing counted the tree, the job and the record that each becomes. Found by reading; no run showed it. Change: before the record is decoded, twice the estimate of its tree is reserved in the memory of jobs until the submission has its answer. Without memory the sender gets "not stored" with Retry-After, as it does when too many are executing.

--- a/src/pools/pool_host.cc
+++ b/src/pools/pool_host.cc
@@ -5,6 +5,7 @@
 #include <set>
 #include <utility>
 
+#include "kernel/json_reading.h"
 #include "pools/partition_table.h"
 #include "pools/pool_events.h"
 
@@ -68,8 +69,8 @@
 
 pool_host::pool_host(pool_host_options options)
     : options_(std::move(options)),
-      balancer_({options_.peers, options_.directory,
       job_memory_(JobMemoryBytes(options_.settings)),
+      balancer_({options_.peers, options_.directory,
                  [this] { return CurrentOwners(); }, options_.clock,
                  options_.log}),
       guests_({options_.kv, options_.peers, options_.directory,
@@ -272,11 +273,11 @@
     const std::lock_guard lock(mutex_);
     return departures_.HasLeft(worker.id, worker.address, worker.incarnation);
   };
-  owner.kv = options_.kv;
   owner.jobs_memory = &job_memory_;
   owner.least_job_memory = [directory = options_.directory] {
     return directory->LeastJobMemory();
   };
+  owner.kv = options_.kv;
   owner.platform = options_.platform;
   owner.metrics = options_.metrics;
   owner.members = [directory = options_.directory, pool] {
@@ -406,6 +407,15 @@
       response.reason = "the owner of the pool is overloaded";
       return response;
     }
+    // The tree of the record, and then the job and its record for the store.
+    const memory_reservation reservation(job_memory_,
+                                         2 * EstimateJsonMemory(call.body));
+    if (!reservation.IsGranted()) {
+      response.status = job_call_status::kNotStored;
+      response.retry_after_ms = kRefusedRetryAfterMs;
+      response.reason = "the owner of the pool has no memory for the request";
+      return response;
+    }
     const auto job = Attempt([&] { return DecodeSubmission(call.body); });
     if (!job) {
       response.status = job_call_status::kInvalid;
