A response on a connection that gives its slot is delivered

Cause: a request can arrive while its idle connection is being chosen to give its slot. It was served, and the close then reset the connection, so that the response could be lost on its way. Change: only a response that its peer does not read is reset; other responses on such a connection say "Connection: close".

--- a/src/clients/http_listener.cc
+++ b/src/clients/http_listener.cc
@@ -58,7 +58,7 @@
 constexpr auto kStackKeepTime = milliseconds(1000);
 // Part of the stack below the current frame that remains in use.
 constexpr std::size_t kStackMarginBytes = 16 << 10;
-// The body grows by doubling, and the handler parses it.
+// The body grows by doubling.
 constexpr std::size_t kBodyMemoryFactor = 3;
 // A field in the library's map, besides its text.
 constexpr std::size_t kFieldMemoryBytes = 128;
@@ -279,7 +279,11 @@
     slots_.BeginBlockedWrite(socket_, now);
     const bool is_ready = WaitReady(socket_, POLLOUT, *write_deadline_ - now);
     slots_.BeginHandling(socket_);
-    return is_ready && !slots_.IsClosing(socket_);
+    if (is_ready && !slots_.IsClosing(socket_)) return true;
+    // What the peer has not read would stay in the kernel after the close.
+    const linger reset{1, 0};
+    setsockopt(socket_, SOL_SOCKET, SO_LINGER, &reset, sizeof reset);
+    return false;
   }
   // Reads more bytes. Returns false at the end of the stream and after
   // `deadline`, with the refusal set.
@@ -473,8 +477,6 @@
     Serve(socket);
     ReleaseMemory(socket);
     const std::lock_guard lock(mutex);
-    // The rest of a response that is not read would stay in the kernel.
-    if (slots->IsClosing(socket)) ResetAtClose(socket);
     slots->Remove(socket);
     connection_closed.notify_all();
     shutdown(socket, SHUT_RDWR);
@@ -541,11 +543,6 @@
     if (reason != refusal_reason::kSlotTaken) Linger(socket);
   }
 
-  static void ResetAtClose(int socket) {
-    const linger reset{1, 0};
-    setsockopt(socket, SOL_SOCKET, SO_LINGER, &reset, sizeof reset);
-  }
-
   static void Linger(int socket) {
     shutdown(socket, SHUT_WR);
     const auto clock = runtime_clock::Running();
@@ -701,7 +698,10 @@
   server.set_post_routing_handler(
       [connections](const httplib::Request&, httplib::Response& response) {
         const std::lock_guard lock(connections->mutex);
-        if (!connections->stopping) return;
+        if (!connections->stopping &&
+            !connections->slots->IsClosing(current_socket)) {
+          return;
+        }
         response.headers.erase("Keep-Alive");
         response.headers.erase("Connection");
         response.set_header("Connection", "close");
