Hostile clients notice when the daemon has closed

A client that was refused in the midst of a long body waited up to 60 s for its own buffer to drain. It now ends when the daemon closes; crowds, sizes and bounds are as before.

--- a/tests/hostile_clients/hostile_clients_test.py
+++ b/tests/hostile_clients/hostile_clients_test.py
@@ -151,17 +151,31 @@
 
 async def send_until_closed(port, prefix, block, size):
     """Sends `size` bytes, unless the daemon closes before."""
-    writer = None
-    try:
-        reader, writer = await connect(port)
+    async def send():
         writer.write(prefix)
         for _ in range(size // len(block)):
             writer.write(block)
-            await asyncio.wait_for(writer.drain(), ANSWER_S)
+            await writer.drain()
         return "sent"
+
+    async def wait_until_closed():
+        await reader.read()
+        return "closed"
+
+    writer = None
+    tasks = []
+    try:
+        reader, writer = await connect(port)
+        tasks = [asyncio.create_task(send()), asyncio.create_task(wait_until_closed())]
+        done, _ = await asyncio.wait(tasks, timeout=ANSWER_S,
+                                     return_when=asyncio.FIRST_COMPLETED)
+        return done.pop().result() if done else "no answer"
     except (OSError, asyncio.TimeoutError):
         return "closed"
     finally:
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
         if writer:
             writer.transport.abort()
 
