The runs of tasks count in the memory of accepted jobs

Cause: a task counted 80 bytes, and its run, the run's entry at the worker and its row in a report take as much again several times. Tasks that need a thousandth of a core may all run at once. Found by reading. Change: each task also counts a run. The largest job that the limits allow (10,000 steps by occurrences) would no longer have fitted a machine of 120 MB, so a job may take the whole bound if the daemon has no other jobs. Tests pools job_memory and deferred_jobs passed.

--- a/src/graph/job_footprint.cc
+++ b/src/graph/job_footprint.cc
@@ -12,7 +12,11 @@
 constexpr std::size_t kStepOverheadBytes = 320;
 // The progress of a step exists once more while it is stored.
 constexpr std::size_t kProgressCopies = 2;
-constexpr std::size_t kTaskBytes = sizeof(graph_task);
+// The run of a task, its entry at the worker, and its row in a report. Small
+// tasks may all run at once.
+constexpr std::size_t kRunBytes =
+    sizeof(task_run) + sizeof(task_key) + sizeof(reported_run);
+constexpr std::size_t kTaskBytes = sizeof(graph_task) + kRunBytes;
 constexpr std::size_t kOccurrenceBytes =
     sizeof(step_state) + kProgressCopies * sizeof(step_progress) +
     kStepOverheadBytes;
--- a/src/pools/job_memory.cc
+++ b/src/pools/job_memory.cc
@@ -35,11 +35,10 @@
 job_grant job_memory::Reserve(std::size_t bytes, std::size_t limit) {
   const std::lock_guard lock(mutex_);
   const std::size_t bound = std::min(max_bytes_, limit);
-  if (bytes > bound / kFreePartDivisor) return job_grant::kTooLarge;
+  if (bytes > bound) return job_grant::kTooLarge;
   const std::size_t taken = TakenBytes();
-  if (taken >= bound || bytes > (bound - taken) / kFreePartDivisor) {
-    return job_grant::kNoneNow;
-  }
+  const std::size_t free = taken < bound ? bound - taken : 0;
+  if (taken > 0 && bytes > free / kFreePartDivisor) return job_grant::kNoneNow;
   reserved_ += bytes;
   return job_grant::kGranted;
 }
--- a/src/pools/job_memory.h
+++ b/src/pools/job_memory.h
@@ -20,7 +20,7 @@
 
 // Bounds the memory that the jobs of all pools of a daemon take. A new job may
 // take at most half of what is free, so that large jobs leave room for small
-// ones. Thread-safe.
+// ones, or all of it if there are no others. Thread-safe.
 class job_memory {
  public:
   explicit job_memory(std::size_t max_bytes) : max_bytes_(max_bytes) {}
