--- a/src/clients/connection_slots.h
+++ b/src/clients/connection_slots.h
@@ -47,7 +47,6 @@
   // Whether the slot was given to another connection.
   bool IsClosing(int connection) const;
   std::size_t Count() const;
-  bool IsEmpty() const { return Count() == 0; }
   // Calls `visit` with each connection and whether it is idle, with the lock
   // held.
   void ForEach(const std::function<void(int, bool)>& visit) const;
--- a/tests/pools/deferred_jobs_test.cc
+++ b/tests/pools/deferred_jobs_test.cc
@@ -150,6 +150,31 @@
   BOOST_TEST(test.agent.RunCount() == 0U);
 }
 
+// Guards against runs that are stopped, and tasks that run again, because their
+// jobs are not loaded: the worker reports them.
+BOOST_AUTO_TEST_CASE(runs_of_deferred_jobs_are_adopted) {
+  rig test;
+  test.StartOwner(100 * JobBytes());
+  for (int n = 0; n < 4; ++n) {
+    const auto job = MakeJob(JobId(n), {MakeStep(1, kSmall)});
+    BOOST_REQUIRE((test.owner->Submit(job, test.Deadline()).status ==
+                   job_call_status::kAccepted));
+  }
+  BOOST_REQUIRE(test.Eventually([&] { return test.agent.RunCount() == 4; }));
+  const std::uint64_t last_run = test.agent.LastRunNumber();
+  test.StartOwner(2 * JobBytes());
+  BOOST_REQUIRE(test.Eventually([&] { return test.IsLoaded(); }));
+  test.agent.EndAllRuns(run_outcome::kDone);
+  BOOST_REQUIRE(
+      test.Eventually([&] { return test.agent.AcknowledgedEnd() == 4; }));
+  for (int n = 0; n < 4; ++n) {
+    BOOST_TEST(test.Eventually(
+        [&] { return test.State(n).state == job_state::kCompleted; }));
+  }
+  BOOST_TEST(test.agent.RunCount() == 0U);
+  BOOST_TEST(test.agent.LastRunNumber() == last_run);
+}
+
 // Guards against a cancellation that does not reach a job in the store.
 BOOST_AUTO_TEST_CASE(a_deferred_job_can_be_cancelled) {
   rig test;
