One scan of JSON texts, and one way to rename headers

Cause: EstimateJsonMemory walked strings and escapes as IsNestedTooDeep does beside it, and hiding Accept-Encoding repeated the loop that restores Range. Change: both scans use VisitStructure, both headers RenameHeaders. Behaviour is as before.

--- a/src/clients/http_listener.cc
+++ b/src/clients/http_listener.cc
@@ -109,27 +109,24 @@
   }
 };
 
-// Called between the head of a request and the choice of its route.
-void PrepareForRoutes(httplib::Request& request) {
-  const std::string hidden =
-      std::string(kRangeName) + std::string(kHiddenRangeSuffix);
-  std::vector<std::string> ranges;
-  const auto [first, last] = request.headers.equal_range(hidden);
+void RenameHeaders(httplib::Headers& headers, const std::string& name,
+                   const std::string& new_name) {
+  const auto [first, last] = headers.equal_range(name);
+  std::vector<std::string> values;
   for (auto header = first; header != last; ++header) {
-    ranges.push_back(std::move(header->second));
+    values.push_back(std::move(header->second));
   }
-  request.headers.erase(first, last);
-  for (auto& range : ranges) request.headers.emplace("Range", std::move(range));
+  headers.erase(first, last);
+  for (auto& value : values) headers.emplace(new_name, std::move(value));
+}
+
+// Called between the head of a request and the choice of its route.
+void PrepareForRoutes(httplib::Request& request) {
+  RenameHeaders(request.headers,
+                std::string(kRangeName) + std::string(kHiddenRangeSuffix),
+                "Range");
   // cpp-httplib would compress responses, with up to some MB for each.
-  const auto codings = request.headers.equal_range("Accept-Encoding");
-  std::vector<std::string> accepted;
-  for (auto header = codings.first; header != codings.second; ++header) {
-    accepted.push_back(std::move(header->second));
-  }
-  request.headers.erase(codings.first, codings.second);
-  for (auto& coding : accepted) {
-    request.headers.emplace(kHiddenAcceptEncoding, std::move(coding));
-  }
+  RenameHeaders(request.headers, "Accept-Encoding", kHiddenAcceptEncoding);
   // Media types have no case, but cpp-httplib knows this one in lower case
   // only.
   const auto types = request.headers.equal_range("Content-Type");
--- a/src/kernel/json_reading.cc
+++ b/src/kernel/json_reading.cc
@@ -15,6 +15,24 @@
 constexpr std::size_t kContainerBytes = 80;  // Of an array or object, or text.
 constexpr std::size_t kMemberBytes = 96;     // The node and its key.
 
+// Calls `visit` with each character outside of strings and with the quote that
+// begins one, until it returns false. Returns whether it never did.
+template <class Visit>
+bool VisitStructure(std::string_view text, Visit visit) {
+  bool is_in_string = false;
+  for (std::size_t i = 0; i < text.size(); ++i) {
+    const char letter = text[i];
+    if (is_in_string) {
+      if (letter == '\\') ++i;
+      if (letter == '"') is_in_string = false;
+      continue;
+    }
+    is_in_string = letter == '"';
+    if (!visit(letter)) return false;
+  }
+  return true;
+}
+
 boost::leaf::error_id OutOfRange() {
   return Fail(error_kind::kCorrupt, "a number is out of range",
               "check which program writes it");
@@ -34,43 +52,23 @@
 
 bool IsNestedTooDeep(std::string_view text) {
   int depth = 0;
-  bool is_in_string = false;
-  for (std::size_t i = 0; i < text.size(); ++i) {
-    const char letter = text[i];
-    if (is_in_string) {
-      if (letter == '\\') ++i;
-      if (letter == '"') is_in_string = false;
-    } else if (letter == '"') {
-      is_in_string = true;
-    } else if (letter == '[' || letter == '{') {
-      if (++depth > kMaxDepth) return true;
-    } else if (letter == ']' || letter == '}') {
-      --depth;
-    }
-  }
-  return false;
+  return !VisitStructure(text, [&](char letter) {
+    if (letter == '[' || letter == '{') ++depth;
+    if (letter == ']' || letter == '}') --depth;
+    return depth <= kMaxDepth;
+  });
 }
 
 std::size_t EstimateJsonMemory(std::string_view text) {
   // The texts of strings and keys are copied once.
   std::size_t bytes = text.size() + kValueBytes;
-  bool is_in_string = false;
-  for (std::size_t i = 0; i < text.size(); ++i) {
-    const char letter = text[i];
-    if (is_in_string) {
-      if (letter == '\\') ++i;
-      if (letter == '"') is_in_string = false;
-    } else if (letter == '"') {
-      is_in_string = true;
-      bytes += kContainerBytes;
-    } else if (letter == '[' || letter == '{') {
-      bytes += kContainerBytes + kValueBytes;
-    } else if (letter == ':') {
-      bytes += kMemberBytes;
-    } else if (letter == ',') {
-      bytes += kValueBytes;
-    }
-  }
+  VisitStructure(text, [&](char letter) {
+    if (letter == '"') bytes += kContainerBytes;
+    if (letter == '[' || letter == '{') bytes += kContainerBytes + kValueBytes;
+    if (letter == ':') bytes += kMemberBytes;
+    if (letter == ',') bytes += kValueBytes;
+    return true;
+  });
   return bytes;
 }
 
