--- a/review/standin_2.py
+++ b/review/standin_2.py
@@ -306,6 +306,7 @@
         self.rack = rack or f"r{number % 3}"
         self.kind = kind
         self.dies_at_start = False  # It ends as the next order to start arrives.
+        self.has_ticket = lambda call: True
         self.work_s = work_s
         self.cpu = cpu
         self.server = Server(self.answer)
@@ -445,6 +446,8 @@
             return 200, {"clock_ms": self.clock_ms()}
         if run or number <= self.closed.get(task, 0):
             return 409, {"clock_ms": self.clock_ms(), "reason": "old"}
+        if not self.has_ticket(call):
+            return 409, {"clock_ms": self.clock_ms(), "reason": "ticket"}
         self.runs[task] = Run(task, number, now(), self.work_s(task))
         self.note("started", task, number)
         return 200, {"clock_ms": self.clock_ms()}
@@ -460,7 +463,7 @@
         self.folder = tempfile.TemporaryDirectory(prefix="apricotwheel-review-")
         self.processes = {}
         self.ports = {}
-        self.peer_address = {}  # Name -> address that the others use, if not its own.
+        self.add_advisor = None  # Returns the port of the advisor for a daemon.
 
     async def start_all(self):
         for name in self.names:
@@ -468,6 +471,7 @@
 
     async def add(self, name):
         store_port = await self.store.add_link(name)
+        advisor_port = await self.add_advisor(name) if self.add_advisor else None
         front, ready, peer, http = free_ports(4)
         self.ports[name] = {"front": front, "ready": ready, "peer": peer, "http": http}
         settings = pathlib.Path(self.folder.name) / f"{name}.yaml"
@@ -492,7 +496,8 @@
 max_task_lease_ms: 6000
 drain_timeout_ms: 4000
 readiness_grace_ms: 2500
-""", encoding="utf-8")
+""" + (f"advisor_address: 127.0.0.1:{advisor_port}\n" if advisor_port else ""),
+                            encoding="utf-8")
         log = open(pathlib.Path(self.folder.name) / f"{name}.log", "wb")
         self.processes[name] = subprocess.Popen(
             [str(DAEMON), "--settings", str(settings)], cwd=ROOT, stdin=subprocess.DEVNULL,
