A job id is accepted once in all pools

No record decided between pools, so two owners could each accept the id.

Change: each acceptance writes a record of the job id, which doesn't depend on the pool, on condition that there is none, in the transaction that stores the job. Moves update the record, deletions remove it, tasks lent by another partition have none. Jobs of an earlier version get theirs when the first owner of this version takes the pool over; a marker with the tenure tells whether one of an earlier version had it since. The progress of a lent job says so, because its record must outlive it.

Why it works: two transactions that require the absence of one key and write it cannot both take effect, whatever the daemons know of the configuration.

--- a/src/graph/graph_codec.cc
+++ b/src/graph/graph_codec.cc
@@ -274,6 +274,7 @@
   job_progress progress = InitialProgress(job.graph);
   progress.organisation = job.organisation;
   if (!job.guest) return progress;
+  progress.is_guest = true;
   for (auto& steps : progress.occurrences) {
     for (step_progress& step : steps) step.done.flip();
   }
@@ -308,6 +309,7 @@
   if (!progress.organisation.empty()) {
     out["organisation"] = progress.organisation;
   }
+  if (progress.is_guest) out["guest"] = true;
   return out.dump();
 }
 
@@ -324,6 +326,7 @@
         summary.state,
         ParseJobState(in.at("state").get_ref<const std::string&>()));
     summary.organisation = in.value("organisation", "");
+    summary.is_guest = in.value("guest", false);
     return summary;
   });
 }
@@ -337,6 +340,7 @@
         ParseJobState(in.at("state").get_ref<const std::string&>()));
     in.at("started").get_to(progress.has_started);
     progress.organisation = in.value("organisation", "");
+    progress.is_guest = in.value("guest", false);
     const json& occurrences = in.at("occurrences");
     if (IsFinal(progress.state)) return progress;
     if (occurrences.size() != progress.occurrences.size()) {
--- a/src/graph/graph_codec.h
+++ b/src/graph/graph_codec.h
@@ -22,6 +22,7 @@
 struct progress_summary {
   job_state state = job_state::kQueued;
   std::string organisation;  // Of the job; empty if it names none.
+  bool is_guest = false;     // See `job_progress`.
 };
 result<progress_summary> DecodeProgressSummary(std::string_view json);
 
--- a/src/graph/job_graph.h
+++ b/src/graph/job_graph.h
@@ -121,6 +121,7 @@
   // Of the job. The record of a finished job is deleted, and its progress tells
   // whose it was.
   std::string organisation;
+  bool is_guest = false;  // The job is of another partition.
   bool has_started = false;
   std::vector<std::vector<step_progress>> occurrences;
 };
--- a/src/graph/pool_scheduler.cc
+++ b/src/graph/pool_scheduler.cc
@@ -209,6 +209,8 @@
   if (FindJob(job.id) != nullptr) return;
   graph_job& added = AddJob(std::move(job), std::move(progress), submitted_at);
   added.is_loaded = true;
+  // Earlier versions did not store it in the progress.
+  if (added.submission.guest) added.progress.is_guest = true;
   added.stored_lent = LentTasks(added.submission.id, added.progress);
 }
 
@@ -294,8 +296,8 @@
     }
     dirty_jobs_.erase(job);
     job_memory_bytes_ -= job->memory_bytes;
+    jobs_to_delete_.push_back({id, job->progress.is_guest});
     jobs_.erase(id);
-    jobs_to_delete_.push_back(id);
   }
   if (!finished_jobs_.empty()) {
     next_decision_at_ = std::min(
--- a/src/graph/pool_scheduler.h
+++ b/src/graph/pool_scheduler.h
@@ -99,8 +99,12 @@
     job_progress progress;
   };
   std::vector<entry> jobs;
-  std::vector<std::string>
-      jobs_to_delete;  // Jobs whose records must be deleted.
+  // Jobs whose records must be deleted.
+  struct deletion {
+    std::string job_id;
+    bool is_guest = false;  // See `job_progress`.
+  };
+  std::vector<deletion> jobs_to_delete;
   std::map<std::string, end_position> ends_by_worker;
 };
 
@@ -933,7 +937,7 @@
   std::vector<std::string> kept_graphs_;
   time_point next_graph_release_at_{};
   std::size_t job_memory_bytes_ = 0;
-  std::vector<std::string> jobs_to_delete_;
+  std::vector<progress_batch::deletion> jobs_to_delete_;
   // Number of finished jobs whose state is not stored.
   std::size_t unstored_results_ = 0;
   // Ends were applied since the last batch.
--- a/src/pools/job_journal.cc
+++ b/src/pools/job_journal.cc
@@ -20,14 +20,13 @@
 // journal key and the worker list are part of each.
 constexpr std::size_t kMaxTransactionEntries = 32;
 constexpr std::size_t kFixedEntries = 4;
-// Conditions of each transaction, which come first: the owner key and the
-// journal key. More come with submissions.
-constexpr std::size_t kGroupConditions = 2;
-// The records of a moved job in two partitions.
-constexpr std::size_t kMoveEntries = 4;
-// Entries that are kept for submissions while some wait, so that neither they
-// nor the progress of running jobs can hold the other up.
-constexpr std::size_t kSubmissionEntries = 14;
+// The records of a moved job in two partitions, and the record of its id.
+constexpr std::size_t kMoveEntries = 5;
+// The progress of a deleted job and the record of its id.
+constexpr std::size_t kDeletionEntries = 2;
+// Entries that are kept for requests while some wait, so that neither they nor
+// the progress of running jobs can hold the other up.
+constexpr std::size_t kRequestEntries = 15;
 // Entries of a commit that the oldest progress gets before results. Ends are
 // acknowledged only after all progress of their time is stored.
 constexpr std::size_t kOldestProgressEntries = 6;
@@ -164,6 +163,9 @@
   takeover.conditions.push_back({options_.owner_key, options_.epoch});
   takeover.conditions.push_back({JournalKey(), read_revision});
   takeover.puts.push_back({JournalKey(), JournalValue(0), {}});
+  if (has_id_records_) {
+    takeover.puts.push_back({IdMarkerKey(), std::to_string(tenure_), {}});
+  }
   const auto sent_at = options_.clock->Now();
   const auto written = Attempt([&] { return options_.kv->Commit(takeover); });
   if (written) {
@@ -184,6 +186,7 @@
 
 result<journal_contents> job_journal::Load() {
   journal_contents contents;
+  has_id_records_ = true;
   BOOST_LEAF_AUTO(journal, options_.kv->Get(JournalKey()));
   if (journal) {
     const json last = json::parse(journal->value, nullptr, false);
@@ -191,7 +194,9 @@
       return Fail(error_kind::kCorrupt, "the journal of the pool is malformed",
                   "restore or delete the key " + JournalKey());
     }
-    contents.tenure = last.value("tenure", std::uint64_t{0}) + 1;
+    const auto last_tenure = last.value("tenure", std::uint64_t{0});
+    BOOST_LEAF_CHECK(ReadIdMarker(last_tenure));
+    contents.tenure = last_tenure + 1;
   }
   tenure_ = contents.tenure;
   BOOST_LEAF_CHECK(TakeOverJournal(journal ? journal->revision : 0));
@@ -223,6 +228,7 @@
         std::move(entry.value);
   }
   BOOST_LEAF_CHECK(LoadJobs(contents));
+  if (!has_id_records_) BOOST_LEAF_CHECK(RestoreIdRecords(contents));
   return contents;
 }
 
@@ -305,6 +311,7 @@
       if (!state->organisation.empty()) {
         contents.finished_organisations[row.first] = state->organisation;
       }
+      if (state->is_guest) contents.finished_guests.insert(row.first);
     } else {
       Emit(options_.log, pool_events::kRecordInvalid,
            {Field("key", ProgressKey(options_.pool, row.first)),
@@ -322,7 +329,7 @@
   {
     const std::lock_guard lock(mutex_);
     is_stopped_ = true;
-    WakeSubmissions();
+    WakeRequests();
   }
   work_changed_.notify_one();
   result_changed_.notify_all();
@@ -331,29 +338,52 @@
 
 submit_outcome job_journal::Submit(const job_submission& job,
                                    time_point deadline) {
-  const auto pending = std::make_shared<pending_submission>();
+  const auto pending = std::make_shared<pending_request>();
+  pending->job_id = job.id;
   pending->job = job;
+  pending->job_record = EncodeSubmission(job);
+  pending->id_record.partition = options_.pool;
+  pending->id_record.organisation = job.organisation;
+  switch (AwaitRequest(pending, deadline)) {
+    case request_outcome::kStored:
+    case request_outcome::kAccepted:
+      return submit_outcome::kStored;
+    case request_outcome::kNotStored:
+      return submit_outcome::kNotStored;
+    case request_outcome::kCancelled:
+      return submit_outcome::kCancelled;
+    case request_outcome::kForbidden:
+      return submit_outcome::kForbidden;
+    case request_outcome::kPending:
+      break;
+  }
+  return submit_outcome::kUnknown;
+}
+
+job_journal::request_outcome job_journal::AwaitRequest(
+    const request_ptr& request, time_point deadline) {
   std::unique_lock lock(mutex_);
-  if (is_stopped_ || is_store_unreachable_) return submit_outcome::kNotStored;
-  pending_submissions_.push_back(pending);
-  waiting_submissions_.insert(pending);
+  if (is_stopped_ || is_store_unreachable_) return request_outcome::kNotStored;
+  pending_requests_.push_back(request);
+  waiting_requests_.insert(request);
   work_changed_.notify_one();
-  // After a stop, a submission that was sent still waits for the result of its
+  // After a stop, a request that was sent still waits for the result of its
   // commit.
-  options_.clock->WaitUntil(lock, pending->changed, deadline, [&] {
-    return pending->is_done || has_ended_ || (is_stopped_ && !pending->is_sent);
+  options_.clock->WaitUntil(lock, request->changed, deadline, [&] {
+    return request->outcome != request_outcome::kPending || has_ended_ ||
+           (is_stopped_ && !request->is_sent);
   });
-  waiting_submissions_.erase(pending);
-  if (pending->is_stored) return submit_outcome::kStored;
-  if (pending->is_done) return submit_outcome::kNotStored;
-  if (pending->is_sent) return submit_outcome::kUnknown;
-  std::erase(pending_submissions_, pending);
-  return submit_outcome::kNotStored;
+  waiting_requests_.erase(request);
+  if (request->outcome == request_outcome::kPending && !request->is_sent) {
+    std::erase(pending_requests_, request);
+    return request_outcome::kNotStored;
+  }
+  return request->outcome;
 }
 
-void job_journal::WakeSubmissions() {
-  for (const submission_ptr& submission : waiting_submissions_) {
-    submission->changed.notify_all();
+void job_journal::WakeRequests() {
+  for (const request_ptr& request : waiting_requests_) {
+    request->changed.notify_all();
   }
 }
 
@@ -473,17 +503,8 @@
 std::size_t job_journal::AddMoves(commit_group& group, std::size_t entries) {
   while (!pending_moves_.empty() &&
          entries + kMoveEntries <= kMaxTransactionEntries) {
-    job_move& move = pending_moves_.front();
-    const std::string& id = move.job.id;
-    job_submission moved = move.job;
-    moved.queue.pool = move.target;
-    group.writes.puts.push_back(
-        {JobKey(move.target, id), EncodeSubmission(moved), {}});
-    group.writes.puts.push_back({MovedKey(options_.pool, id), move.target, {}});
-    group.writes.removals.push_back(JobKey(options_.pool, id));
-    group.writes.removals.push_back(ProgressKey(options_.pool, id));
     entries += kMoveEntries;
-    group.moves.push_back(std::move(move));
+    group.moves.push_back(std::move(pending_moves_.front()));
     pending_moves_.pop_front();
   }
   return entries;
@@ -491,17 +512,6 @@
 
 void job_journal::RejectMoves(commit_group& group) {
   if (group.moves.empty()) return;
-  for (const job_move& move : group.moves) {
-    const std::string& id = move.job.id;
-    std::erase_if(group.writes.puts, [&](const kv_write& put) {
-      return put.key == JobKey(move.target, id) ||
-             put.key == MovedKey(options_.pool, id);
-    });
-    std::erase_if(group.writes.removals, [&](const std::string& key) {
-      return key == JobKey(options_.pool, id) ||
-             key == ProgressKey(options_.pool, id);
-    });
-  }
   callbacks_.on_moves_rejected(std::exchange(group.moves, {}));
 }
 
@@ -525,13 +535,7 @@
 job_journal::commit_group job_journal::CollectGroup(std::uint64_t flush) {
   commit_group group;
   group.number = ++last_number_;
-  group.writes.conditions = {{options_.owner_key, options_.epoch},
-                             {JournalKey(), journal_revision_}};
-  group.writes.puts.push_back({JournalKey(), JournalValue(group.number), {}});
   TakeSnapshot(flush);
-  // A submission has one write and its conditions.
-  const std::size_t submission_entries =
-      1 + (options_.first_partition.empty() ? 0 : 2);
   std::size_t reserved = 0;
   {
     const std::lock_guard lock(mutex_);
@@ -540,38 +544,18 @@
       group.writes.puts.push_back(
           {WorkerListKey(), json(worker_list_).dump(), {}});
     }
-    reserved = std::min(pending_submissions_.size() * submission_entries,
-                        kSubmissionEntries);
+    for (const request_ptr& request : pending_requests_) {
+      if (reserved >= kRequestEntries) break;
+      reserved += EntriesOf(*request);
+    }
+    reserved = std::min(reserved, kRequestEntries);
   }
-  const bool checks_table =
-      !options_.partitions_key.empty() && partition_count_ == 1;
   std::size_t entries =
-      AddProgress(group, kFixedEntries + (checks_table ? 1 : 0),
+      AddProgress(group, kFixedEntries + (ChecksTable() ? 1 : 0),
                   kMaxTransactionEntries - reserved);
   {
     const std::lock_guard lock(mutex_);
-    std::size_t bytes = 0;
-    while (!pending_submissions_.empty() &&
-           entries + submission_entries <= kMaxTransactionEntries &&
-           bytes < kMaxTransactionBytes) {
-      submission_ptr next = pending_submissions_.front();
-      pending_submissions_.pop_front();
-      if (!IsHome(next->job)) {
-        next->is_done = true;
-        next->changed.notify_all();
-        continue;
-      }
-      next->is_sent = true;
-      group.writes.puts.push_back({JobKey(options_.pool, next->job.id),
-                                   EncodeSubmission(next->job),
-                                   {}});
-      bytes += group.writes.puts.back().value.size();
-      for (kv_condition& condition : SubmissionConditions(next->job)) {
-        group.writes.conditions.push_back(std::move(condition));
-      }
-      entries += submission_entries;
-      group.submissions.push_back(std::move(next));
-    }
+    entries = AddRequests(group, entries);
   }
   {
     const std::lock_guard lock(mutex_);
@@ -587,17 +571,17 @@
       ++entries;
     }
   }
-  if (checks_table && !group.submissions.empty()) {
-    group.writes.conditions.push_back({options_.partitions_key, 0});
-  }
   // A job whose progress still waits is deleted after that is stored.
   while (!waiting_deletions_.empty() && waiting_progress_.empty() &&
-         entries < kMaxTransactionEntries) {
-    std::string& id = waiting_deletions_.back();
-    group.writes.removals.push_back(ProgressKey(options_.pool, id));
-    group.progress.jobs_to_delete.push_back(std::move(id));
+         entries + kDeletionEntries <= kMaxTransactionEntries) {
+    progress_batch::deletion& job = waiting_deletions_.back();
+    group.writes.removals.push_back(ProgressKey(options_.pool, job.job_id));
+    if (!job.is_guest && leased_ids_.erase(job.job_id) == 0) {
+      group.writes.removals.push_back(JobIdKey(job.job_id));
+    }
+    group.progress.jobs_to_delete.push_back(std::move(job));
     waiting_deletions_.pop_back();
-    ++entries;
+    entries += kDeletionEntries;
   }
   AddCompletedSnapshots(group);
   if (!snapshots_.empty()) {
@@ -613,6 +597,89 @@
   return group;
 }
 
+std::size_t job_journal::EntriesOf(const pending_request& request) const {
+  if (!request.job) return 2;        // The record of the id, with a condition.
+  if (request.job->guest) return 1;  // The record of the job.
+  return options_.first_partition.empty() ? 3 : 5;
+}
+
+std::size_t job_journal::AddRequests(commit_group& group, std::size_t entries) {
+  std::size_t bytes = 0;
+  while (!pending_requests_.empty() && bytes < kMaxTransactionBytes) {
+    const request_ptr next = pending_requests_.front();
+    if (next->job && !IsHome(*next->job)) {
+      pending_requests_.pop_front();
+      next->outcome = request_outcome::kNotStored;
+      next->changed.notify_all();
+      continue;
+    }
+    if (entries + EntriesOf(*next) > kMaxTransactionEntries) break;
+    // A transaction can decide about an id only once.
+    if (std::any_of(group.requests.begin(), group.requests.end(),
+                    [&](const request_ptr& each) {
+                      return each->job_id == next->job_id;
+                    })) {
+      break;
+    }
+    pending_requests_.pop_front();
+    next->is_sent = true;
+    entries += EntriesOf(*next);
+    bytes += next->job_record.size();
+    group.requests.push_back(next);
+  }
+  return entries;
+}
+
+bool job_journal::ChecksTable() const {
+  return !options_.partitions_key.empty() && partition_count_ == 1;
+}
+
+void job_journal::AddRequest(kv_transaction& writes,
+                             const pending_request& request) const {
+  if (request.job) {
+    writes.puts.push_back(
+        {JobKey(options_.pool, request.job_id), request.job_record, {}});
+    if (request.job->guest) return;
+    if (!options_.first_partition.empty()) {
+      writes.conditions.push_back(
+          {JobKey(options_.first_partition, request.job_id), 0});
+      writes.conditions.push_back(
+          {ProgressKey(options_.first_partition, request.job_id), 0});
+    }
+  }
+  writes.conditions.push_back({JobIdKey(request.job_id), request.id_revision});
+  writes.puts.push_back({JobIdKey(request.job_id),
+                         EncodeJobId(request.id_record), request.lease_id});
+}
+
+kv_transaction job_journal::MakeTransaction(const commit_group& group) const {
+  kv_transaction writes = group.writes;
+  writes.conditions = {{options_.owner_key, options_.epoch},
+                       {JournalKey(), journal_revision_}};
+  writes.puts.push_back({JournalKey(), JournalValue(group.number), {}});
+  bool has_submission = false;
+  for (const request_ptr& request : group.requests) {
+    AddRequest(writes, *request);
+    has_submission = has_submission || request->job.has_value();
+  }
+  if (has_submission && ChecksTable()) {
+    writes.conditions.push_back({options_.partitions_key, 0});
+  }
+  for (const job_move& move : group.moves) {
+    const std::string& id = move.job.id;
+    job_submission moved = move.job;
+    moved.queue.pool = move.target;
+    writes.puts.push_back(
+        {JobKey(move.target, id), EncodeSubmission(moved), {}});
+    writes.puts.push_back({MovedKey(options_.pool, id), move.target, {}});
+    writes.puts.push_back(
+        {JobIdKey(id), EncodeJobId({move.target, moved.organisation, {}}), {}});
+    writes.removals.push_back(JobKey(options_.pool, id));
+    writes.removals.push_back(ProgressKey(options_.pool, id));
+  }
+  return writes;
+}
+
 job_journal::commit_state job_journal::ReadBackCommit(const commit_group& group,
                                                       duration timeout) {
   const auto read =
@@ -621,7 +688,7 @@
   const std::uint64_t revision =
       *read.value ? (*read.value)->revision : std::uint64_t{0};
   if (revision == journal_revision_) return commit_state::kNotCommitted;
-  if (!*read.value || (*read.value)->value != group.writes.puts.front().value) {
+  if (!*read.value || (*read.value)->value != JournalValue(group.number)) {
     return commit_state::kSuperseded;
   }
   journal_revision_ = revision;
@@ -651,9 +718,10 @@
     return true;
   };
   while (true) {
+    const kv_transaction writes = MakeTransaction(group);
     const auto sent_at = options_.clock->Now();
     const auto written =
-        Attempt([&] { return options_.kv->Commit(group.writes, timeout); });
+        Attempt([&] { return options_.kv->Commit(writes, timeout); });
     if (written) {
       journal_revision_ = *written;
       last_commit_duration_ = options_.clock->Now() - sent_at;
@@ -661,22 +729,12 @@
       return report_success();
     }
     const error_kind kind = written.failure.kind;
-    if (kind == error_kind::kConflict &&
-        group.writes.conditions.size() > kGroupConditions) {
-      const auto removed =
-          Attempt([&] { return RemoveForeignSubmissions(group); });
-      if (!removed) {
-        Emit(options_.log, pool_events::kCommitFailed,
-             {Field("pool", options_.pool), Field("number", group.number),
-              Field("reason", Describe(removed.failure))});
-        if (!WaitForRetry()) return false;
-        continue;
-      }
-      if (*removed) continue;
-    }
-    if (kind == error_kind::kConflict && !may_be_applied) {
-      RejectSubmissions(group);
-      return false;
+    if (kind == error_kind::kConflict) {
+      const commit_state state = HandleConflict(group, may_be_applied, timeout);
+      if (state == commit_state::kCommitted) return report_success();
+      if (state == commit_state::kSuperseded) return false;
+      if (state == commit_state::kUnknown && !WaitForRetry()) return false;
+      continue;
     }
     options_.metrics->commit_failures.Increment();
     Emit(options_.log, pool_events::kCommitFailed,
@@ -686,7 +744,7 @@
       if (++rejected_attempts >= kRejectionsToUnreachable)
         SetStoreUnreachable(true);
       if (!may_be_applied) {
-        RejectSubmissions(group);
+        RejectRequests(group);
         RejectMoves(group);
       }
     } else {
@@ -696,12 +754,6 @@
       if (state == commit_state::kCommitted) return report_success();
       if (state == commit_state::kSuperseded) return false;
       if (state == commit_state::kNotCommitted) {
-        // The journal key is unchanged, so the condition on the owner key
-        // failed.
-        if (kind == error_kind::kConflict) {
-          RejectSubmissions(group);
-          return false;
-        }
         // The store serves reads but not this write; the write may need a
         // longer timeout.
         timeout = std::min<duration>(timeout * 2, kMaxCommitTimeout);
@@ -718,91 +770,19 @@
   }
 }
 
-void job_journal::RejectSubmissions(commit_group& group) {
-  CompleteSubmissions(group, false);
-  group.submissions.clear();
-  const std::string prefix = Prefix("jobs", options_.pool);
-  std::erase_if(group.writes.puts, [&](const kv_write& put) {
-    return put.key.starts_with(prefix);
-  });
-  group.writes.conditions.resize(kGroupConditions);
-}
-
-std::vector<kv_condition> job_journal::SubmissionConditions(
-    const job_submission& job) const {
-  if (options_.first_partition.empty() || job.guest) return {};
-  return {{JobKey(options_.first_partition, job.id), 0},
-          {ProgressKey(options_.first_partition, job.id), 0}};
-}
-
 bool job_journal::IsHome(const job_submission& job) const {
   return job.guest || HomePartition(job.id, partition_count_) == 0;
 }
 
-void job_journal::RemoveSubmission(commit_group& group,
-                                   const submission_ptr& submission,
-                                   bool is_stored) {
-  const std::string& id = submission->job.id;
-  std::erase_if(group.writes.puts, [&](const kv_write& put) {
-    return put.key == JobKey(options_.pool, id);
-  });
-  for (const kv_condition& condition : SubmissionConditions(submission->job)) {
-    std::erase_if(group.writes.conditions, [&](const kv_condition& one) {
-      return one.key == condition.key;
-    });
-  }
-  {
-    const std::lock_guard lock(mutex_);
-    submission->is_stored = is_stored;
-    submission->is_done = true;
-    submission->changed.notify_all();
-  }
-  std::erase(group.submissions, submission);
-}
-
-result<bool> job_journal::RemoveForeignSubmissions(commit_group& group) {
-  const auto submissions = group.submissions;
-  bool has_removed = false;
-  if (!options_.partitions_key.empty() && partition_count_ == 1) {
-    BOOST_LEAF_AUTO(record, options_.kv->Get(options_.partitions_key));
-    if (!record) return false;
-    BOOST_LEAF_AUTO(table, DecodePartitions(record->value));
-    partition_count_ = table.count;
-    std::erase_if(group.writes.conditions, [&](const kv_condition& one) {
-      return one.key == options_.partitions_key;
-    });
-    for (const submission_ptr& submission : submissions) {
-      if (IsHome(submission->job)) continue;
-      RemoveSubmission(group, submission, false);
-    }
-    return true;
-  }
-  if (options_.first_partition.empty()) return false;
-  for (const submission_ptr& submission : submissions) {
-    if (submission->job.guest) continue;
-    BOOST_LEAF_AUTO(state,
-                    ReadStoredJobState(*options_.kv, options_.first_partition,
-                                       submission->job.id));
-    if (!state) continue;
-    Emit(options_.log, pool_events::kAcceptedBefore,
-         {Field("pool", options_.pool), Field("job", submission->job.id),
-          Field("partition", options_.first_partition)});
-    RemoveSubmission(group, submission, true);
-    has_removed = true;
-  }
-  return has_removed;
-}
-
 void job_journal::SetStoreUnreachable(bool is_unreachable) {
   {
     const std::lock_guard lock(mutex_);
     is_store_unreachable_ = is_unreachable;
     if (!is_unreachable) return;
-    // Submissions that were not sent do not wait for the store.
-    for (const submission_ptr& submission :
-         std::exchange(pending_submissions_, {})) {
-      submission->is_done = true;
-      submission->changed.notify_all();
+    // Requests that were not sent do not wait for the store.
+    for (const request_ptr& request : std::exchange(pending_requests_, {})) {
+      request->outcome = request_outcome::kNotStored;
+      request->changed.notify_all();
     }
   }
   result_changed_.notify_all();
@@ -822,17 +802,24 @@
   load_ = {};
 }
 
-void job_journal::CompleteSubmissions(commit_group& group, bool is_stored) {
-  if (is_stored) {
-    for (const auto& submission : group.submissions)
-      callbacks_.on_job_accepted(submission->job);
+void job_journal::CompleteRequests(commit_group& group) {
+  for (const request_ptr& request : group.requests) {
+    if (request->job) callbacks_.on_job_accepted(*request->job);
   }
   {
     const std::lock_guard lock(mutex_);
-    for (const auto& submission : group.submissions) {
-      submission->is_stored = is_stored;
-      submission->is_done = true;
-      submission->changed.notify_all();
+    for (const request_ptr& request : group.requests) {
+      request->outcome = request_outcome::kStored;
+      request->changed.notify_all();
+      if (!request->job) continue;
+      // Copies and cancellations that arrived while the result was unknown.
+      std::erase_if(pending_requests_, [&](const request_ptr& later) {
+        if (later->job_id != request->job_id) return false;
+        later->accepted_by = options_.pool;
+        later->outcome = request_outcome::kAccepted;
+        later->changed.notify_all();
+        return true;
+      });
     }
   }
   result_changed_.notify_all();
@@ -843,7 +830,7 @@
   {
     const std::lock_guard lock(mutex_);
     has_ended_ = true;
-    WakeSubmissions();
+    WakeRequests();
   }
   result_changed_.notify_all();
 }
@@ -854,7 +841,7 @@
     {
       std::unique_lock lock(mutex_);
       const auto due = [&] {
-        return is_stopped_ || !pending_submissions_.empty() ||
+        return is_stopped_ || !pending_requests_.empty() ||
                options_.clock->Now() >= commit_due_at_;
       };
       while (!due()) {
@@ -868,9 +855,9 @@
       flush = requested_flushes_;  // A later flush needs another group.
     }
     commit_group group = CollectGroup(flush);
-    const bool is_empty =
-        group.submissions.empty() && group.progress.jobs.empty() &&
-        group.writes.puts.size() == 1 && group.writes.removals.empty();
+    const bool is_empty = group.requests.empty() && group.moves.empty() &&
+                          group.writes.puts.empty() &&
+                          group.writes.removals.empty();
     // A group with ends only, of jobs whose progress did not change, needs no
     // write.
     const auto sent_at = options_.clock->Now();
@@ -894,14 +881,14 @@
         stored_worker_list_version_ =
             std::max(stored_worker_list_version_, group.worker_list_version);
       }
-      // If the journal stops, the results of submissions in flight are unknown.
+      // If the journal stops, the results of requests in flight are unknown.
       if (!is_stored) {
         is_stopped_ = true;
-        WakeSubmissions();
+        WakeRequests();
       }
     }
     if (is_stored) {
-      CompleteSubmissions(group, true);
+      CompleteRequests(group);
       continue;
     }
     result_changed_.notify_all();
--- a/src/pools/job_journal.h
+++ b/src/pools/job_journal.h
@@ -18,6 +18,8 @@
 #include "kernel/clock.h"
 #include "kernel/log.h"
 #include "kernel/thread_group.h"
+#include "pools/caller_identity.h"
+#include "pools/job_id_record.h"
 #include "pools/pool_metrics.h"
 
 namespace apricotwheel {
@@ -72,6 +74,7 @@
   std::vector<std::pair<std::string, job_state>> finished;
   // By id, of the finished jobs that name one.
   std::map<std::string, std::string> finished_organisations;
+  std::set<std::string> finished_guests;  // See `job_progress`.
   // Addresses, by id, of the workers that earlier owners may have used.
   std::map<std::string, std::string> workers;
   // Partitions, by id, of the jobs that were accepted here and moved there.
@@ -85,9 +88,11 @@
 };
 
 enum class submit_outcome {
-  kStored,
+  kStored,     // Now, or accepted before by any pool.
   kNotStored,  // Certainly not stored, now or later.
   kUnknown,    // The commit got no response in time.
+  kCancelled,  // Not stored: the id was cancelled before.
+  kForbidden,  // Not stored: a job of another organisation has the id.
 };
 
 struct job_journal_options {
@@ -180,19 +185,50 @@
                        time_point deadline);
 
  private:
-  struct pending_submission {
-    job_submission job;
+  enum class request_outcome {
+    kPending,
+    kStored,
+    kNotStored,
+    kAccepted,   // A job with the id was accepted before.
+    kCancelled,  // The id was cancelled before.
+    kForbidden,
+  };
+  // A submission, or the cancellation of an id.
+  struct pending_request {
+    std::string job_id;
+    std::optional<job_submission> job;  // Only of a submission.
+    std::string job_record;             // The same, encoded.
+    // The record of the id to store, and the revision that it replaces; 0 if
+    // there is none. Jobs of other partitions have no such record here.
+    job_id_record id_record;
+    std::uint64_t id_revision = 0;
+    std::string lease_id;  // Of the record of a cancelled id.
     // Of its own, so that a commit wakes only the callers that it concerns.
     std::condition_variable changed;
     // It was put into a group and may be stored. Stays true during retries.
     bool is_sent = false;
-    bool is_done = false;  // `is_stored` is final.
-    bool is_stored = false;
+    request_outcome outcome = request_outcome::kPending;
+    std::string accepted_by;  // The partition, with `kAccepted`.
+  };
+  using request_ptr = std::shared_ptr<pending_request>;
+  // Why a request cannot be stored as it is.
+  struct request_conflict {
+    request_ptr request;
+    // `kPending` if it can be stored with these:
+    request_outcome outcome = request_outcome::kPending;
+    job_id_record id_record;
+    std::uint64_t id_revision = 0;
+    std::string accepted_by;
+  };
+  struct request_conflicts {
+    // The pool was divided, so its first partition does not accept all jobs.
+    bool is_divided = false;
+    std::vector<request_conflict> requests;
   };
-  using submission_ptr = std::shared_ptr<pending_submission>;
   struct commit_group {
+    // Without those of the requests and moves below.
     kv_transaction writes;
-    std::vector<submission_ptr> submissions;
+    std::vector<request_ptr> requests;
     std::vector<job_move> moves;
     progress_batch progress;
     std::uint64_t number = 0;  // Counts the groups of this owner from 1.
@@ -225,8 +261,13 @@
   void RunCommits();
   // Takes the current progress, as the snapshot that completes `flush`.
   void TakeSnapshot(std::uint64_t flush);
-  // Builds a transaction from the pending submissions and the progress.
+  // Builds a group from the pending requests, the moves and the progress.
   commit_group CollectGroup(std::uint64_t flush);
+  // Moves pending requests into the group and returns the new number of
+  // entries. Called with mutex_ held.
+  std::size_t AddRequests(commit_group& group, std::size_t entries);
+  kv_transaction MakeTransaction(const commit_group& group) const;
+  std::size_t EntriesOf(const pending_request& request) const;
   // Moves waiting progress into the group, up to `max_entries` entries, and
   // returns the new number of entries.
   std::size_t AddProgress(commit_group& group, std::size_t entries,
@@ -253,30 +294,48 @@
   // returns false if the journal stops before a retry; the group may then be
   // stored.
   bool CommitGroup(commit_group& group);
-  // Returns the conditions under which a job is stored. They make sure that no
-  // other partition of the pool stores it, too.
-  std::vector<kv_condition> SubmissionConditions(
-      const job_submission& job) const;
+  // Adds the conditions and writes of a request. The conditions make sure that
+  // no other partition or pool stores the job, too.
+  void AddRequest(kv_transaction& writes, const pending_request& request) const;
+  // Returns true while the partition table does not exist, so that each
+  // submission has to make sure of that.
+  bool ChecksTable() const;
   // Returns false if another partition accepts the job.
   bool IsHome(const job_submission& job) const;
-  // After a conflict: removes the submissions from the group that belong to
-  // another partition or that the first one has accepted before, and reports
-  // their results. Returns false if the conflict has another cause.
-  result<bool> RemoveForeignSubmissions(commit_group& group);
-  void RemoveSubmission(commit_group& group, const submission_ptr& submission,
-                        bool is_stored);
-  // Reports the submissions of the group as not stored and removes them from
-  // it. Called only if they are certainly not stored, now or later.
-  void RejectSubmissions(commit_group& group);
+  // Defined in job_journal_ids.cc, like the next five.
+  // Determines what a failed condition means for the group, and changes or
+  // completes the requests that it concerns. Returns `kNotCommitted` if the
+  // group must be sent again.
+  commit_state HandleConflict(commit_group& group, bool may_be_applied,
+                              duration timeout);
+  result<request_conflicts> FindConflicts(const commit_group& group);
+  // Returns nothing if the record of the id allows the request.
+  result<std::optional<request_conflict>> FindIdConflict(
+      const request_ptr& request);
+  void ApplyConflicts(commit_group& group, const request_conflicts& conflicts);
+  // Reads whether all jobs here have records of their ids. Earlier versions
+  // stored none.
+  result<void> ReadIdMarker(std::uint64_t last_tenure);
+  // Stores the records of ids that the jobs here lack, and deletes those of
+  // jobs that are not here any more.
+  result<void> RestoreIdRecords(const journal_contents& contents);
+  std::string IdMarkerKey() const;
+  // Reports the result of a request to its caller.
+  void CompleteRequest(const request_ptr& request, request_outcome outcome);
+  // Waits until the request has a result or `deadline` passes.
+  request_outcome AwaitRequest(const request_ptr& request, time_point deadline);
+  // Reports the requests of the group as not stored and removes them from it.
+  // Called only if they are certainly not stored, now or later.
+  void RejectRequests(commit_group& group);
   // The same for the moves of jobs.
   void RejectMoves(commit_group& group);
   void SetStoreUnreachable(bool is_unreachable);
-  // Wakes all callers of `Submit`. Called with mutex_ held.
-  void WakeSubmissions();
+  // Wakes all callers of `Submit` and `CancelId`. Called with mutex_ held.
+  void WakeRequests();
   // Logs what the journal has committed since the last line.
   void ReportLoadIfDue();
-  // Reports the result to the callers of `Submit`.
-  void CompleteSubmissions(commit_group& group, bool is_stored);
+  // Admits the stored jobs of the group and reports the results to callers.
+  void CompleteRequests(commit_group& group);
   // Returns the value of the journal key for the group with this number; 0 is
   // the takeover. It tells a group's commit from that of another owner.
   std::string JournalValue(std::uint64_t number) const;
@@ -288,7 +347,7 @@
 
   const job_journal_options options_;
   const callbacks callbacks_;
-  // The next nine are used by `Load` and then by the commit thread only.
+  // The next eleven are used by `Load` and then by the commit thread only.
   std::uint64_t journal_revision_ = 0;
   // Of the pool, if this is its first one; 1 until a table was found.
   std::uint32_t partition_count_ = 1;
@@ -298,7 +357,10 @@
   // timeout of the next one.
   duration last_commit_duration_{};
   std::vector<waiting_progress> waiting_progress_;  // Oldest first.
-  std::vector<std::string> waiting_deletions_;
+  std::vector<progress_batch::deletion> waiting_deletions_;
+  bool has_id_records_ = false;  // See `ReadIdMarker`.
+  // Finished jobs of earlier versions. The records of their ids have a lease.
+  std::set<std::string> leased_ids_;
   std::deque<progress_snapshot> snapshots_;  // Not complete, oldest first.
   std::uint64_t last_snapshot_ = 0;
   // Since the last log line; used by the commit thread only.
@@ -315,8 +377,8 @@
   mutable std::mutex mutex_;
   std::condition_variable work_changed_;    // The commit thread waits on it.
   std::condition_variable result_changed_;  // Waiting callers wait on it.
-  std::deque<submission_ptr> pending_submissions_;
-  std::set<submission_ptr> waiting_submissions_;  // Those in `Submit`.
+  std::deque<request_ptr> pending_requests_;
+  std::set<request_ptr> waiting_requests_;  // Those that a caller waits for.
   std::deque<job_move> pending_moves_;
   std::vector<std::string> move_records_to_delete_;  // Ids of their jobs.
   // Counts the calls of `Flush`. A call waits until `completed_flushes_`
--- a/src/pools/pool_events.h
+++ b/src/pools/pool_events.h
@@ -92,6 +92,10 @@
                                                  severity::kWarning};
 inline constexpr log_event_kind kMemoryRefusals{2245, "pool_memory_refusals",
                                                 severity::kWarning};
+inline constexpr log_event_kind kIdRecordsRestored{
+    2246, "pool_id_records_restored", severity::kInfo};
+inline constexpr log_event_kind kCancelledBefore{2247, "pool_cancelled_before",
+                                                 severity::kInfo};
 inline constexpr log_event_kind kWorkerLeft{2270, "pool_worker_left",
                                             severity::kInfo};
 
--- a/src/pools/pool_owner.cc
+++ b/src/pools/pool_owner.cc
@@ -34,7 +34,15 @@
 // out.
 constexpr auto kStoreRetryAfterMs = 1000;
 
-job_call_response Unavailable(std::string reason) {
+job_call_response MakeResponse(job_call_status status) {
+  job_call_response response;
+  response.status = status;
+  return response;
+}
+
+}  // namespace
+
+job_call_response pool_owner::Unavailable(std::string reason) {
   job_call_response response;
   response.status = job_call_status::kUnavailable;
   response.retry_after_ms = kLoadingRetryAfterMs;
@@ -42,7 +50,8 @@
   return response;
 }
 
-job_call_response StoreUnreachable() {
+job_call_response pool_owner::NotStored(std::string reason) const {
+  if (!journal_->IsStoreUnreachable()) return Unavailable(std::move(reason));
   job_call_response response;
   response.status = job_call_status::kNotStored;
   response.retry_after_ms = kStoreRetryAfterMs;
@@ -50,14 +59,6 @@
   return response;
 }
 
-job_call_response MakeResponse(job_call_status status) {
-  job_call_response response;
-  response.status = status;
-  return response;
-}
-
-}  // namespace
-
 pool_owner::pool_owner(pool_owner_options options)
     : options_(std::move(options)),
       authority_(
@@ -130,9 +131,8 @@
     std::unique_lock lock(mutex_);
     is_quiesced_ = true;
     requests_changed_.notify_all();
-    options_.clock->WaitUntil(lock, requests_changed_, deadline, [&] {
-      return is_stopped_ || submitting_jobs_.empty();
-    });
+    options_.clock->WaitUntil(lock, requests_changed_, deadline,
+                              [&] { return is_stopped_ || busy_ids_.empty(); });
     if (!is_loaded_ || is_stopped_) return;
   }
   journal_->Flush(deadline);
@@ -275,6 +275,7 @@
     }
     job_progress progress;
     progress.state = state;
+    progress.is_guest = contents.finished_guests.contains(id);
     scheduler->RestoreJob(std::move(job), std::move(progress), now);
   }
   Emit(options_.log, pool_events::kPoolLoaded,
@@ -484,7 +485,7 @@
     std::unique_lock lock(mutex_);
     ++activity_.requests;
     const auto is_free = [&] {
-      return is_stopped_ || (is_loaded_ && !submitting_jobs_.contains(job.id));
+      return is_stopped_ || (is_loaded_ && !busy_ids_.contains(job.id));
     };
     if (!options_.clock->WaitUntil(lock, requests_changed_, deadline,
                                    is_free)) {
@@ -523,18 +524,18 @@
         reserved = EstimateJobMemory(job);
       }
     }
-    submitting_jobs_.insert(job.id);
+    busy_ids_.insert(job.id);
   }
   const submit_outcome outcome = journal_->Submit(job, deadline);
   {
     const std::lock_guard lock(mutex_);
-    submitting_jobs_.erase(submitting_jobs_.find(job.id));
+    busy_ids_.erase(job.id);
     if (options_.jobs_memory != nullptr) {
       options_.jobs_memory->Release(reserved);
     }
     if (outcome == submit_outcome::kUnknown) {
       unresolved_submissions_.insert(job.id);
-    } else if (outcome == submit_outcome::kStored) {
+    } else if (outcome != submit_outcome::kNotStored) {
       // A later copy that was not stored says nothing about the earlier one.
       unresolved_submissions_.erase(job.id);
       // What is stored may be an earlier copy.
@@ -549,9 +550,11 @@
     case submit_outcome::kStored:
       return MakeResponse(job_call_status::kAccepted);
     case submit_outcome::kNotStored:
-      return journal_->IsStoreUnreachable()
-                 ? StoreUnreachable()
-                 : Unavailable("the job could not be stored");
+      return NotStored("the job could not be stored");
+    case submit_outcome::kCancelled:
+      return MakeResponse(job_call_status::kCancelled);
+    case submit_outcome::kForbidden:
+      return MakeResponse(job_call_status::kForbidden);
     case submit_outcome::kUnknown:
       break;
   }
@@ -600,7 +603,7 @@
     ++activity_.requests;
     if (!options_.clock->WaitUntil(lock, requests_changed_, deadline, [&] {
           return is_stopped_ || is_quiesced_ ||
-                 (is_loaded_ && !submitting_jobs_.contains(job_id) &&
+                 (is_loaded_ && !busy_ids_.contains(job_id) &&
                   !moving_jobs_.contains(job_id));
         })) {
       return MakeResponse(job_call_status::kUnknown);
--- a/src/pools/pool_owner.h
+++ b/src/pools/pool_owner.h
@@ -181,6 +181,9 @@
   // Returns true if the job is known here and closed to the caller. Called with
   // mutex_ held.
   bool IsClosedTo(std::string_view job_id, const caller_identity& caller) const;
+  static job_call_response Unavailable(std::string reason);
+  // Returns the response to a request that the journal did not store.
+  job_call_response NotStored(std::string reason) const;
   // Refuses a job that the pool cannot serve, and logs it if that is due.
   // Called with mutex_ held.
   job_call_response Refuse(const job_submission& job,
@@ -301,7 +304,8 @@
   // Those of them, by target, that the owner of the target may not know yet.
   std::map<std::string, std::set<std::string>> unadopted_jobs_;
   std::set<std::string, std::less<>> moving_jobs_;  // Their commit is pending.
-  std::set<std::string, std::less<>> submitting_jobs_;
+  // Of which a submission waits for its commit.
+  std::set<std::string, std::less<>> busy_ids_;
   std::map<std::string, deferred_job, std::less<>> deferred_jobs_;  // By id.
   std::condition_variable deferred_changed_;
   std::uint64_t memory_refusals_ = 0;
--- a/src/pools/queue_gateway.cc
+++ b/src/pools/queue_gateway.cc
@@ -4,6 +4,7 @@
 #include <utility>
 #include <vector>
 
+#include "pools/job_id_record.h"
 #include "pools/pool_events.h"
 
 namespace apricotwheel {
@@ -23,6 +24,9 @@
 // If the owner has not responded within this timeout, the state is read from
 // the store.
 constexpr auto kStateTimeout = milliseconds(600);
+// A queue may have had another pool when a job was accepted, and the job may
+// have moved between the partitions of that one.
+constexpr int kMaxMoves = 3;
 
 job_call_response MakeResponse(job_call_status status,
                                std::string reason = {}) {
@@ -234,6 +238,10 @@
                                 ? job_call_status::kForbidden
                                 : job_call_status::kAccepted);
   }
+  if (response.status == job_call_status::kCancelled) {
+    response = MakeResponse(job_call_status::kAbsent,
+                            "the job was cancelled before it was submitted");
+  }
   CountClosedAccess(response);
   Emit(log_, pool_events::kJobRequestCompleted,
        {Field("job", job.id), Field("queue", queue.name),
@@ -263,6 +271,19 @@
     const std::string& pool, const std::string& job_id,
     const caller_identity& caller) {
   // The route may have led to another pool when the job was accepted.
+  const auto id = Attempt([&] { return ReadJobId(*options_->kv, job_id); });
+  if (!id) {
+    return {pool, MakeResponse(job_call_status::kUnavailable,
+                               "the store does not respond")};
+  }
+  if (*id.value && (*id.value)->record.IsAccepted()) {
+    const std::string& partition = (*id.value)->record.partition;
+    auto stored = ReadStoredState(partition, job_id, caller);
+    if (stored && stored->status != job_call_status::kAbsent) {
+      return {partition, std::move(*stored)};
+    }
+  }
+  // Earlier versions stored no records of ids.
   std::vector<std::string> pools{pool};
   for (const pool_rules& other : Table()->pools) {
     if (other.name != pool) pools.push_back(other.name);
@@ -310,7 +331,9 @@
       std::min<duration>(timeout - kResponseReserve, kStateTimeout);
   const std::string home = HomeOf(queue.pool, job_id);
   job_call_response response = StateAtOwner(home, job_id, deadline, caller);
-  if (response.status == job_call_status::kMoved) {
+  for (int moves = 0;
+       moves < kMaxMoves && response.status == job_call_status::kMoved;
+       ++moves) {
     response = StateAtOwner(response.moved_to, job_id, deadline, caller);
   }
   CountClosedAccess(response);
@@ -348,10 +371,16 @@
   const std::string home = HomeOf(queue.pool, job_id);
   job_call_response response = CancelAtOwner(home, job_id, deadline, caller);
   std::string asked = home;
-  if (response.status == job_call_status::kMoved) {
+  for (int moves = 0;
+       moves < kMaxMoves && response.status == job_call_status::kMoved;
+       ++moves) {
     asked = response.moved_to;
     response = CancelAtOwner(asked, job_id, deadline, caller);
   }
+  if (response.status == job_call_status::kMoved) {
+    response = MakeResponse(job_call_status::kUnavailable,
+                            "the job is moving between partitions");
+  }
   while (response.status == job_call_status::kAbsent) {
     // See `State`.
     const stored_state stored = FindStoredState(queue.pool, job_id, caller);
--- a/tests/graph/pool_scheduler_test.cc
+++ b/tests/graph/pool_scheduler_test.cc
@@ -461,9 +461,10 @@
   rig.AdvanceClock(std::chrono::seconds(2));
   rig.DecideAndCarryOut();
   BOOST_TEST(!rig.scheduler.FindJobState("job").has_value());
-  BOOST_TEST(
-      rig.StoreProgress().jobs_to_delete == std::vector<std::string>{"job"},
-      boost::test_tools::per_element());
+  const auto deletions = rig.StoreProgress().jobs_to_delete;
+  BOOST_REQUIRE_EQUAL(deletions.size(), 1);
+  BOOST_TEST(deletions[0].job_id == "job");
+  BOOST_TEST(!deletions[0].is_guest);
 }
 
 // Guards against memory that finished jobs keep, and against a release while
--- a/tests/pools/fake_store.h
+++ b/tests/pools/fake_store.h
@@ -9,6 +9,7 @@
 #include <memory>
 #include <mutex>
 #include <optional>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -48,7 +49,9 @@
           return Fail(error_kind::kTimeout, "no response", "wait");
         const auto found = entries_.find(std::string(key));
         if (found != entries_.end()) entry = found->second;
-        after_get = std::exchange(after_next_get_, nullptr);
+        if (after_next_get_key_.empty() || after_next_get_key_ == key) {
+          after_get = std::exchange(after_next_get_, nullptr);
+        }
       }
       if (after_get) after_get();
       return entry;
@@ -94,7 +97,12 @@
 
   // Calls `action` once, after the next get has read its value.
   void AfterNextGet(std::function<void()> action) {
+    AfterNextGetOf({}, std::move(action));
+  }
+  // The same for the next get of `key`.
+  void AfterNextGetOf(const std::string& key, std::function<void()> action) {
     const std::lock_guard lock(mutex_);
+    after_next_get_key_ = key;
     after_next_get_ = std::move(action);
   }
 
@@ -121,6 +129,14 @@
     return applied;
   }
 
+  // Ends all leases, as an outage may.
+  void EndLeases() {
+    const std::lock_guard lock(mutex_);
+    for (const std::string& id : std::set<std::string>(granted_leases_)) {
+      EndLease(id);
+    }
+  }
+
   std::uint64_t Put(const std::string& key, const std::string& value) {
     const std::lock_guard lock(mutex_);
     Write({key, value, {}}, ++revision_);
@@ -137,11 +153,22 @@
   }
 
  private:
+  void EndLease(const std::string& id) {
+    granted_leases_.erase(id);
+    kv_transaction ended;
+    for (const auto& [key, lease] : leases_) {
+      if (lease == id) ended.removals.push_back(key);
+    }
+    ApplyTransaction(ended);
+  }
+
   // Adds the lease calls. Leases do not expire; they end when they are revoked.
   void BindLeases(kv_protocol& calls, const std::function<bool()>& rejects) {
     calls.grant_lease = [this](duration) -> result<std::string> {
       const std::lock_guard lock(mutex_);
-      return "lease-" + std::to_string(++last_lease_);
+      const std::string id = "lease-" + std::to_string(++last_lease_);
+      granted_leases_.insert(id);
+      return id;
     };
     calls.renew_lease = [rejects](std::string_view) -> result<void> {
       if (rejects()) return Fail(error_kind::kUnavailable, "rejected", "");
@@ -150,11 +177,7 @@
     calls.revoke_lease = [this](std::string_view lease_id,
                                 duration) -> result<void> {
       const std::lock_guard lock(mutex_);
-      kv_transaction ended;
-      for (const auto& [key, lease] : leases_) {
-        if (lease == lease_id) ended.removals.push_back(key);
-      }
-      ApplyTransaction(ended);
+      EndLease(std::string(lease_id));
       return {};
     };
   }
@@ -187,6 +210,11 @@
       delayed_.push_back(writes);
       return Fail(error_kind::kTimeout, "late", "wait");
     }
+    for (const kv_write& put : writes.puts) {
+      if (!put.lease_id.empty() && !granted_leases_.contains(put.lease_id)) {
+        return Fail(error_kind::kNotFound, "no such lease", "grant a new one");
+      }
+    }
     const bool is_applied = ApplyTransaction(writes);
     if (fault == commit_fault::kResponseLost) {
       return Fail(error_kind::kTimeout, "lost", "wait");
@@ -237,12 +265,14 @@
   mutable std::mutex mutex_;
   const clock_ptr clock_ = runtime_clock::Running();
   duration delay_{};
+  std::string after_next_get_key_;  // Empty for any.
   std::function<void()> after_next_get_;
   bool is_unresponsive_ = false;
   std::map<std::string, kv_entry> entries_;
   // Lease ids by key; empty for none.
   std::map<std::string, std::string> leases_;
   std::vector<kv_event> events_;
+  std::set<std::string> granted_leases_;
   int last_lease_ = 0;
   std::deque<commit_fault> faults_;
   std::deque<kv_transaction> delayed_;
--- a/tests/pools/pool_owner_test.cc
+++ b/tests/pools/pool_owner_test.cc
@@ -423,9 +423,11 @@
   BOOST_TEST(cell.Eventually([&] { return cell.agent.RunCount() == 1; }));
   int applied = 0;
   cell.owner->Stop();
-  cell.store.AfterNextGet([&] {
+  const std::string journal = "apricotwheel/journals/pool";
+  cell.store.AfterNextGetOf(journal, [&] {
     cell.store.FailNext(commit_fault::kDelayed);
-    cell.store.AfterNextGet([&] { applied = cell.store.ApplyDelayed(); });
+    cell.store.AfterNextGetOf(journal,
+                              [&] { applied = cell.store.ApplyDelayed(); });
   });
   cell.StartOwner();
   BOOST_TEST(cell.Eventually([&] {
