A cancelled job id is not accepted later

Cause: "no such job" was a statement about what was known, not about what may come. The owner waited for submissions whose callers waited, not for those whose commit was still repeated after a 504, and nothing at all is known of a submission on a link or in a socket.

Change: an owner that does not know a job stores in the record of its id that the caller has cancelled it, on condition that the record says nothing else, and answers 410 only then. A submission that finds this is rejected with 410. If a job was accepted meanwhile, here or in another pool, it is cancelled as usual. Only callers who may cancel a job are heard: another organisation's submission of the id is accepted.

Why it works: acceptance and cancellation are transactions that are conditional on one record, so whichever comes first stands and the other learns of it. The cancellation need not know where the submission is.

--- a/src/pools/job_journal.cc
+++ b/src/pools/job_journal.cc
@@ -736,6 +736,7 @@
       if (state == commit_state::kUnknown && !WaitForRetry()) return false;
       continue;
     }
+    if (kind == error_kind::kNotFound && RejectCancellations(group)) continue;
     options_.metrics->commit_failures.Increment();
     Emit(options_.log, pool_events::kCommitFailed,
          {Field("pool", options_.pool), Field("number", group.number),
--- a/src/pools/job_journal.h
+++ b/src/pools/job_journal.h
@@ -95,6 +95,18 @@
   kForbidden,  // Not stored: a job of another organisation has the id.
 };
 
+enum class id_cancellation_outcome {
+  kStored,     // No job with the id was accepted, and none will be.
+  kAccepted,   // A job with the id was accepted before.
+  kNotStored,  // A retry may succeed.
+  kUnknown,    // The commit got no response in time.
+  kRefused,    // The owner stores no more of them now.
+};
+struct id_cancellation {
+  id_cancellation_outcome outcome = id_cancellation_outcome::kUnknown;
+  std::string partition;  // Of the accepted job.
+};
+
 struct job_journal_options {
   std::string pool;  // Or a partition of one.
   // Set if the pool is divided and this is not its first partition. That one
@@ -163,6 +175,12 @@
   // journal keeps trying and may call `on_job_accepted` later. While the store
   // is unreachable, returns `kNotStored` at once.
   submit_outcome Submit(const job_submission& job, time_point deadline);
+  // Stores that `caller` has cancelled the id of a job that this owner does not
+  // know, so that no pool accepts the job later. The record ends with the
+  // lease.
+  id_cancellation CancelId(const std::string& job_id,
+                           const caller_identity& caller,
+                           const std::string& lease_id, time_point deadline);
   // Returns true if the store rejected two attempts to commit one group, or if
   // the unknown result of an attempt could not be read back, and no commit has
   // succeeded since.
@@ -327,6 +345,9 @@
   // Reports the requests of the group as not stored and removes them from it.
   // Called only if they are certainly not stored, now or later.
   void RejectRequests(commit_group& group);
+  // The same for cancellations of ids, whose lease has ended. Returns false if
+  // there are none.
+  bool RejectCancellations(commit_group& group);
   // The same for the moves of jobs.
   void RejectMoves(commit_group& group);
   void SetStoreUnreachable(bool is_unreachable);
--- a/src/pools/job_journal_ids.cc
+++ b/src/pools/job_journal_ids.cc
@@ -28,6 +28,41 @@
   return "apricotwheel/job-id-markers/" + options_.pool;
 }
 
+id_cancellation job_journal::CancelId(const std::string& job_id,
+                                      const caller_identity& caller,
+                                      const std::string& lease_id,
+                                      time_point deadline) {
+  const auto read = Attempt([&] { return ReadJobId(*options_.kv, job_id); });
+  if (!read) return {id_cancellation_outcome::kNotStored, {}};
+  const auto pending = std::make_shared<pending_request>();
+  pending->job_id = job_id;
+  pending->lease_id = lease_id;
+  if (const std::optional<stored_job_id>& stored = *read) {
+    if (stored->record.IsAccepted()) {
+      return {id_cancellation_outcome::kAccepted, stored->record.partition};
+    }
+    pending->id_record = stored->record;
+    pending->id_revision = stored->revision;
+  }
+  // A known caller is stored again, with the new lease.
+  if (!AddCanceller(pending->id_record, caller)) {
+    return {id_cancellation_outcome::kNotStored, {}};
+  }
+  switch (AwaitRequest(pending, deadline)) {
+    case request_outcome::kStored:
+      return {id_cancellation_outcome::kStored, {}};
+    case request_outcome::kAccepted:
+      return {id_cancellation_outcome::kAccepted, pending->accepted_by};
+    case request_outcome::kPending:
+      return {id_cancellation_outcome::kUnknown, {}};
+    case request_outcome::kNotStored:
+    case request_outcome::kCancelled:
+    case request_outcome::kForbidden:
+      break;
+  }
+  return {id_cancellation_outcome::kNotStored, {}};
+}
+
 job_journal::commit_state job_journal::HandleConflict(commit_group& group,
                                                       bool may_be_applied,
                                                       duration timeout) {
@@ -198,6 +233,18 @@
   }
 }
 
+bool job_journal::RejectCancellations(commit_group& group) {
+  const auto rejected = std::stable_partition(
+      group.requests.begin(), group.requests.end(),
+      [](const request_ptr& request) { return request->job.has_value(); });
+  if (rejected == group.requests.end()) return false;
+  for (auto each = rejected; each != group.requests.end(); ++each) {
+    CompleteRequest(*each, request_outcome::kNotStored);
+  }
+  group.requests.erase(rejected, group.requests.end());
+  return true;
+}
+
 result<void> job_journal::ReadIdMarker(std::uint64_t last_tenure) {
   BOOST_LEAF_AUTO(marker, options_.kv->Get(IdMarkerKey()));
   has_id_records_ = marker && marker->value == std::to_string(last_tenure);
--- a/src/pools/pool_events.h
+++ b/src/pools/pool_events.h
@@ -96,6 +96,8 @@
     2246, "pool_id_records_restored", severity::kInfo};
 inline constexpr log_event_kind kCancelledBefore{2247, "pool_cancelled_before",
                                                  severity::kInfo};
+inline constexpr log_event_kind kCancellationsRefused{
+    2248, "pool_cancellations_refused", severity::kWarning};
 inline constexpr log_event_kind kWorkerLeft{2270, "pool_worker_left",
                                             severity::kInfo};
 
--- a/src/pools/pool_metrics.cc
+++ b/src/pools/pool_metrics.cc
@@ -146,6 +146,12 @@
               .Help("Jobs refused because accepted jobs take the memory")
               .Register(*registry)
               .Add({})),
+      refused_cancellations(
+          prometheus::BuildCounter()
+              .Name("apricotwheel_pool_refused_cancellations_total")
+              .Help("Cancellations of unknown ids refused as too many")
+              .Register(*registry)
+              .Add({})),
       moved_jobs(
           prometheus::BuildCounter()
               .Name("apricotwheel_pool_moved_jobs_total")
--- a/src/pools/pool_metrics.h
+++ b/src/pools/pool_metrics.h
@@ -47,6 +47,7 @@
   prometheus::Counter& refused_submissions;
   prometheus::Counter& overload_refusals;
   prometheus::Counter& memory_refusals;
+  prometheus::Counter& refused_cancellations;
   prometheus::Counter& moved_jobs;
   prometheus::Counter& rejected_keys;
   prometheus::Counter& forbidden_requests;
--- a/src/pools/pool_owner.cc
+++ b/src/pools/pool_owner.cc
@@ -586,55 +586,6 @@
   return response;
 }
 
-job_call_response pool_owner::Cancel(std::string_view job_id,
-                                     time_point deadline,
-                                     const caller_identity& caller) {
-  bool is_deferred = false;
-  {
-    const std::lock_guard lock(mutex_);
-    is_deferred =
-        FindDeferred(job_id) != nullptr && !IsClosedTo(job_id, caller);
-  }
-  if (is_deferred && !LoadDeferred(std::string(job_id))) {
-    return Unavailable("the job could not be read");
-  }
-  {
-    std::unique_lock lock(mutex_);
-    ++activity_.requests;
-    if (!options_.clock->WaitUntil(lock, requests_changed_, deadline, [&] {
-          return is_stopped_ || is_quiesced_ ||
-                 (is_loaded_ && !busy_ids_.contains(job_id) &&
-                  !moving_jobs_.contains(job_id));
-        })) {
-      return MakeResponse(job_call_status::kUnknown);
-    }
-    if (is_stopped_ || is_quiesced_) {
-      return Unavailable("the pool is being handed over");
-    }
-    if (const auto moved = FindMoved(job_id)) return *moved;
-    if (IsClosedTo(job_id, caller)) {
-      return MakeResponse(job_call_status::kForbidden);
-    }
-    if (!scheduler_->CancelJob(job_id, options_.clock->Now())) {
-      return MakeResponse(job_call_status::kAbsent);
-    }
-    // A repeated cancellation finds the result stored and waits for nothing.
-    const auto is_stored = [&] {
-      const auto state = scheduler_->FindStoredJobState(job_id);
-      return !state || IsFinal(*state);
-    };
-    if (is_stored()) return MakeResponse(job_call_status::kCancelled);
-    RequestDecision();
-    journal_->ScheduleCommit({});
-    ++waiting_cancellations_;
-    options_.clock->WaitUntil(lock, requests_changed_, deadline,
-                              [&] { return is_stopped_ || is_stored(); });
-    --waiting_cancellations_;
-    return MakeResponse(is_stored() ? job_call_status::kCancelled
-                                    : job_call_status::kUnknown);
-  }
-}
-
 job_call_response pool_owner::State(std::string_view job_id,
                                     const caller_identity& caller) const {
   const std::lock_guard lock(mutex_);
--- a/src/pools/pool_owner.h
+++ b/src/pools/pool_owner.h
@@ -189,6 +189,19 @@
   job_call_response Refuse(const job_submission& job,
                            const admission_estimate& estimate);
   job_journal::callbacks JournalCallbacks();
+  // Defined in pool_owner_cancellations.cc.
+  // Returns nothing for a job that this owner does not know.
+  std::optional<job_call_response> CancelKnown(std::string_view job_id,
+                                               time_point deadline,
+                                               const caller_identity& caller);
+  // Cancels the id of a job that this owner does not know: the job may be
+  // another pool's, or its submission may be on the way.
+  id_cancellation CancelUnknown(const std::string& job_id, time_point deadline,
+                                const caller_identity& caller);
+  // Returns the lease of the records of cancelled ids, or nothing if the store
+  // grants none.
+  std::optional<std::string> CancellationLease();
+  job_call_response RefuseCancellation();
   // In pool_owner_moves.cc.
   void AddMoveCallbacks(job_journal::callbacks& callbacks);
   // Called with mutex_ held, like the next two.
@@ -304,8 +317,15 @@
   // Those of them, by target, that the owner of the target may not know yet.
   std::map<std::string, std::set<std::string>> unadopted_jobs_;
   std::set<std::string, std::less<>> moving_jobs_;  // Their commit is pending.
-  // Of which a submission waits for its commit.
+  // Of which a submission or cancellation waits for its commit.
   std::set<std::string, std::less<>> busy_ids_;
+  std::size_t waiting_ids_ = 0;  // Cancellations of them.
+  std::string cancellation_lease_;
+  time_point cancellation_lease_granted_at_{};
+  // Ids that were cancelled with this lease, by organisation of the callers.
+  std::map<std::string, std::size_t> cancelled_ids_;
+  std::uint64_t cancellation_refusals_ = 0;
+  time_point cancellation_refusals_reported_at_{};
   std::map<std::string, deferred_job, std::less<>> deferred_jobs_;  // By id.
   std::condition_variable deferred_changed_;
   std::uint64_t memory_refusals_ = 0;
--- a/tests/pools/journal_rig.h
+++ b/tests/pools/journal_rig.h
@@ -92,6 +92,14 @@
         MakeJob(id, {MakeStep(1, resource_vector{1000, 1024, 0})}),
         clock->Now() + timeout);
   }
+  id_cancellation_outcome CancelId(const std::string& id,
+                                   const caller_identity& caller = {},
+                                   duration timeout = kJournalTimeout) {
+    const auto lease = Attempt([&] { return kv->GrantLease(kJournalTimeout); });
+    BOOST_REQUIRE(lease);
+    return journal->CancelId(id, caller, *lease, clock->Now() + timeout)
+        .outcome;
+  }
   bool Eventually(const std::function<bool()>& condition) const {
     const auto until = clock->Now() + kJournalTimeout;
     while (clock->Now() < until) {
