A job that was ordered before is not moved, and one function forgets jobs

Cause: a job whose only start had ended unanswered with its worker has runs lost in a crash in its progress, and still counts as never started. After a takeover it was taken for untouched and moved to another partition, and `RemoveMovedJob` left its address in `crashed_jobs_`, which the next pass follows.

Change: a crash of a worker shows that a task was ordered, so such a job stays. `ForgetJob` is the only place that deletes a job and ends all references to it. The audit of the scheduler's state, which the seeded walk checks after each event, counts lists of jobs that refer to deleted ones.

Not run: sanitizers.

--- a/src/graph/pool_audit.cc
+++ b/src/graph/pool_audit.cc
@@ -1,4 +1,5 @@
 // Compares the redundant parts of the scheduler's state with each other.
+#include <set>
 #include <utility>
 
 #include "graph/pool_scheduler.h"
@@ -56,6 +57,16 @@
       }
     }
   }
+  std::set<const graph_job*> owned;
+  for (const auto& [id, job] : jobs_) owned.insert(job.get());
+  for (const std::set<graph_job*>* jobs :
+       {&open_jobs_, &dirty_jobs_, &crashed_jobs_}) {
+    for (const graph_job* job : *jobs) {
+      if (owned.contains(job)) continue;
+      ++audit.deleted_jobs;
+      AddFinding(audit, "a deleted job is still listed");
+    }
+  }
   for (const auto& [id, worker] : workers_) {
     resource_vector used;
     for (const auto& [task, run] : worker.runs) {
--- a/src/graph/pool_moves.cc
+++ b/src/graph/pool_moves.cc
@@ -55,8 +55,9 @@
   // An earlier owner may have ordered starts that are not known yet.
   if (job.is_loaded && !IsTakeoverComplete(now)) return std::nullopt;
   if (job.submission.guest) return std::nullopt;
+  // A crash of a worker shows that a task was ordered, by an earlier owner too.
   if (job.is_moving || job.progress.state != job_state::kQueued ||
-      job.progress.has_started) {
+      job.progress.has_started || !job.crashed_tasks.empty()) {
     return std::nullopt;
   }
   double work = 0;
@@ -137,13 +138,7 @@
 void pool_scheduler::RemoveMovedJob(std::string_view job_id) {
   graph_job* job = FindJob(job_id);
   if (job == nullptr) return;
-  open_jobs_.erase(job);
-  dirty_jobs_.erase(job);
-  job_memory_bytes_ -= job->memory_bytes;
-  std::erase_if(wanted_approvals_, [&](const wanted_approval& each) {
-    return each.waiting.job == job;
-  });
-  jobs_.erase(jobs_.find(job_id));
+  ForgetJob(*job);
 }
 
 }  // namespace apricotwheel
--- a/src/graph/pool_scheduler.cc
+++ b/src/graph/pool_scheduler.cc
@@ -294,10 +294,8 @@
       finished_jobs_.emplace_back(now, id);
       continue;
     }
-    dirty_jobs_.erase(job);
-    job_memory_bytes_ -= job->memory_bytes;
     jobs_to_delete_.push_back({id, job->progress.is_guest});
-    jobs_.erase(id);
+    ForgetJob(*job);
   }
   if (!finished_jobs_.empty()) {
     next_decision_at_ = std::min(
@@ -305,6 +303,17 @@
   }
 }
 
+void pool_scheduler::ForgetJob(graph_job& job) {
+  open_jobs_.erase(&job);
+  crashed_jobs_.erase(&job);
+  dirty_jobs_.erase(&job);
+  std::erase_if(wanted_approvals_, [&](const wanted_approval& each) {
+    return each.waiting.job == &job;
+  });
+  job_memory_bytes_ -= job.memory_bytes;
+  jobs_.erase(jobs_.find(job.submission.id));
+}
+
 void pool_scheduler::ReleaseFinishedGraphs(time_point now) {
   if (kept_graphs_.empty()) return;
   if (now < next_graph_release_at_) {
--- a/src/graph/pool_scheduler.h
+++ b/src/graph/pool_scheduler.h
@@ -406,6 +406,9 @@
   const graph_step& SpecOf(const graph_job& job, const task_key& task) const;
   void MarkDirty(graph_job& job);
   void FinishJob(graph_job& job, job_state state, time_point now);
+  // Deletes a job that has no runs. `jobs_` owns the jobs; all other references
+  // to one end here.
+  void ForgetJob(graph_job& job);
   // Removes finished jobs after the retention time.
   void DeleteFinishedJobs(time_point now);
   // Releases the graphs and task states of finished jobs without runs. Their
--- a/src/graph/pool_waits.cc
+++ b/src/graph/pool_waits.cc
@@ -174,6 +174,7 @@
       {Field("tasks_without_run", audit.tasks_without_run),
        Field("miscounted_steps", audit.miscounted_steps),
        Field("miscounted_workers", audit.miscounted_workers),
+       Field("deleted_jobs", audit.deleted_jobs),
        Field("first", audit.findings.front())});
 }
 
--- a/src/graph/scheduler_audit.h
+++ b/src/graph/scheduler_audit.h
@@ -15,6 +15,8 @@
   std::size_t miscounted_steps = 0;
   // Workers whose resources in use are not the sum over their runs.
   std::size_t miscounted_workers = 0;
+  // Entries of lists of jobs that refer to deleted ones.
+  std::size_t deleted_jobs = 0;
   // Describes the first contradictions.
   std::vector<std::string> findings;
 };
--- a/tests/graph/takeover_test.cc
+++ b/tests/graph/takeover_test.cc
@@ -236,5 +236,28 @@
   }
 }
 
+// Guards against a daemon that follows a deleted job after a takeover: a job
+// whose only start had ended with its worker, unanswered, was moved to another
+// partition, and the list of jobs with crashed tasks kept its address (review
+// case 9).
+BOOST_AUTO_TEST_CASE(a_job_that_was_ordered_before_is_not_moved) {
+  scheduler_rig rig(Successor({}));
+  rig.AddWorker("w1", kWorker);
+  for (const char* id : {"crashed", "untouched"}) {
+    const job_submission job = MakeJob(id, {MakeStep(1, kSmall)});
+    job_progress progress = InitialProgress(job.graph);
+    if (job.id == "crashed") progress.occurrences[0][0].excused_runs[0] = {5};
+    rig.scheduler.RestoreJob(job, std::move(progress), rig.now);
+  }
+  const auto held = rig.scheduler.HoldJobs(
+      100, 100, [](std::string_view) { return true; }, rig.now);
+  BOOST_REQUIRE_EQUAL(held.size(), 1);
+  BOOST_TEST(held[0].id == "untouched");
+  rig.scheduler.RemoveMovedJob("untouched");
+  rig.scheduler.RemoveMovedJob("crashed");
+  BOOST_TEST(rig.scheduler.Audit().deleted_jobs == 0);
+  rig.Decide();
+}
+
 }  // namespace
 }  // namespace apricotwheel
