Jobs are visited in the order of their arrival

graph/crashing_tasks_test failed on the untouched in each of 3 runs on this x86-64 machine ("completed == 4 * kRounds", 399 of 400: a good task was given up after three crashes), and passed when its case ran alone.

Cause: open, dirty and crashed jobs were sets of pointers, so jobs of equal rank were ordered by the addresses that the allocator gave them. Decisions, and which good tasks share a worker with a deadly one, changed with the heap.

Change: jobs are numbered as they are added, and the sets are ordered by that.

Measured: the test passes, as do takeover_test and random_walk_test.

--- a/src/graph/pool_audit.cc
+++ b/src/graph/pool_audit.cc
@@ -59,8 +59,7 @@
   }
   std::set<const graph_job*> owned;
   for (const auto& [id, job] : jobs_) owned.insert(job.get());
-  for (const std::set<graph_job*>* jobs :
-       {&open_jobs_, &dirty_jobs_, &crashed_jobs_}) {
+  for (const job_set* jobs : {&open_jobs_, &dirty_jobs_, &crashed_jobs_}) {
     for (const graph_job* job : *jobs) {
       if (owned.contains(job)) continue;
       ++audit.deleted_jobs;
--- a/src/graph/pool_model.h
+++ b/src/graph/pool_model.h
@@ -186,6 +186,7 @@
   job_submission submission;
   job_progress progress;
   std::vector<std::vector<step_state>> occurrences;  // [occurrence][step]
+  std::uint64_t number = 0;  // Counts the jobs of the scheduler.
   time_point admitted_at{};  // Submission time on the monotonic clock.
   std::int64_t critical_path_ms = 0;
   // Longest chain of estimates that begins with each step.
@@ -214,6 +215,14 @@
   std::map<std::string, std::vector<task_key>> stored_lent;
 };
 
+// Orders jobs by their arrival, so that decisions do not depend on addresses.
+struct earlier_job {
+  bool operator()(const graph_job* left, const graph_job* right) const {
+    return left->number < right->number;
+  }
+};
+using job_set = std::set<graph_job*, earlier_job>;
+
 // Returns true if the task is placed under its run on the worker. A worker has
 // at most one run of a task, so the worker alone identifies that run.
 bool IsPlacedOn(const graph_task& task, const worker_state& worker);
--- a/src/graph/pool_scheduler.cc
+++ b/src/graph/pool_scheduler.cc
@@ -147,6 +147,7 @@
   if (!added->submission.organisation.empty()) {
     added->progress.organisation = added->submission.organisation;
   }
+  added->number = ++job_count_;
   added->admitted_at = submitted_at;
   const job_graph& graph = added->submission.graph;
   added->longest_path_ms = LongestPathsMs(graph);
--- a/src/graph/pool_scheduler.h
+++ b/src/graph/pool_scheduler.h
@@ -932,8 +932,9 @@
   std::map<std::string, worker_state, std::less<>> workers_;
   // Workers that may have unknown runs of an earlier owner.
   std::set<std::string, std::less<>> unverified_workers_;
-  std::set<graph_job*> open_jobs_;   // Jobs that are not finished.
-  std::set<graph_job*> dirty_jobs_;  // Jobs with progress that is not stored.
+  std::uint64_t job_count_ = 0;  // Jobs that were added so far.
+  job_set open_jobs_;            // Jobs that are not finished.
+  job_set dirty_jobs_;           // Jobs with progress that is not stored.
   // End times and ids of finished jobs, oldest first.
   std::deque<std::pair<time_point, std::string>> finished_jobs_;
   // Ids of finished jobs whose state is stored and whose graphs are still kept.
@@ -980,7 +981,7 @@
   std::uint64_t workers_examined_ = 0;
   std::deque<worker_crash> recent_crashes_;
   std::vector<pending_verdict> verdicts_;
-  std::set<graph_job*> crashed_jobs_;  // Open jobs with crashed tasks.
+  job_set crashed_jobs_;  // Open jobs with crashed tasks.
   // Workers that run a suspect or are kept for one.
   std::size_t suspect_workers_ = 0;
   std::uint64_t workers_crashed_ = 0;
