--- a/testing/soak/id_day.py
+++ b/testing/soak/id_day.py
@@ -40,6 +40,7 @@
 CANCEL_S = 3.0
 LOST_SHARE = 0.35  # Of the writes in a window, which are carried out 1 to 6 s later.
 STOP_S = 30
+LISTEN_S = 0.3  # A daemon that cannot listen has ended by then.
 SETTLE_S = 60
 UNKNOWN = (None, 502, 504)
 REJECTED = (400, 404, 410, 429, 503)
@@ -60,6 +61,7 @@
         self.counts = collections.Counter()
         self.broken = collections.defaultdict(list)
         self.loses_writes_until = 0.0
+        self.watcher = None
 
     async def start(self):
         standin.DAEMON = pathlib.Path(self.options.daemon).resolve()
@@ -72,10 +74,20 @@
         for worker in self.workers:
             await worker.start()
         self.daemons = standin.Daemons(self.record, self.store, self.options.daemons)
-        await self.daemons.start_all()
+        for name in self.daemons.names:
+            await self.start_daemon(name)
         await self.daemons.wait_ready()
         self.watcher = asyncio.create_task(self.watch())
 
+    async def start_daemon(self, name):
+        """Other processes may take the ports between the choice and the start."""
+        while True:
+            await self.daemons.add(name)
+            await asyncio.sleep(LISTEN_S)
+            if self.daemons.processes[name].poll() is None or (
+                    "cannot listen" not in self.daemons.log_of(name)):
+                return
+
     def configuration(self):
         routes = [(queue, self.rng.choice(SERVICES)) for queue in QUEUES]
         return {**standin.configuration(routes, list(SERVICES)), "version": self.version}
@@ -180,7 +192,7 @@
             process.wait()
         await asyncio.sleep(self.rng.choice((0, 0.5, 2)))
         # A machine that starts again has other ports here.
-        await self.daemons.add(name)
+        await self.start_daemon(name)
         self.stopping.discard(name)
 
     async def freeze(self):
@@ -279,7 +291,8 @@
             self.check()
             return self.report()
         finally:
-            self.watcher.cancel()
+            if self.watcher:
+                self.watcher.cancel()
             self.daemons.stop_all()
 
     def report(self):
