Suspects of crashes keep at most half of the workers

Cause: each task of a crashed worker is a suspect that has a worker to itself until it is judged. Nothing compared how fast suspects come with how fast they can be judged, and the limit of a third of the workers was lifted for each suspect that had waited for 10 s, so that in the end all workers with room were kept for suspects while the queue of suspects grew.

Change: - Suspects are judged in turns. A step has a turn while fewer than a third of the workers belong to suspects; strong suspects (two counted crashes) and long waits come first, then those that have not lost a turn, then those whose step has crashed the most. A turn of no use ends after 3 s. - Without a turn a suspect takes a worker that is empty anyway. All suspects together have at most half of the workers to themselves, always: also after a takeover, and with gangs. - The wait ends by evidence. Suspects of a proven step (as many tasks have ended or run for 5 s as workers have crashed under it) start beside others at once when there are more suspects than can be judged in 2 s, or when judging them one by one takes over 10 s. Others start beside other tasks after 2 s while a task of the step is well, and else after 10 s if less than half of the pool is in use. - A suspect beside others takes the worker with the fewest runs, and other tasks avoid workers with a lone suspect. A proven job is not held back.

When a task is a suspect, when it is cleared and when it is given up is as before.

--- a/src/graph/pool_crashes.cc
+++ b/src/graph/pool_crashes.cc
@@ -5,6 +5,7 @@
 
 #include "graph/graph_events.h"
 #include "graph/pool_scheduler.h"
+#include "graph/suspect_bounds.h"
 
 namespace apricotwheel {
 
@@ -19,6 +20,8 @@
 constexpr std::size_t kMaxCrashes = 4;
 // From this many crashes on a task is a suspect although all were excused.
 constexpr std::size_t kExcusedCrashesToSuspect = 2;
+// From this many counted crashes on a suspect is a strong one.
+constexpr std::size_t kCrashesOfStrongSuspect = 2;
 // Workers fall at the same time if the owner had its last contact with them
 // within this time. Polls of a busy worker return every 500 ms at least.
 constexpr auto kSameTime = milliseconds(600);
@@ -32,8 +35,6 @@
 // Crashes that the owner learns of later than this are not compared with
 // earlier ones. It is above the time in which leases expire.
 constexpr auto kCrashMemory = milliseconds(30'000);
-// A run without a crash for this time clears its task.
-constexpr auto kSurvivalTime = milliseconds(5000);
 // A worker that is not listed any more is forgotten this long after its leases
 // have expired, whether or not a new incarnation has shown a crash.
 constexpr auto kExpiredRunsMemory = milliseconds(60'000);
@@ -87,6 +88,29 @@
          ExcusedRuns(job, key).size() >= kExcusedCrashesToSuspect;
 }
 
+bool pool_scheduler::IsStrongSuspect(graph_job& job, const task_key& task) {
+  const task_key key = CrashKey(job, task);
+  return job.crashed_tasks.contains(key) &&
+         BlamedRuns(job, key).size() >= kCrashesOfStrongSuspect;
+}
+
+void pool_scheduler::ReviewSteps(graph_job& job, time_point now) {
+  const step_state* reviewed = nullptr;
+  for (const task_key& key : job.crashed_tasks) {
+    step_state& step = StepOf(job, key);
+    if (std::exchange(reviewed, &step) == &step) continue;
+    const std::size_t needed = std::max<std::size_t>(step.crashes, 1);
+    std::size_t good = step.done;
+    task_key task{key.job_id, key.occurrence, key.step, 0};
+    for (; task.index < step.tasks.size() && good < needed; ++task.index) {
+      const bool is_placed =
+          step.tasks[task.index].phase == task_phase::kPlaced;
+      if (is_placed && HasSurvived(job, task, now)) ++good;
+    }
+    step.is_proven = good >= needed;
+  }
+}
+
 bool pool_scheduler::HasVerdictPending(const graph_job& job,
                                        const task_key& task) const {
   if (verdicts_.empty()) return false;
@@ -107,6 +131,7 @@
           if (numbers.empty()) continue;
           key.index = index;
           job.crashed_tasks.insert(key);
+          if (runs == &step.crashed_runs) ++StepOf(job, key).crashes;
         }
       }
     }
@@ -255,6 +280,20 @@
     job->crashes = std::max(0, job->crashes + change);
     if (change > 0) job->last_crash_at = crash.known_at;
   }
+  std::set<step_state*> steps;
+  for (const crashed_run& run : crash.blamed) {
+    graph_job* job = FindJob(run.task.job_id);
+    if (job != nullptr && HasTask(*job, run.task)) {
+      steps.insert(&StepOf(*job, run.task));
+    }
+  }
+  for (step_state* step : steps) {
+    if (change > 0) {
+      ++step->crashes;
+    } else if (step->crashes > 0) {
+      --step->crashes;
+    }
+  }
 }
 
 void pool_scheduler::Excuse(worker_crash& crash) {
@@ -310,6 +349,7 @@
   const auto jobs = crashed_jobs_;
   for (graph_job* job : jobs) {
     ClearSurvivors(*job, now);
+    ReviewSteps(*job, now);
     UpdateHold(*job, now);
   }
   std::erase_if(workers_, [&](const auto& row) {
--- a/src/graph/pool_departures.cc
+++ b/src/graph/pool_departures.cc
@@ -221,7 +221,7 @@
     }
     worker_state* target =
         BestWorker(moving, FindMoveTargets(moving, targets, now, true), {},
-                   PreferenceOf(moving, now), now);
+                   PreferenceOf(moving, now), false, now);
     if (target != nullptr) {
       plan.away = away_after;
       BeginMove(each, *target, now);
--- a/src/graph/pool_model.h
+++ b/src/graph/pool_model.h
@@ -154,7 +154,15 @@
   // All members of the next attempt start from it.
   std::string gang_checkpoint;
   step_approvals approvals;
+  // Since when suspects of the step wait and none is placed.
   time_point suspects_wait_since{};
+  // When workers were last kept in vain for one of them.
+  time_point turn_lost_at{};
+  // Crashes of workers that are counted against tasks of the step.
+  std::size_t crashes = 0;
+  // As many of its tasks have ended, or have run on for a while. Kept up to
+  // date while there are crashes.
+  bool is_proven = false;
   // For a gang or large step: since when it waits for its first or next start.
   time_point waiting_since{};
   // Workers reserved for the step in the last pass.
--- a/src/graph/pool_placement.cc
+++ b/src/graph/pool_placement.cc
@@ -41,6 +41,12 @@
 // Returns true for steps whose tasks answer requests of users.
 bool IsServing(const graph_step& step) { return step.latency_target_ms > 0; }
 
+// Returns true if a suspect is the only run on the worker.
+bool HasLoneSuspect(const worker_state& worker) {
+  return std::any_of(worker.runs.begin(), worker.runs.end(),
+                     [](const auto& row) { return row.second.is_alone; });
+}
+
 // Returns true if a run on the worker must not share it with a task of `step`:
 // serving tasks and tasks with `uses_leftover` are kept apart.
 bool ConflictsWith(const worker_state& worker, const graph_step& step) {
@@ -258,12 +264,13 @@
 worker_state* pool_scheduler::BestWorker(
     const candidate& waiting, const std::vector<worker_state*>& allowed,
     std::span<const placement> chosen, const speed_preference& speeds,
-    time_point now) const {
+    bool is_suspect, time_point now) const {
   const graph_step& spec = waiting.job->submission.graph.steps[waiting.step];
   const task_key first{waiting.job->submission.id, waiting.occurrence,
                        waiting.step, 0};
   worker_state* best = nullptr;
-  std::tuple<bool, bool, int, bool, int, std::int64_t> best_rank;
+  std::tuple<bool, bool, int, bool, std::size_t, bool, int, std::int64_t>
+      best_rank;
   for (worker_state* worker : allowed) {
     resource_vector room =
         FreeCapacityFor(*worker, milliseconds(spec.estimate_ms), now);
@@ -287,13 +294,15 @@
     // workers the one with the least resources left is best (best fit).
     const bool wastes_accelerators =
         spec.need.accelerators == 0 && room.accelerators > 0;
+    // A suspect shares a worker with as few others as possible.
     // Workers on which the job loses value come last. Among the others, fast
     // workers are left to jobs that need them.
     const int speed_class = SpeedClass(*worker);
-    const std::tuple rank(is_off_data_rack, leaves_rack,
-                          speeds.LossOn(speed_class), wastes_accelerators,
-                          speeds.spares_fast_workers ? speed_class : 0,
-                          WeightedSize(room - spec.need));
+    const std::tuple rank(
+        is_off_data_rack, leaves_rack, speeds.LossOn(speed_class),
+        HasLoneSuspect(*worker), is_suspect ? worker->runs.size() : 0,
+        wastes_accelerators, speeds.spares_fast_workers ? speed_class : 0,
+        WeightedSize(room - spec.need));
     if (best == nullptr || rank < best_rank) {
       best = worker;
       best_rank = rank;
@@ -332,13 +341,16 @@
   const task_key first{waiting.job->submission.id, waiting.occurrence,
                        waiting.step, 0};
   const speed_preference speeds = PreferenceOf(waiting, now);
+  std::uint32_t suspects = 0;
   for (std::uint32_t i = 0; i < step.tasks.size() && chosen.size() < limit;
        ++i) {
     if (step.tasks[i].phase != task_phase::kWaiting) continue;
     task_key key = first;
     key.index = i;
+    const bool is_suspect = IsSuspect(*waiting.job, key);
     if (HasVerdictPending(*waiting.job, key) ||
-        (!waiting.includes_suspects && IsSuspect(*waiting.job, key))) {
+        (is_suspect ? suspects == waiting.suspects_allowed
+                    : waiting.is_held_back)) {
       step.placed_in_pass = 0;
       continue;
     }
@@ -346,14 +358,25 @@
       step.placed_in_pass = 0;
       continue;
     }
-    worker_state* worker = BestWorker(waiting, allowed, chosen, speeds, now);
+    worker_state* worker =
+        BestWorker(waiting, allowed, chosen, speeds, is_suspect, now);
     if (worker == nullptr) break;
+    // The best worker for a suspect is one without another suspect and with
+    // the fewest runs.
+    const bool is_too_full = waiting.needs_empty_workers
+                                 ? !worker->runs.empty()
+                                 : !spec.is_service && HasLoneSuspect(*worker);
+    if (is_suspect && is_too_full) {
+      step.placed_in_pass = 0;
+      continue;
+    }
     if (WaitsForPlace(waiting, *worker, now)) {
       step.placed_in_pass = 0;
       step.waits_in_pass = pass_;
       break;
     }
     chosen.push_back({i, worker});
+    if (is_suspect) ++suspects;
   }
   if (spec.is_gang && chosen.size() < spec.task_count) chosen.clear();
   return chosen;
@@ -392,9 +415,11 @@
     return;
   }
   const auto suspects = PlaceSuspects(waiting, now, decisions);
-  waiting.includes_suspects = suspects.may_share;
-  if (!suspects.may_share &&
-      (suspects.waiting == step.waiting || IsHeldBack(waiting, now))) {
+  waiting.suspects_allowed = suspects.allowed;
+  waiting.needs_empty_workers = suspects.needs_empty_workers;
+  waiting.is_held_back = IsHeldBack(waiting, now);
+  if (suspects.allowed == 0 &&
+      (suspects.waiting == step.waiting || waiting.is_held_back)) {
     // The other tasks of the step may be placed when this ends.
     step.placed_in_pass = 0;
     MarkReleasedReservations(step, now);
@@ -434,13 +459,19 @@
   const bool is_done = step.waiting == 0 || is_limited ||
                        suspects.wants_approval || step.waits_in_pass == pass_ ||
                        IsHeldByLimit(waiting);
-  if (!is_done && (spec.is_gang || IsLarge(spec))) {
+  const bool waits_for_empty =
+      suspects.needs_empty_workers && suspects.waiting == step.waiting;
+  if (!is_done && !waits_for_empty && (spec.is_gang || IsLarge(spec))) {
     reserved = ReserveWorkers(waiting, now);
   }
   MarkReleasedReservations(step, now);
   if (is_done) return;
   if (!waiting.job->submission.queue.advisor) return;
   if (step.approvals.is_call_in_flight) return;
+  if (waits_for_empty) {
+    reserved = EmptyWorkersToName(waiting, now);
+    if (reserved.empty()) return;
+  }
   if (now < step.approvals.retry_at) {
     next_decision_at_ = std::min(next_decision_at_, step.approvals.retry_at);
     return;
@@ -481,6 +512,7 @@
     task.last_run = run.number;
     task.worker = placed.worker->info.id;
     placed.worker->used = placed.worker->used + spec.need;
+    for (auto& [other, beside] : placed.worker->runs) beside.is_alone = false;
     organisation_use_.Add(job.submission.organisation, spec.need, 1);
     placed.worker->expected_in_pass = 0;
     start_order order{
@@ -491,6 +523,8 @@
         {Field("job", job.submission.id), Field("step", waiting.step),
          Field("index", placed.index), Field("run", run.number),
          Field("worker", task.worker)});
+    run.is_alone = placed.worker->runs.empty() && IsSuspect(job, run.task);
+    if (run.is_alone) IsolateLoneSuspect(*placed.worker, now);
     placed.worker->runs[run.task] = std::move(run);
     decisions.starts.push_back(std::move(order));
   }
--- a/src/graph/pool_scheduler.cc
+++ b/src/graph/pool_scheduler.cc
@@ -382,6 +382,7 @@
   FindWorkersWithRoom(waiting, now);
   wanted_approvals_.clear();
   CountSuspectWorkers(now);
+  GrantTurns(waiting, now);
   bool has_planned_moves = false;
   for (const candidate& step : waiting) {
     // Lasting tasks that are away already come before those still at work.
@@ -401,6 +402,7 @@
   RequestApprovals(now, capacity, decisions);
   ClearChanges(now);
   last_pass_at_ = now;
+  CountSuspectWorkers(now);
   ReportLongWaits(now, wall_clock_ms);
   return decisions;
 }
--- a/src/graph/pool_scheduler.h
+++ b/src/graph/pool_scheduler.h
@@ -321,6 +321,9 @@
   std::size_t CountDelayedApprovals() const { return wanted_approvals_.size(); }
   // Returns how many workers have crashed while they had runs.
   std::uint64_t WorkersCrashed() const { return workers_crashed_; }
+  // Returns how many workers ran a suspect alone or were kept for one at the
+  // end of the last pass.
+  std::size_t SuspectWorkers() const { return suspect_workers_; }
   // Returns how many tasks were given up because workers crashed under them.
   std::uint64_t TasksGivenUp() const { return tasks_given_up_; }
   const run_counts& RunCounts() const { return run_counts_; }
@@ -353,8 +356,11 @@
     placement_rank rank;
     // The least amounts that this step and the steps after it need.
     resource_vector least_need;
-    // Suspects are placed like other tasks.
-    bool includes_suspects = false;
+    // Suspects that may be placed like other tasks, and whether only on empty
+    // workers.
+    std::uint32_t suspects_allowed = 0;
+    bool needs_empty_workers = false;
+    bool is_held_back = false;  // Its tasks that are no suspects.
   };
   // A step that waits for approvals, and workers to name in the call; if there
   // are none, they are chosen when the call is made.
@@ -513,7 +519,8 @@
   void Excuse(worker_crash& crash);
   // Excuses the last crash of a worker that turns out not to have crashed.
   void ExcuseSurvivor(std::string_view id);
-  // Changes the number of crashes of the jobs that had runs there.
+  // Changes the number of crashes of the jobs that had runs there, and of the
+  // steps whose tasks are blamed.
   void CountForJobs(const worker_crash& crash, int change);
   // Gives tasks up whose verdict is due, and clears tasks that have run for a
   // while without a crash.
@@ -532,6 +539,10 @@
   std::vector<std::uint64_t>& ExcusedRuns(graph_job& job, const task_key& key);
   // Returns true if the task may crash the workers that start it.
   bool IsSuspect(graph_job& job, const task_key& task);
+  // Returns true if crashes on several workers are counted against the task.
+  bool IsStrongSuspect(graph_job& job, const task_key& task);
+  // Updates `is_proven` of the steps with crashed tasks.
+  void ReviewSteps(graph_job& job, time_point now);
   // Returns true if the task may be given up soon and must not start.
   bool HasVerdictPending(const graph_job& job, const task_key& task) const;
 
@@ -545,8 +556,10 @@
   };
   struct suspect_placement {
     std::uint32_t waiting = 0;  // Suspects of the step that still wait.
-    // No worker can be emptied, so the suspects are placed like other tasks.
-    bool may_share = false;
+    // Of these, how many may be placed like other tasks, and whether only on
+    // workers that are empty.
+    std::uint32_t allowed = 0;
+    bool needs_empty_workers = false;
     bool wants_approval = false;
   };
   // Starts a suspect of the step on an empty worker, or keeps one for it.
@@ -554,6 +567,14 @@
                                   pool_decisions& decisions);
   // Returns the indices of the suspects of the step that wait.
   std::vector<std::uint32_t> WaitingSuspects(const candidate& waiting);
+  // Returns those that may start, strong suspects first; of a gang, all or
+  // none.
+  std::vector<std::uint32_t> StartableSuspects(const candidate& waiting);
+  // Ends the keeping of workers for suspects of the job.
+  void ReleaseKeptWorkers(graph_job& job, time_point now);
+  // Closes the worker, on which a suspect is the only run, to other tasks if
+  // suspects may have one more worker to themselves.
+  void IsolateLoneSuspect(worker_state& worker, time_point now);
   // Returns true if a suspect of the job is placed or may be given up soon.
   bool HasPlacedSuspect(graph_job& job);
   // Returns true if only suspects of the job should start.
@@ -566,9 +587,10 @@
   std::optional<time_point> EstimateEmptyAt(const candidate& waiting,
                                             const worker_state& worker,
                                             time_point now) const;
-  // Returns the workers that are empty first with room for one task of the
-  // step, or for all of a gang; none if there are too few.
+  // Returns the workers that are empty first, and not after `latest`, with room
+  // for one task of the step, or for all of a gang; none if there are too few.
   std::vector<suspect_worker> FindSuspectWorkers(const candidate& waiting,
+                                                 time_point latest,
                                                  time_point now);
   bool StartSuspect(const candidate& waiting,
                     std::span<const std::uint32_t> indices,
@@ -581,6 +603,31 @@
   // The task may share its worker again.
   void EndIsolation(const task_key& task);
 
+  // In pool_suspect_turns.cc: which suspects are judged next. `indices` are
+  // results of `StartableSuspects`.
+
+  // Chooses the steps whose suspects have a turn: a worker may be emptied for
+  // one of them.
+  void GrantTurns(std::span<const candidate> waiting, time_point now);
+  void ReviewRoomForSuspects();
+  // Returns how many workers all suspects together may have to themselves.
+  std::size_t MaxSuspectWorkers() const;
+  bool HasStrongSuspect(const candidate& waiting,
+                        std::span<const std::uint32_t> indices);
+  // Returns true if `suspects` are all tasks of the step that have started.
+  bool HasCrashedAsWhole(const candidate& waiting, std::size_t suspects);
+  // Returns true if the suspects of the step start beside other tasks at once:
+  // there is evidence for them, and they could not be judged in time.
+  bool MaySkipTurn(const candidate& waiting,
+                   std::span<const std::uint32_t> indices);
+  // Returns when a suspect of the step starts beside other tasks although a
+  // worker could be emptied for it.
+  time_point EndOfWait(const candidate& waiting,
+                       std::span<const std::uint32_t> indices);
+  // Returns the empty workers for which the step needs tickets.
+  std::vector<pool_worker> EmptyWorkersToName(const candidate& waiting,
+                                              time_point now) const;
+
   // In pool_speeds.cc: the use of the workers' speeds.
 
   // How well workers suit a step by their speed class; less is better.
@@ -649,7 +696,7 @@
   worker_state* BestWorker(const candidate& waiting,
                            const std::vector<worker_state*>& allowed,
                            std::span<const placement> chosen,
-                           const speed_preference& speeds,
+                           const speed_preference& speeds, bool is_suspect,
                            time_point now) const;
   // Sets `least_need` of all steps, by their final order.
   static void SetLeastNeeds(std::vector<candidate>& waiting);
@@ -984,6 +1031,13 @@
   job_set crashed_jobs_;  // Open jobs with crashed tasks.
   // Workers that run a suspect or are kept for one.
   std::size_t suspect_workers_ = 0;
+  // Steps whose suspects may have workers to themselves in this pass.
+  std::set<const step_state*> suspect_turns_;
+  // Empty workers for suspects without a turn that are left in this pass.
+  std::size_t empty_workers_left_ = 0;
+  bool is_mostly_free_ = false;
+  // More suspects wait than can be judged in time.
+  bool has_too_many_suspects_ = false;
   std::uint64_t workers_crashed_ = 0;
   std::uint64_t tasks_given_up_ = 0;
   run_counts run_counts_;
--- a/src/graph/pool_suspects.cc
+++ b/src/graph/pool_suspects.cc
@@ -6,36 +6,20 @@
 #include <utility>
 
 #include "graph/pool_scheduler.h"
+#include "graph/suspect_bounds.h"
 
 namespace apricotwheel {
 
 namespace {
 
-// Suspects get at most one in this many workers, since each has a worker to
-// itself.
-constexpr std::size_t kWorkersPerSuspectWorker = 3;
 // A worker is kept for a suspect for this time after each pass in which the
 // suspect waits for it.
 constexpr auto kKeepTime = milliseconds(1000);
 constexpr auto kKeepRenewInterval = milliseconds(500);
-// Another worker is looked for if the kept one is not empty after this time.
-constexpr auto kMaxKeepTime = milliseconds(3000);
-// A suspect starts beside other tasks if no worker can be emptied for it within
-// this time, because all have lasting tasks.
-constexpr auto kMaxWaitToBeAlone = milliseconds(2000);
-// The same for a lasting task in any case, because it must run again soon.
-constexpr auto kMaxWaitOfService = milliseconds(4000);
-// A suspect is judged within this time once it may have a worker: 3 s until the
-// worker is empty (kMaxKeepTime), 5 s until the task is cleared, and 1 s until
-// it is given up, rounded up.
-constexpr auto kTimeToJudge = milliseconds(10'000);
-// Suspects that have used up the share of the workers keep another suspect
-// waiting for no longer than they need themselves.
-constexpr auto kMaxWaitForTurn = kTimeToJudge;
 // Tasks that are no suspects are held back after a crash while a suspect of
 // their job can be judged, and not for longer. A job that has nothing running
 // must start again within 14 s of the end of the traffic.
-constexpr auto kMaxHoldBack = kTimeToJudge;
+constexpr auto kMaxHoldBack = kTimeOfTurn;
 // Expected wait for a run without an estimate of its own.
 constexpr auto kOverdueRunTime = milliseconds(400);
 // Approvals for a kept worker are requested this long before it is empty.
@@ -84,6 +68,26 @@
   return indices;
 }
 
+std::vector<std::uint32_t> pool_scheduler::StartableSuspects(
+    const candidate& waiting) {
+  graph_job& job = *waiting.job;
+  const graph_step& spec = job.submission.graph.steps[waiting.step];
+  const step_state& step = StateOf(waiting);
+  const auto key_of = [&](std::uint32_t index) {
+    return task_key{job.submission.id, waiting.occurrence, waiting.step, index};
+  };
+  auto indices = WaitingSuspects(waiting);
+  std::erase_if(indices, [&](std::uint32_t index) {
+    const task_key key = key_of(index);
+    return HasVerdictPending(job, key) || HasEarlierRun(step.tasks[index], key);
+  });
+  if (spec.is_gang && indices.size() < step.tasks.size()) indices.clear();
+  std::stable_partition(
+      indices.begin(), indices.end(),
+      [&](std::uint32_t index) { return IsStrongSuspect(job, key_of(index)); });
+  return indices;
+}
+
 bool pool_scheduler::HasPlacedSuspect(graph_job& job) {
   const bool is_judged = std::any_of(
       verdicts_.begin(), verdicts_.end(), [&](const pending_verdict& verdict) {
@@ -107,7 +111,10 @@
   constexpr int kCrashesToHoldBack = 2;
   if (job.crashes < kCrashesToHoldBack) return false;
   return std::any_of(job.crashed_tasks.begin(), job.crashed_tasks.end(),
-                     [&](const task_key& key) { return IsSuspect(job, key); });
+                     [&](const task_key& key) {
+                       return !StepOf(job, key).is_proven &&
+                              IsSuspect(job, key);
+                     });
 }
 
 void pool_scheduler::UpdateHold(graph_job& job, time_point now) {
@@ -165,7 +172,7 @@
 }
 
 std::vector<pool_scheduler::suspect_worker> pool_scheduler::FindSuspectWorkers(
-    const candidate& waiting, time_point now) {
+    const candidate& waiting, time_point latest, time_point now) {
   graph_job& job = *waiting.job;
   const graph_step& spec = job.submission.graph.steps[waiting.step];
   const step_approvals& approvals = StateOf(waiting).approvals;
@@ -173,14 +180,13 @@
   using rank =
       std::tuple<time_point, bool, bool, bool, std::int64_t, std::int64_t>;
   std::vector<std::pair<rank, suspect_worker>> found;
-  const bool uses_kept =
-      now < job.kept_until && now < job.kept_since + kMaxKeepTime;
+  const bool uses_kept = now < job.kept_until;
   for (auto& [id, worker] : workers_) {
     const bool is_kept =
         now < worker.kept_until && worker.kept_for_job == job.submission.id;
     if (uses_kept && !is_kept) continue;
     const auto empty_at = EstimateEmptyAt(waiting, worker, now);
-    if (!empty_at) continue;
+    if (!empty_at || *empty_at > latest) continue;
     const bool has_ticket =
         !job.submission.queue.advisor ||
         FindApproval(approvals, worker.info, now) == approval_status::kValid;
@@ -204,8 +210,11 @@
     chosen.push_back(each);
   }
   if (room < count) chosen.clear();
-  // What was kept no longer suffices.
-  if (chosen.empty() && uses_kept) job.kept_until = {};
+  const auto added = static_cast<std::size_t>(std::count_if(
+      chosen.begin(), chosen.end(), [&](const suspect_worker& each) {
+        return !IsKeptForSuspect(*each.worker, now);
+      }));
+  if (suspect_workers_ + added > MaxSuspectWorkers()) chosen.clear();
   return chosen;
 }
 
@@ -219,15 +228,13 @@
   const speed_preference speeds = PreferenceOf(waiting, now);
   std::vector<placement> chosen;
   for (const std::uint32_t index : indices) {
-    worker_state* worker = BestWorker(waiting, allowed, chosen, speeds, now);
+    worker_state* worker =
+        BestWorker(waiting, allowed, chosen, speeds, false, now);
     if (worker == nullptr) return false;
     chosen.push_back({index, worker});
   }
   StartTasks(waiting, chosen, now, decisions);
-  for (const suspect_worker& each : workers) {
-    if (!IsKeptForSuspect(*each.worker, now)) ++suspect_workers_;
-    each.worker->kept_until = {};
-  }
+  for (const suspect_worker& each : workers) each.worker->kept_until = {};
   for (const placement& placed : chosen) {
     placed.worker->is_isolated = true;
     placed.worker->runs
@@ -235,6 +242,7 @@
         .is_alone = true;
   }
   job.kept_until = {};
+  CountSuspectWorkers(now);
   return true;
 }
 
@@ -262,52 +270,70 @@
   return unapproved;
 }
 
+void pool_scheduler::IsolateLoneSuspect(worker_state& worker, time_point now) {
+  if (IsKeptForSuspect(worker, now)) return;
+  if (suspect_workers_ >= MaxSuspectWorkers()) return;
+  worker.is_isolated = true;
+  ++suspect_workers_;
+}
+
 pool_scheduler::suspect_placement pool_scheduler::PlaceSuspects(
     const candidate& waiting, time_point now, pool_decisions& decisions) {
   graph_job& job = *waiting.job;
+  suspect_placement placed;
+  if (job.crashed_tasks.empty()) return placed;
   const graph_step& spec = job.submission.graph.steps[waiting.step];
   step_state& step = StateOf(waiting);
-  auto indices = WaitingSuspects(waiting);
-  suspect_placement placed{static_cast<std::uint32_t>(indices.size())};
-  std::erase_if(indices, [&](std::uint32_t index) {
-    const task_key key{job.submission.id, waiting.occurrence, waiting.step,
-                       index};
-    return HasVerdictPending(job, key) || HasEarlierRun(step.tasks[index], key);
-  });
-  if (spec.is_gang && indices.size() < step.tasks.size()) indices.clear();
+  placed.waiting = static_cast<std::uint32_t>(WaitingSuspects(waiting).size());
+  auto indices = StartableSuspects(waiting);
+  const bool needs_turn = !MaySkipTurn(waiting, indices);
   // One suspect of a job at a time: a job of crashing tasks takes down no more
-  // workers than one such task.
-  const bool must_wait = HasPlacedSuspect(job);
+  // workers than one such task. Lasting tasks must run again before each of
+  // them has been alone.
+  const bool must_wait = needs_turn && HasPlacedSuspect(job);
   if (indices.empty() || (must_wait && !spec.is_service)) {
     step.suspects_wait_since = {};
     return placed;
   }
   if (step.suspects_wait_since == time_point{}) step.suspects_wait_since = now;
-  const auto waited = now - step.suspects_wait_since;
-  if (must_wait) {
-    // Lasting tasks must run again before each of them has been alone.
-    placed.may_share = waited >= kMaxWaitOfService;
-    if (!placed.may_share) {
-      next_decision_at_ = std::min<time_point>(
-          next_decision_at_, step.suspects_wait_since + kMaxWaitOfService);
+  const bool takes_all = spec.is_gang || spec.is_service || !needs_turn;
+  const auto startable =
+      takes_all ? static_cast<std::uint32_t>(indices.size()) : 1;
+  const auto place_like_others = [&] {
+    // Workers that were kept for it are open to it from the next pass on.
+    if (now < job.kept_until) {
+      ReleaseKeptWorkers(job, now);
+    } else {
+      placed.allowed = startable;
     }
     return placed;
-  }
-  const std::size_t limit =
-      std::max<std::size_t>(1, workers_.size() / kWorkersPerSuspectWorker);
-  // Lasting tasks are few and must run again soon.
-  if (!spec.is_service && suspect_workers_ >= limit && job.kept_until <= now &&
-      waited < kMaxWaitForTurn) {
-    next_decision_at_ = std::min<time_point>(
-        next_decision_at_, step.suspects_wait_since + kMaxWaitForTurn);
+  };
+  const time_point wait_ends_at = EndOfWait(waiting, indices);
+  if (wait_ends_at <= now || !needs_turn) return place_like_others();
+  next_decision_at_ = std::min(next_decision_at_, wait_ends_at);
+  if (must_wait) return placed;
+  if (!suspect_turns_.contains(&step)) {
+    if (empty_workers_left_ == 0) return placed;
+    --empty_workers_left_;
+    placed.allowed = startable;
+    placed.needs_empty_workers = true;
     return placed;
   }
+  const bool has_kept_in_vain =
+      now < job.kept_until && job.kept_since + kMaxKeepTime <= now;
   if (!spec.is_gang) indices.resize(1);
-  const auto workers = FindSuspectWorkers(waiting, now);
+  const auto workers = has_kept_in_vain
+                           ? std::vector<suspect_worker>()
+                           : FindSuspectWorkers(waiting, wait_ends_at, now);
   if (workers.empty()) {
-    placed.may_share = waited >= kMaxWaitToBeAlone;
+    step.turn_lost_at = now;
     next_decision_at_ =
         std::min<time_point>(next_decision_at_, now + kKeepRenewInterval);
+    if (!has_kept_in_vain &&
+        step.suspects_wait_since + kMaxWaitToBeAlone <= now) {
+      return place_like_others();
+    }
+    ReleaseKeptWorkers(job, now);
     return placed;
   }
   const bool is_ready = std::all_of(
@@ -318,21 +344,6 @@
     placed.waiting -= static_cast<std::uint32_t>(indices.size());
     return placed;
   }
-  if (spec.is_service && waited >= kMaxWaitOfService) {
-    // A worker that stayed kept for it would be closed to it beside other
-    // tasks. The next pass may use it.
-    bool has_kept = false;
-    for (auto& [id, worker] : workers_) {
-      if (worker.kept_until <= now || worker.kept_for_job != job.submission.id)
-        continue;
-      worker.kept_until = {};
-      next_decision_at_ = now;
-      has_kept = true;
-    }
-    job.kept_until = {};
-    placed.may_share = !has_kept;
-    return placed;
-  }
   auto unapproved = KeepForSuspect(waiting, workers, now);
   if (unapproved.empty() || step.approvals.is_call_in_flight) return placed;
   if (now < step.approvals.retry_at) {
@@ -344,6 +355,16 @@
   return placed;
 }
 
+void pool_scheduler::ReleaseKeptWorkers(graph_job& job, time_point now) {
+  if (job.kept_until <= now) return;
+  job.kept_until = {};
+  // The next pass may use them.
+  next_decision_at_ = now;
+  for (auto& [id, worker] : workers_) {
+    if (worker.kept_for_job == job.submission.id) worker.kept_until = {};
+  }
+}
+
 void pool_scheduler::EndIsolation(const task_key& task) {
   graph_job* job = FindJob(task.job_id);
   if (job == nullptr || !HasTask(*job, task)) return;
