Lone suspects are found without a walk over all runs

BestWorker asked each worker for each task whether one of its runs is alone, which walked over all runs, and a pass counted the workers of suspects twice. A lone suspect is the only run of its worker, and the count is made on demand. graph/crash_storm_test and graph/crashing_tasks_test give the same results.

--- a/src/graph/pool_placement.cc
+++ b/src/graph/pool_placement.cc
@@ -43,8 +43,7 @@
 
 // Returns true if a suspect is the only run on the worker.
 bool HasLoneSuspect(const worker_state& worker) {
-  return std::any_of(worker.runs.begin(), worker.runs.end(),
-                     [](const auto& row) { return row.second.is_alone; });
+  return worker.runs.size() == 1 && worker.runs.begin()->second.is_alone;
 }
 
 // Returns true if a run on the worker must not share it with a task of `step`:
@@ -294,9 +293,9 @@
     // workers the one with the least resources left is best (best fit).
     const bool wastes_accelerators =
         spec.need.accelerators == 0 && room.accelerators > 0;
-    // A suspect shares a worker with as few others as possible.
     // Workers on which the job loses value come last. Among the others, fast
-    // workers are left to jobs that need them.
+    // workers are left to jobs that need them. A suspect endangers as few
+    // other tasks as possible.
     const int speed_class = SpeedClass(*worker);
     const std::tuple rank(
         is_off_data_rack, leaves_rack, speeds.LossOn(speed_class),
@@ -512,7 +511,9 @@
     task.last_run = run.number;
     task.worker = placed.worker->info.id;
     placed.worker->used = placed.worker->used + spec.need;
-    for (auto& [other, beside] : placed.worker->runs) beside.is_alone = false;
+    if (HasLoneSuspect(*placed.worker)) {
+      placed.worker->runs.begin()->second.is_alone = false;
+    }
     organisation_use_.Add(job.submission.organisation, spec.need, 1);
     placed.worker->expected_in_pass = 0;
     start_order order{
--- a/src/graph/pool_runs.cc
+++ b/src/graph/pool_runs.cc
@@ -183,7 +183,7 @@
   // The earlier owner may have placed a suspect alone.
   if (!IsFinal(job->progress.state) && IsSuspect(*job, run.task)) {
     adopted.is_alone = worker.runs.empty();
-    CountSuspectWorkers(now);
+    suspect_workers_ = CountSuspectWorkers(now);
     if (adopted.is_alone) IsolateLoneSuspect(worker, now);
   }
   for (auto& [task, other] : worker.runs) {
--- a/src/graph/pool_scheduler.cc
+++ b/src/graph/pool_scheduler.cc
@@ -381,7 +381,7 @@
   ResetReservations(waiting);
   FindWorkersWithRoom(waiting, now);
   wanted_approvals_.clear();
-  CountSuspectWorkers(now);
+  suspect_workers_ = CountSuspectWorkers(now);
   GrantTurns(waiting, now);
   bool has_planned_moves = false;
   for (const candidate& step : waiting) {
@@ -402,7 +402,6 @@
   RequestApprovals(now, capacity, decisions);
   ClearChanges(now);
   last_pass_at_ = now;
-  CountSuspectWorkers(now);
   ReportLongWaits(now, wall_clock_ms);
   return decisions;
 }
--- a/src/graph/pool_scheduler.h
+++ b/src/graph/pool_scheduler.h
@@ -321,9 +321,8 @@
   std::size_t CountDelayedApprovals() const { return wanted_approvals_.size(); }
   // Returns how many workers have crashed while they had runs.
   std::uint64_t WorkersCrashed() const { return workers_crashed_; }
-  // Returns how many workers ran a suspect alone or were kept for one at the
-  // end of the last pass.
-  std::size_t SuspectWorkers() const { return suspect_workers_; }
+  // Counts the workers that run a suspect alone or are kept for one.
+  std::size_t CountSuspectWorkers(time_point now) const;
   // Returns how many tasks were given up because workers crashed under them.
   std::uint64_t TasksGivenUp() const { return tasks_given_up_; }
   const run_counts& RunCounts() const { return run_counts_; }
@@ -583,7 +582,6 @@
   void UpdateHold(graph_job& job, time_point now);
   // Returns true if tasks of the step that are no suspects must not start yet.
   bool IsHeldBack(const candidate& waiting, time_point now);
-  void CountSuspectWorkers(time_point now);
   std::optional<time_point> EstimateEmptyAt(const candidate& waiting,
                                             const worker_state& worker,
                                             time_point now) const;
@@ -691,8 +689,9 @@
   // Returns true if a worker may still have a run of the waiting task, which is
   // being stopped. Its end changes that worker and leads to a pass.
   bool HasEarlierRun(const graph_task& task, const task_key& key) const;
-  // Returns the best of the allowed workers for one more task of the step, or
-  // null if none has room beside the tasks in `chosen`.
+  // Returns the best of the allowed workers for one more task of the step,
+  // which may be a suspect, or null if none has room beside the tasks in
+  // `chosen`.
   worker_state* BestWorker(const candidate& waiting,
                            const std::vector<worker_state*>& allowed,
                            std::span<const placement> chosen,
--- a/src/graph/pool_suspects.cc
+++ b/src/graph/pool_suspects.cc
@@ -139,8 +139,8 @@
   return true;
 }
 
-void pool_scheduler::CountSuspectWorkers(time_point now) {
-  suspect_workers_ = static_cast<std::size_t>(std::count_if(
+std::size_t pool_scheduler::CountSuspectWorkers(time_point now) const {
+  return static_cast<std::size_t>(std::count_if(
       workers_.begin(), workers_.end(),
       [&](const auto& row) { return IsKeptForSuspect(row.second, now); }));
 }
@@ -242,7 +242,7 @@
         .is_alone = true;
   }
   job.kept_until = {};
-  CountSuspectWorkers(now);
+  suspect_workers_ = CountSuspectWorkers(now);
   return true;
 }
 
--- a/tests/graph/crash_storm_test.cc
+++ b/tests/graph/crash_storm_test.cc
@@ -128,7 +128,8 @@
     rig.Tick();
     lanes.Handle(rig, storm.seed);
     result.most_suspect_workers =
-        std::max(result.most_suspect_workers, rig.scheduler.SuspectWorkers());
+        std::max(result.most_suspect_workers,
+                 rig.scheduler.CountSuspectWorkers(rig.now));
     std::set<std::string> active;
     for (const auto& [id, agent] : rig.agents) {
       for (const auto& [task, run] : agent.running) active.insert(task.job_id);
--- a/tests/graph/crashing_tasks_test.cc
+++ b/tests/graph/crashing_tasks_test.cc
@@ -757,7 +757,7 @@
   }
   rig.AddWorkers(8);
   rig.Decide();
-  BOOST_TEST(rig.scheduler.SuspectWorkers() == 4);
+  BOOST_TEST(rig.scheduler.CountSuspectWorkers(rig.now) == 4);
 
   crash_rig other;
   other.AddWorkers(8);
@@ -770,7 +770,7 @@
   const time_point until = other.now + std::chrono::seconds(5);
   while (other.now < until) {
     other.Tick();
-    BOOST_TEST(other.scheduler.SuspectWorkers() <= 4);
+    BOOST_TEST(other.scheduler.CountSuspectWorkers(other.now) <= 4);
   }
   BOOST_TEST((other.scheduler.FindJobState("gang") == job_state::kCompleted));
 }
