Crashes of a step that were cleared do not add up

A step is proven while as many of its tasks are well as workers have crashed under it. The crashes were counted for as long as the job lives, so a lasting step would never be proven again after some crashes that were cleared. The count starts anew when the step has no crashed task, and a suspect that starts has not lost its turn. graph/crashing_tasks_test (cleared_crashes_of_a_step_do_not_add_up) failed before.

--- a/src/graph/pool_crashes.cc
+++ b/src/graph/pool_crashes.cc
@@ -407,6 +407,10 @@
     BlamedRuns(job, key).clear();
     ExcusedRuns(job, key).clear();
     job.crashed_tasks.erase(key);
+    const bool has_others = std::any_of(
+        job.crashed_tasks.begin(), job.crashed_tasks.end(),
+        [&](const task_key& each) { return &StepOf(job, each) == &step; });
+    if (!has_others) StepOf(job, key).crashes = 0;
     MarkDirty(job);
   }
   if (job.crashed_tasks.empty()) crashed_jobs_.erase(&job);
--- a/src/graph/pool_model.h
+++ b/src/graph/pool_model.h
@@ -158,7 +158,8 @@
   time_point suspects_wait_since{};
   // When workers were last kept in vain for one of them.
   time_point turn_lost_at{};
-  // Crashes of workers that are counted against tasks of the step.
+  // Crashes of workers that are counted against tasks of the step, since it
+  // last had no crashed task.
   std::size_t crashes = 0;
   // As many of its tasks have ended, or have run on for a while. Kept up to
   // date while there are crashes.
--- a/src/graph/pool_suspects.cc
+++ b/src/graph/pool_suspects.cc
@@ -342,6 +342,7 @@
       });
   if (is_ready && StartSuspect(waiting, indices, workers, now, decisions)) {
     placed.waiting -= static_cast<std::uint32_t>(indices.size());
+    step.turn_lost_at = {};
     return placed;
   }
   auto unapproved = KeepForSuspect(waiting, workers, now);
--- a/tests/graph/crashing_tasks_test.cc
+++ b/tests/graph/crashing_tasks_test.cc
@@ -681,6 +681,39 @@
   BOOST_TEST(rig.ends["deadly"] == 30);
 }
 
+// Guards against a lasting step that is held back for crashes whose tasks were
+// cleared long before.
+BOOST_AUTO_TEST_CASE(cleared_crashes_of_a_step_do_not_add_up) {
+  crash_rig rig;
+  rig.AddWorkers(6);
+  rig.is_lasting = [](const task_key&) { return true; };
+  job_submission job = MakeService("lasting");
+  job.graph.steps[0].task_count = 4;
+  job.graph.steps[0].max_per_worker = 1;
+  rig.scheduler.AdmitJob(job, rig.now);
+  rig.Run(std::chrono::seconds(6));
+  const auto worker_of = [&](const task_key& task) {
+    return std::find_if(rig.starts.rbegin(), rig.starts.rend(),
+                        [&](const auto& order) { return order.task == task; })
+        ->worker;
+  };
+  const task_key suspect{"lasting", 0, 0, 0};
+  constexpr int kRounds = 5;
+  for (int i = 0; i < kRounds; ++i) {
+    // The first crash is excused for its old run, the second is counted.
+    Restart(rig, worker_of(suspect));
+    rig.Run(std::chrono::seconds(1));
+    Restart(rig, worker_of(suspect));
+    if (i + 1 < kRounds) rig.Run(std::chrono::seconds(8));
+  }
+  const task_key other{"lasting", 0, 0, 2};
+  const std::string lost = worker_of(other);
+  rig.agents[lost].running.clear();
+  rig.scheduler.ExpireWorkerLeases(lost, false, rig.now);
+  rig.Run(std::chrono::seconds(1));
+  BOOST_TEST(rig.StartsOf(other) == 2);
+}
+
 // Guards against a bound that sets all tasks of a crashing job free at once:
 // each crash holds the others back again.
 BOOST_AUTO_TEST_CASE(crashing_tasks_that_are_set_free_are_held_back_again) {
