The wait of a suspect starts anew after each start

A step that waits for nothing else is not placed again before its next crash, so the time since which its suspects wait stayed that of the crash before. After a second crash the wait had ended already, and the task started beside up to 15 others at once instead of alone.

--- a/src/graph/pool_placement.cc
+++ b/src/graph/pool_placement.cc
@@ -530,6 +530,8 @@
     decisions.starts.push_back(std::move(order));
   }
   step.waiting_since = step.waiting == 0 ? time_point{} : now;
+  // A step that waits for nothing else is not placed again before it crashes.
+  if (WaitingSuspects(waiting).empty()) step.suspects_wait_since = {};
 }
 
 void pool_scheduler::CollectStops(time_point now, pool_decisions& decisions) {
--- a/tests/graph/crashing_tasks_test.cc
+++ b/tests/graph/crashing_tasks_test.cc
@@ -726,6 +726,34 @@
   BOOST_TEST(rig.crash_count - before <= 5);
 }
 
+// Guards against a suspect that starts beside others at once after its second
+// crash, because the wait after the first one still counted.
+BOOST_AUTO_TEST_CASE(the_wait_of_a_suspect_starts_anew) {
+  crash_rig rig;
+  rig.AddWorkers(4);
+  rig.is_lasting = [](const task_key&) { return true; };
+  job_submission service = MakeService("service");
+  service.graph.steps[0].task_count = 4;
+  service.graph.steps[0].max_per_worker = 1;
+  rig.scheduler.AdmitJob(service, rig.now);
+  rig.Run(std::chrono::seconds(6));
+  rig.scheduler.AdmitJob(MakeJob("job", {MakeStep(1, kSmall)}), rig.now);
+  rig.Run(std::chrono::seconds(1));
+  const task_key task{"job", 0, 0, 0};
+  rig.away_time = std::chrono::hours(1);
+  for (int starts = 1; starts <= 2; ++starts) {
+    BOOST_REQUIRE_EQUAL(rig.StartsOf(task), starts);
+    const std::string worker = rig.starts.back().worker;
+    rig.Crash(worker);
+    rig.OnCrashNoticed(worker);
+    // No worker can be emptied for it.
+    rig.Run(milliseconds(1500));
+    BOOST_TEST(rig.StartsOf(task) == starts);
+    rig.Run(milliseconds(1000));
+  }
+  BOOST_TEST(rig.StartsOf(task) == 3);
+}
+
 // Two jobs with a suspect each, of which one has no ticket for the only worker
 // that it may use: the advisor does not answer any more.
 void CrashBesideBlockedJob(crash_rig& rig) {
