Suspects are let off only when 10 s of turns wait

Both bounds are one turn now, 10 s.

The two checks on held-back jobs, new in, ask again for the tasks that are no suspects first, and for the suspects within 100 s more.

--- a/src/graph/pool_suspect_turns.cc
+++ b/src/graph/pool_suspect_turns.cc
@@ -69,10 +69,10 @@
     return since +
            (is_strong ? duration(kTimeOfTurn) : duration(kMaxWaitToBeAlone));
   }
-  if (!is_strong && !HasCrashedAsWhole(waiting, indices.size())) {
-    return since + kMaxWaitToBeAlone;
-  }
-  return is_mostly_free_ ? since + kTimeOfTurn : time_point::max();
+  const bool has_healthy_task =
+      !is_strong && !HasCrashedAsWhole(waiting, indices.size());
+  return has_healthy_task || is_mostly_free_ ? since + kTimeOfTurn
+                                             : time_point::max();
 }
 
 std::vector<pool_worker> pool_scheduler::EmptyWorkersToName(
@@ -140,7 +140,7 @@
   }
   const std::size_t limit =
       std::max<std::size_t>(1, workers_.size() / kWorkersPerTurn);
-  has_too_many_suspects_ = work > limit * kMaxWaitToBeAlone;
+  has_too_many_suspects_ = work > limit * kTimeOfTurn;
   const std::size_t left = limit - std::min(limit, suspect_workers_);
   std::stable_sort(claims.begin(), claims.end(),
                    [](const claim& first, const claim& second) {
