Held-back jobs are checked at 9 s again; adoptions count suspects only if alone

It asks again at 9 s that no more than the eight suspects have ended. AdoptRun walked over all workers for each suspect that it adopted, also beside other runs, where the count was of no use. graph/crashing_tasks_test, crash_storm_test, takeover_test, adopted_runs_test and random_walk_test pass.

--- a/src/graph/pool_runs.cc
+++ b/src/graph/pool_runs.cc
@@ -183,8 +183,10 @@
   // The earlier owner may have placed a suspect alone.
   if (!IsFinal(job->progress.state) && IsSuspect(*job, run.task)) {
     adopted.is_alone = worker.runs.empty();
-    suspect_workers_ = CountSuspectWorkers(now);
-    if (adopted.is_alone) IsolateLoneSuspect(worker, now);
+    if (adopted.is_alone) {
+      suspect_workers_ = CountSuspectWorkers(now);
+      IsolateLoneSuspect(worker, now);
+    }
   }
   for (auto& [task, other] : worker.runs) {
     const bool is_same_gang = other.job == job && task.step == run.task.step &&
--- a/tests/graph/crashing_tasks_test.cc
+++ b/tests/graph/crashing_tasks_test.cc
@@ -668,7 +668,10 @@
   HoldBackWideJob(rig, kWorker);
   rig.Run(milliseconds(1500));
   BOOST_TEST(rig.CountRunningTasks() == 3);
-  rig.Run(std::chrono::seconds(18));
+  rig.Run(milliseconds(7500));
+  // Suspects only.
+  BOOST_TEST(rig.ends["deadly"] <= 8);
+  rig.Run(milliseconds(10'500));
   BOOST_TEST(rig.ends["deadly"] >= 30 - 8);
   // The suspects as well, one after the other.
   rig.Run(std::chrono::seconds(100));
